--- /dev/null
+++ b/cmake/PathcleatTargets.cmake
@@ -0,0 +1,35 @@
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+# pathcleat_layer(NAME LIBRARIES ...) makes the library pathcleat::NAME of
+# src/pathcleat/NAME, and the test program of its *_test.cpp files.
+function(pathcleat_layer name)
+  cmake_parse_arguments(ARG "" "" "LIBRARIES" ${ARGN})
+  set(dir ${PROJECT_SOURCE_DIR}/src/pathcleat/${name})
+  file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp)
+  file(GLOB tests CONFIGURE_DEPENDS ${dir}/*_test.cpp)
+  if(tests)
+    list(REMOVE_ITEM sources ${tests})
+  endif()
+  add_library(pathcleat_${name} STATIC ${sources})
+  add_library(pathcleat::${name} ALIAS pathcleat_${name})
+  target_include_directories(pathcleat_${name}
+                             PUBLIC ${PROJECT_SOURCE_DIR}/include
+                             PRIVATE ${dir})
+  target_compile_options(pathcleat_${name} PRIVATE -Wall -Wextra -Werror
+                         # Boost.Accumulators' quantile feature trips it.
+                         -Wno-error=maybe-uninitialized)
+  target_compile_definitions(pathcleat_${name} PUBLIC
+                             PATHCLEAT_VERSION="${PROJECT_VERSION}"
+                             QT_NO_KEYWORDS)
+  target_link_libraries(pathcleat_${name} PUBLIC ${ARG_LIBRARIES})
+  if(PATHCLEAT_TESTS AND tests)
+    add_executable(${name}_test ${tests})
+    target_include_directories(${name}_test PRIVATE ${dir})
+    target_compile_definitions(${name}_test PRIVATE
+                               PATHCLEAT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+    target_link_libraries(${name}_test PRIVATE pathcleat::${name}
+                          PkgConfig::criterion rapidcheck)
+    add_test(NAME ${name} COMMAND ${name}_test)
+    set_tests_properties(${name} PROPERTIES ENVIRONMENT
+                         "RC_PARAMS=seed=20261202 max_success=200")
+  endif()
+endfunction()
--- /dev/null
+++ b/include/pathcleat/core/event.hpp
@@ -0,0 +1,90 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include "pathcleat/core/hybrid_clock.hpp"
+
+namespace pathcleat {
+
+/// @brief Numbers of the log events; docs/EVENTS.md is their catalogue.
+/// @ingroup core
+enum class EventCode : std::uint16_t {
+  kHostStarted = 1001,
+  kHostLeaving = 1002,
+  kHostStopped = 1003,
+  kConfigAgeUnknown = 1004,
+  kSettingsFault = 1005,
+  kRequestRefused = 1101,
+  kRequestUnknown = 1102,
+  kRequestRetried = 1103,
+  kAnswerBroken = 1104,
+  kCallerLeft = 1105,
+  kCallerInputRejected = 1106,
+  kKeyReplayed = 1201,
+  kKeyInProgress = 1202,
+  kKeyWriteFailed = 1203,
+  kUpstreamLeaving = 1301,
+  kUpstreamDown = 1302,
+  kUpstreamUp = 1303,
+  kSlotHeldAfterAbandon = 1304,
+  kSeatAcquired = 1401,
+  kSeatLost = 1402,
+  kSeatServing = 1403,
+  kSeatReleased = 1404,
+  kSeatHeldAlone = 1405,
+  kPauseDetected = 1406,
+  kPeerSilent = 1407,
+  kPeerHeard = 1408,
+  kPlatformDown = 1501,
+  kPlatformUp = 1502,
+  kConfigApplied = 1601,
+  kConfigConflict = 1602,
+  kCommandAccepted = 1603,
+  kShiftStep = 1604,
+  kShiftHeld = 1605,
+  kPeerRejected = 1701,
+  kOperatorRejected = 1702,
+};
+
+/// @brief How an operator should take an event.
+/// @ingroup core
+enum class Severity { kInfo, kWarning, kAlarm };
+
+/// @brief One line of the event catalogue.
+/// @ingroup core
+struct EventInfo {
+  EventCode code;
+  const char* name;
+  Severity severity;
+};
+
+/// @brief All events, in order of their numbers.
+/// @ingroup core
+std::span<const EventInfo> EventCatalogue();
+
+/// @brief The catalogue's line for a code.
+/// @ingroup core
+const EventInfo& InfoOf(EventCode code);
+
+/// @brief One event on the time line.
+/// @ingroup core
+struct Event {
+  HybridTime time;
+  EventCode code = EventCode::kHostStarted;
+  std::string host;     ///< seat of the process that saw it
+  std::string subject;  ///< request id, upstream, seat or peer
+  std::string text;     ///< plain sentence
+};
+
+/// @brief "PC1001" form of a code.
+/// @ingroup core
+std::string ToString(EventCode code);
+
+/// @brief An event as one JSON line, the form of the log and the time line.
+/// @ingroup core
+std::string ToJsonLine(const Event& event);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/host/config_service.hpp
@@ -0,0 +1,56 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pathcleat/core/event_log.hpp"
+#include "pathcleat/core/lock_rank.hpp"
+#include "pathcleat/settings/host_settings.hpp"
+#include "pathcleat/steer/block_table.hpp"
+#include "pathcleat/steer/config_log.hpp"
+#include "pathcleat/wire/peer_message.hpp"
+
+namespace pathcleat {
+
+/// @brief The configuration in force at this host, shared by all threads.
+/// Its version only rises. Thread-safe.
+/// @ingroup host
+class ConfigService {
+ public:
+  ConfigService(const HostSettings& settings, EventLog& events);
+
+  std::uint64_t version() const;
+
+  /// @brief The state in force; stays valid while it is held.
+  std::shared_ptr<const ConfigState> state() const;
+
+  /// @brief Applies what follows on; then calls the listeners.
+  void Apply(const ConfigUpdate& update, const std::string& source);
+
+  /// @brief What a peer at this version lacks.
+  ConfigUpdate UpdateAfter(std::uint64_t version) const;
+
+  /// @brief Called after each rise, in the thread that brought it.
+  void OnChanged(std::function<void()> listener);
+
+  /// @brief Region nearest to a caller's IPv4 address, if it is known.
+  std::optional<RegionIndex> RegionOf(std::uint32_t address) const;
+
+ private:
+  void RebuildBlocks();
+
+  const HostSettings& settings_;
+  EventLog& events_;
+  mutable RankedMutex mutex_{LockRank::kConfig};
+  ConfigLog log_;
+  std::shared_ptr<const ConfigState> state_;
+  BlockTable blocks_;
+  std::vector<std::function<void()>> listeners_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/host/key_ledger.hpp
@@ -0,0 +1,78 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <QObject>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "pathcleat/core/event_log.hpp"
+#include "pathcleat/host/key_row.hpp"
+#include "pathcleat/platform/table_store.hpp"
+#include "pathcleat/steer/key_claim.hpp"
+
+namespace pathcleat {
+
+/// @brief A key that this process has claimed and must settle.
+/// @ingroup host
+struct ClaimedKey {
+  std::string row_name;
+  KeyRow row;
+  std::uint64_t version = 0;
+};
+
+/// @brief Result of a claim; the action is final (not kPut or kRead).
+/// @ingroup host
+struct ClaimResult {
+  KeyAction action = KeyAction::kRefuseNotRun;
+  ClaimedKey claimed;  ///< for kRun
+  HttpResponse kept;   ///< for kAnswerKept
+};
+
+/// @brief A request's claim to its idempotency key.
+/// @ingroup host
+struct KeyRequest {
+  std::string row_name;
+  std::uint64_t fingerprint = 0;
+  std::uint64_t ends_wall_micros = 0;
+};
+
+/// @brief Keeps idempotency keys in the table service: one conditional write
+/// to claim, one to settle. Lives in one thread's event loop.
+/// @ingroup host
+class KeyLedger : public QObject {
+ public:
+  KeyLedger(TableStore& store, EventLog& events, QObject* parent);
+
+  /// @brief Claims a key; the callback comes once.
+  void Claim(const KeyRequest& request,
+             std::function<void(ClaimResult)> callback);
+
+  /// @brief The request ran: keeps its answer for repeats.
+  void Finish(ClaimedKey key, const HttpResponse& answer);
+
+  /// @brief The request may have run: it will not be run again.
+  void MarkUnknown(ClaimedKey key);
+
+  /// @brief The request was certainly not run: the key may be used again.
+  void Release(const ClaimedKey& key);
+
+  /// @brief Settling writes not yet done.
+  int pending() const { return pending_; }
+
+ private:
+  struct Claiming;
+  using ClaimingPtr = std::shared_ptr<Claiming>;
+
+  void Step(const ClaimingPtr& claiming, KeyAction action);
+  void Put(const ClaimingPtr& claiming);
+  void Read(const ClaimingPtr& claiming);
+  void Settle(const ClaimedKey& key, int tries_left);
+  void Delete(const ClaimedKey& key, int tries_left);
+
+  TableStore& store_;
+  EventLog& events_;
+  int pending_ = 0;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/host/key_row.hpp
@@ -0,0 +1,35 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "pathcleat/net/http_message.hpp"
+#include "pathcleat/steer/key_claim.hpp"
+
+namespace pathcleat {
+
+/// @brief An idempotency key's row as it lies in the table service.
+/// @ingroup host
+struct KeyRow {
+  KeyState state = KeyState::kRunning;
+  std::string token;
+  std::uint64_t fingerprint = 0;
+  std::uint64_t ends_wall_micros = 0;  ///< the request must have ended by then
+  HttpResponse answer;                 ///< for kFinished
+};
+
+/// @brief Name of the row of a service's key.
+/// @ingroup host
+std::string KeyRowName(const std::string& service, const std::string& key);
+
+/// @brief JSON form of a row; bodies are kept in base64.
+/// @ingroup host
+std::string ToJson(const KeyRow& row);
+
+/// @brief The row of a JSON text; no value if it is not one.
+/// @ingroup host
+std::optional<KeyRow> KeyRowFromJson(const std::string& text);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/host/metrics.hpp
@@ -0,0 +1,58 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+// clang-format off: the quantile header uses std::ostringstream without
+// including it.
+#include <sstream>
+// clang-format on
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+
+#include "pathcleat/core/lock_rank.hpp"
+#include "pathcleat/core/run_outcome.hpp"
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief Counts and latencies of answered requests by service and kind
+/// (Boost.Accumulators; quantiles by the extended P-square estimate).
+/// Thread-safe.
+/// @ingroup host
+class Metrics {
+ public:
+  void Record(const std::string& kind, RunOutcome outcome, Duration latency);
+
+  /// @brief A table as text, one kind a line.
+  std::string ToText() const;
+
+ private:
+  using Latency = boost::accumulators::accumulator_set<
+      double,
+      boost::accumulators::stats<
+          boost::accumulators::tag::count,
+          boost::accumulators::tag::mean,
+          boost::accumulators::tag::max,
+          boost::accumulators::tag::extended_p_square_quantile>>;
+
+  struct KindMetrics {
+    KindMetrics();
+    Latency latency;
+    std::uint64_t answered = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+  };
+
+  mutable RankedMutex mutex_{LockRank::kMetrics};
+  std::map<std::string, KindMetrics> kinds_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/net/http_limits.hpp
@@ -0,0 +1,21 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+
+namespace pathcleat {
+
+/// @brief Bounds on what a peer may send over HTTP.
+/// @ingroup net
+struct HttpLimits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 1024 * 1024;
+  std::size_t pipelined_requests = 16;
+  std::chrono::milliseconds idle_time{30'000};
+  /// Time from a request's first byte to its last.
+  std::chrono::milliseconds read_time{10'000};
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/query/command.hpp
@@ -0,0 +1,63 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "pathcleat/core/error.hpp"
+#include "pathcleat/core/request_id.hpp"
+#include "pathcleat/settings/deployment.hpp"
+#include "pathcleat/steer/config_change.hpp"
+
+namespace pathcleat {
+
+/// @brief "where SERVICE from CLIENT-IP"
+/// @ingroup query
+struct WhereQuery {
+  ServiceIndex service;
+  std::string caller;
+};
+
+/// @brief "why REQUEST-ID"
+/// @ingroup query
+struct WhyQuery {
+  RequestId id;
+};
+
+/// @brief What "show" can show.
+/// @ingroup query
+enum class ShowTopic { kHosts, kUpstreams, kShifts, kConfig, kMetrics };
+
+/// @brief "show TOPIC"
+/// @ingroup query
+struct ShowQuery {
+  ShowTopic topic = ShowTopic::kHosts;
+};
+
+/// @brief "help"
+/// @ingroup query
+struct HelpQuery {};
+
+/// @brief A command that changes the configuration.
+/// @ingroup query
+struct ChangeCommand {
+  ConfigOperation operation;
+};
+
+/// @brief Anything an operator can say.
+/// @ingroup query
+using OperatorCommand =
+    std::variant<WhereQuery, WhyQuery, ShowQuery, HelpQuery, ChangeCommand>;
+
+/// @brief The language's grammar, for "help".
+/// @ingroup query
+std::string_view CommandHelp();
+
+/// @brief Reads one command; names are looked up in the deployment.
+/// @return kInvalid, naming the word at fault and what was expected there.
+/// @ingroup query
+Result<OperatorCommand> ParseCommand(const Deployment& deployment,
+                                     std::string_view text);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/settings/deployment.hpp
@@ -0,0 +1,129 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pathcleat/core/index.hpp"
+#include "pathcleat/core/request_kind.hpp"
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/settings/timing.hpp"
+
+namespace pathcleat {
+
+/// @brief A region and its one-way latencies to the others.
+/// @ingroup settings
+struct Region {
+  std::string name;
+  int max_in_flight = 0;  ///< 0: bounded by the upstreams' slots alone
+};
+
+/// @brief A failure domain and the region it lies in.
+/// @ingroup settings
+struct FailureDomain {
+  std::string name;
+  RegionIndex region;
+};
+
+/// @brief A seat: the place of one entry host, whichever process fills it.
+/// @ingroup settings
+struct Seat {
+  std::string name;
+  DomainIndex domain;
+  std::string address;
+  std::uint16_t caller_port = 0;
+  std::uint16_t peer_port = 0;
+  std::uint16_t operator_port = 0;
+};
+
+/// @brief One upstream instance.
+/// @ingroup settings
+struct Upstream {
+  std::string name;
+  ServiceIndex service;
+  DomainIndex domain;
+  std::string address;
+  std::uint16_t port = 0;
+  int slots = 1;
+};
+
+/// @brief A service: a path prefix, its kinds of request, its upstreams.
+/// @ingroup settings
+struct Service {
+  std::string name;
+  std::string path_prefix;
+  std::string health_path = "/health";
+  std::vector<RequestKind> kinds;  ///< first match wins
+};
+
+/// @brief Bound on requests in flight from one region to another.
+/// @ingroup settings
+struct Link {
+  RegionIndex from;
+  RegionIndex to;
+  int max_in_flight = 0;
+};
+
+/// @brief A block of client addresses and the region nearest to it.
+/// @ingroup settings
+struct ClientBlock {
+  std::uint32_t first_address = 0;
+  int prefix_length = 32;
+  RegionIndex region;
+};
+
+/// @brief Where the platform's service is, and how much it may be asked.
+/// @ingroup settings
+struct PlatformEndpoint {
+  std::string address;
+  std::uint16_t port = 0;
+  double calls_per_second = 20;  ///< this host's share of the store's rate
+  int burst = 40;                ///< calls that may come at once
+};
+
+/// @brief What all hosts of one user have in common.
+/// @ingroup settings
+struct Deployment {
+  std::string name;
+  std::vector<Region> regions;
+  std::vector<FailureDomain> domains;
+  std::vector<Seat> seats;
+  std::vector<Service> services;
+  std::vector<Upstream> upstreams;
+  std::vector<Link> links;
+  std::vector<ClientBlock> client_blocks;
+  PlatformEndpoint platform;
+  Timing timing;
+  Duration latency_in_domain{200};
+  Duration latency_between_domains{1'000};
+  Duration latency_between_regions{35'000};
+
+  RegionIndex RegionOf(DomainIndex domain) const;
+  RegionIndex RegionOf(SeatIndex seat) const;
+
+  /// @brief One-way latency between two failure domains.
+  Duration Latency(DomainIndex from, DomainIndex to) const;
+
+  /// @brief All seats of a failure domain, in order.
+  std::vector<SeatIndex> SeatsIn(DomainIndex domain) const;
+
+  /// @brief The longest deadline any kind of request may have.
+  Duration LongestDeadline() const;
+
+  std::optional<SeatIndex> FindSeat(std::string_view name) const;
+  std::optional<RegionIndex> FindRegion(std::string_view name) const;
+  std::optional<DomainIndex> FindDomain(std::string_view name) const;
+  std::optional<ServiceIndex> FindService(std::string_view name) const;
+  std::optional<UpstreamIndex> FindUpstream(std::string_view name) const;
+
+  const Seat& At(SeatIndex index) const { return seats[index.value]; }
+  const Region& At(RegionIndex index) const { return regions[index.value]; }
+  const FailureDomain& At(DomainIndex i) const { return domains[i.value]; }
+  const Service& At(ServiceIndex index) const { return services[index.value]; }
+  const Upstream& At(UpstreamIndex i) const { return upstreams[i.value]; }
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/steer/block_table.hpp
@@ -0,0 +1,60 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+namespace pathcleat {
+
+/// @brief One row of the table: addresses from first_address up to the next
+/// row's belong to a site.
+/// @ingroup steer
+struct BlockRow {
+  std::uint32_t first_address = 0;
+  std::uint16_t site = 0;
+};
+
+/// @brief Looks client addresses up among millions of blocks. The rows lie
+/// in two flat arrays (6 bytes a row) under an index of the upper 16 address
+/// bits; changes go to a small ordered overlay that is merged in when it has
+/// grown. Not thread-safe.
+/// @ingroup steer
+class BlockTable {
+ public:
+  /// @param rows sorted by first_address, without repeats; an address before
+  /// the first row belongs to site 0.
+  explicit BlockTable(const std::vector<BlockRow>& rows);
+
+  /// @brief Site of an address.
+  std::uint16_t Find(std::uint32_t address) const;
+
+  /// @brief Gives the addresses from first to last, inclusive, to a site.
+  void Assign(std::uint32_t first, std::uint32_t last, std::uint16_t site);
+
+  /// @brief Merges the changes into the arrays.
+  void Compact();
+
+  std::size_t rows() const { return starts_.size(); }
+  std::size_t pending() const { return overlay_.size(); }
+
+  /// @brief Bytes held by the arrays and the overlay, as reckoned.
+  std::size_t MemoryBytes() const;
+
+ private:
+  struct Range {
+    std::uint32_t last = 0;
+    std::uint16_t site = 0;
+  };
+
+  void BuildIndex();
+  std::size_t RowOf(std::uint32_t address) const;
+
+  std::vector<std::uint32_t> starts_;
+  std::vector<std::uint16_t> sites_;
+  std::vector<std::uint32_t> index_;
+  std::map<std::uint32_t, Range> overlay_;  ///< by first address, disjoint
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/steer/config_change.hpp
@@ -0,0 +1,94 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "pathcleat/core/hybrid_clock.hpp"
+#include "pathcleat/core/index.hpp"
+#include "pathcleat/steer/shift.hpp"
+
+namespace pathcleat {
+
+/// @brief Stops or resumes new work to one upstream.
+/// @ingroup steer
+struct SetUpstreamDrain {
+  UpstreamIndex upstream;
+  bool drained = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(upstream, drained);
+  }
+};
+
+/// @brief Stops or resumes new work to all upstreams of a region.
+/// @ingroup steer
+struct SetRegionDrain {
+  RegionIndex region;
+  bool drained = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(region, drained);
+  }
+};
+
+/// @brief Starts a shift; it replaces the service's shift out of that region.
+/// @ingroup steer
+struct StartShift {
+  ShiftPlan plan;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(plan);
+  }
+};
+
+/// @brief Ends a service's shift out of a region.
+/// @ingroup steer
+struct StopShift {
+  ServiceIndex service;
+  RegionIndex from;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, from);
+  }
+};
+
+/// @brief Maps a block of client addresses to the region nearest to it.
+/// @ingroup steer
+struct AssignBlock {
+  std::uint32_t first_address = 0;
+  std::uint8_t prefix_length = 32;
+  RegionIndex region;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(first_address, prefix_length, region);
+  }
+};
+
+using ConfigOperation = std::variant<SetUpstreamDrain,
+                                     SetRegionDrain,
+                                     StartShift,
+                                     StopShift,
+                                     AssignBlock>;
+
+/// @brief One accepted change of the configuration.
+/// @ingroup steer
+struct ConfigChange {
+  std::uint64_t version = 0;  ///< 1 for the first, without gaps
+  std::string command_id;     ///< unique to the operator's command
+  HybridTime time;
+  ConfigOperation operation;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, command_id, time, operation);
+  }
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/steer/retry_budget.hpp
@@ -0,0 +1,26 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+namespace pathcleat {
+
+/// @brief Allows retries up to a share of first attempts, so that overload
+/// does not feed on itself. Not thread-safe.
+/// @ingroup steer
+class RetryBudget {
+ public:
+  /// @param share retries allowed a first attempt, e.g. 0.1.
+  /// @param burst most retries that can be saved up.
+  RetryBudget(double share, double burst);
+
+  void OnFirstAttempt();
+
+  /// @brief Takes one retry, if there is one.
+  bool TryRetry();
+
+ private:
+  double share_;
+  double burst_;
+  double saved_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/steer/seat_lease.hpp
@@ -0,0 +1,148 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief A seat's row in the table service.
+/// @ingroup steer
+struct LeaseRow {
+  std::string holder;         ///< seat name of the holding host
+  std::string token;          ///< unique to one holder process
+  std::uint64_t renewal = 0;  ///< counts the writes
+
+  bool operator==(const LeaseRow&) const = default;
+};
+
+/// @brief The row as last read, with the store's version of it; version 0
+/// means that there is no row.
+/// @ingroup steer
+struct ObservedRow {
+  std::uint64_t version = 0;
+  LeaseRow row;
+};
+
+/// @brief How a write to the store ended, as far as the writer knows.
+/// @ingroup steer
+enum class StoreOutcome {
+  kDone,
+  kConflict,     ///< the row was not at the expected version
+  kUnreachable,  ///< certainly not done
+  kUnknown,      ///< may have been done
+};
+
+/// @brief What its siblings let a holder know; they alone may claim its seat.
+/// @ingroup steer
+struct SiblingEvidence {
+  /// Every sibling that is heard has promised not to claim before this time;
+  /// no value if none is heard, so that none is there to claim.
+  std::optional<Time> promised_until;
+};
+
+/// @brief Periods of a lease.
+/// @ingroup steer
+struct LeaseTiming {
+  Duration length{6'000'000};
+  Duration renewal{2'000'000};
+  /// Longest time work sent by an earlier holder can fill a slot.
+  Duration takeover_wait{5'500'000};
+};
+
+/// @brief What to do next about a seat.
+/// @ingroup steer
+enum class LeaseAction {
+  kNothing,
+  kRead,     ///< read the row
+  kClaim,    ///< write ProposedRow at the version last read
+  kRenew,    ///< write ProposedRow at the version last read
+  kRelease,  ///< delete the row at the version last read
+};
+
+/// @brief One host's dealings with one seat: pure state, driven by the
+/// answers of the store and by time. At most one host of a failure domain
+/// may send on a seat's instances at any moment. Not thread-safe.
+///
+/// All times are of the BootClock, which runs on while the process is paused.
+/// A lease's end is counted from before its write was asked for; a rival's
+/// row counts as ended only after it was seen unchanged for a whole length.
+/// @ingroup steer
+class SeatLease {
+ public:
+  SeatLease(std::string holder, std::string token, const LeaseTiming& timing);
+
+  /// @brief What to ask the store for now. A call counts as asked.
+  /// @param wanted whether this host should hold the seat.
+  /// @param may_claim whether the seat's own host is gone (or is this one),
+  /// so that a row that has ended may be taken over.
+  LeaseAction Next(bool wanted, bool may_claim, Time now);
+
+  /// @brief The row for kClaim and kRenew.
+  LeaseRow ProposedRow() const;
+
+  /// @brief Version to be matched by the write or deletion.
+  std::uint64_t expected_version() const { return observed_.version; }
+
+  /// @brief Answer to kRead.
+  void OnRead(const ObservedRow& row, Time now);
+
+  /// @brief Answer to kClaim or kRenew.
+  /// @param version of the row after the write, for kDone.
+  void OnWritten(StoreOutcome outcome, std::uint64_t version, Time now);
+
+  /// @brief Answer to kRelease.
+  void OnReleased(StoreOutcome outcome, Time now);
+
+  /// @brief Takes the seat without the store, which is out of reach: for the
+  /// seat's own host, after it has been unheard of by anyone for a lease and
+  /// a takeover wait. The row is claimed when the store answers again.
+  void HoldAlone(Time now);
+
+  /// @brief A read did not reach the store.
+  void OnUnreachable(Time now);
+
+  /// @brief The time before which requests may be sent on this seat's
+  /// instances, as far as is known now. It stands in the past if none may.
+  /// Sending also needs usable_from to have come.
+  Time PermitEnd(const SiblingEvidence& siblings, Time now) const;
+
+  /// @brief Whether a request may be sent on this seat's instances now.
+  bool MaySend(const SiblingEvidence& siblings, Time now) const;
+
+  /// @brief Whether the row was this host's when last heard of.
+  bool IsHolder() const { return holds_; }
+
+  /// @brief Start of sending: the claim plus, after a takeover, the wait.
+  Time usable_from() const { return usable_from_; }
+
+  /// @brief Whether sending now rests on siblings' word, not on the store.
+  bool IsPastEnd(Time now) const { return holds_ && now >= lease_end_; }
+
+  const ObservedRow& observed() const { return observed_; }
+
+ private:
+  bool RowHasEnded(Time now) const;
+  void Hold(Time asked, Time usable_from);
+
+  std::string holder_;
+  std::string token_;
+  LeaseTiming timing_;
+  ObservedRow observed_;
+  bool ever_read_ = false;
+  Time unchanged_since_;
+  bool holds_ = false;
+  bool alone_ = false;  ///< held without a row of its own
+  bool ask_open_ = false;
+  bool must_read_ = true;
+  LeaseAction asked_ = LeaseAction::kNothing;
+  Time asked_at_;
+  Time lease_end_;
+  Time usable_from_;
+  std::optional<Time> unreachable_at_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/steer/token_bucket.hpp
@@ -0,0 +1,27 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief Rate limit with a burst. Not thread-safe.
+/// @ingroup steer
+class TokenBucket {
+ public:
+  /// @param per_second long-term rate.
+  /// @param burst calls that may come at once.
+  TokenBucket(double per_second, double burst);
+
+  /// @brief Takes one call, if the rate allows it now.
+  bool TryTake(Time now);
+
+ private:
+  double per_second_;
+  double burst_;
+  double tokens_;
+  Time last_;
+  bool started_ = false;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/core/hash.cpp
@@ -0,0 +1,19 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/core/hash.hpp"
+
+#include <xxhash.h>
+
+namespace pathcleat {
+
+std::uint64_t StableHash(std::string_view bytes, std::uint64_t seed) {
+  return XXH3_64bits_withSeed(bytes.data(), bytes.size(), seed);
+}
+
+double UnitHash(std::string_view bytes, std::uint64_t seed) {
+  constexpr int kMantissaBits = 53;
+  constexpr double kScale = 1.0 / (1ULL << kMantissaBits);
+  return static_cast<double>(StableHash(bytes, seed) >> (64 - kMantissaBits)) *
+         kScale;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/core/time.cpp
@@ -0,0 +1,26 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/core/time.hpp"
+
+#include <time.h>
+
+namespace pathcleat {
+
+BootClock::time_point BootClock::now() {
+  timespec value{};
+  clock_gettime(CLOCK_BOOTTIME, &value);
+  const auto elapsed = std::chrono::seconds(value.tv_sec) +
+                       std::chrono::nanoseconds(value.tv_nsec);
+  return time_point(std::chrono::duration_cast<Duration>(elapsed));
+}
+
+std::uint64_t WallMicros() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<Duration>(since_epoch).count());
+}
+
+double ToMilliseconds(Duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/host/key_ledger.cpp
@@ -0,0 +1,162 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/host/key_ledger.hpp"
+
+#include <QTimer>
+#include <utility>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/wire/seal.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr std::size_t kTokenBytes = 16;
+// Clocks of hosts may differ by this much before a repeat is told "unknown"
+// of a request that still runs; it is never run a second time either way.
+constexpr std::uint64_t kClockSkewMicros = 5'000'000;
+// Settling is tried for about a minute.
+constexpr int kSettleTries = 30;
+constexpr std::chrono::seconds kSettleAgainAfter{2};
+
+std::string NewToken() {
+  return QByteArray::fromStdString(RandomBytes(kTokenBytes))
+      .toHex()
+      .toStdString();
+}
+
+}  // namespace
+
+struct KeyLedger::Claiming {
+  KeyClaim claim;
+  KeyRequest request;
+  HttpResponse kept;
+  std::function<void(ClaimResult)> callback;
+
+  KeyRow Row() const {
+    KeyRow row;
+    row.token = claim.token();
+    row.fingerprint = request.fingerprint;
+    row.ends_wall_micros = request.ends_wall_micros;
+    return row;
+  }
+};
+
+KeyLedger::KeyLedger(TableStore& store, EventLog& events, QObject* parent)
+    : QObject(parent), store_(store), events_(events) {}
+
+void KeyLedger::Claim(const KeyRequest& request,
+                      std::function<void(ClaimResult)> callback) {
+  auto claiming = std::make_shared<Claiming>(
+      Claiming{KeyClaim(NewToken(), request.fingerprint),
+               request,
+               {},
+               std::move(callback)});
+  Step(claiming, claiming->claim.Start());
+}
+
+void KeyLedger::Step(const ClaimingPtr& claiming, KeyAction action) {
+  if (action == KeyAction::kPut) {
+    Put(claiming);
+    return;
+  }
+  if (action == KeyAction::kRead) {
+    Read(claiming);
+    return;
+  }
+  ClaimResult result;
+  result.action = action;
+  result.kept = claiming->kept;
+  result.claimed = {claiming->request.row_name, claiming->Row(),
+                    claiming->claim.version()};
+  claiming->callback(std::move(result));
+}
+
+void KeyLedger::Put(const ClaimingPtr& claiming) {
+  store_.Write(claiming->request.row_name, 0, ToJson(claiming->Row()),
+               [this, claiming](const TableWrite& write) {
+                 Step(claiming,
+                      claiming->claim.OnPut(write.outcome, write.version));
+               });
+}
+
+void KeyLedger::Read(const ClaimingPtr& claiming) {
+  store_.Read(claiming->request.row_name,
+              [this, claiming](const TableRead& read) {
+                if (read.outcome != StoreOutcome::kDone) {
+                  Step(claiming, claiming->claim.OnReadFailed());
+                  return;
+                }
+                ObservedKey observed;
+                observed.version = read.row.version;
+                if (const auto row = KeyRowFromJson(read.row.value)) {
+                  observed.state = row->state;
+                  observed.token = row->token;
+                  observed.fingerprint = row->fingerprint;
+                  observed.is_overdue =
+                      WallMicros() > row->ends_wall_micros + kClockSkewMicros;
+                  claiming->kept = row->answer;
+                }
+                Step(claiming, claiming->claim.OnRead(observed));
+              });
+}
+
+void KeyLedger::Finish(ClaimedKey key, const HttpResponse& answer) {
+  key.row.state = KeyState::kFinished;
+  key.row.answer = answer;
+  ++pending_;
+  Settle(key, kSettleTries);
+}
+
+void KeyLedger::MarkUnknown(ClaimedKey key) {
+  key.row.state = KeyState::kUnknown;
+  ++pending_;
+  Settle(key, kSettleTries);
+}
+
+void KeyLedger::Release(const ClaimedKey& key) {
+  ++pending_;
+  Delete(key, kSettleTries);
+}
+
+void KeyLedger::Settle(const ClaimedKey& key, int tries_left) {
+  store_.Write(
+      key.row_name, key.version, ToJson(key.row),
+      [this, key, tries_left](const TableWrite& write) {
+        // A conflict means that an earlier try, whose answer was lost, had
+        // taken effect: nobody else writes a claimed row.
+        const bool done = write.outcome == StoreOutcome::kDone ||
+                          write.outcome == StoreOutcome::kConflict;
+        if (done || tries_left == 0) {
+          --pending_;
+        }
+        if (done) {
+          return;
+        }
+        if (tries_left == 0) {
+          events_.Record(EventCode::kKeyWriteFailed, key.row_name,
+                         "the answer could not be kept; repeats are told "
+                         "unknown");
+          return;
+        }
+        QTimer::singleShot(kSettleAgainAfter, this, [this, key, tries_left] {
+          Settle(key, tries_left - 1);
+        });
+      });
+}
+
+void KeyLedger::Delete(const ClaimedKey& key, int tries_left) {
+  store_.Delete(key.row_name, key.version,
+                [this, key, tries_left](const TableWrite& write) {
+                  const bool done = write.outcome == StoreOutcome::kDone ||
+                                    write.outcome == StoreOutcome::kConflict;
+                  if (done || tries_left == 0) {
+                    --pending_;
+                    return;
+                  }
+                  QTimer::singleShot(
+                      kSettleAgainAfter, this,
+                      [this, key, tries_left] { Delete(key, tries_left - 1); });
+                });
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/host/key_row.cpp
@@ -0,0 +1,77 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/host/key_row.hpp"
+
+#include <QByteArray>
+#include <nlohmann/json.hpp>
+
+namespace pathcleat {
+namespace {
+
+using nlohmann::json;
+
+const char* NameOf(KeyState state) {
+  switch (state) {
+    case KeyState::kRunning:
+      return "running";
+    case KeyState::kFinished:
+      return "finished";
+    case KeyState::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+KeyState StateOf(const std::string& name) {
+  if (name == NameOf(KeyState::kRunning)) {
+    return KeyState::kRunning;
+  }
+  return name == NameOf(KeyState::kFinished) ? KeyState::kFinished
+                                             : KeyState::kUnknown;
+}
+
+}  // namespace
+
+std::string KeyRowName(const std::string& service, const std::string& key) {
+  return "key/" + service + "/" + key;
+}
+
+std::string ToJson(const KeyRow& row) {
+  json headers = json::array();
+  for (const HttpHeader& header : row.answer.headers) {
+    headers.push_back({header.name, header.value});
+  }
+  const QByteArray body = QByteArray::fromStdString(row.answer.body);
+  const json value = {
+      {"state", NameOf(row.state)},           {"token", row.token},
+      {"fingerprint", row.fingerprint},       {"ends", row.ends_wall_micros},
+      {"status", row.answer.status},          {"headers", headers},
+      {"body", body.toBase64().toStdString()}};
+  return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<KeyRow> KeyRowFromJson(const std::string& text) {
+  const json value = json::parse(text, nullptr, false);
+  if (!value.is_object()) {
+    return std::nullopt;
+  }
+  try {
+    KeyRow row;
+    row.state = StateOf(value.at("state").get<std::string>());
+    row.token = value.at("token").get<std::string>();
+    row.fingerprint = value.at("fingerprint").get<std::uint64_t>();
+    row.ends_wall_micros = value.at("ends").get<std::uint64_t>();
+    row.answer.status = value.at("status").get<int>();
+    for (const json& header : value.at("headers")) {
+      row.answer.headers.push_back(
+          {header.at(0).get<std::string>(), header.at(1).get<std::string>()});
+    }
+    const std::string body = value.at("body").get<std::string>();
+    row.answer.body =
+        QByteArray::fromBase64(QByteArray::fromStdString(body)).toStdString();
+    return row;
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/host/metrics.cpp
@@ -0,0 +1,61 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/host/metrics.hpp"
+
+#include <array>
+#include <iomanip>
+#include <mutex>
+#include <sstream>
+
+namespace pathcleat {
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr std::array<double, 3> kQuantiles = {0.5, 0.9, 0.99};
+
+}  // namespace
+
+Metrics::KindMetrics::KindMetrics()
+    : latency(acc::extended_p_square_probabilities = kQuantiles) {}
+
+void Metrics::Record(const std::string& kind,
+                     RunOutcome outcome,
+                     Duration latency) {
+  const std::lock_guard lock(mutex_);
+  KindMetrics& metrics = kinds_[kind];
+  switch (outcome) {
+    case RunOutcome::kAnswered:
+      ++metrics.answered;
+      metrics.latency(ToMilliseconds(latency));
+      break;
+    case RunOutcome::kNotRun:
+      ++metrics.not_run;
+      break;
+    case RunOutcome::kUnknown:
+      ++metrics.unknown;
+      break;
+  }
+}
+
+std::string Metrics::ToText() const {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1);
+  const std::lock_guard lock(mutex_);
+  for (const auto& [name, metrics] : kinds_) {
+    text << name << ": answered " << metrics.answered << ", not-run "
+         << metrics.not_run << ", unknown " << metrics.unknown;
+    if (metrics.answered > 0) {
+      text << ", ms mean " << acc::mean(metrics.latency);
+      for (const double probability : kQuantiles) {
+        text << " p" << static_cast<int>(probability * 100) << " "
+             << acc::quantile(metrics.latency,
+                              acc::quantile_probability = probability);
+      }
+      text << " max " << acc::max(metrics.latency);
+    }
+    text << "\n";
+  }
+  return text.str();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/lab/load_audit.cpp
@@ -0,0 +1,51 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/lab/load_audit.hpp"
+
+#include <iomanip>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace pathcleat {
+
+Result<LoadAudit> AuditLoad(const LoadGenerator& load,
+                            const std::string& ledger_json) {
+  const auto ledger = nlohmann::json::parse(ledger_json, nullptr, false);
+  if (!ledger.is_object() || !ledger.contains("runs_by_id")) {
+    return Fail({ErrorCode::kInvalid, "read ledger", "upstream stand-ins",
+                 "not a ledger"});
+  }
+  LoadAudit audit;
+  audit.over_slots = ledger["over_slots"].get<int>();
+  for (const auto& [key, runs] : ledger["runs_by_key"].items()) {
+    audit.doubled += runs.get<int>() > 1 ? 1 : 0;
+  }
+  const auto& runs_by_id = ledger["runs_by_id"];
+  for (const LoadRecord& record : load.records()) {
+    const bool ran = runs_by_id.contains(record.run_id);
+    audit.not_run_but_ran += record.told_not_run && ran ? 1 : 0;
+  }
+  for (const auto& [kind, counts] : load.counts()) {
+    audit.cut += counts.cut;
+  }
+  return audit;
+}
+
+std::string ReportLoad(const LoadGenerator& load, const LoadAudit& audit) {
+  constexpr double kMedian = 0.5;
+  constexpr double kTail = 0.99;
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1);
+  for (const auto& [kind, counts] : load.counts()) {
+    text << kind << ": sent " << counts.sent << ", answered " << counts.answered
+         << ", not-run " << counts.not_run << ", unknown " << counts.unknown
+         << ", broken " << counts.broken << ", p50 "
+         << Quantile(counts.latency_ms, kMedian) << " ms, p99 "
+         << Quantile(counts.latency_ms, kTail) << " ms\n";
+  }
+  text << "doubled " << audit.doubled << ", told not-run but run "
+       << audit.not_run_but_ran << ", over slots " << audit.over_slots
+       << ", cut answers " << audit.cut << "\n";
+  return text.str();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/settings/json_file.hpp
@@ -0,0 +1,26 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "pathcleat/settings/settings_fault.hpp"
+
+namespace pathcleat {
+
+/// @brief A JSON file with comments and the line at which each value starts.
+struct JsonFile {
+  std::string path;
+  nlohmann::json root;
+  std::map<std::string, int> lines;  ///< JSON pointer to line
+
+  int LineOf(const std::string& pointer) const;
+};
+
+/// @brief Reads a file; what is wrong with its text is added to faults.
+JsonFile ReadJsonFile(const std::string& path,
+                      std::vector<SettingsFault>& faults);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/settings/json_reader.hpp
@@ -0,0 +1,80 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "json_file.hpp"
+
+namespace pathcleat {
+
+/// @brief Inclusive bounds of a number.
+struct Bounds {
+  double low;
+  double high;
+};
+
+/// @brief Reads one JSON object with checks. Each fault names file, line and
+/// key; keys that nobody asked for are faults when Finish is called.
+class JsonReader {
+ public:
+  JsonReader(const JsonFile& file,
+             const nlohmann::json& object,
+             std::string pointer,
+             std::vector<SettingsFault>& faults);
+
+  std::string Text(const std::string& key);
+  std::string TextOr(const std::string& key, std::string fallback);
+  double Number(const std::string& key, Bounds bounds);
+  double NumberOr(const std::string& key, Bounds bounds, double fallback);
+  int IntegerOr(const std::string& key, Bounds bounds, int fallback);
+  std::uint16_t Port(const std::string& key);
+  bool Flag(const std::string& key);
+  std::vector<std::string> Texts(const std::string& key);
+
+  /// @brief Calls visit with a reader for each object of a list.
+  void EachObject(const std::string& key,
+                  bool required,
+                  const std::function<void(JsonReader&)>& visit);
+
+  /// @brief Calls visit with a reader for a nested object, if it is there.
+  void Nested(const std::string& key,
+              const std::function<void(JsonReader&)>& visit);
+
+  /// @brief One of the named choices; the first if it is not.
+  template <class T>
+  T Choice(const std::string& key, const std::map<std::string, T>& choices) {
+    const std::string text = Text(key);
+    const auto found = choices.find(text);
+    if (found != choices.end()) {
+      return found->second;
+    }
+    if (!text.empty()) {
+      std::string names;
+      for (const auto& [name, value] : choices) {
+        names += (names.empty() ? "" : ", ") + name;
+      }
+      Fault(key, "expected one of " + names + "; found '" + text + "'");
+    }
+    return choices.begin()->second;
+  }
+
+  void Fault(const std::string& key, const std::string& text);
+  void Finish();
+
+ private:
+  const nlohmann::json* Find(const std::string& key, bool required);
+
+  const JsonFile& file_;
+  const nlohmann::json& object_;
+  std::string pointer_;
+  std::vector<SettingsFault>& faults_;
+  std::set<std::string> asked_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/settings/read_deployment.cpp
@@ -0,0 +1,249 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "read_deployment.hpp"
+
+#include <QHostAddress>
+#include <set>
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+constexpr Bounds kMilliseconds{0.001, 600'000};
+constexpr Bounds kSlots{1, 10'000};
+constexpr Bounds kInFlight{1, 1'000'000};
+constexpr Bounds kInstances{1, 1'000};
+
+Duration FromMilliseconds(double value) {
+  constexpr double kMicrosPerMilli = 1'000;
+  return Duration(static_cast<Duration::rep>(value * kMicrosPerMilli));
+}
+
+std::string IpText(JsonReader& reader, const std::string& key) {
+  std::string text = reader.Text(key);
+  const QHostAddress address(QString::fromStdString(text));
+  if (!text.empty() && address.protocol() != QAbstractSocket::IPv4Protocol) {
+    reader.Fault(key, "expected an IPv4 number; found '" + text + "'");
+  }
+  return text;
+}
+
+// Looks a name up with find; a name that is not there is a fault.
+template <class Find>
+auto Reference(JsonReader& reader, const std::string& key, Find find) {
+  const std::string name = reader.Text(key);
+  const auto found = find(name);
+  if (!found && !name.empty()) {
+    reader.Fault(key, "no such name as '" + name + "'");
+  }
+  return found.value_or(typename decltype(found)::value_type{});
+}
+
+class DeploymentReader {
+ public:
+  explicit DeploymentReader(JsonReader& root) : root_(root) {}
+
+  Deployment Read() {
+    out_.name = root_.Text("name");
+    ReadLatency();
+    root_.EachObject("regions", true, [this](auto& r) { ReadRegion(r); });
+    root_.EachObject("services", true, [this](auto& r) { ReadService(r); });
+    root_.EachObject("hosts", true, [this](auto& r) { ReadSeat(r); });
+    root_.EachObject("upstreams", true, [this](auto& r) { ReadUpstreams(r); });
+    root_.EachObject("links", false, [this](auto& r) { ReadLink(r); });
+    root_.EachObject("client_blocks", false, [this](auto& r) { ReadBlock(r); });
+    root_.Nested("platform", [this](auto& r) { ReadPlatform(r); });
+    root_.Nested("timing", [this](auto& r) { ReadTiming(r); });
+    CheckTiming();
+    return std::move(out_);
+  }
+
+ private:
+  void CheckUnique(JsonReader& reader,
+                   const std::string& sort,
+                   const std::string& name) {
+    if (!names_.insert(sort + " " + name).second) {
+      reader.Fault("name", "duplicate " + sort + " '" + name + "'");
+    }
+  }
+
+  void CheckUniqueEndpoint(JsonReader& reader,
+                           const std::string& address,
+                           std::uint16_t port) {
+    const std::string endpoint = address + ":" + std::to_string(port);
+    if (!names_.insert("endpoint " + endpoint).second) {
+      reader.Fault("address", "address and port " + endpoint + " used twice");
+    }
+  }
+
+  void ReadLatency() {
+    root_.Nested("latency_ms", [this](JsonReader& reader) {
+      out_.latency_in_domain =
+          FromMilliseconds(reader.Number("in_domain", kMilliseconds));
+      out_.latency_between_domains =
+          FromMilliseconds(reader.Number("between_domains", kMilliseconds));
+      out_.latency_between_regions =
+          FromMilliseconds(reader.Number("between_regions", kMilliseconds));
+    });
+  }
+
+  void ReadRegion(JsonReader& reader) {
+    Region region;
+    region.name = reader.Text("name");
+    region.max_in_flight = reader.IntegerOr("max_in_flight", kInFlight, 0);
+    CheckUnique(reader, "region", region.name);
+    const RegionIndex index{static_cast<std::uint16_t>(out_.regions.size())};
+    for (const std::string& name : reader.Texts("failure_domains")) {
+      CheckUnique(reader, "failure domain", name);
+      out_.domains.push_back({name, index});
+    }
+    out_.regions.push_back(std::move(region));
+  }
+
+  void ReadService(JsonReader& reader) {
+    Service service;
+    service.name = reader.Text("name");
+    service.path_prefix = reader.Text("path_prefix");
+    service.health_path = reader.TextOr("health_path", service.health_path);
+    CheckUnique(reader, "service", service.name);
+    reader.EachObject("kinds", true, [&service](JsonReader& kind_reader) {
+      service.kinds.push_back(ReadKind(kind_reader));
+    });
+    out_.services.push_back(std::move(service));
+  }
+
+  static RequestKind ReadKind(JsonReader& reader) {
+    static const std::map<std::string, Priority> kPriorities = {
+        {"submission", Priority::kSubmission},
+        {"lookup", Priority::kLookup},
+        {"download", Priority::kDownload}};
+    constexpr Bounds kBodyBytes{0, 64.0 * 1024 * 1024};
+    RequestKind kind;
+    kind.name = reader.Text("name");
+    kind.methods = reader.Texts("methods");
+    kind.path_prefix = reader.TextOr("path_prefix", kind.path_prefix);
+    kind.repeatable = reader.Flag("repeatable");
+    kind.priority = reader.Choice("priority", kPriorities);
+    kind.deadline =
+        FromMilliseconds(reader.Number("deadline_ms", kMilliseconds));
+    kind.max_body_bytes = static_cast<std::uint64_t>(
+        reader.NumberOr("max_body_bytes", kBodyBytes, 0));
+    return kind;
+  }
+
+  auto FindDomain() {
+    return [this](const std::string& name) { return out_.FindDomain(name); };
+  }
+
+  auto FindRegion() {
+    return [this](const std::string& name) { return out_.FindRegion(name); };
+  }
+
+  void ReadSeat(JsonReader& reader) {
+    Seat seat;
+    seat.name = reader.Text("name");
+    seat.domain = Reference(reader, "failure_domain", FindDomain());
+    seat.address = IpText(reader, "address");
+    seat.caller_port = reader.Port("caller_port");
+    seat.peer_port = reader.Port("peer_port");
+    seat.operator_port = reader.Port("operator_port");
+    CheckUnique(reader, "host", seat.name);
+    CheckUniqueEndpoint(reader, seat.address, seat.caller_port);
+    CheckUniqueEndpoint(reader, seat.address, seat.peer_port);
+    CheckUniqueEndpoint(reader, seat.address, seat.operator_port);
+    out_.seats.push_back(std::move(seat));
+  }
+
+  // One entry stands for 'count' instances on following ports.
+  void ReadUpstreams(JsonReader& reader) {
+    Upstream upstream;
+    const std::string name = reader.Text("name");
+    upstream.service = Reference(reader, "service", [this](const auto& text) {
+      return out_.FindService(text);
+    });
+    upstream.domain = Reference(reader, "failure_domain", FindDomain());
+    upstream.address = IpText(reader, "address");
+    const std::uint16_t first_port = reader.Port("port");
+    upstream.slots = reader.IntegerOr("slots", kSlots, 1);
+    const int count = reader.IntegerOr("count", kInstances, 1);
+    for (int i = 0; i < count; ++i) {
+      upstream.name = count == 1 ? name : name + "-" + std::to_string(i + 1);
+      upstream.port = static_cast<std::uint16_t>(first_port + i);
+      CheckUnique(reader, "upstream", upstream.name);
+      CheckUniqueEndpoint(reader, upstream.address, upstream.port);
+      out_.upstreams.push_back(upstream);
+    }
+  }
+
+  void ReadLink(JsonReader& reader) {
+    Link link;
+    link.from = Reference(reader, "from", FindRegion());
+    link.to = Reference(reader, "to", FindRegion());
+    link.max_in_flight = reader.IntegerOr("max_in_flight", kInFlight, 1);
+    out_.links.push_back(link);
+  }
+
+  void ReadBlock(JsonReader& reader) {
+    ClientBlock block;
+    const std::string text = reader.Text("block");
+    const auto subnet = QHostAddress::parseSubnet(QString::fromStdString(text));
+    if (subnet.second < 0) {
+      reader.Fault("block", "expected an IPv4 block such as 10.0.0.0/8");
+    }
+    block.first_address = subnet.first.toIPv4Address();
+    block.prefix_length = subnet.second;
+    block.region = Reference(reader, "region", FindRegion());
+    out_.client_blocks.push_back(block);
+  }
+
+  void ReadPlatform(JsonReader& reader) {
+    constexpr Bounds kRate{0.1, 100'000};
+    PlatformEndpoint& platform = out_.platform;
+    platform.address = IpText(reader, "address");
+    platform.port = reader.Port("port");
+    platform.calls_per_second =
+        reader.NumberOr("calls_per_second", kRate, platform.calls_per_second);
+    platform.burst = reader.IntegerOr("burst", kRate, platform.burst);
+  }
+
+  void ReadTiming(JsonReader& reader) {
+    const auto read = [&reader](const char* key, Duration& field) {
+      field = FromMilliseconds(
+          reader.NumberOr(key, kMilliseconds, ToMilliseconds(field)));
+    };
+    Timing& timing = out_.timing;
+    read("heartbeat_ms", timing.heartbeat_period);
+    read("lease_ms", timing.lease_length);
+    read("lease_renewal_ms", timing.lease_renewal);
+    read("release_margin_ms", timing.release_margin);
+    read("peer_silence_ms", timing.peer_silence);
+    read("probe_ms", timing.probe_period);
+    read("locate_ttl_ms", timing.locate_ttl);
+    read("config_poll_ms", timing.config_poll);
+    read("platform_timeout_ms", timing.platform_timeout);
+  }
+
+  void CheckTiming() {
+    const Timing& timing = out_.timing;
+    if (timing.lease_renewal * 2 > timing.lease_length) {
+      root_.Fault("timing/lease_renewal_ms",
+                  "expected at most half of lease_ms, so that one lost "
+                  "renewal does not lose the seat");
+    }
+    if (timing.peer_silence <= timing.heartbeat_period * 2) {
+      root_.Fault("timing/peer_silence_ms",
+                  "expected more than two heartbeat periods");
+    }
+  }
+
+  JsonReader& root_;
+  Deployment out_;
+  std::set<std::string> names_;
+};
+
+}  // namespace
+
+Deployment ReadDeployment(JsonReader& reader) {
+  return DeploymentReader(reader).Read();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/steer/config_state.cpp
@@ -0,0 +1,59 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/steer/config_state.hpp"
+
+namespace pathcleat {
+namespace {
+
+template <class Item>
+void SetMembership(std::set<Item>& set, const Item& item, bool present) {
+  if (present) {
+    set.insert(item);
+  } else {
+    set.erase(item);
+  }
+}
+
+class Applier {
+ public:
+  explicit Applier(ConfigState& state) : state_(state) {}
+
+  void operator()(const SetUpstreamDrain& operation) const {
+    SetMembership(state_.drained_upstreams, operation.upstream,
+                  operation.drained);
+  }
+  void operator()(const SetRegionDrain& operation) const {
+    SetMembership(state_.drained_regions, operation.region, operation.drained);
+  }
+  void operator()(const StartShift& operation) const {
+    const ShiftPlan& plan = operation.plan;
+    ShiftPlan& kept = state_.shifts[{plan.service, plan.from}];
+    kept = plan;
+    kept.id = state_.version;
+  }
+  void operator()(const StopShift& operation) const {
+    state_.shifts.erase({operation.service, operation.from});
+  }
+  void operator()(const AssignBlock& operation) const {
+    std::erase_if(state_.blocks, [&operation](const AssignBlock& block) {
+      return block.first_address == operation.first_address &&
+             block.prefix_length == operation.prefix_length;
+    });
+    state_.blocks.push_back(operation);
+  }
+
+ private:
+  ConfigState& state_;
+};
+
+}  // namespace
+
+bool Apply(ConfigState& state, const ConfigChange& change) {
+  if (change.version != state.version + 1) {
+    return false;
+  }
+  state.version = change.version;
+  std::visit(Applier(state), change.operation);
+  return true;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/steer/seat_lease.cpp
@@ -0,0 +1,165 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/steer/seat_lease.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pathcleat {
+
+SeatLease::SeatLease(std::string holder,
+                     std::string token,
+                     const LeaseTiming& timing)
+    : holder_(std::move(holder)), token_(std::move(token)), timing_(timing) {}
+
+LeaseAction SeatLease::Next(bool wanted, bool may_claim, Time now) {
+  if (ask_open_) {
+    return LeaseAction::kNothing;
+  }
+  const bool due =
+      asked_ == LeaseAction::kNothing || now - asked_at_ >= timing_.renewal;
+  LeaseAction action = LeaseAction::kNothing;
+  if (must_read_ && (wanted || holds_)) {
+    // The first read is at once; a read that failed is repeated when due.
+    action =
+        due || !unreachable_at_ ? LeaseAction::kRead : LeaseAction::kNothing;
+  } else if (holds_ && !wanted) {
+    action = alone_ ? LeaseAction::kNothing : LeaseAction::kRelease;
+    holds_ = !alone_;
+  } else if (holds_ && !alone_) {
+    action = due ? LeaseAction::kRenew : LeaseAction::kNothing;
+  } else if (wanted) {
+    const bool free = observed_.version == 0;
+    const bool ended = may_claim && RowHasEnded(now);
+    if (free || ended || alone_) {
+      action = LeaseAction::kClaim;
+    } else if (due) {
+      action = LeaseAction::kRead;
+    }
+  }
+  if (action != LeaseAction::kNothing) {
+    ask_open_ = true;
+    asked_ = action;
+    asked_at_ = now;
+  }
+  return action;
+}
+
+LeaseRow SeatLease::ProposedRow() const {
+  return {holder_, token_, observed_.row.renewal + 1};
+}
+
+bool SeatLease::RowHasEnded(Time now) const {
+  return ever_read_ && now - unchanged_since_ >= timing_.length;
+}
+
+void SeatLease::Hold(Time asked, Time usable_from) {
+  holds_ = true;
+  lease_end_ = asked + timing_.length;
+  usable_from_ = usable_from;
+}
+
+void SeatLease::OnRead(const ObservedRow& row, Time now) {
+  ask_open_ = false;
+  must_read_ = false;
+  unreachable_at_.reset();
+  const bool changed = !ever_read_ || row.version != observed_.version;
+  const bool mine = row.version != 0 && row.row.token == token_;
+  const bool own_old_row = row.version == 0 || row.row.holder == holder_;
+  if (alone_ && !mine && own_old_row) {
+    ever_read_ = true;
+    observed_ = row;
+    return;
+  }
+  if (changed) {
+    // A row seen first now may have been written just now.
+    unchanged_since_ = now;
+  }
+  ever_read_ = true;
+  observed_ = row;
+  if (!mine) {
+    holds_ = false;
+    alone_ = false;
+  } else if (!holds_) {
+    // A claim whose answer was lost had taken effect. Its time is not known
+    // better than "before this read"; the next renewal gives a new end.
+    Hold(asked_at_ - timing_.length, now + timing_.takeover_wait);
+  }
+}
+
+void SeatLease::OnWritten(StoreOutcome outcome,
+                          std::uint64_t version,
+                          Time now) {
+  ask_open_ = false;
+  switch (outcome) {
+    case StoreOutcome::kDone: {
+      unreachable_at_.reset();
+      const bool was_free = observed_.version == 0;
+      observed_.row = ProposedRow();
+      observed_.version = version;
+      unchanged_since_ = now;
+      if (holds_) {
+        lease_end_ = asked_at_ + timing_.length;
+        alone_ = false;
+      } else {
+        Hold(asked_at_, was_free ? now : now + timing_.takeover_wait);
+      }
+      break;
+    }
+    case StoreOutcome::kConflict:
+      unreachable_at_.reset();
+      must_read_ = true;
+      break;
+    case StoreOutcome::kUnreachable:
+      unreachable_at_ = now;
+      break;
+    case StoreOutcome::kUnknown:
+      unreachable_at_ = now;
+      must_read_ = true;
+      break;
+  }
+}
+
+void SeatLease::OnReleased(StoreOutcome outcome, Time now) {
+  ask_open_ = false;
+  must_read_ = true;
+  if (outcome == StoreOutcome::kUnreachable ||
+      outcome == StoreOutcome::kUnknown) {
+    unreachable_at_ = now;
+    return;
+  }
+  holds_ = false;
+}
+
+void SeatLease::HoldAlone(Time now) {
+  Hold(now - timing_.length, now);
+  alone_ = true;
+  must_read_ = true;
+}
+
+void SeatLease::OnUnreachable(Time now) {
+  ask_open_ = false;
+  unreachable_at_ = now;
+}
+
+Time SeatLease::PermitEnd(const SiblingEvidence& siblings, Time now) const {
+  if (!holds_) {
+    return Time::min();
+  }
+  // Past the lease's end a store that answers decides by itself: only one
+  // that was tried lately, and was out of reach, leaves room to go on.
+  const bool store_out = unreachable_at_ && now >= *unreachable_at_ &&
+                         now - *unreachable_at_ < timing_.length;
+  if (!store_out) {
+    return lease_end_;
+  }
+  const Time out_until = *unreachable_at_ + timing_.length;
+  const Time alone_until =
+      std::min(out_until, siblings.promised_until.value_or(out_until));
+  return std::max(lease_end_, alone_until);
+}
+
+bool SeatLease::MaySend(const SiblingEvidence& siblings, Time now) const {
+  return now >= usable_from_ && now < PermitEnd(siblings, now);
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/steer/shift.cpp
@@ -0,0 +1,82 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/steer/shift.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+namespace {
+
+// A target's state older than this is not acted on.
+constexpr Duration kOldestState{2'000'000};
+// Least free share of the target's slots at which a shift still advances.
+constexpr double kLeastHeadroom = 0.15;
+// Latency at the target, over that at the shift's start, above which it holds.
+constexpr double kMostLatencyRatio = 1.5;
+// The pace used when a plan gives no time: the whole cap in one step.
+constexpr Duration kShortestShift{1};
+
+}  // namespace
+
+const char* ToString(PaceStep step) {
+  switch (step) {
+    case PaceStep::kAdvanced:
+      return "advanced";
+    case PaceStep::kHeldOldData:
+      return "held: the target's state is old";
+    case PaceStep::kHeldHeadroom:
+      return "held: the target's headroom is small";
+    case PaceStep::kHeldLatency:
+      return "held: the target's latency has grown";
+    case PaceStep::kAtCap:
+      return "at its cap";
+  }
+  return "held";
+}
+
+ShiftGate::ShiftGate(const ShiftPlan& plan, Time now)
+    : plan_(plan), last_advance_(now) {}
+
+bool ShiftGate::TryMove() {
+  const auto allowed = plan_.cap * static_cast<double>(offered_);
+  if (static_cast<double>(moved_ + 1) > allowed) {
+    return false;
+  }
+  ++moved_;
+  return true;
+}
+
+PaceStep ShiftGate::Advance(const TargetState& target, Time now) {
+  last_step_ = Decide(target, now);
+  if (last_step_ == PaceStep::kAdvanced) {
+    const Duration over = std::max(plan_.over, kShortestShift);
+    const auto elapsed = static_cast<double>((now - last_advance_).count());
+    const double step = plan_.cap * elapsed / static_cast<double>(over.count());
+    fraction_ = std::min(plan_.cap, fraction_ + step);
+  }
+  // Time spent held is not made up for: the pace stays the planned one.
+  last_advance_ = now;
+  return last_step_;
+}
+
+PaceStep ShiftGate::Decide(const TargetState& target, Time now) {
+  if (fraction_ >= plan_.cap) {
+    return PaceStep::kAtCap;
+  }
+  if (target.age > kOldestState || now < last_advance_) {
+    return PaceStep::kHeldOldData;
+  }
+  if (target.headroom < kLeastHeadroom) {
+    return PaceStep::kHeldHeadroom;
+  }
+  if (baseline_latency_ == Duration::zero()) {
+    baseline_latency_ = target.latency;
+  }
+  const double ratio = baseline_latency_ == Duration::zero()
+                           ? 1
+                           : static_cast<double>(target.latency.count()) /
+                                 static_cast<double>(baseline_latency_.count());
+  return ratio > kMostLatencyRatio ? PaceStep::kHeldLatency
+                                   : PaceStep::kAdvanced;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/tools/demo.sh
@@ -0,0 +1,70 @@
+#!/usr/bin/env bash
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+# Starts the nine entry hosts of an example deployment with stand-ins for the
+# platform and the upstreams, all on 127.0.0.0/8, shows what they do, and
+# stops all that it started.
+#   tools/demo.sh [race_results|heathermoor]
+#   DEMO_FAULTS=1 tools/demo.sh    also kills a host, pauses one past its
+#                                  lease, and stops the platform for 60 s
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+example=${1:-race_results}
+build=${PATHCLEAT_BUILD:-$root/build}
+"$root/tools/install_packages.sh"
+PATHCLEAT_BUILD=$build "$root/tools/build.sh" -DPATHCLEAT_TESTS=OFF | tail -1
+source "$root/tools/demo_lib.sh"
+
+start_all
+wait_until_serving
+first=$(operator_address 0)
+
+say "one GET and one POST, byte for byte"
+entry=$(caller_address 0)
+get_path=$(path_of lookup)
+post_path=$(path_of submission)
+curl -s -i -H 'X-Run-Id: demo-1' "http://$entry$get_path" | head -12
+curl -s -i -H 'X-Run-Id: demo-2' -H 'Idempotency-Key: demo-2' \
+  -d 'runner 17, 21:42' "http://$entry$post_path" | head -12
+id=$(curl -s -i "http://$entry$get_path" | tr -d '\r' |
+  sed -n 's/^Pathcleat-Request-Id: //p')
+say "why $id"
+ask "$first" "why $id"
+say "where"
+ask "$first" "where $service from 127.101.3.1"
+ask "$first" "show hosts"
+
+say "load for 10 s, no fault"
+load 10
+
+say "a capped shift and a drain under load"
+ask "$first" "shift $service from ${regions[0]} to ${regions[1]} cap 30% over 5s"
+load 15 &
+loader=$!
+sleep 8
+upstream=$(first_upstream_name)
+drain_began=$(date +%s%N)
+ask "$first" "drain upstream $upstream"
+wait $loader
+for i in "${!hosts[@]}"; do
+  ask "$(operator_address "$i")" "show shifts" | sed "s/^/${hosts[$i]}: /"
+done
+ask "$first" "show config"
+ask "$first" "undrain upstream $upstream"
+ask "$first" "stop shift $service from ${regions[0]}"
+
+say "a planned stop of ${hosts[1]} under load"
+load 14 &
+loader=$!
+sleep 2
+stop_host 1
+wait $loader
+start_host 1
+
+if [ "${DEMO_FAULTS:-0}" = 1 ]; then
+  run_faults
+fi
+
+say "the time line, warnings and alarms"
+"$pathcleat" timeline --token-file="$work/operator.token" $(all_operators) |
+  grep -v '"severity":"info"' | tail -40 || true
+say "broken promises over the whole run: see the last line of each load"
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+# Installs what is missing, builds, and passes all tests.
+set -euo pipefail
+root=$(cd "$(dirname "$0")/.." && pwd)
+build=${PATHCLEAT_BUILD:-$root/build}
+"$root/tools/install_packages.sh"
+PATHCLEAT_BUILD=$build "$root/tools/build.sh" -DCMAKE_BUILD_TYPE=Debug \
+  -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1"
+ctest --test-dir "$build" --output-on-failure
