Lease and membership: promises count claims, permits must not run out

Cause: property tests of the decision core found two faults. (1) A sibling whose own claim was under way still gave a promise, so that a holder which had been paused went on beside the new owner. (2) A seat that changed hands lost its upstreams' leaving marks and was fed until the next tick. Ruled out: the takeover wait and the lease's end; both held in the failing run. Change: heartbeats name claims held or unsettled; a permit is stretched only while it never ran out; a host whose permit ran out during an outage takes its own seat back only after a lease and a takeover wait without a rival; leaving marks are kept apart from ownership.

--- a/cmake/PathcleatTargets.cmake
+++ b/cmake/PathcleatTargets.cmake
@@ -23,7 +23,8 @@
   target_link_libraries(pathcleat_${name} PUBLIC ${ARG_LIBRARIES})
   if(PATHCLEAT_TESTS AND tests)
     add_executable(${name}_test ${tests})
-    target_include_directories(${name}_test PRIVATE ${dir})
+    target_include_directories(${name}_test PRIVATE ${dir}
+                               ${PROJECT_SOURCE_DIR}/src/pathcleat/testing)
     target_compile_definitions(${name}_test PRIVATE
                                PATHCLEAT_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
     target_link_libraries(${name}_test PRIVATE pathcleat::${name}
--- a/include/pathcleat/host/member_service.hpp
+++ b/include/pathcleat/host/member_service.hpp
@@ -21,7 +21,6 @@
   bool alive = false;
   bool leaving = false;
   std::uint64_t config_version = 0;
-  std::vector<SeatIndex> serving;
   std::vector<ServiceLoad> loads;
   Time observed;
 };
@@ -59,7 +58,8 @@
   bool IsClaimable(SeatIndex seat, Time now) const;
   bool IsAlive(SeatIndex seat, Time now) const;
   bool IsLeaving(SeatIndex seat) const;
-  SiblingEvidence Evidence(Time now) const;
+  SiblingEvidence Evidence(SeatIndex seat, Time now) const;
+  bool IsClaimedBySibling(SeatIndex seat, Time now) const;
   std::vector<SeatIndex> Candidates(Time now) const;
   std::vector<SiblingState> Siblings(Time now) const;
 
--- a/include/pathcleat/host/seat_keeper.hpp
+++ b/include/pathcleat/host/seat_keeper.hpp
@@ -30,8 +30,9 @@
   /// @brief Whether no seat is held any more.
   bool IsReleased() const;
 
-  /// @brief Seats whose upstreams this host may fill now.
-  std::vector<SeatIndex> Serving() const;
+  /// @brief Seats that this host holds, or may hold by a claim whose outcome
+  /// it does not know.
+  std::vector<SeatIndex> Claims() const;
 
   /// @brief Who holds a seat, as last read, for operators.
   std::string DescribeSeat(SeatIndex seat) const;
@@ -43,6 +44,7 @@
   struct Held {
     explicit Held(SeatLease seat_lease) : lease(std::move(seat_lease)) {}
     SeatLease lease;
+    Time rival_seen;  ///< last time a sibling had a claim
     bool added = false;
     bool reported_serving = false;
     bool reported_alone = false;
@@ -50,7 +52,6 @@
 
   bool Wants(SeatIndex seat, Time now) const;
   bool MayClaim(SeatIndex seat, const SeatLease& lease, Time now) const;
-  bool IsServedBySibling(SeatIndex seat, Time now) const;
   void TickSeat(SeatIndex seat, Held& held, Time now);
   void ConsiderAlone(SeatIndex seat, Held& held, Time now);
   void UpdateServing(SeatIndex seat, Held& held, bool wants, Time now);
--- a/include/pathcleat/host/state_exchange.hpp
+++ b/include/pathcleat/host/state_exchange.hpp
@@ -41,7 +41,7 @@
 
   /// @brief What this host tells of itself in its heartbeats.
   struct OwnState {
-    std::vector<SeatIndex> serving;
+    std::vector<SeatIndex> claims;
     bool has_host_list = false;
     std::vector<UpstreamIndex> listed_leaving;
   };
--- a/include/pathcleat/host/upstream_watch.hpp
+++ b/include/pathcleat/host/upstream_watch.hpp
@@ -46,6 +46,7 @@
     int failures = 0;
   };
 
+  std::vector<UpstreamIndex> InDomain() const;
   void Start(UpstreamIndex upstream, const SlotToken& token);
   void OnProbed(UpstreamIndex upstream, const ClientResult& result);
 
--- a/include/pathcleat/steer/membership.hpp
+++ b/include/pathcleat/steer/membership.hpp
@@ -43,11 +43,13 @@
 
   /// @brief A sibling's heartbeat arrived.
   /// @param echoed the newest of this host's heartbeats it had heard; 0: none.
+  /// @param claims seats that it holds or may hold.
   std::optional<MembershipChange> OnHeartbeat(SeatIndex seat,
                                               std::uint64_t incarnation,
                                               std::uint64_t sequence,
                                               std::uint64_t echoed,
                                               bool leaving,
+                                              std::vector<SeatIndex> claims,
                                               Time now);
 
   /// @brief This host sends heartbeat number sequence now.
@@ -66,8 +68,11 @@
   /// was awake, that no promise of ours to it is in force any more.
   bool IsClaimable(SeatIndex seat, Time now) const;
 
-  /// @brief What the siblings have promised about this host's seats.
-  SiblingEvidence Evidence(Time now) const;
+  /// @brief What the siblings have promised about a seat of this host.
+  SiblingEvidence Evidence(SeatIndex seat, Time now) const;
+
+  /// @brief Whether a living sibling holds, or may hold, a seat.
+  bool IsClaimedBySibling(SeatIndex seat, Time now) const;
 
   /// @brief Living seats that are not leaving, this one included unless it
   /// is leaving itself.
@@ -83,9 +88,12 @@
     Time silent_since;
     Time promised_until;
     bool leaving = false;
+    std::vector<SeatIndex> claims;
     bool reported_alive = false;
   };
 
+  static bool Claims(const Sibling& sibling, SeatIndex seat);
+
   SeatIndex self_;
   MembershipTiming timing_;
   std::map<SeatIndex, Sibling> siblings_;
--- a/include/pathcleat/steer/seat_lease.hpp
+++ b/include/pathcleat/steer/seat_lease.hpp
@@ -39,8 +39,8 @@
 /// @brief What its siblings let a holder know; they alone may claim its seat.
 /// @ingroup steer
 struct SiblingEvidence {
-  /// Every sibling that is heard has promised not to claim before this time;
-  /// no value if none is heard, so that none is there to claim.
+  /// Every sibling that is heard neither has a claim to the seat nor will make
+  /// one before this time; no value if none is heard.
   std::optional<Time> promised_until;
 };
 
@@ -98,20 +98,29 @@
   void OnReleased(StoreOutcome outcome, Time now);
 
   /// @brief Takes the seat without the store, which is out of reach: for the
-  /// seat's own host, after it has been unheard of by anyone for a lease and
-  /// a takeover wait. The row is claimed when the store answers again.
+  /// seat's own host, after nobody that it hears has had a claim for a lease's
+  /// length and a takeover wait. The row is claimed when the store answers.
   void HoldAlone(Time now);
 
   /// @brief A read did not reach the store.
   void OnUnreachable(Time now);
 
-  /// @brief The time before which requests may be sent on this seat's
-  /// instances, as far as is known now. It stands in the past if none may.
-  /// Sending also needs usable_from to have come.
-  Time PermitEnd(const SiblingEvidence& siblings, Time now) const;
+  /// @brief Renews the permit to send from what is known now; call at every
+  /// tick. While the store is out of reach the permit is stretched by the
+  /// siblings' promises, but only while it has never run out: a holder that
+  /// was paused past its permit needs the store's word again.
+  void UpdatePermit(const SiblingEvidence& siblings, Time now);
+
+  /// @brief End of the permit to send; in the past if there is none. Sending
+  /// also needs usable_from to have come.
+  Time permit_end() const { return permit_end_; }
 
   /// @brief Whether a request may be sent on this seat's instances now.
-  bool MaySend(const SiblingEvidence& siblings, Time now) const;
+  bool MaySend(Time now) const;
+
+  /// @brief Whether the row is, or may yet turn out to be, this host's. A host
+  /// with a claim gives no promise about the seat.
+  bool HasClaim() const;
 
   /// @brief Whether the row was this host's when last heard of.
   bool IsHolder() const { return holds_; }
@@ -137,10 +146,12 @@
   bool holds_ = false;
   bool alone_ = false;  ///< held without a row of its own
   bool ask_open_ = false;
+  bool claim_unsettled_ = false;  ///< a claim's outcome is not known
   bool must_read_ = true;
   LeaseAction asked_ = LeaseAction::kNothing;
   Time asked_at_;
-  Time lease_end_;
+  Time lease_end_ = Time::min();
+  Time permit_end_ = Time::min();
   Time usable_from_;
   std::optional<Time> unreachable_at_;
 };
--- a/include/pathcleat/steer/slot_table.hpp
+++ b/include/pathcleat/steer/slot_table.hpp
@@ -58,7 +58,9 @@
   /// @brief Stops giving an instance's slots. Held ones stay held.
   void Remove(UpstreamIndex upstream);
 
-  /// @brief A leaving or failed instance gets nothing new.
+  /// @brief A leaving or failed instance gets nothing new. Who leaves is kept
+  /// for instances that are not owned too, so that a new owner knows it from
+  /// its first moment.
   void SetLeaving(UpstreamIndex upstream, LeavingSource source, bool leaving);
   void SetHealthy(UpstreamIndex upstream, bool healthy);
 
@@ -102,7 +104,6 @@
     int window = 1;  ///< slow start: slots that may be used now
     Time usable_from;
     bool owned = true;
-    unsigned leaving = 0;  ///< sources that say so
     bool healthy = true;
     Duration latency{0};
   };
@@ -111,13 +112,16 @@
     std::optional<Time> until;
   };
 
-  static bool IsUsable(const Instance& instance, Time now);
-  static int Free(const Instance& instance, Time now);
+  bool IsUsable(UpstreamIndex upstream,
+                const Instance& instance,
+                Time now) const;
+  int Free(UpstreamIndex upstream, const Instance& instance, Time now) const;
   bool AtTotalLimit() const;
   SlotToken Take(UpstreamIndex upstream, Instance& instance);
   void Learn(Instance& instance, Duration latency);
 
   std::map<UpstreamIndex, Instance> instances_;
+  std::map<UpstreamIndex, unsigned> leaving_;  ///< sources that say so
   std::unordered_map<std::uint64_t, Held> held_;
   std::map<ServiceIndex, Duration> latency_;
   std::uint64_t next_serial_ = 1;
--- a/include/pathcleat/wire/state_message.hpp
+++ b/include/pathcleat/wire/state_message.hpp
@@ -20,7 +20,7 @@
   std::uint64_t echoed = 0;  ///< newest sequence heard of the receiver
   std::uint64_t config_version = 0;
   bool leaving = false;
-  std::vector<SeatIndex> serving;  ///< seats whose instances it fills
+  std::vector<SeatIndex> claims;  ///< seats that it holds or may hold
   std::vector<ServiceLoad> loads;
   /// Upstreams that the platform's host list says leave; from the one host of
   /// the failure domain that reads it.
@@ -29,7 +29,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(echoed, config_version, leaving, serving, loads, has_host_list,
+    archive(echoed, config_version, leaving, claims, loads, has_host_list,
             listed_leaving);
   }
 };
--- a/src/pathcleat/host/entry_host.cpp
+++ b/src/pathcleat/host/entry_host.cpp
@@ -48,7 +48,7 @@
   seats_.OnStoreCall(told);
   config_.OnStoreCall(told);
   state_.SetOwnStateSource([this] {
-    return StateExchange::OwnState{seats_.Serving(), watch_.reads_host_list(),
+    return StateExchange::OwnState{seats_.Claims(), watch_.reads_host_list(),
                                    watch_.listed_leaving()};
   });
   state_.OnPeerVersion([this](SeatIndex seat, std::uint64_t version) {
--- a/src/pathcleat/host/member_service.cpp
+++ b/src/pathcleat/host/member_service.cpp
@@ -58,12 +58,11 @@
     const std::lock_guard lock(mutex_);
     change = membership_.OnHeartbeat(message.sender, message.incarnation,
                                      message.sequence, heartbeat.echoed,
-                                     heartbeat.leaving, now);
+                                     heartbeat.leaving, heartbeat.claims, now);
     SiblingState& sibling = siblings_[message.sender];
     sibling.seat = message.sender;
     sibling.leaving = heartbeat.leaving;
     sibling.config_version = heartbeat.config_version;
-    sibling.serving = heartbeat.serving;
     sibling.loads = heartbeat.loads;
     sibling.observed = now;
     config_versions_[message.sender] = heartbeat.config_version;
@@ -162,9 +161,14 @@
   return membership_.IsLeaving(seat);
 }
 
-SiblingEvidence MemberService::Evidence(Time now) const {
+SiblingEvidence MemberService::Evidence(SeatIndex seat, Time now) const {
   const std::lock_guard lock(mutex_);
-  return membership_.Evidence(now);
+  return membership_.Evidence(seat, now);
+}
+
+bool MemberService::IsClaimedBySibling(SeatIndex seat, Time now) const {
+  const std::lock_guard lock(mutex_);
+  return membership_.IsClaimedBySibling(seat, now);
 }
 
 std::vector<SeatIndex> MemberService::Candidates(Time now) const {
--- a/src/pathcleat/host/seat_keeper.cpp
+++ b/src/pathcleat/host/seat_keeper.cpp
@@ -101,15 +101,14 @@
   });
 }
 
-std::vector<SeatIndex> SeatKeeper::Serving() const {
-  const Time now = BootClock::now();
-  std::vector<SeatIndex> serving;
+std::vector<SeatIndex> SeatKeeper::Claims() const {
+  std::vector<SeatIndex> claims;
   for (const auto& [seat, held] : seats_) {
-    if (held.added && shared_.owner.permits().MaySend(seat, now)) {
-      serving.push_back(seat);
+    if (held.lease.HasClaim()) {
+      claims.push_back(seat);
     }
   }
-  return serving;
+  return claims;
 }
 
 std::string SeatKeeper::DescribeSeat(SeatIndex seat) const {
@@ -166,16 +165,6 @@
   return !seat || shared_.members.IsClaimable(*seat, now);
 }
 
-bool SeatKeeper::IsServedBySibling(SeatIndex seat, Time now) const {
-  const auto siblings = shared_.members.Siblings(now);
-  return std::any_of(
-      siblings.begin(), siblings.end(), [seat](const SiblingState& sibling) {
-        return sibling.alive &&
-               std::find(sibling.serving.begin(), sibling.serving.end(),
-                         seat) != sibling.serving.end();
-      });
-}
-
 void SeatKeeper::TickSeat(SeatIndex seat, Held& held, Time now) {
   const bool wants = Wants(seat, now);
   ConsiderAlone(seat, held, now);
@@ -187,16 +176,20 @@
   Ask(seat, held, held.lease.Next(keep, MayClaim(seat, held.lease, now), now));
 }
 
-// A host that starts while the platform is out of reach takes its own seat
-// when nobody else can be filling it.
+// While the platform is out of reach, the seat's own host takes it when
+// nobody can be filling it any more: whoever had it would be heard, or has
+// been unable to renew its permit for longer than that and its work lasts.
 void SeatKeeper::ConsiderAlone(SeatIndex seat, Held& held, Time now) {
+  if (shared_.members.IsClaimedBySibling(seat, now)) {
+    held.rival_seen = now;
+  }
   const LeaseTiming timing = TimingFrom(shared_.settings.deployment);
-  const bool long_enough =
-      now - started_ >= timing.length + timing.takeover_wait;
+  const Time since =
+      std::max({started_, held.rival_seen, held.lease.permit_end()});
+  const bool long_enough = now - since >= timing.length + timing.takeover_wait;
   const bool may = seat == shared_.settings.seat && !leaving_ &&
-                   !held.lease.IsHolder() && !shared_.platform_up &&
-                   held.lease.observed().version == 0 && long_enough &&
-                   !IsServedBySibling(seat, now);
+                   !held.lease.MaySend(now) && !shared_.platform_up &&
+                   long_enough;
   if (may) {
     held.lease.HoldAlone(now);
   }
@@ -226,9 +219,9 @@
                 std::max(Duration::zero(), held.lease.usable_from() - now)))) +
             " ms");
   }
-  shared_.owner.permits().Set(
-      seat, held.lease.usable_from(),
-      held.lease.PermitEnd(shared_.members.Evidence(now), now));
+  held.lease.UpdatePermit(shared_.members.Evidence(seat, now), now);
+  shared_.owner.permits().Set(seat, held.lease.usable_from(),
+                              held.lease.permit_end());
 }
 
 void SeatKeeper::StopServing(SeatIndex seat, Held& held) {
--- a/src/pathcleat/host/state_exchange.cpp
+++ b/src/pathcleat/host/state_exchange.cpp
@@ -83,7 +83,7 @@
   heartbeat.echoed = shared_.members.EchoFor(seat);
   heartbeat.config_version = shared_.config.version();
   heartbeat.leaving = shared_.leaving;
-  heartbeat.serving = own.serving;
+  heartbeat.claims = own.claims;
   heartbeat.loads = shared_.owner.Loads();
   heartbeat.has_host_list = own.has_host_list;
   heartbeat.listed_leaving = own.listed_leaving;
--- a/src/pathcleat/host/upstream_watch.cpp
+++ b/src/pathcleat/host/upstream_watch.cpp
@@ -108,23 +108,35 @@
 
 void UpstreamWatch::OnHostList(const std::vector<UpstreamIndex>& leaving) {
   listed_leaving_ = leaving;
-  for (const OwnedUpstream& owned : shared_.owner.Owned()) {
-    const bool listed = std::find(leaving.begin(), leaving.end(),
-                                  owned.upstream) != leaving.end();
-    shared_.owner.SetLeaving(owned.upstream, LeavingSource::kHostList, listed);
+  for (const UpstreamIndex upstream : InDomain()) {
+    const bool listed =
+        std::find(leaving.begin(), leaving.end(), upstream) != leaving.end();
+    shared_.owner.SetLeaving(upstream, LeavingSource::kHostList, listed);
   }
 }
 
 void UpstreamWatch::ApplyDrains() {
   const auto config = shared_.config.state();
   const Deployment& deployment = shared_.settings.deployment;
-  for (const OwnedUpstream& owned : shared_.owner.Owned()) {
-    const RegionIndex region =
-        deployment.RegionOf(deployment.At(owned.upstream).domain);
-    const bool drained = config->drained_upstreams.contains(owned.upstream) ||
-                         config->drained_regions.contains(region);
-    shared_.owner.SetLeaving(owned.upstream, LeavingSource::kOperator, drained);
+  const RegionIndex region = deployment.RegionOf(shared_.settings.seat);
+  const bool all = config->drained_regions.contains(region);
+  for (const UpstreamIndex upstream : InDomain()) {
+    const bool drained = all || config->drained_upstreams.contains(upstream);
+    shared_.owner.SetLeaving(upstream, LeavingSource::kOperator, drained);
+  }
+}
+
+// All that this host may come to own, so that it knows who leaves before it
+// takes a dead sibling's seat.
+std::vector<UpstreamIndex> UpstreamWatch::InDomain() const {
+  const Deployment& deployment = shared_.settings.deployment;
+  std::vector<UpstreamIndex> found;
+  for (std::uint16_t i = 0; i < deployment.upstreams.size(); ++i) {
+    if (deployment.upstreams[i].domain == shared_.settings.self().domain) {
+      found.push_back({i});
+    }
   }
+  return found;
 }
 
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/steer/config_log_test.cpp
@@ -0,0 +1,90 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/steer/config_log.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+ConfigChange ChangeAt(std::uint64_t version) {
+  ConfigChange change;
+  change.version = version;
+  change.command_id = "command-" + std::to_string(version);
+  change.operation = SetUpstreamDrain{
+      UpstreamIndex{static_cast<std::uint16_t>(version % 5)}, version % 2 == 0};
+  return change;
+}
+
+std::vector<ConfigChange> Changes(std::uint64_t from, std::uint64_t to) {
+  std::vector<ConfigChange> changes;
+  for (std::uint64_t version = from; version <= to; ++version) {
+    changes.push_back(ChangeAt(version));
+  }
+  return changes;
+}
+
+ConfigState StateAt(std::uint64_t version) {
+  ConfigLog log(4);
+  log.Apply(Changes(1, version));
+  return log.state();
+}
+
+bool Same(const ConfigState& a, const ConfigState& b) {
+  return a.version == b.version && a.drained_upstreams == b.drained_upstreams;
+}
+
+// Promise: an accepted configuration never reverts. Checked to fail with the
+// version test in ConfigLog::Adopt or in Apply switched off.
+Test(promise, configuration_never_reverts) {
+  cr_assert(Holds("any peers, stale, repeated or out of order", [] {
+    constexpr std::uint64_t kNewest = 30;
+    ConfigLog log(8);
+    const auto deliveries =
+        *rc::gen::container<std::vector<std::pair<int, int>>>(
+            rc::gen::pair(rc::gen::inRange(1, 31), rc::gen::inRange(0, 10)));
+    for (const auto& [first, length] : deliveries) {
+      const auto version = static_cast<std::uint64_t>(first);
+      const std::uint64_t before = log.version();
+      if (length == 0) {
+        log.Adopt(StateAt(version));
+      } else {
+        log.Apply(Changes(version, std::min(kNewest, version + length)));
+      }
+      RC_ASSERT(log.version() >= before);
+      // Whatever the way, one version is one state.
+      RC_ASSERT(Same(log.state(), StateAt(log.version())));
+    }
+  }));
+}
+
+Test(config_log, serves_a_peer_that_lags_by_changes_or_not_at_all) {
+  ConfigLog log(4);
+  log.Apply(Changes(1, 10));
+  cr_assert(log.Covers(6));
+  cr_assert_eq(log.ChangesAfter(6, 100).size(), 4U);
+  cr_assert_eq(log.ChangesAfter(6, 2).size(), 2U);
+  cr_assert(!log.Covers(5));
+  cr_assert(log.ChangesAfter(5, 100).empty());
+  cr_assert(log.ChangesAfter(10, 100).empty());
+}
+
+Test(config_state, later_shift_replaces_the_one_out_of_the_same_region) {
+  ConfigState state;
+  ShiftPlan plan;
+  plan.cap = 0.3;
+  Apply(state, {1, "a", {}, StartShift{plan}});
+  plan.cap = 0.6;
+  Apply(state, {2, "b", {}, StartShift{plan}});
+  cr_assert_eq(state.shifts.size(), 1U);
+  cr_assert_eq(state.shifts.begin()->second.cap, 0.6);
+  cr_assert_eq(state.shifts.begin()->second.id, 2U);
+  Apply(state, {3, "c", {}, StopShift{plan.service, plan.from}});
+  cr_assert(state.shifts.empty());
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/steer/membership.cpp
+++ b/src/pathcleat/steer/membership.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/steer/membership.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pathcleat {
 namespace {
@@ -27,6 +28,7 @@
     std::uint64_t sequence,
     std::uint64_t echoed,
     bool leaving,
+    std::vector<SeatIndex> claims,
     Time now) {
   const auto found = siblings_.find(seat);
   if (found == siblings_.end()) {
@@ -38,6 +40,7 @@
   sibling.heard = now;
   sibling.silent_since = now;
   sibling.leaving = leaving;
+  sibling.claims = std::move(claims);
   const auto sent = sent_.find(echoed);
   if (sent != sent_.end()) {
     sibling.promised_until =
@@ -107,19 +110,32 @@
          now - found->second.silent_since >= timing_.claim_silence;
 }
 
-SiblingEvidence Membership::Evidence(Time now) const {
+SiblingEvidence Membership::Evidence(SeatIndex seat, Time now) const {
   SiblingEvidence evidence;
-  for (const auto& [seat, sibling] : siblings_) {
-    if (!IsAlive(seat, now)) {
+  for (const auto& [index, sibling] : siblings_) {
+    if (!IsAlive(index, now)) {
       continue;
     }
+    const bool claims = Claims(sibling, seat);
+    const Time promised = claims ? Time::min() : sibling.promised_until;
     evidence.promised_until =
-        std::min(evidence.promised_until.value_or(sibling.promised_until),
-                 sibling.promised_until);
+        std::min(evidence.promised_until.value_or(promised), promised);
   }
   return evidence;
 }
 
+bool Membership::IsClaimedBySibling(SeatIndex seat, Time now) const {
+  return std::any_of(
+      siblings_.begin(), siblings_.end(), [&](const auto& entry) {
+        return IsAlive(entry.first, now) && Claims(entry.second, seat);
+      });
+}
+
+bool Membership::Claims(const Sibling& sibling, SeatIndex seat) {
+  return std::find(sibling.claims.begin(), sibling.claims.end(), seat) !=
+         sibling.claims.end();
+}
+
 std::vector<SeatIndex> Membership::Candidates(Time now) const {
   std::vector<SeatIndex> candidates;
   if (!leaving_) {
--- a/src/pathcleat/steer/seat_lease.cpp
+++ b/src/pathcleat/steer/seat_lease.cpp
@@ -61,6 +61,7 @@
 void SeatLease::OnRead(const ObservedRow& row, Time now) {
   ask_open_ = false;
   must_read_ = false;
+  claim_unsettled_ = false;
   unreachable_at_.reset();
   const bool changed = !ever_read_ || row.version != observed_.version;
   const bool mine = row.version != 0 && row.row.token == token_;
@@ -115,6 +116,7 @@
     case StoreOutcome::kUnknown:
       unreachable_at_ = now;
       must_read_ = true;
+      claim_unsettled_ = claim_unsettled_ || !holds_;
       break;
   }
 }
@@ -132,6 +134,7 @@
 
 void SeatLease::HoldAlone(Time now) {
   Hold(now - timing_.length, now);
+  permit_end_ = now + timing_.renewal;
   alone_ = true;
   must_read_ = true;
 }
@@ -141,25 +144,32 @@
   unreachable_at_ = now;
 }
 
-Time SeatLease::PermitEnd(const SiblingEvidence& siblings, Time now) const {
+void SeatLease::UpdatePermit(const SiblingEvidence& siblings, Time now) {
   if (!holds_) {
-    return Time::min();
+    permit_end_ = Time::min();
+    return;
   }
-  // Past the lease's end a store that answers decides by itself: only one
-  // that was tried lately, and was out of reach, leaves room to go on.
+  const bool unbroken = now < permit_end_;
+  permit_end_ = std::max(permit_end_, lease_end_);
+  // A store that answers decides by itself; only one that was tried lately,
+  // and was out of reach, leaves room to go on.
   const bool store_out = unreachable_at_ && now >= *unreachable_at_ &&
                          now - *unreachable_at_ < timing_.length;
-  if (!store_out) {
-    return lease_end_;
+  if (unbroken && store_out) {
+    const Time out_until = *unreachable_at_ + timing_.length;
+    const Time alone_until =
+        std::min(out_until, siblings.promised_until.value_or(out_until));
+    permit_end_ = std::max(lease_end_, alone_until);
   }
-  const Time out_until = *unreachable_at_ + timing_.length;
-  const Time alone_until =
-      std::min(out_until, siblings.promised_until.value_or(out_until));
-  return std::max(lease_end_, alone_until);
 }
 
-bool SeatLease::MaySend(const SiblingEvidence& siblings, Time now) const {
-  return now >= usable_from_ && now < PermitEnd(siblings, now);
+bool SeatLease::MaySend(Time now) const {
+  return holds_ && now >= usable_from_ && now < permit_end_;
+}
+
+bool SeatLease::HasClaim() const {
+  const bool asking = ask_open_ && asked_ == LeaseAction::kClaim;
+  return holds_ || asking || claim_unsettled_;
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/steer/slot_table.cpp
+++ b/src/pathcleat/steer/slot_table.cpp
@@ -47,13 +47,12 @@
 void SlotTable::SetLeaving(UpstreamIndex upstream,
                            LeavingSource source,
                            bool leaving) {
-  const auto found = instances_.find(upstream);
-  if (found == instances_.end()) {
-    return;
-  }
   const auto bit = static_cast<unsigned>(source);
-  unsigned& sources = found->second.leaving;
+  unsigned& sources = leaving_[upstream];
   sources = leaving ? sources | bit : sources & ~bit;
+  if (sources == 0) {
+    leaving_.erase(upstream);
+  }
 }
 
 void SlotTable::SetHealthy(UpstreamIndex upstream, bool healthy) {
@@ -68,13 +67,17 @@
   instance.healthy = healthy;
 }
 
-bool SlotTable::IsUsable(const Instance& instance, Time now) {
-  return instance.owned && instance.leaving == 0 && instance.healthy &&
+bool SlotTable::IsUsable(UpstreamIndex upstream,
+                         const Instance& instance,
+                         Time now) const {
+  return instance.owned && !leaving_.contains(upstream) && instance.healthy &&
          now >= instance.usable_from;
 }
 
-int SlotTable::Free(const Instance& instance, Time now) {
-  if (!IsUsable(instance, now)) {
+int SlotTable::Free(UpstreamIndex upstream,
+                    const Instance& instance,
+                    Time now) const {
+  if (!IsUsable(upstream, instance, now)) {
     return 0;
   }
   return std::max(
@@ -92,7 +95,7 @@
   std::optional<UpstreamIndex> best;
   double best_load = 0;
   for (const auto& [index, instance] : instances_) {
-    if (instance.service != service || Free(instance, now) == 0) {
+    if (instance.service != service || Free(index, instance, now) == 0) {
       continue;
     }
     const double load =
@@ -178,9 +181,9 @@
 SlotSummary SlotTable::Summary(ServiceIndex service, Time now) const {
   SlotSummary summary;
   for (const auto& [index, instance] : instances_) {
-    if (instance.service == service && IsUsable(instance, now)) {
+    if (instance.service == service && IsUsable(index, instance, now)) {
       summary.slots += instance.slots;
-      summary.free += Free(instance, now);
+      summary.free += Free(index, instance, now);
     }
   }
   if (total_limit_) {
@@ -206,8 +209,7 @@
 }
 
 bool SlotTable::IsLeaving(UpstreamIndex upstream) const {
-  const auto found = instances_.find(upstream);
-  return found != instances_.end() && found->second.leaving != 0;
+  return leaving_.contains(upstream);
 }
 
 bool SlotTable::IsHealthy(UpstreamIndex upstream) const {
@@ -228,7 +230,8 @@
 int SlotTable::UsableInstances(ServiceIndex service, Time now) const {
   return static_cast<int>(std::count_if(
       instances_.begin(), instances_.end(), [&](const auto& entry) {
-        return entry.second.service == service && IsUsable(entry.second, now);
+        return entry.second.service == service &&
+               IsUsable(entry.first, entry.second, now);
       }));
 }
 
--- a/src/pathcleat/steer/slot_table_test.cpp
+++ b/src/pathcleat/steer/slot_table_test.cpp
@@ -2,7 +2,6 @@
 #include "pathcleat/steer/slot_table.hpp"
 
 #include <criterion/criterion.h>
-#include <criterion/new/assert.h>
 
 namespace pathcleat {
 namespace {
@@ -34,7 +33,7 @@
   const auto token = table.Acquire(kService, kStart);
   table.Release(*token, SlotUse::kAnswered, kLatency);
   table.Release(*token, SlotUse::kAnswered, kLatency);
-  cr_assert(eq(int, table.InFlight(kFirst), 0));
+  cr_assert_eq(table.InFlight(kFirst), 0);
 }
 
 Test(slot_table, held_slot_is_freed_only_when_its_hold_ends) {
@@ -62,7 +61,7 @@
   SlotTable table = OneInstance(1);
   const auto token = table.Acquire(kService, kStart);
   table.Remove(kFirst);
-  cr_assert(eq(int, table.TotalInFlight(), 1));
+  cr_assert_eq(table.TotalInFlight(), 1);
   table.Add(kFirst, kService, 1, kStart);
   cr_assert(!table.Acquire(kService, kStart).has_value());
   table.Release(*token, SlotUse::kAnswered, kLatency);
