Lease: a lapsed holder waits like a new owner, alone only when awake

(1) A host that woke from a pause counted its pause as time in which nobody else had a claim. (2) A lapsed holder whose row was unchanged renewed it and sent at once, beside the seat's own host which had gone on without the store. Ruled out: late writes and lost answers; the failing orders have none. Change: the wait before holding alone counts waking time only; a renewal after the permit ran out, and any start while a sibling has a claim, waits as after a takeover; a seat without a permit is reported with no slots. During an outage of the platform that begins while a seat changes hands, the seat can stand unserved until the platform is back.

--- a/include/pathcleat/host/member_service.hpp
+++ b/include/pathcleat/host/member_service.hpp
@@ -56,6 +56,7 @@
 
   std::uint64_t EchoFor(SeatIndex seat) const;
   bool IsClaimable(SeatIndex seat, Time now) const;
+  Time AwakeSince() const;
   bool IsAlive(SeatIndex seat, Time now) const;
   bool IsLeaving(SeatIndex seat) const;
   SiblingEvidence Evidence(SeatIndex seat, Time now) const;
--- a/include/pathcleat/host/seat_keeper.hpp
+++ b/include/pathcleat/host/seat_keeper.hpp
@@ -46,6 +46,7 @@
     SeatLease lease;
     Time rival_seen;  ///< last time a sibling had a claim
     bool added = false;
+    Time usable_from;  ///< as the owner service was told
     bool reported_serving = false;
     bool reported_alone = false;
   };
@@ -66,7 +67,6 @@
 
   Shared& shared_;
   TableStore& store_;
-  Time started_;
   bool leaving_ = false;
   std::map<SeatIndex, Held> seats_;
   std::function<void(StoreOutcome)> on_store_call_;
--- a/include/pathcleat/steer/membership.hpp
+++ b/include/pathcleat/steer/membership.hpp
@@ -58,6 +58,10 @@
   /// @brief Call at every heartbeat period.
   std::vector<MembershipChange> Tick(Time now);
 
+  /// @brief Since when this host has run without a pause, and so has heard
+  /// whoever there was to be heard.
+  Time awake_since() const { return awake_since_; }
+
   /// @brief Number to echo to a sibling: the newest heard of it.
   std::uint64_t EchoFor(SeatIndex seat) const;
 
@@ -99,6 +103,7 @@
   std::map<SeatIndex, Sibling> siblings_;
   std::map<std::uint64_t, Time> sent_;
   Time last_tick_;
+  Time awake_since_;
   bool leaving_ = false;
 };
 
--- a/include/pathcleat/steer/seat_lease.hpp
+++ b/include/pathcleat/steer/seat_lease.hpp
@@ -42,6 +42,8 @@
   /// Every sibling that is heard neither has a claim to the seat nor will make
   /// one before this time; no value if none is heard.
   std::optional<Time> promised_until;
+  /// Whether one that is heard holds, or may hold, the seat.
+  bool is_claimed = false;
 };
 
 /// @brief Periods of a lease.
@@ -108,7 +110,8 @@
   /// @brief Renews the permit to send from what is known now; call at every
   /// tick. While the store is out of reach the permit is stretched by the
   /// siblings' promises, but only while it has never run out: a holder that
-  /// was paused past its permit needs the store's word again.
+  /// was paused past its permit needs the store's word again, and then waits
+  /// as after a takeover. So does one that hears a sibling with a claim.
   void UpdatePermit(const SiblingEvidence& siblings, Time now);
 
   /// @brief End of the permit to send; in the past if there is none. Sending
--- a/src/pathcleat/host/member_service.cpp
+++ b/src/pathcleat/host/member_service.cpp
@@ -151,6 +151,11 @@
   return membership_.IsClaimable(seat, now);
 }
 
+Time MemberService::AwakeSince() const {
+  const std::lock_guard lock(mutex_);
+  return membership_.awake_since();
+}
+
 bool MemberService::IsAlive(SeatIndex seat, Time now) const {
   const std::lock_guard lock(mutex_);
   return membership_.IsAlive(seat, now);
--- a/src/pathcleat/host/seat_keeper.cpp
+++ b/src/pathcleat/host/seat_keeper.cpp
@@ -56,10 +56,7 @@
 }  // namespace
 
 SeatKeeper::SeatKeeper(Shared& shared, TableStore& store, QObject* parent)
-    : QObject(parent),
-      shared_(shared),
-      store_(store),
-      started_(BootClock::now()) {
+    : QObject(parent), shared_(shared), store_(store) {
   const HostSettings& settings = shared.settings;
   const LeaseTiming timing = TimingFrom(settings.deployment);
   for (const SeatIndex seat :
@@ -184,8 +181,8 @@
     held.rival_seen = now;
   }
   const LeaseTiming timing = TimingFrom(shared_.settings.deployment);
-  const Time since =
-      std::max({started_, held.rival_seen, held.lease.permit_end()});
+  const Time since = std::max(
+      {shared_.members.AwakeSince(), held.rival_seen, held.lease.permit_end()});
   const bool long_enough = now - since >= timing.length + timing.takeover_wait;
   const bool may = seat == shared_.settings.seat && !leaving_ &&
                    !held.lease.MaySend(now) && !shared_.platform_up &&
@@ -209,19 +206,24 @@
     }
     return;
   }
+  held.lease.UpdatePermit(shared_.members.Evidence(seat, now), now);
+  shared_.owner.permits().Set(seat, held.lease.usable_from(),
+                              held.lease.permit_end());
+  const bool permitted = now < held.lease.permit_end();
+  const Time usable_from = permitted ? held.lease.usable_from() : Time::max();
+  if (!held.added || usable_from != held.usable_from) {
+    shared_.owner.AddSeat(seat, usable_from);
+    held.usable_from = usable_from;
+  }
   if (!held.added) {
-    shared_.owner.AddSeat(seat, held.lease.usable_from());
     held.added = true;
+    const Duration wait =
+        std::max(Duration::zero(), held.lease.usable_from() - now);
     shared_.events.Record(
         EventCode::kSeatAcquired, NameOf(seat),
         "sending starts in " +
-            std::to_string(static_cast<int>(ToMilliseconds(
-                std::max(Duration::zero(), held.lease.usable_from() - now)))) +
-            " ms");
+            std::to_string(static_cast<int>(ToMilliseconds(wait))) + " ms");
   }
-  held.lease.UpdatePermit(shared_.members.Evidence(seat, now), now);
-  shared_.owner.permits().Set(seat, held.lease.usable_from(),
-                              held.lease.permit_end());
 }
 
 void SeatKeeper::StopServing(SeatIndex seat, Held& held) {
@@ -238,10 +240,14 @@
 void SeatKeeper::ReportState(SeatIndex seat, Held& held, Time now) {
   const bool sending = held.added && shared_.owner.permits().MaySend(seat, now);
   if (sending && !held.reported_serving) {
-    held.reported_serving = true;
     shared_.events.Record(EventCode::kSeatServing, NameOf(seat),
                           "its upstreams are filled from here");
   }
+  if (!sending && held.reported_serving && held.added) {
+    shared_.events.Record(EventCode::kSeatLost, NameOf(seat),
+                          "the permit to send has run out");
+  }
+  held.reported_serving = sending;
   const bool alone = sending && held.lease.IsPastEnd(now);
   if (alone && !held.reported_alone) {
     shared_.events.Record(EventCode::kSeatHeldAlone, NameOf(seat),
--- a/src/pathcleat/steer/membership.cpp
+++ b/src/pathcleat/steer/membership.cpp
@@ -14,7 +14,7 @@
                        std::vector<SeatIndex> siblings,
                        const MembershipTiming& timing,
                        Time now)
-    : self_(self), timing_(timing), last_tick_(now) {
+    : self_(self), timing_(timing), last_tick_(now), awake_since_(now) {
   for (const SeatIndex seat : siblings) {
     if (seat != self) {
       siblings_[seat].silent_since = now;
@@ -66,6 +66,7 @@
   last_tick_ = now;
   const bool paused = gap > timing_.longest_gap;
   if (paused) {
+    awake_since_ = now;
     changes.push_back({MembershipChange::Sort::kPaused, self_, gap});
   }
   for (auto& [seat, sibling] : siblings_) {
@@ -117,6 +118,7 @@
       continue;
     }
     const bool claims = Claims(sibling, seat);
+    evidence.is_claimed = evidence.is_claimed || claims;
     const Time promised = claims ? Time::min() : sibling.promised_until;
     evidence.promised_until =
         std::min(evidence.promised_until.value_or(promised), promised);
--- a/src/pathcleat/steer/seat_lease.cpp
+++ b/src/pathcleat/steer/seat_lease.cpp
@@ -99,6 +99,10 @@
       observed_.version = version;
       unchanged_since_ = now;
       if (holds_) {
+        const bool lapsed = now >= permit_end_;
+        if (lapsed) {
+          usable_from_ = std::max(usable_from_, now + timing_.takeover_wait);
+        }
         lease_end_ = asked_at_ + timing_.length;
         alone_ = false;
       } else {
@@ -150,6 +154,9 @@
     return;
   }
   const bool unbroken = now < permit_end_;
+  if (siblings.is_claimed && !MaySend(now)) {
+    usable_from_ = std::max(usable_from_, now + timing_.takeover_wait);
+  }
   permit_end_ = std::max(permit_end_, lease_end_);
   // A store that answers decides by itself; only one that was tried lately,
   // and was out of reach, leaves room to go on.
--- a/src/pathcleat/steer/seat_lease_test.cpp
+++ b/src/pathcleat/steer/seat_lease_test.cpp
@@ -71,13 +71,11 @@
           members(SeatIndex{static_cast<std::uint16_t>(number)},
                   {SeatIndex{0}, SeatIndex{1}},
                   kMembership,
-                  now),
-          started(now) {}
+                  now) {}
     int index;
     SeatLease lease;
     Membership members;
     std::uint64_t sequence = 0;
-    Time started;
     Time rival_seen;
     Time paused_until;
     Time last_send;   // when this host last sent to the upstream
@@ -118,8 +116,8 @@
     if (host.members.IsClaimedBySibling(kContested, now_)) {
       host.rival_seen = now_;
     }
-    const Time since =
-        std::max({host.started, host.rival_seen, host.lease.permit_end()});
+    const Time since = std::max(
+        {host.members.awake_since(), host.rival_seen, host.lease.permit_end()});
     if (!store_up_ && !host.lease.MaySend(now_) &&
         now_ - since >= kTiming.length + kTiming.takeover_wait) {
       host.lease.HoldAlone(now_);
@@ -271,10 +269,10 @@
     if (lease.Next(true, true, now) == LeaseAction::kRenew) {
       lease.OnWritten(StoreOutcome::kUnreachable, 0, now);
     }
-    lease.UpdatePermit({now + kTick * 2}, now);
+    lease.UpdatePermit({now + kTick * 2, false}, now);
     cr_assert(lease.MaySend(now));
   }
-  lease.UpdatePermit({now}, now);
+  lease.UpdatePermit({now, false}, now);
   cr_assert(!lease.MaySend(now));
 }
 
