--- a/include/pathcleat/net/http_server_connection.hpp
+++ b/include/pathcleat/net/http_server_connection.hpp
@@ -56,6 +56,8 @@
   void Reject(int status);
   void FlushAnswers();
   void Write(const HttpExchange& exchange, bool keep_alive);
+  void BeginClose();
+  void Discard();
   void OnTimeout();
   void OnGone();
   void ArmTimer();
@@ -71,6 +73,8 @@
   bool header_seen_ = false;
   bool last_request_taken_ = false;
   bool closing_ = false;
+  bool discarding_ = false;  ///< all is answered; what still comes is dropped
+  bool half_closed_ = false;
   std::deque<HttpExchangePtr> exchanges_;
   std::string caller_;
 };
--- a/src/pathcleat/net/http_server_connection.cpp
+++ b/src/pathcleat/net/http_server_connection.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/net/http_server_connection.hpp"
 
+#include <sys/socket.h>
+
 #include <QHostAddress>
 #include <QTimer>
 #include <boost/asio/buffer.hpp>
@@ -17,6 +19,7 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
+constexpr std::chrono::milliseconds kLingerTime{2'000};
 constexpr qint64 kReadChunk = 64 * 1024;
 constexpr qint64 kUnsentBytesLimit = 4 * 1024 * 1024;
 
@@ -81,6 +84,10 @@
 }
 
 void HttpServerConnection::OnReadable() {
+  if (discarding_) {
+    Discard();
+    return;
+  }
   while (!last_request_taken_ &&
          exchanges_.size() < limits_.pipelined_requests &&
          socket_->bytesToWrite() < kUnsentBytesLimit &&
@@ -183,12 +190,29 @@
     Write(*exchange, !(is_last && (closing_ || last_request_taken_)));
   }
   if (exchanges_.empty() && (closing_ || last_request_taken_)) {
-    socket_->disconnectFromHost();
+    BeginClose();
     return;
   }
   ArmTimer();
 }
 
+// Closing a socket with unread bytes resets it, and the reset can overtake
+// the answer. So this end is half-closed first, and what the caller still
+// sends is read and dropped until it closes too or the time is up.
+void HttpServerConnection::BeginClose() {
+  discarding_ = true;
+  timer_->start(kLingerTime);
+  Discard();
+}
+
+void HttpServerConnection::Discard() {
+  socket_->readAll();
+  if (!half_closed_ && socket_->bytesToWrite() == 0) {
+    half_closed_ = true;
+    ::shutdown(static_cast<int>(socket_->socketDescriptor()), SHUT_WR);
+  }
+}
+
 void HttpServerConnection::Write(const HttpExchange& exchange,
                                  bool keep_alive) {
   const bool head = exchange.request().method == "HEAD";
@@ -196,6 +220,11 @@
 }
 
 void HttpServerConnection::OnTimeout() {
+  if (discarding_) {
+    socket_->abort();
+    OnGone();
+    return;
+  }
   const bool mid_request = buffer_.size() > 0 || parser_->got_some();
   if (mid_request && !last_request_taken_) {
     Reject(kRequestTimeout);
--- a/src/pathcleat/testing/property.hpp
+++ b/src/pathcleat/testing/property.hpp
@@ -3,8 +3,8 @@
 
 #include <criterion/criterion.h>
 
-#include <cstdlib>
 #include <rapidcheck.h>
+#include <cstdlib>
 #include <string>
 #include <utility>
 
