Store out of reach: refuse keyed work at once; model of the decision core

Cause: with the platform stopped, callers of keyed requests waited for up to four store calls before they were told not-run. Change: no claim is tried while the control thread gets no answer; a read-back that fails ends the claim. The lab's model feeds the decision core in virtual time and compares it with baselines.

--- a/include/pathcleat/lab/load_generator.hpp
+++ b/include/pathcleat/lab/load_generator.hpp
@@ -52,6 +52,7 @@
   int broken = 0;  ///< the connection ended without an answer
   int cut = 0;     ///< an answer that is not the whole answer to the request
   std::vector<double> latency_ms;  ///< from the scheduled arrival; answered
+  std::vector<double> refusal_ms;  ///< the same, of those told "not run"
 };
 
 /// @brief One caller's request, for comparison with the upstreams' ledgers.
--- a/include/pathcleat/steer/key_claim.hpp
+++ b/include/pathcleat/steer/key_claim.hpp
@@ -60,7 +60,7 @@
   KeyAction OnRead(const ObservedKey& row);
 
   /// @brief The read failed.
-  KeyAction OnReadFailed();
+  static KeyAction OnReadFailed();
 
   const std::string& token() const { return token_; }
   std::uint64_t fingerprint() const { return fingerprint_; }
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -11,6 +11,7 @@
 
 #include "pathcleat/lab/load_audit.hpp"
 #include "pathcleat/lab/load_generator.hpp"
+#include "pathcleat/lab/measure.hpp"
 #include "pathcleat/lab/platform_stand_in.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
 #include "pathcleat/settings/load.hpp"
@@ -26,6 +27,7 @@
   pathcleat-lab platform DEPLOYMENT
   pathcleat-lab load DEPLOYMENT --control=PORT [--service=NAME] [--rate=N]
                 [--seconds=N] [--seed=N]
+  pathcleat-lab measure (routing | overload) [--seeds=N] [--json]
   pathcleat-lab (-h | --help)
 
 Options:
@@ -35,6 +37,8 @@
   --rate=N         Requests a second [default: 100].
   --seconds=N      Length of the load [default: 10].
   --seed=N         Seed of the arrivals [default: 1].
+  --seeds=N        Seeds of the model, from 1 up [default: 5].
+  --json           Print JSON in place of Markdown tables.
   -h --help        Show this text.
 
 Exit codes: 0 done, 1 failed or a promise was broken, 2 wrong usage.
@@ -161,7 +165,20 @@
   }
 }
 
+int RunMeasure(const Arguments& arguments) {
+  const int seeds = static_cast<int>(arguments.at("--seeds").asLong());
+  const auto tables = arguments.at("routing").asBool() ? MeasureRouting(seeds)
+                                                       : MeasureOverload(seeds);
+  std::cout << (arguments.at("--json").asBool() ? ToJson(tables)
+                                                : ToText(tables))
+            << "\n";
+  return kDone;
+}
+
 Result<int> Run(const Arguments& arguments) {
+  if (arguments.at("measure").asBool()) {
+    return RunMeasure(arguments);
+  }
   BOOST_LEAF_AUTO(deployment,
                   ReadDeploymentFile(arguments.at("DEPLOYMENT").asString()));
   if (arguments.at("upstreams").asBool()) {
--- a/src/pathcleat/host/caller_service.cpp
+++ b/src/pathcleat/host/caller_service.cpp
@@ -94,6 +94,13 @@
 
  private:
   void ClaimKey(const std::string& key) {
+    // The control thread asks the store every second or so; while that gets
+    // no answer, a claim would only make its caller wait for the same.
+    if (!shared_.platform_up) {
+      Step("key not claimed: the table service is out of reach");
+      Refuse({RefusalReason::kStoreDown, kRetryAfterStore});
+      return;
+    }
     KeyRequest request;
     request.row_name =
         KeyRowName(shared_.settings.deployment.At(match_.service).name, key);
--- a/src/pathcleat/host/key_ledger.cpp
+++ b/src/pathcleat/host/key_ledger.cpp
@@ -83,7 +83,7 @@
   store_.Read(claiming->request.row_name,
               [this, claiming](const TableRead& read) {
                 if (read.outcome != StoreOutcome::kDone) {
-                  Step(claiming, claiming->claim.OnReadFailed());
+                  Step(claiming, KeyClaim::OnReadFailed());
                   return;
                 }
                 ObservedKey observed;
--- a/src/pathcleat/lab/load_audit.cpp
+++ b/src/pathcleat/lab/load_audit.cpp
@@ -40,7 +40,8 @@
          << ", not-run " << counts.not_run << ", unknown " << counts.unknown
          << ", broken " << counts.broken << ", p50 "
          << Quantile(counts.latency_ms, kMedian) << " ms, p99 "
-         << Quantile(counts.latency_ms, kTail) << " ms\n";
+         << Quantile(counts.latency_ms, kTail) << " ms, refused p99 "
+         << Quantile(counts.refusal_ms, kTail) << " ms\n";
   }
   text << "doubled " << audit.doubled << ", told not-run but run "
        << audit.not_run_but_ran << ", over slots " << audit.over_slots
--- a/src/pathcleat/steer/key_claim.cpp
+++ b/src/pathcleat/steer/key_claim.cpp
@@ -5,8 +5,9 @@
 
 namespace pathcleat {
 namespace {
-// Store calls a claim may take beyond the first.
-constexpr int kMostTries = 4;
+// Store calls a claim may take beyond the first: one to read it back, one to
+// write it again where the read found nothing, and one to read that back.
+constexpr int kMostTries = 3;
 }  // namespace
 
 KeyClaim::KeyClaim(std::string token, std::uint64_t fingerprint)
@@ -64,7 +65,8 @@
 }
 
 KeyAction KeyClaim::OnReadFailed() {
-  return Retry(KeyAction::kRead);
+  // Nothing was sent, so "not run" is certain whatever the row says.
+  return KeyAction::kRefuseNotRun;
 }
 
 }  // namespace pathcleat
