Routing: a crowded pool costs more than its wait

Cause: with 35 ms between regions, requests joined a queue at home until it was as long as the way (70 ms both ways), which kept the busiest region saturated: at 80% load its downloads waited behind all better work. Change: a pool's cost is twice its expected wait plus, from 80% of its slots used, up to one typical latency.

--- a/include/pathcleat/steer/pool_view.hpp
+++ b/include/pathcleat/steer/pool_view.hpp
@@ -24,6 +24,13 @@
 /// @ingroup steer
 Duration ExpectedWait(const PoolView& view, Time now);
 
+/// @brief Cost of one more request at a pool: its own expected wait, and what
+/// it adds to the wait of those that come after it. A pool that is nearly
+/// full costs more than its wait alone, so that work goes further away before
+/// a queue has grown as long as the way.
+/// @ingroup steer
+Duration CrowdingCost(const PoolView& view, Time now);
+
 /// @brief Free share of the slots, with the same treatment of age.
 /// @return 0 to 1.
 /// @ingroup steer
--- a/src/pathcleat/steer/pool_router.cpp
+++ b/src/pathcleat/steer/pool_router.cpp
@@ -13,7 +13,7 @@
 constexpr Duration kEqualWithin{500};
 
 Duration ExpectedTime(const RouteCandidate& candidate, Time now) {
-  return candidate.network * 2 + ExpectedWait(candidate.view, now);
+  return candidate.network * 2 + CrowdingCost(candidate.view, now);
 }
 
 double ReportedLoad(const RouteCandidate& candidate) {
--- a/src/pathcleat/steer/pool_view.cpp
+++ b/src/pathcleat/steer/pool_view.cpp
@@ -12,6 +12,18 @@
 // Latency assumed of a pool that has answered nothing yet.
 constexpr Duration kUnknownLatency{50'000};
 
+// Weight of the own wait, for the waits it causes.
+constexpr double kWaitWeight = 2;
+// Used share of the slots from which a pool counts as crowded, and the cost
+// of a full one in its typical latencies.
+constexpr double kCrowdedFrom = 0.8;
+constexpr double kCrowdedLatencies = 1;
+
+Duration LatencyOf(const PoolView& view) {
+  return view.load.latency == Duration::zero() ? kUnknownLatency
+                                               : view.load.latency;
+}
+
 double WeightOf(const PoolView& view, Time now) {
   const double age = std::chrono::duration<double>(now - view.observed).count();
   return std::exp2(-std::max(0.0, age) / kHalfLifeSeconds);
@@ -33,13 +45,22 @@
   if (excess <= 0) {
     return Duration::zero();
   }
-  const Duration latency = view.load.latency == Duration::zero()
-                               ? kUnknownLatency
-                               : view.load.latency;
-  const double wait = static_cast<double>(latency.count()) * excess / slots;
+  const double wait =
+      static_cast<double>(LatencyOf(view).count()) * excess / slots;
   return Duration(static_cast<Duration::rep>(wait));
 }
 
+Duration CrowdingCost(const PoolView& view, Time now) {
+  const double wait =
+      static_cast<double>(ExpectedWait(view, now).count()) * kWaitWeight;
+  const double used = 1 - Headroom(view, now);
+  const double crowded =
+      std::max(0.0, used - kCrowdedFrom) / (1 - kCrowdedFrom);
+  const double latency = static_cast<double>(LatencyOf(view).count());
+  return Duration(static_cast<Duration::rep>(
+      wait + crowded * crowded * latency * kCrowdedLatencies));
+}
+
 double Headroom(const PoolView& view, Time now) {
   if (view.load.slots <= 0) {
     return 0;
