Owner: expected wait counts the better work that comes later

Cause: in overload a download was let in by the work ahead of it, though submissions and look-ups that came later were served first; it was refused only at its deadline. Change: each priority's share of the contended slots is kept as a moving average; the wait of a request is reckoned with what better ones leave. This is the paper's definitely-late test (TetriServe, 4.2.2) with a queue in place of its rounds; its packing by dynamic programming has no use here, a request takes one slot and cannot be split.

--- a/include/pathcleat/steer/owner_table.hpp
+++ b/include/pathcleat/steer/owner_table.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -91,9 +92,11 @@
   WaitingRoom& RoomOf(ServiceIndex service);
   bool IsRepeat(const RequestId& id);
   bool WouldBeLate(const WorkItem& item, Time now);
-  Duration ExpectedWait(ServiceIndex service,
+  Duration ExpectedWait(const WorkItem& item,
                         std::size_t ahead,
                         Time now) const;
+  double ShareLeftFor(const WorkItem& item) const;
+  void CountGrant(const WorkItem& item, bool contended);
   void Refuse(OwnerActions& actions,
               const WorkItem& item,
               RefusalReason reason,
@@ -103,6 +106,9 @@
   OwnerOptions options_;
   SlotTable slots_;
   std::map<ServiceIndex, WaitingRoom> rooms_;
+  /// Share of the slots that each priority has lately taken while work
+  /// waited, by service; it decays towards nothing when none waits.
+  std::map<ServiceIndex, std::array<double, kPriorityCount>> taken_;
   std::unordered_set<RequestId, RequestIdHash> seen_;
   std::deque<RequestId> seen_order_;
 };
--- a/src/pathcleat/steer/owner_table.cpp
+++ b/src/pathcleat/steer/owner_table.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/steer/owner_table.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 namespace pathcleat {
 namespace {
@@ -10,6 +11,10 @@
 // longest deadline at the busiest owner of the capacity page.
 constexpr std::size_t kRememberedIds = 65'536;
 constexpr Duration kShortestRetryAfter{100'000};
+// Weight of one grant in the shares taken by priority.
+constexpr double kTakenGain = 0.02;
+// A priority is never reckoned to get less than this share of the slots.
+constexpr double kLeastShareLeft = 0.02;
 
 }  // namespace
 
@@ -106,20 +111,46 @@
   return load;
 }
 
-Duration OwnerTable::ExpectedWait(ServiceIndex service,
+// Better work that comes later is served first too: what is left for this
+// priority is what better ones have not been taking.
+double OwnerTable::ShareLeftFor(const WorkItem& item) const {
+  const auto found = taken_.find(item.service);
+  if (found == taken_.end()) {
+    return 1;
+  }
+  const auto better = static_cast<std::ptrdiff_t>(item.priority);
+  const auto& taken = found->second;
+  const double by_better =
+      std::accumulate(taken.begin(), taken.begin() + better, 0.0);
+  return std::max(kLeastShareLeft, 1 - by_better);
+}
+
+void OwnerTable::CountGrant(const WorkItem& item, bool contended) {
+  auto& taken = taken_[item.service];
+  for (double& share : taken) {
+    share *= 1 - kTakenGain;
+  }
+  if (contended) {
+    taken[static_cast<std::size_t>(item.priority)] += kTakenGain;
+  }
+}
+
+Duration OwnerTable::ExpectedWait(const WorkItem& item,
                                   std::size_t ahead,
                                   Time now) const {
-  const SlotSummary summary = slots_.Summary(service, now);
+  const SlotSummary summary = slots_.Summary(item.service, now);
   if (summary.free > static_cast<int>(ahead)) {
     return Duration::zero();
   }
-  const int slots = std::max(1, summary.slots);
-  return summary.latency * static_cast<Duration::rep>(ahead + 1) / slots;
+  const double turns = static_cast<double>(ahead + 1) /
+                       std::max(1, summary.slots) / ShareLeftFor(item);
+  return Duration(static_cast<Duration::rep>(
+      static_cast<double>(summary.latency.count()) * turns));
 }
 
 bool OwnerTable::WouldBeLate(const WorkItem& item, Time now) {
   const WaitingRoom& room = RoomOf(item.service);
-  const Duration wait = ExpectedWait(item.service, room.CountAhead(item), now);
+  const Duration wait = ExpectedWait(item, room.CountAhead(item), now);
   const Duration run = slots_.Summary(item.service, now).latency;
   return now + wait + run > item.deadline;
 }
@@ -130,7 +161,7 @@
                         Time now) {
   const auto room = rooms_.find(item.service);
   const std::size_t ahead = room == rooms_.end() ? 0 : room->second.size();
-  const Duration wait = ExpectedWait(item.service, ahead, now);
+  const Duration wait = ExpectedWait(item, ahead, now);
   actions.refusals.push_back(
       {item.id, {reason, std::max(wait, kShortestRetryAfter)}});
 }
@@ -142,7 +173,10 @@
       if (!token) {
         break;
       }
-      actions.grants.push_back({room.Pop()->id, *token});
+      const bool contended = room.size() > 1;
+      const WorkItem item = *room.Pop();
+      CountGrant(item, contended);
+      actions.grants.push_back({item.id, *token});
     }
   }
 }
