--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -13,6 +13,7 @@
 #include "pathcleat/lab/load_generator.hpp"
 #include "pathcleat/lab/measure.hpp"
 #include "pathcleat/lab/platform_stand_in.hpp"
+#include "pathcleat/lab/slope.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
 #include "pathcleat/settings/load.hpp"
 
@@ -28,6 +29,7 @@
   pathcleat-lab load DEPLOYMENT --control=PORT [--service=NAME] [--rate=N]
                 [--seconds=N] [--seed=N]
   pathcleat-lab measure (routing | overload) [--seeds=N] [--json]
+  pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
 Options:
@@ -175,7 +177,18 @@
   return kDone;
 }
 
+int RunSlopes() {
+  for (const auto& measure : {HostSlopes, BlockTableSlopes, MessageSlopes,
+                              OwnerSlopes, SpreadSlopes}) {
+    std::cout << ToText(measure()) << "\n" << std::flush;
+  }
+  return kDone;
+}
+
 Result<int> Run(const Arguments& arguments) {
+  if (arguments.at("slopes").asBool()) {
+    return RunSlopes();
+  }
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
--- /dev/null
+++ b/src/pathcleat/lab/block_table_slopes.cpp
@@ -0,0 +1,84 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include <random>
+
+#include "pathcleat/lab/slope.hpp"
+#include "pathcleat/steer/block_table.hpp"
+#include "stopwatch.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr std::uint16_t kSites = 2'500;
+constexpr std::size_t kSizes[] = {550'000, 1'100'000, 2'200'000, 4'400'000};
+constexpr double kMegabyte = 1e6;
+constexpr double kNanos = 1e3;
+
+// Blocks of random lengths over all addresses, each of a random site.
+std::vector<BlockRow> MakeRows(std::size_t count) {
+  std::mt19937_64 random(count);
+  const double step = 4294967296.0 / static_cast<double>(count);
+  std::uniform_real_distribution<double> place(0.0, 1.0);
+  std::vector<BlockRow> rows;
+  rows.reserve(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    const double first = (static_cast<double>(i) + place(random)) * step;
+    rows.push_back({static_cast<std::uint32_t>(first),
+                    static_cast<std::uint16_t>(random() % kSites)});
+  }
+  return rows;
+}
+
+}  // namespace
+
+std::vector<Slope> BlockTableSlopes() {
+  Slope build{"block table: build, CPU ms", "blocks", {}, 0, 0, 0};
+  Slope memory{"block table: memory, MB", "blocks", {}, 0, 0, 0};
+  Slope look_up{"block table: look-up, CPU ns", "blocks", {}, 0, 0, 0};
+  Slope change{"block table: one change, CPU us", "blocks", {}, 0, 0, 0};
+  Slope compact{
+      "block table: merge of 2,000 changes, CPU ms", "blocks", {}, 0, 0, 0};
+  for (const std::size_t size : kSizes) {
+    const auto x = static_cast<double>(size);
+    const std::vector<BlockRow> rows = MakeRows(size);
+    std::vector<double> builds =
+        TimeCalls(1, [&rows](std::size_t) { const BlockTable built(rows); });
+    for (double& micros : builds) {
+      micros /= kNanos;
+    }
+    build.points.push_back(PointOf(x, builds));
+    BlockTable table(rows);
+    memory.points.push_back(
+        PointOf(x, {static_cast<double>(table.MemoryBytes()) / kMegabyte}));
+    std::mt19937 random(1);
+    std::uint64_t sum = 0;
+    constexpr std::size_t kLookUps = 2'000'000;
+    std::vector<double> look_ups =
+        TimeCalls(kLookUps, [&](std::size_t) { sum += table.Find(random()); });
+    for (double& micros : look_ups) {
+      micros *= kNanos;
+    }
+    look_up.points.push_back(PointOf(x, look_ups));
+    std::vector<double> changes;
+    std::vector<double> merges;
+    constexpr int kRuns = 5;
+    constexpr std::size_t kChanges = 2'000;
+    for (int run = 0; run < kRuns; ++run) {
+      const double began = CpuMicros();
+      for (std::size_t i = 0; i < kChanges; ++i) {
+        const std::uint32_t first = random() & 0xFFFFFF00U;
+        table.Assign(first, first + 0xFF,
+                     static_cast<std::uint16_t>(sum % kSites));
+      }
+      const double changed = CpuMicros();
+      table.Compact();
+      changes.push_back((changed - began) / kChanges);
+      merges.push_back((CpuMicros() - changed) / kNanos);
+    }
+    change.points.push_back(PointOf(x, changes));
+    compact.points.push_back(PointOf(x, merges));
+  }
+  return {Fitted(build), Fitted(memory), Fitted(look_up), Fitted(change),
+          Fitted(compact)};
+}
+
+}  // namespace pathcleat
