Gossip has its own period; siblings' news is not repeated

Cause: reckoned at 15 hosts a failure domain and 0.56 changes a second, a round of heartbeats and gossip from every host for every change costs 2.4 KB/s a node of the 6 KB/s budget. Change: gossip_ms beside heartbeat_ms; a change heard from a sibling is not announced again, one from the platform, an operator or another failure domain is.

--- a/include/pathcleat/host/config_service.hpp
+++ b/include/pathcleat/host/config_service.hpp
@@ -17,6 +17,15 @@
 
 namespace pathcleat {
 
+/// @brief Where a change of the configuration came from.
+/// @ingroup host
+enum class ConfigSource {
+  kStore,        ///< the table service or the object store
+  kOperator,     ///< a command given to this host
+  kSibling,      ///< a host of the same failure domain
+  kOtherDomain,  ///< a host of another failure domain
+};
+
 /// @brief The configuration in force at this host, shared by all threads.
 /// Its version only rises. Thread-safe.
 /// @ingroup host
@@ -30,13 +39,13 @@
   std::shared_ptr<const ConfigState> state() const;
 
   /// @brief Applies what follows on; then calls the listeners.
-  void Apply(const ConfigUpdate& update, const std::string& source);
+  void Apply(const ConfigUpdate& update, ConfigSource source);
 
   /// @brief What a peer at this version lacks.
   ConfigUpdate UpdateAfter(std::uint64_t version) const;
 
   /// @brief Called after each rise, in the thread that brought it.
-  void OnChanged(std::function<void()> listener);
+  void OnChanged(std::function<void(ConfigSource)> listener);
 
   /// @brief Region nearest to a caller's IPv4 address, if it is known.
   std::optional<RegionIndex> RegionOf(std::uint32_t address) const;
@@ -50,7 +59,7 @@
   ConfigLog log_;
   std::shared_ptr<const ConfigState> state_;
   BlockTable blocks_;
-  std::vector<std::function<void()>> listeners_;
+  std::vector<std::function<void(ConfigSource)>> listeners_;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/host/entry_host.hpp
+++ b/include/pathcleat/host/entry_host.hpp
@@ -41,6 +41,7 @@
  private:
   void Every(Duration period, std::function<void()> action);
   void StartTimers();
+  void Announce(ConfigSource source);
   void OnStoreCall(StoreOutcome outcome);
   void CheckStopped();
   bool IsQuiet();
--- a/include/pathcleat/host/state_exchange.hpp
+++ b/include/pathcleat/host/state_exchange.hpp
@@ -35,9 +35,12 @@
   /// @brief Binds the peer port.
   Result<void> Bind();
 
-  /// @brief Sends one round now; call every heartbeat period, and when
+  /// @brief Tells all siblings now; call every heartbeat period, and when
   /// something changed that should not wait.
-  void SendRound();
+  void SendHeartbeats();
+
+  /// @brief Tells a few hosts of other failure domains now.
+  void SendGossip();
 
   /// @brief What this host tells of itself in its heartbeats.
   struct OwnState {
--- a/include/pathcleat/settings/timing.hpp
+++ b/include/pathcleat/settings/timing.hpp
@@ -9,6 +9,7 @@
 /// @ingroup settings
 struct Timing {
   Duration heartbeat_period{250'000};
+  Duration gossip_period{250'000};
   Duration lease_length{6'000'000};
   Duration lease_renewal{2'000'000};
   /// Added to a deadline before a slot or seat counts as let go.
--- a/src/pathcleat/host/config_keeper.cpp
+++ b/src/pathcleat/host/config_keeper.cpp
@@ -48,7 +48,7 @@
       ConfigUpdate update;
       update.state = TryOr([&read] { return DecodeConfigState(read.bytes); },
                            [](const Error&) { return ConfigState{}; });
-      shared_.config.Apply(update, "the snapshot");
+      shared_.config.Apply(update, ConfigSource::kStore);
     }
     Scan([](StoreOutcome) {});
   });
@@ -84,7 +84,7 @@
                     update.changes.push_back(*change);
                   }
                 }
-                shared_.config.Apply(update, "the table service");
+                shared_.config.Apply(update, ConfigSource::kStore);
                 if (scan.rows.size() == kRowsAtOnce) {
                   ScanNext();
                   return;
@@ -121,12 +121,14 @@
   const Seat& target = shared_.settings.deployment.At(seat);
   link = new PeerLink(target.address, target.peer_port,
                       shared_.settings.peer_key, this);
-  link->OnMessage([this, seat](const PeerMessage& message) {
-    if (const auto* update = std::get_if<ConfigUpdate>(&message)) {
-      shared_.config.Apply(*update,
-                           "host " + shared_.settings.deployment.At(seat).name);
-    }
-  });
+  link->OnMessage(
+      [this, target_domain = target.domain](const PeerMessage& message) {
+        if (const auto* update = std::get_if<ConfigUpdate>(&message)) {
+          const bool sibling = target_domain == shared_.settings.self().domain;
+          shared_.config.Apply(*update, sibling ? ConfigSource::kSibling
+                                                : ConfigSource::kOtherDomain);
+        }
+      });
   link->OnClosed([this, seat](const Error&) {
     links_[seat]->deleteLater();
     links_.erase(seat);
@@ -219,7 +221,7 @@
   shared_.events.Record(
       EventCode::kCommandAccepted, command->change.command_id,
       "as version " + std::to_string(command->change.version));
-  shared_.config.Apply(update, "this host's operator");
+  shared_.config.Apply(update, ConfigSource::kOperator);
   MaybeSnapshot();
   CommandResult result;
   result.accepted = true;
--- a/src/pathcleat/host/config_service.cpp
+++ b/src/pathcleat/host/config_service.cpp
@@ -26,6 +26,20 @@
   return static_cast<std::uint16_t>(region.value + 1);
 }
 
+const char* NameOf(ConfigSource source) {
+  switch (source) {
+    case ConfigSource::kStore:
+      return "the platform";
+    case ConfigSource::kOperator:
+      return "this host's operator";
+    case ConfigSource::kSibling:
+      return "a sibling";
+    case ConfigSource::kOtherDomain:
+      return "another failure domain";
+  }
+  return "elsewhere";
+}
+
 // Wide blocks first, so that narrow ones inside them win.
 BlockTable TableFrom(std::vector<ClientBlock> blocks) {
   std::stable_sort(blocks.begin(), blocks.end(),
@@ -67,9 +81,8 @@
   return state_;
 }
 
-void ConfigService::Apply(const ConfigUpdate& update,
-                          const std::string& source) {
-  std::vector<std::function<void()>> listeners;
+void ConfigService::Apply(const ConfigUpdate& update, ConfigSource source) {
+  std::vector<std::function<void(ConfigSource)>> listeners;
   std::uint64_t version = 0;
   {
     const std::lock_guard lock(mutex_);
@@ -92,9 +105,9 @@
   }
   events_.Record(EventCode::kConfigApplied, std::to_string(version),
                  "configuration version " + std::to_string(version) +
-                     " is in force here, from " + source);
+                     " is in force here, from " + NameOf(source));
   for (const auto& listener : listeners) {
-    listener();
+    listener(source);
   }
 }
 
@@ -109,7 +122,7 @@
   return update;
 }
 
-void ConfigService::OnChanged(std::function<void()> listener) {
+void ConfigService::OnChanged(std::function<void(ConfigSource)> listener) {
   const std::lock_guard lock(mutex_);
   listeners_.push_back(std::move(listener));
 }
--- a/src/pathcleat/host/entry_host.cpp
+++ b/src/pathcleat/host/entry_host.cpp
@@ -59,13 +59,13 @@
   });
   // Changes may come in by any worker; drains and the news of the version
   // are dealt with here, at once.
-  shared_.config.OnChanged([this] {
+  shared_.config.OnChanged([this](ConfigSource source) {
     QMetaObject::invokeMethod(
         this,
-        [this] {
+        [this, source] {
           watch_.ApplyDrains();
           shared_.routes.Tick();
-          state_.SendRound();
+          Announce(source);
         },
         Qt::QueuedConnection);
   });
@@ -98,6 +98,16 @@
   return {};
 }
 
+// Whoever brings a change into a failure domain tells the siblings at once;
+// those that heard of it from a sibling need not say it again.
+void EntryHost::Announce(ConfigSource source) {
+  if (source == ConfigSource::kSibling) {
+    return;
+  }
+  state_.SendHeartbeats();
+  state_.SendGossip();
+}
+
 void EntryHost::Every(Duration period, std::function<void()> action) {
   auto* timer = new QTimer(this);
   timer->setTimerType(Qt::PreciseTimer);
@@ -109,8 +119,9 @@
   const Timing& timing = shared_.settings.deployment.timing;
   Every(timing.heartbeat_period, [this] {
     shared_.members.Tick(BootClock::now());
-    state_.SendRound();
+    state_.SendHeartbeats();
   });
+  Every(timing.gossip_period, [this] { state_.SendGossip(); });
   Every(kSeatTick, [this] {
     seats_.Tick();
     watch_.ApplyDrains();
@@ -147,7 +158,8 @@
   shared_.events.Record(EventCode::kHostLeaving, shared_.settings.self().name,
                         "callers are sent elsewhere, seats handed over");
   seats_.BeginLeaving();
-  state_.SendRound();
+  state_.SendHeartbeats();
+  state_.SendGossip();
   Every(kStopCheck, [this] { CheckStopped(); });
 }
 
--- a/src/pathcleat/host/peer_server.cpp
+++ b/src/pathcleat/host/peer_server.cpp
@@ -76,11 +76,8 @@
     link_.Send(PeerMessage(shared_.config.UpdateAfter(pull.after)));
   }
 
-  void operator()(const ConfigUpdate& update) {
-    shared_.config.Apply(update, "peer " + link_.peer());
-  }
-
-  // Only the accepting end sends these two.
+  // Only the accepting end sends these.
+  void operator()(const ConfigUpdate&) {}
   void operator()(const Challenge&) {}
   void operator()(const RelayAnswer&) {}
 
--- a/src/pathcleat/host/state_exchange.cpp
+++ b/src/pathcleat/host/state_exchange.cpp
@@ -61,7 +61,7 @@
   on_host_list_ = std::move(listener);
 }
 
-void StateExchange::SendRound() {
+void StateExchange::SendHeartbeats() {
   const OwnState own = own_state_();
   const HostSettings& settings = shared_.settings;
   ++sequence_;
@@ -72,6 +72,10 @@
       SendHeartbeat(seat, own);
     }
   }
+}
+
+void StateExchange::SendGossip() {
+  ++sequence_;
   const Gossip gossip = MakeGossip();
   for (const SeatIndex seat : GossipTargets()) {
     Send(seat, gossip);
--- a/src/pathcleat/settings/read_deployment.cpp
+++ b/src/pathcleat/settings/read_deployment.cpp
@@ -212,6 +212,7 @@
     };
     Timing& timing = out_.timing;
     read("heartbeat_ms", timing.heartbeat_period);
+    read("gossip_ms", timing.gossip_period);
     read("lease_ms", timing.lease_length);
     read("lease_renewal_ms", timing.lease_renewal);
     read("release_margin_ms", timing.release_margin);
