--- a/include/pathcleat/host/config_service.hpp
+++ b/include/pathcleat/host/config_service.hpp
@@ -35,9 +35,16 @@
 
   std::uint64_t version() const;
 
-  /// @brief The state in force; stays valid while it is held.
+  /// @brief The state in force, without its client blocks, which can be many
+  /// and are asked for by RegionOf; stays valid while it is held.
   std::shared_ptr<const ConfigState> state() const;
 
+  /// @brief The whole state, copied; for snapshots.
+  ConfigState WholeState() const;
+
+  /// @brief Client blocks that changes have assigned.
+  std::size_t changed_blocks() const;
+
   /// @brief Applies what follows on; then calls the listeners.
   void Apply(const ConfigUpdate& update, ConfigSource source);
 
--- a/src/pathcleat/host/config_keeper.cpp
+++ b/src/pathcleat/host/config_keeper.cpp
@@ -236,9 +236,8 @@
 }
 
 void ConfigKeeper::MaybeSnapshot() {
-  const auto state = shared_.config.state();
-  if (state->version % kSnapshotEvery == 0) {
-    objects_.WriteObject(kSnapshotName, Encode(*state),
+  if (shared_.config.version() % kSnapshotEvery == 0) {
+    objects_.WriteObject(kSnapshotName, Encode(shared_.config.WholeState()),
                          [this](StoreOutcome outcome) { Told(outcome); });
   }
 }
--- a/src/pathcleat/host/config_service.cpp
+++ b/src/pathcleat/host/config_service.cpp
@@ -40,6 +40,15 @@
   return "elsewhere";
 }
 
+std::shared_ptr<const ConfigState> WithoutBlocks(const ConfigState& state) {
+  auto small = std::make_shared<ConfigState>();
+  small->version = state.version;
+  small->drained_upstreams = state.drained_upstreams;
+  small->drained_regions = state.drained_regions;
+  small->shifts = state.shifts;
+  return small;
+}
+
 // Wide blocks first, so that narrow ones inside them win.
 BlockTable TableFrom(std::vector<ClientBlock> blocks) {
   std::stable_sort(blocks.begin(), blocks.end(),
@@ -81,6 +90,16 @@
   return state_;
 }
 
+ConfigState ConfigService::WholeState() const {
+  const std::lock_guard lock(mutex_);
+  return log_.state();
+}
+
+std::size_t ConfigService::changed_blocks() const {
+  const std::lock_guard lock(mutex_);
+  return log_.state().blocks.size();
+}
+
 void ConfigService::Apply(const ConfigUpdate& update, ConfigSource source) {
   std::vector<std::function<void(ConfigSource)>> listeners;
   std::uint64_t version = 0;
@@ -100,7 +119,7 @@
       return;
     }
     version = log_.version();
-    state_ = std::make_shared<ConfigState>(log_.state());
+    state_ = WithoutBlocks(log_.state());
     listeners = listeners_;
   }
   events_.Record(EventCode::kConfigApplied, std::to_string(version),
--- a/src/pathcleat/host/operator_service.cpp
+++ b/src/pathcleat/host/operator_service.cpp
@@ -299,7 +299,7 @@
          << deployment.At(plan.from).name << " to "
          << deployment.At(plan.to).name << " cap " << Percent(plan.cap) << "\n";
   }
-  text << "client blocks changed: " << state->blocks.size() << "\n";
+  text << "client blocks changed: " << shared_.config.changed_blocks() << "\n";
   return text.str();
 }
 
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -211,11 +211,12 @@
   template <class Find>
   auto Named(const std::string& sort, Find find)
       -> Result<typename decltype(find(std::string()))::value_type> {
-    BOOST_LEAF_AUTO(name, Word("a " + sort));
+    const std::string article = sort == "upstream" ? "an " : "a ";
+    BOOST_LEAF_AUTO(name, Word(article + sort));
     const auto found = find(name);
     if (!found) {
       --next_;
-      return Expected("the name of a " + sort);
+      return Expected("the name of " + article + sort);
     }
     return *found;
   }
