--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -42,9 +42,11 @@
 loader=$!
 sleep 8
 upstream=$(first_upstream_name)
-drain_began=$(date +%s%N)
 ask "$first" "drain upstream $upstream"
+sleep 2
+runs_before=$(runs_of "$upstream")
 wait $loader
+echo "new work at $upstream later than 2 s after its drain: $(($(runs_of "$upstream") - runs_before))"
 for i in "${!hosts[@]}"; do
   ask "$(operator_address "$i")" "show shifts" | sed "s/^/${hosts[$i]}: /"
 done
@@ -64,6 +66,17 @@
   run_faults
 fi
 
+say "500 half-sent requests and a 200 MB body at ${hosts[0]}"
+echo "memory before: $(memory_of 0)"
+for _ in $(seq 500); do
+  exec {fd}<>"/dev/tcp/${addresses[0]}/8080"
+  printf 'GET / HTTP/1.1\r\nHo' >&"$fd"
+done
+head -c 200000000 /dev/zero | curl -s -o /dev/null -w 'status %{http_code}\n' \
+  --data-binary @- "http://$entry$post_path" || true
+curl -s -o /dev/null -w 'a GET meanwhile: status %{http_code}\n' "http://$entry$get_path"
+echo "memory after: $(memory_of 0)"
+
 say "the time line, warnings and alarms"
 "$pathcleat" timeline --token-file="$work/operator.token" $(all_operators) |
   grep -v '"severity":"info"' | tail -40 || true
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -37,6 +37,15 @@
   "$lab" load "$deployment" --control=$control --seconds="$1" \
     --rate="${DEMO_RATE:-200}" --seed=$RANDOM || failed=1
 }
+# Requests that an upstream stand-in has run so far.
+runs_of() {
+  curl -s "http://127.0.0.1:$control/ledger" | tr ',{' '\n\n' |
+    sed -n "s/^\"$1\":\([0-9]*\).*/\1/p" | head -1
+}
+# Resident memory of an entry host's process.
+memory_of() {
+  awk '/VmRSS/ {print $2 " KB"}' "/proc/${pid_of[${hosts[$1]}]}/status"
+}
 start_host() {
   "$pathcleat" host "$work/hosts/${hosts[$1]}.jsonc" 2>>"$work/${hosts[$1]}.log" &
   pid_of[${hosts[$1]}]=$!
