One place for status codes, tokens and the store's shares

Cause: HTTP status codes stood in twelve files, the making of a token twice, the platform adapter's options twice. Change: net/http_status.hpp, RandomToken, host/platform_share.

--- a/include/pathcleat/wire/seal.hpp
+++ b/include/pathcleat/wire/seal.hpp
@@ -30,4 +30,8 @@
 /// @ingroup wire
 std::string RandomBytes(std::size_t count);
 
+/// @brief A token that no other process will make: 32 hexadecimal digits.
+/// @ingroup wire
+std::string RandomToken();
+
 }  // namespace pathcleat
--- a/src/pathcleat/app/operator_client.cpp
+++ b/src/pathcleat/app/operator_client.cpp
@@ -5,13 +5,13 @@
 #include <QHostAddress>
 
 #include "pathcleat/net/http_client_connection.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 namespace pathcleat {
 namespace {
 
 constexpr std::chrono::seconds kTimeout{10};
 constexpr std::uint64_t kLongestAnswer = 64ULL * 1024 * 1024;
-constexpr int kOk = 200;
 
 Result<std::string> Exchange(const OperatorEndpoint& host,
                              const std::string& token,
@@ -35,7 +35,7 @@
   if (result.outcome != ClientOutcome::kAnswered) {
     return Fail({ErrorCode::kUnknown, "ask host", peer, result.detail});
   }
-  if (result.response.status != kOk) {
+  if (result.response.status != http_status::kOk) {
     return Fail({ErrorCode::kRefused, "ask host", peer, result.response.body});
   }
   return result.response.body;
--- a/src/pathcleat/host/caller_service.cpp
+++ b/src/pathcleat/host/caller_service.cpp
@@ -7,6 +7,7 @@
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/host/locate.hpp"
 #include "pathcleat/host/route_match.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 namespace pathcleat {
 namespace {
@@ -18,15 +19,6 @@
 constexpr std::size_t kLongestKey = 128;
 constexpr int kMostAttempts = 3;
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kMethodNotAllowed = 405;
-constexpr int kConflict = 409;
-constexpr int kUnprocessable = 422;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-
 // A caller's /24 block: callers of one household or club share caches.
 double CallerHash(const std::string& caller) {
   return UnitHash(std::string_view(caller).substr(0, caller.rfind('.')));
@@ -83,7 +75,7 @@
     if (kind_.repeatable || !key) {
       Attempt();
     } else if (key->empty() || key->size() > kLongestKey) {
-      Answer(TextResponse(kBadRequest,
+      Answer(TextResponse(http_status::kBadRequest,
                           "Idempotency-Key: expected 1 to 128 "
                           "characters\n"),
              RunOutcome::kNotRun);
@@ -133,7 +125,7 @@
         shared_.events.Record(EventCode::kKeyInProgress, ToString(id_),
                               "a repeat of a running key");
         Step("key is running: its sender has not settled it yet");
-        Answer(WithRetryAfter(TextResponse(kConflict,
+        Answer(WithRetryAfter(TextResponse(http_status::kConflict,
                                            "a request with this key is "
                                            "running; ask again later\n"),
                               kind_.deadline),
@@ -147,7 +139,7 @@
         return;
       case KeyAction::kAnswerMismatch:
         Step("key was used for another request");
-        Answer(TextResponse(kUnprocessable,
+        Answer(TextResponse(http_status::kUnprocessable,
                             "this key was used for another request\n"),
                RunOutcome::kNotRun);
         return;
@@ -268,10 +260,10 @@
     shared_.events.Record(EventCode::kRequestRefused, ToString(id_),
                           ToString(refusal.reason));
     Step(std::string("refused, not run: ") + ToString(refusal.reason));
-    Answer(WithRetryAfter(
-               TextResponse(kUnavailable, std::string("not run: ") +
-                                              ToString(refusal.reason) + "\n"),
-               refusal.retry_after),
+    Answer(WithRetryAfter(TextResponse(http_status::kUnavailable,
+                                       std::string("not run: ") +
+                                           ToString(refusal.reason) + "\n"),
+                          refusal.retry_after),
            RunOutcome::kNotRun);
   }
 
@@ -281,7 +273,8 @@
       claimed_.reset();
     }
     shared_.events.Record(EventCode::kRequestUnknown, ToString(id_), why);
-    Answer(TextResponse(kBadGateway, why + "\n"), RunOutcome::kUnknown);
+    Answer(TextResponse(http_status::kBadGateway, why + "\n"),
+           RunOutcome::kUnknown);
   }
 
   void ReleaseKey() {
@@ -354,16 +347,17 @@
   if (!result.match) {
     const bool no_service = result.fault == MatchFault::kNoService;
     exchange->Respond(
-        no_service
-            ? TextResponse(kNotFound, "no such service\n")
-            : TextResponse(kMethodNotAllowed, "not a kind of this service\n"));
+        no_service ? TextResponse(http_status::kNotFound, "no such service\n")
+                   : TextResponse(http_status::kMethodNotAllowed,
+                                  "not a kind of this service\n"));
     return;
   }
   std::make_shared<Call>(*this, exchange, *result.match)->Start();
 }
 
 void CallerService::Locate(const HttpExchangePtr& exchange) {
-  exchange->Respond(JsonResponse(kOk, LocateJson(shared_, exchange->caller())));
+  exchange->Respond(
+      JsonResponse(http_status::kOk, LocateJson(shared_, exchange->caller())));
 }
 
 std::uint64_t CallerService::BodyLimit(std::string_view method,
--- a/src/pathcleat/host/entry_host.cpp
+++ b/src/pathcleat/host/entry_host.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "pathcleat/host/platform_share.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -16,26 +18,13 @@
 // A planned stop does not wait longer than this for the platform or for
 // callers that keep idle connections open.
 constexpr Duration kLongestStop{40'000'000};
-// Share of the host's store calls for leases, configuration and host list.
-constexpr double kControlShare = 0.25;
-
-HttpPlatformOptions PlatformOptions(const HostSettings& settings) {
-  const PlatformEndpoint& platform = settings.deployment.platform;
-  HttpPlatformOptions options;
-  options.address = platform.address;
-  options.port = platform.port;
-  options.timeout = settings.deployment.timing.platform_timeout;
-  options.calls_per_second = platform.calls_per_second * kControlShare;
-  options.burst = platform.burst * kControlShare;
-  return options;
-}
 
 }  // namespace
 
 EntryHost::EntryHost(const HostSettings& settings, QObject* parent)
     : QObject(parent),
       shared_(settings),
-      platform_(PlatformOptions(shared_.settings), this),
+      platform_(ControlPlatformOptions(shared_.settings), this),
       seats_(shared_, platform_, this),
       config_(shared_, platform_, platform_, this),
       state_(shared_, this),
--- a/src/pathcleat/host/key_ledger.cpp
+++ b/src/pathcleat/host/key_ledger.cpp
@@ -10,7 +10,6 @@
 namespace pathcleat {
 namespace {
 
-constexpr std::size_t kTokenBytes = 16;
 // Clocks of hosts may differ by this much before a repeat is told "unknown"
 // of a request that still runs; it is never run a second time either way.
 constexpr std::uint64_t kClockSkewMicros = 5'000'000;
@@ -18,12 +17,6 @@
 constexpr int kSettleTries = 30;
 constexpr std::chrono::seconds kSettleAgainAfter{2};
 
-std::string NewToken() {
-  return QByteArray::fromStdString(RandomBytes(kTokenBytes))
-      .toHex()
-      .toStdString();
-}
-
 }  // namespace
 
 struct KeyLedger::Claiming {
@@ -47,7 +40,7 @@
 void KeyLedger::Claim(const KeyRequest& request,
                       std::function<void(ClaimResult)> callback) {
   auto claiming = std::make_shared<Claiming>(
-      Claiming{KeyClaim(NewToken(), request.fingerprint),
+      Claiming{KeyClaim(RandomToken(), request.fingerprint),
                request,
                {},
                std::move(callback)});
--- a/src/pathcleat/host/operator_service.cpp
+++ b/src/pathcleat/host/operator_service.cpp
@@ -7,16 +7,11 @@
 #include <sstream>
 
 #include "pathcleat/host/locate.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 namespace pathcleat {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
-constexpr int kUnavailable = 503;
 constexpr const char* kBearer = "Bearer ";
 
 QByteArray Digest(const std::string& text) {
@@ -27,11 +22,11 @@
 int StatusOf(const Error& error) {
   switch (error.code) {
     case ErrorCode::kInvalid:
-      return kBadRequest;
+      return http_status::kBadRequest;
     case ErrorCode::kConflict:
-      return kConflict;
+      return http_status::kConflict;
     default:
-      return kUnavailable;
+      return http_status::kUnavailable;
   }
 }
 
@@ -60,16 +55,18 @@
   if (!IsOperator(request)) {
     shared_.events.Record(EventCode::kOperatorRejected, exchange->caller(),
                           "wrong or missing token");
-    exchange->Respond(TextResponse(kUnauthorized, "wrong or missing token\n"));
+    exchange->Respond(
+        TextResponse(http_status::kUnauthorized, "wrong or missing token\n"));
     return;
   }
   if (request.method == "POST" && request.target == "/v1/query") {
     Query(exchange);
   } else if (request.method == "GET" && request.target == "/v1/timeline") {
-    exchange->Respond(TextResponse(kOk, Timeline()));
+    exchange->Respond(TextResponse(http_status::kOk, Timeline()));
   } else {
-    exchange->Respond(TextResponse(
-        kNotFound, "expected POST /v1/query or GET /v1/timeline\n"));
+    exchange->Respond(
+        TextResponse(http_status::kNotFound,
+                     "expected POST /v1/query or GET /v1/timeline\n"));
   }
 }
 
@@ -91,7 +88,8 @@
               if constexpr (std::is_same_v<Query, ChangeCommand>) {
                 Submit(exchange, query);
               } else {
-                exchange->Respond(TextResponse(kOk, Answer(query)));
+                exchange->Respond(
+                    TextResponse(http_status::kOk, Answer(query)));
               }
             },
             command);
@@ -110,18 +108,19 @@
 
 void OperatorService::Submit(const HttpExchangePtr& exchange,
                              const ChangeCommand& command) {
-  config_.Submit(command.operation, NextCommandId(),
-                 [exchange](const CommandResult& result) {
-                   if (result.accepted) {
-                     exchange->Respond(TextResponse(
-                         kOk, "accepted as configuration version " +
-                                  std::to_string(result.version) + "\n"));
-                   } else {
-                     exchange->Respond(TextResponse(
-                         StatusOf(result.error),
-                         "not accepted: " + ToString(result.error) + "\n"));
-                   }
-                 });
+  config_.Submit(
+      command.operation, NextCommandId(),
+      [exchange](const CommandResult& result) {
+        if (result.accepted) {
+          exchange->Respond(TextResponse(
+              http_status::kOk, "accepted as configuration version " +
+                                    std::to_string(result.version) + "\n"));
+        } else {
+          exchange->Respond(
+              TextResponse(StatusOf(result.error),
+                           "not accepted: " + ToString(result.error) + "\n"));
+        }
+      });
 }
 
 std::string OperatorService::Answer(const HelpQuery&) const {
--- a/src/pathcleat/host/seat_keeper.cpp
+++ b/src/pathcleat/host/seat_keeper.cpp
@@ -1,7 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/host/seat_keeper.hpp"
 
-#include <QByteArray>
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -14,14 +13,6 @@
 
 using nlohmann::json;
 
-constexpr std::size_t kTokenBytes = 16;
-
-std::string NewToken() {
-  return QByteArray::fromStdString(RandomBytes(kTokenBytes))
-      .toHex()
-      .toStdString();
-}
-
 std::string RowName(const std::string& seat) {
   return "seat/" + seat;
 }
@@ -61,8 +52,8 @@
   const LeaseTiming timing = TimingFrom(settings.deployment);
   for (const SeatIndex seat :
        settings.deployment.SeatsIn(settings.self().domain)) {
-    seats_.emplace(seat,
-                   Held(SeatLease(settings.self().name, NewToken(), timing)));
+    seats_.emplace(
+        seat, Held(SeatLease(settings.self().name, RandomToken(), timing)));
   }
 }
 
--- a/src/pathcleat/host/upstream_protocol.cpp
+++ b/src/pathcleat/host/upstream_protocol.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/host/upstream_protocol.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -11,7 +12,6 @@
 constexpr const char* kRequestIdHeader = "X-Request-Id";
 constexpr const char* kStateHeader = "X-Upstream-State";
 constexpr const char* kLeaving = "leaving";
-constexpr int kOk = 200;
 
 std::string HostField(const Upstream& upstream) {
   return upstream.address + ":" + std::to_string(upstream.port);
@@ -47,7 +47,7 @@
   if (SaysLeaving(response)) {
     return UpstreamState::kLeaving;
   }
-  if (response.status != kOk) {
+  if (response.status != http_status::kOk) {
     return UpstreamState::kFailed;
   }
   const auto body = nlohmann::json::parse(response.body, nullptr, false);
--- a/src/pathcleat/host/worker.cpp
+++ b/src/pathcleat/host/worker.cpp
@@ -4,28 +4,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "pathcleat/host/platform_share.hpp"
 #include "pathcleat/host/post.hpp"
 #include "pathcleat/platform/http_platform.hpp"
 
 namespace pathcleat {
 namespace {
 
-// Part of the host's share of the store's rate kept for leases and
-// configuration; the workers split the rest.
-constexpr double kControlShare = 0.25;
-
-HttpPlatformOptions PlatformOptions(const HostSettings& settings) {
-  const PlatformEndpoint& platform = settings.deployment.platform;
-  const double share = (1 - kControlShare) / settings.workers;
-  HttpPlatformOptions options;
-  options.address = platform.address;
-  options.port = platform.port;
-  options.timeout = settings.deployment.timing.platform_timeout;
-  options.calls_per_second = platform.calls_per_second * share;
-  options.burst = platform.burst * share;
-  return options;
-}
-
 void RefuseConnection(qintptr descriptor) {
   static constexpr char kAnswer[] =
       "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
@@ -44,7 +29,7 @@
   explicit Core(Shared& shared)
       : shared_(shared),
         runner_(shared, this),
-        platform_(PlatformOptions(shared.settings), this),
+        platform_(WorkerPlatformOptions(shared.settings), this),
         keys_(platform_, shared.events, this),
         callers_(shared, runner_, keys_, this),
         peers_(shared, runner_, this) {}
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -4,14 +4,11 @@
 #include "raw_client.hpp"
 #include "test_world.hpp"
 
+#include "pathcleat/net/http_status.hpp"
+
 namespace pathcleat {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-constexpr int kUnauthorized = 401;
-constexpr int kConflict = 409;
-
 std::string GetTextFor(const std::string& run_id) {
   return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
 }
@@ -71,7 +68,7 @@
   TestWorld world;
   world.StartAll();
   const ClientResult first = world.Post(0, "r1", "k");
-  cr_assert_eq(first.response.status, kOk);
+  cr_assert_eq(first.response.status, http_status::kOk);
   cr_assert(WaitUntil([&] {
     return world.platform().ValueOf("key/s/k").find("finished") !=
            std::string::npos;
@@ -90,7 +87,7 @@
   faults.down = true;
   world.platform().SetFaults(faults);
   const ClientResult result = world.Post(0, "r1", "k");
-  cr_assert_eq(result.response.status, kUnavailable);
+  cr_assert_eq(result.response.status, http_status::kUnavailable);
   cr_assert_str_eq(TestWorld::Outcome(result).c_str(), "not-run");
   cr_assert(FindHeader(result.response.headers, "Retry-After").has_value());
   // What needs no store is served, from a seat held without it.
@@ -98,7 +95,7 @@
     return world.HasEvent(0, EventCode::kSeatHeldAlone) ||
            world.HasEvent(1, EventCode::kSeatHeldAlone);
   }));
-  cr_assert_eq(world.GetAnswered(0, "r2").response.status, kOk);
+  cr_assert_eq(world.GetAnswered(0, "r2").response.status, http_status::kOk);
   cr_assert_eq(world.upstream().ledger().runs, 1);
 }
 
@@ -156,7 +153,7 @@
   TestWorld world(plan);
   world.StartAll();
   cr_assert_eq(world.Command(1, "drain upstream upstream-0-0").response.status,
-               kOk);
+               http_status::kOk);
   world.platform().SetLeaving({"upstream-0-1"});
   const auto usable = [&] {
     int slots = 0;
@@ -168,7 +165,7 @@
   cr_assert(WaitUntil([&] { return usable() == plan.slots; }));
   for (int i = 0; i < 10; ++i) {
     cr_assert_eq(world.GetAnswered(0, "r" + std::to_string(i)).response.status,
-                 kOk);
+                 http_status::kOk);
   }
   cr_assert_eq(world.upstream(2).ledger().runs, 10);
 }
@@ -222,7 +219,7 @@
   }));
   for (int i = 0; i < 20; ++i) {
     cr_assert_eq(world.GetAnswered(1, "r" + std::to_string(i)).response.status,
-                 kOk);
+                 http_status::kOk);
   }
   // Its replacement gets the seat back.
   world.StartHost(0);
@@ -258,9 +255,9 @@
            "drain upstream upstream-0-0"},
           std::chrono::seconds(60), [&](const ClientResult& result) {
             ++answers;
-            accepted += result.response.status == kOk ? 1 : 0;
-            cr_assert(result.response.status == kOk ||
-                      result.response.status == kConflict);
+            accepted += result.response.status == http_status::kOk ? 1 : 0;
+            cr_assert(result.response.status == http_status::kOk ||
+                      result.response.status == http_status::kConflict);
           });
     }
     cr_assert(WaitUntil([&] { return answers == 3; }));
@@ -281,7 +278,7 @@
   TestWorld world;
   world.StartAll();
   cr_assert_eq(world.Command(0, "drain upstream upstream-0-0").response.status,
-               kOk);
+               http_status::kOk);
   PlatformFaults faults;
   faults.down = true;
   world.platform().SetFaults(faults);
@@ -300,7 +297,7 @@
       WaitUntil([&] { return world.HasEvent(0, EventCode::kPeerRejected); }));
   cr_assert(!world.HasEvent(0, EventCode::kPeerHeard));
   cr_assert_eq(world.Command(0, "show hosts", "wrong").response.status,
-               kUnauthorized);
+               http_status::kUnauthorized);
   cr_assert(world.HasEvent(0, EventCode::kOperatorRejected));
 }
 
--- a/src/pathcleat/lab/load_generator.cpp
+++ b/src/pathcleat/lab/load_generator.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "pathcleat/lab/upstream_stand_in.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 namespace pathcleat {
 namespace {
@@ -16,8 +17,6 @@
 constexpr std::chrono::milliseconds kRequestTimeout{15'000};
 constexpr std::chrono::milliseconds kRepeatAfter{200};
 constexpr int kMostTries = 4;
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
 
 std::pair<std::string, std::uint16_t> Split(const std::string& endpoint) {
   const auto colon = endpoint.rfind(':');
@@ -209,10 +208,11 @@
   if (outcome == "not-run") {
     ++counts.not_run;
     counts.refusal_ms.push_back(latency);
-  } else if (result.response.status == kConflict && may_repeat) {
+  } else if (result.response.status == http_status::kConflict && may_repeat) {
     Repeat(request, kRepeatAfter * 2);
     return;
-  } else if (outcome == "answered" && result.response.status == kOk) {
+  } else if (outcome == "answered" &&
+             result.response.status == http_status::kOk) {
     // A kept answer names the run that it was the answer to.
     const std::string& text = result.response.body;
     const std::string run =
--- a/src/pathcleat/lab/platform_stand_in.cpp
+++ b/src/pathcleat/lab/platform_stand_in.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/lab/platform_stand_in.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <QTimer>
 #include <QUrl>
@@ -11,10 +12,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kPreconditionFailed = 412;
-
 json ToJson(const std::string& key,
             std::uint64_t version,
             const std::string& value) {
@@ -81,25 +78,27 @@
     const std::string name = Parameter(query, "name");
     if (request.method == "PUT") {
       objects_[name] = request.body;
-      return JsonResponse(kOk, "{}");
+      return JsonResponse(http_status::kOk, "{}");
     }
     const auto found = objects_.find(name);
-    return found == objects_.end() ? TextResponse(kNotFound, "")
-                                   : HttpResponse{kOk, {}, found->second};
+    return found == objects_.end()
+               ? TextResponse(http_status::kNotFound, "")
+               : HttpResponse{http_status::kOk, {}, found->second};
   }
   if (path == "/hosts") {
-    return JsonResponse(kOk, json{{"leaving", leaving_}}.dump());
+    return JsonResponse(http_status::kOk, json{{"leaving", leaving_}}.dump());
   }
-  return TextResponse(kNotFound, "");
+  return TextResponse(http_status::kNotFound, "");
 }
 
 HttpResponse PlatformStandIn::ReadRow(const std::string& key) const {
   const auto found = rows_.find(key);
   if (found == rows_.end()) {
-    return TextResponse(kNotFound, "");
+    return TextResponse(http_status::kNotFound, "");
   }
   const Row& row = found->second;
-  return JsonResponse(kOk, ToJson(key, row.version, row.value).dump());
+  return JsonResponse(http_status::kOk,
+                      ToJson(key, row.version, row.value).dump());
 }
 
 HttpResponse PlatformStandIn::Scan(const std::string& prefix,
@@ -112,7 +111,7 @@
        ++row) {
     rows.push_back(ToJson(row->first, row->second.version, row->second.value));
   }
-  return JsonResponse(kOk, rows.dump());
+  return JsonResponse(http_status::kOk, rows.dump());
 }
 
 bool PlatformStandIn::Meets(const HttpRequest& request,
@@ -130,19 +129,20 @@
 HttpResponse PlatformStandIn::WriteRow(const HttpRequest& request,
                                        const std::string& key) {
   if (!Meets(request, key)) {
-    return TextResponse(kPreconditionFailed, "");
+    return TextResponse(http_status::kPreconditionFailed, "");
   }
   rows_[key] = {next_version_++, request.body};
-  return JsonResponse(kOk, json{{"version", rows_[key].version}}.dump());
+  return JsonResponse(http_status::kOk,
+                      json{{"version", rows_[key].version}}.dump());
 }
 
 HttpResponse PlatformStandIn::DeleteRow(const HttpRequest& request,
                                         const std::string& key) {
   if (!Meets(request, key)) {
-    return TextResponse(kPreconditionFailed, "");
+    return TextResponse(http_status::kPreconditionFailed, "");
   }
   rows_.erase(key);
-  return JsonResponse(kOk, json{{"version", 0}}.dump());
+  return JsonResponse(http_status::kOk, json{{"version", 0}}.dump());
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/lab/upstream_farm.cpp
+++ b/src/pathcleat/lab/upstream_farm.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/lab/upstream_farm.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <algorithm>
 #include <map>
@@ -7,8 +8,6 @@
 
 namespace pathcleat {
 namespace {
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
 constexpr std::string_view kLeavingPath = "/leaving/";
 }  // namespace
 
@@ -44,7 +43,7 @@
 void UpstreamFarm::Handle(const HttpExchangePtr& exchange) {
   const std::string& target = exchange->request().target;
   if (target == "/ledger") {
-    exchange->Respond(JsonResponse(kOk, LedgerJson()));
+    exchange->Respond(JsonResponse(http_status::kOk, LedgerJson()));
     return;
   }
   if (std::string_view(target).starts_with(kLeavingPath)) {
@@ -52,11 +51,11 @@
         deployment_.FindUpstream(target.substr(kLeavingPath.size()));
     if (upstream) {
       upstreams_[upstream->value]->SetLeaving(true);
-      exchange->Respond(TextResponse(kOk, "leaving\n"));
+      exchange->Respond(TextResponse(http_status::kOk, "leaving\n"));
       return;
     }
   }
-  exchange->Respond(TextResponse(kNotFound, "no such thing\n"));
+  exchange->Respond(TextResponse(http_status::kNotFound, "no such thing\n"));
 }
 
 std::string UpstreamFarm::LedgerJson() const {
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/lab/upstream_stand_in.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <QTimer>
 #include <algorithm>
@@ -8,8 +9,6 @@
 namespace pathcleat {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kTimedOut = 504;
 constexpr std::size_t kFillBytes = 2'000;
 
 std::string Field(const HttpExchangePtr& exchange, const char* name) {
@@ -45,8 +44,9 @@
 
 void UpstreamStandIn::Handle(const HttpExchangePtr& exchange) {
   if (exchange->request().target == "/health") {
-    exchange->Respond(JsonResponse(
-        kOk, leaving_ ? R"({"state":"leaving"})" : R"({"state":"ok"})"));
+    exchange->Respond(
+        JsonResponse(http_status::kOk, leaving_ ? R"({"state":"leaving"})"
+                                                : R"({"state":"ok"})"));
     return;
   }
   Run(exchange);
@@ -84,7 +84,8 @@
     }
     if (late) {
       --in_flight_;
-      exchange->Respond(TextResponse(kTimedOut, "deadline passed\n"));
+      exchange->Respond(
+          TextResponse(http_status::kGatewayTimeout, "deadline passed\n"));
       return;
     }
     Answer(exchange);
@@ -113,8 +114,8 @@
   }
   --in_flight_;
   const HttpRequest& request = exchange->request();
-  HttpResponse response =
-      TextResponse(kOk, ExpectedAnswer(Field(exchange, "X-Run-Id"),
+  HttpResponse response = TextResponse(
+      http_status::kOk, ExpectedAnswer(Field(exchange, "X-Run-Id"),
                                        request.target, request.body));
   if (leaving_) {
     response.headers.push_back({"X-Upstream-State", "leaving"});
--- a/src/pathcleat/lab/whole_path_test.cpp
+++ b/src/pathcleat/lab/whole_path_test.cpp
@@ -4,11 +4,11 @@
 #include "raw_client.hpp"
 #include "test_world.hpp"
 
+#include "pathcleat/net/http_status.hpp"
+
 namespace pathcleat {
 namespace {
 
-constexpr int kOk = 200;
-
 std::string GetText(const std::string& run_id) {
   return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
 }
@@ -18,14 +18,14 @@
   world.StartAll();
   const std::size_t relay = world.NonOwner();
   const ClientResult get = world.GetAnswered(relay, "r1");
-  cr_assert_eq(get.response.status, kOk);
+  cr_assert_eq(get.response.status, http_status::kOk);
   cr_assert(get.response.body == ExpectedAnswer("r1", "/s/item", ""));
   std::string body(100'000, '\0');
   for (std::size_t i = 0; i < body.size(); ++i) {
     body[i] = static_cast<char>(i % 251);
   }
   const ClientResult post = world.Post(relay, "r2", "", body);
-  cr_assert_eq(post.response.status, kOk);
+  cr_assert_eq(post.response.status, http_status::kOk);
   cr_assert(post.response.body == ExpectedAnswer("r2", "/s/entry", body));
   cr_assert_str_eq(TestWorld::Outcome(post).c_str(), "answered");
 }
@@ -97,7 +97,7 @@
     WaitUntil([&] { return chunked.unsent() == 0 || chunked.IsClosed(); });
   }
   cr_assert(WaitUntil([&] { return chunked.Has("HTTP/1.1 413"); }));
-  cr_assert_eq(world.GetAnswered(0, "after").response.status, kOk);
+  cr_assert_eq(world.GetAnswered(0, "after").response.status, http_status::kOk);
   cr_assert_eq(world.upstream().ledger().runs, 1);
 }
 
@@ -117,7 +117,7 @@
     return std::all_of(clients.begin(), clients.end(),
                        [](const auto& c) { return c->Has("HTTP/1.1 408"); });
   }));
-  cr_assert_eq(world.GetAnswered(0, "after").response.status, kOk);
+  cr_assert_eq(world.GetAnswered(0, "after").response.status, http_status::kOk);
 }
 
 Test(whole_path, bad_input_gets_its_own_status) {
@@ -147,7 +147,7 @@
       world.Ask(world.CallerPort(0),
                 {"GET", "/v1/locate?service=s", {{"Host", "t"}}, ""});
   const std::string& body = result.response.body;
-  cr_assert_eq(result.response.status, kOk);
+  cr_assert_eq(result.response.status, http_status::kOk);
   cr_assert_neq(body.find("host-0a"), std::string::npos);
   cr_assert_neq(body.find("host-0b"), std::string::npos);
   cr_assert_lt(body.find("host-0b"), body.find("host-1a"));
--- a/src/pathcleat/net/http_server_connection.cpp
+++ b/src/pathcleat/net/http_server_connection.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/net/http_server_connection.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <sys/socket.h>
 
@@ -15,22 +16,18 @@
 
 namespace http = boost::beast::http;
 
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kHeaderTooLarge = 431;
 constexpr std::chrono::milliseconds kLingerTime{2'000};
 constexpr qint64 kReadChunk = 64LL * 1024;
 constexpr qint64 kUnsentBytesLimit = 4LL * 1024 * 1024;
 
 int StatusOf(const boost::beast::error_code& error) {
   if (error == http::error::header_limit) {
-    return kHeaderTooLarge;
+    return http_status::kHeaderTooLarge;
   }
   if (error == http::error::body_limit) {
-    return kPayloadTooLarge;
+    return http_status::kPayloadTooLarge;
   }
-  return kBadRequest;
+  return http_status::kBadRequest;
 }
 
 }  // namespace
@@ -149,7 +146,7 @@
                   : limits_.body_bytes;
   const auto announced = parser_->content_length();
   if (announced && *announced > limit) {
-    Reject(kPayloadTooLarge);
+    Reject(http_status::kPayloadTooLarge);
     return;
   }
   parser_->body_limit(limit);
@@ -232,7 +229,7 @@
   }
   const bool mid_request = buffer_.size() > 0 || parser_->got_some();
   if (mid_request && !last_request_taken_) {
-    Reject(kRequestTimeout);
+    Reject(http_status::kRequestTimeout);
   } else if (exchanges_.empty()) {
     socket_->abort();
     OnGone();
--- a/src/pathcleat/platform/http_platform.cpp
+++ b/src/pathcleat/platform/http_platform.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/platform/http_platform.hpp"
+#include "pathcleat/net/http_status.hpp"
 
 #include <QUrl>
 #include <nlohmann/json.hpp>
@@ -10,10 +11,6 @@
 
 using nlohmann::json;
 
-constexpr int kOk = 200;
-constexpr int kNotFound = 404;
-constexpr int kPreconditionFailed = 412;
-constexpr int kTooManyRequests = 429;
 constexpr std::uint64_t kLargestObject = 64ULL * 1024 * 1024;
 
 std::string Escape(const std::string& text) {
@@ -28,14 +25,14 @@
 }
 
 StoreOutcome OutcomeOfStatus(int status) {
-  if (status == kOk || status == kNotFound) {
+  if (status == http_status::kOk || status == http_status::kNotFound) {
     return StoreOutcome::kDone;
   }
-  if (status == kPreconditionFailed) {
+  if (status == http_status::kPreconditionFailed) {
     return StoreOutcome::kConflict;
   }
   // A store that limits its rate says so before it acts.
-  if (status == kTooManyRequests) {
+  if (status == http_status::kTooManyRequests) {
     return StoreOutcome::kUnreachable;
   }
   return StoreOutcome::kUnknown;
@@ -131,7 +128,8 @@
   Call({"GET", "/table/row?key=" + Escape(key), {}, ""},
        [callback, key](StoreOutcome outcome, const HttpResponse& response) {
          TableRead read{outcome, {key, 0, ""}};
-         if (outcome == StoreOutcome::kDone && response.status == kOk) {
+         if (outcome == StoreOutcome::kDone &&
+             response.status == http_status::kOk) {
            const json body = ParseBody(response);
            if (body.is_object()) {
              read.row = RowFrom(body);
@@ -191,7 +189,7 @@
                               std::function<void(ObjectRead)> callback) {
   Call({"GET", "/objects?name=" + Escape(name), {}, ""},
        [callback](StoreOutcome outcome, const HttpResponse& response) {
-         const bool missing = response.status == kNotFound;
+         const bool missing = response.status == http_status::kNotFound;
          callback({missing ? StoreOutcome::kConflict : outcome,
                    missing ? "" : response.body});
        });
--- a/src/pathcleat/wire/seal.cpp
+++ b/src/pathcleat/wire/seal.cpp
@@ -66,4 +66,11 @@
   return bytes;
 }
 
+std::string RandomToken() {
+  constexpr std::size_t kTokenBytes = 16;
+  return QByteArray::fromStdString(RandomBytes(kTokenBytes))
+      .toHex()
+      .toStdString();
+}
+
 }  // namespace pathcleat
