Block table in 256 parts: a merge needs little memory beside it

Cause: reckoned for the target, a merge held both whole arrays twice: 69 to 74 MB in a budget of 64. Change: arrays by the first byte of the address; a merge rebuilds one part after the other, and only those that changed.

--- a/include/pathcleat/steer/block_table.hpp
+++ b/include/pathcleat/steer/block_table.hpp
@@ -17,9 +17,10 @@
 };
 
 /// @brief Looks client addresses up among millions of blocks. The rows lie
-/// in two flat arrays (6 bytes a row) under an index of the upper 16 address
-/// bits; changes go to a small ordered overlay that is merged in when it has
-/// grown. Not thread-safe.
+/// in flat arrays (6 bytes a row), one pair for each value of the address's
+/// first byte, under an index by the second; changes go to a small ordered
+/// overlay that is merged in when it has grown, one pair of arrays after the
+/// other, so that a merge needs little memory beside them. Not thread-safe.
 /// @ingroup steer
 class BlockTable {
  public:
@@ -36,7 +37,7 @@
   /// @brief Merges the changes into the arrays.
   void Compact();
 
-  std::size_t rows() const { return starts_.size(); }
+  std::size_t rows() const;
   std::size_t pending() const { return overlay_.size(); }
 
   /// @brief Bytes held by the arrays and the overlay, as reckoned.
@@ -48,12 +49,24 @@
     std::uint16_t site = 0;
   };
 
-  void BuildIndex();
-  std::size_t RowOf(std::uint32_t address) const;
+  // Rows of all addresses with one first byte; the first row starts at the
+  // first such address.
+  struct Chunk {
+    std::vector<std::uint32_t> starts;
+    std::vector<std::uint16_t> sites;
+    std::vector<std::uint32_t> index;  ///< by second byte: row it begins in
+  };
+  struct Change {
+    std::uint32_t first = 0;
+    std::uint32_t last = 0;
+    std::uint16_t site = 0;
+  };
+
+  static void BuildIndex(Chunk& chunk);
+  static std::uint16_t SiteIn(const Chunk& chunk, std::uint32_t address);
+  static void Merge(Chunk& chunk, const std::vector<Change>& changes);
 
-  std::vector<std::uint32_t> starts_;
-  std::vector<std::uint16_t> sites_;
-  std::vector<std::uint32_t> index_;
+  std::vector<Chunk> chunks_;
   std::map<std::uint32_t, Range> overlay_;  ///< by first address, disjoint
 };
 
--- a/src/pathcleat/steer/block_table.cpp
+++ b/src/pathcleat/steer/block_table.cpp
@@ -2,61 +2,89 @@
 #include "pathcleat/steer/block_table.hpp"
 
 #include <algorithm>
-#include <limits>
+#include <iterator>
 #include <utility>
 
 namespace pathcleat {
 namespace {
 
+constexpr std::size_t kChunks = 256;
+constexpr int kChunkShift = 24;
 constexpr int kIndexShift = 16;
-constexpr std::size_t kIndexSize = 1U << 16;
-constexpr std::uint32_t kLastAddress =
-    std::numeric_limits<std::uint32_t>::max();
+constexpr std::size_t kIndexSize = 256;
+constexpr std::uint32_t kChunkMask = (1U << kChunkShift) - 1;
 // Overlay entries at which it is merged into the arrays.
 constexpr std::size_t kCompactAt = 4'096;
 
+std::uint32_t FirstOf(std::size_t chunk) {
+  return static_cast<std::uint32_t>(chunk << kChunkShift);
+}
+
+std::size_t ChunkOf(std::uint32_t address) {
+  return address >> kChunkShift;
+}
+
 }  // namespace
 
-BlockTable::BlockTable(const std::vector<BlockRow>& rows) {
-  starts_.reserve(rows.size() + 1);
-  sites_.reserve(rows.size() + 1);
-  if (rows.empty() || rows.front().first_address != 0) {
-    starts_.push_back(0);
-    sites_.push_back(0);
+BlockTable::BlockTable(const std::vector<BlockRow>& rows) : chunks_(kChunks) {
+  auto row = rows.begin();
+  std::uint16_t site = 0;
+  for (std::size_t c = 0; c < kChunks; ++c) {
+    Chunk& chunk = chunks_[c];
+    const auto end = std::find_if(row, rows.end(), [c](const BlockRow& item) {
+      return ChunkOf(item.first_address) != c;
+    });
+    const auto count = static_cast<std::size_t>(end - row) + 1;
+    chunk.starts.reserve(count);
+    chunk.sites.reserve(count);
+    if (row == end || row->first_address != FirstOf(c)) {
+      chunk.starts.push_back(FirstOf(c));
+      chunk.sites.push_back(site);
+    }
+    for (; row != end; ++row) {
+      site = row->site;
+      chunk.starts.push_back(row->first_address);
+      chunk.sites.push_back(site);
+    }
+    BuildIndex(chunk);
   }
-  for (const BlockRow& row : rows) {
-    starts_.push_back(row.first_address);
-    sites_.push_back(row.site);
+}
+
+std::size_t BlockTable::rows() const {
+  std::size_t sum = 0;
+  for (const Chunk& chunk : chunks_) {
+    sum += chunk.starts.size();
   }
-  BuildIndex();
+  return sum;
 }
 
-void BlockTable::BuildIndex() {
-  // index_[p]: number of rows that start at or before p's first address,
-  // less one, i.e. the row that p's first address lies in.
-  index_.assign(kIndexSize + 1, 0);
+void BlockTable::BuildIndex(Chunk& chunk) {
+  const std::uint32_t first = chunk.starts.front();
+  chunk.index.resize(kIndexSize + 1);
   std::size_t row = 0;
-  for (std::size_t prefix = 0; prefix < kIndexSize; ++prefix) {
-    const auto first = static_cast<std::uint32_t>(prefix << kIndexShift);
-    while (row + 1 < starts_.size() && starts_[row + 1] <= first) {
+  for (std::size_t second = 0; second < kIndexSize; ++second) {
+    const auto address =
+        first + static_cast<std::uint32_t>(second << kIndexShift);
+    while (row + 1 < chunk.starts.size() && chunk.starts[row + 1] <= address) {
       ++row;
     }
-    index_[prefix] = static_cast<std::uint32_t>(row);
+    chunk.index[second] = static_cast<std::uint32_t>(row);
   }
-  index_[kIndexSize] = static_cast<std::uint32_t>(starts_.size() - 1);
+  chunk.index[kIndexSize] = static_cast<std::uint32_t>(chunk.starts.size() - 1);
 }
 
-std::size_t BlockTable::RowOf(std::uint32_t address) const {
-  const std::size_t prefix = address >> kIndexShift;
-  const auto first = starts_.begin() + index_[prefix];
-  const auto last = starts_.begin() + index_[prefix + 1] + 1;
-  const auto after = std::upper_bound(first, last, address);
-  return static_cast<std::size_t>(after - starts_.begin()) - 1;
+std::uint16_t BlockTable::SiteIn(const Chunk& chunk, std::uint32_t address) {
+  const std::size_t second = (address & kChunkMask) >> kIndexShift;
+  const auto begin = chunk.starts.begin();
+  const auto after =
+      std::upper_bound(begin + chunk.index[second],
+                       begin + chunk.index[second + 1] + 1, address);
+  return chunk.sites[static_cast<std::size_t>(after - begin) - 1];
 }
 
 std::uint16_t BlockTable::Find(std::uint32_t address) const {
   if (!overlay_.empty()) {
-    auto after = overlay_.upper_bound(address);
+    const auto after = overlay_.upper_bound(address);
     if (after != overlay_.begin()) {
       const Range& range = std::prev(after)->second;
       if (address <= range.last) {
@@ -64,7 +92,7 @@
       }
     }
   }
-  return sites_[RowOf(address)];
+  return SiteIn(chunks_[ChunkOf(address)], address);
 }
 
 void BlockTable::Assign(std::uint32_t first,
@@ -97,54 +125,69 @@
 }
 
 void BlockTable::Compact() {
-  if (overlay_.empty()) {
-    return;
+  std::vector<std::vector<Change>> changes(kChunks);
+  for (const auto& [first, range] : overlay_) {
+    for (std::size_t c = ChunkOf(first); c <= ChunkOf(range.last); ++c) {
+      changes[c].push_back({std::max(first, FirstOf(c)),
+                            std::min(range.last, FirstOf(c) | kChunkMask),
+                            range.site});
+    }
   }
-  std::vector<std::uint32_t> starts;
-  std::vector<std::uint16_t> sites;
-  starts.reserve(starts_.size() + 2 * overlay_.size());
-  sites.reserve(starts_.size() + 2 * overlay_.size());
-  const auto append = [&starts, &sites](std::uint32_t start,
-                                        std::uint16_t site) {
-    if (!starts.empty() && sites.back() == site) {
-      return;
+  overlay_.clear();
+  for (std::size_t c = 0; c < kChunks; ++c) {
+    if (!changes[c].empty()) {
+      Merge(chunks_[c], changes[c]);
+    }
+  }
+}
+
+// Changes are in order and apart from each other, all within the chunk.
+void BlockTable::Merge(Chunk& chunk, const std::vector<Change>& changes) {
+  const std::uint32_t chunk_last = chunk.starts.front() | kChunkMask;
+  Chunk merged;
+  merged.starts.reserve(chunk.starts.size() + 2 * changes.size());
+  merged.sites.reserve(chunk.starts.size() + 2 * changes.size());
+  const auto append = [&merged](std::uint32_t start, std::uint16_t site) {
+    if (merged.starts.empty() || merged.sites.back() != site) {
+      merged.starts.push_back(start);
+      merged.sites.push_back(site);
     }
-    starts.push_back(start);
-    sites.push_back(site);
   };
   std::size_t row = 0;
-  for (const auto& [first, range] : overlay_) {
-    while (row < starts_.size() && starts_[row] < first) {
-      append(starts_[row], sites_[row]);
-      ++row;
+  for (const Change& change : changes) {
+    for (; row < chunk.starts.size() && chunk.starts[row] < change.first;
+         ++row) {
+      append(chunk.starts[row], chunk.sites[row]);
     }
-    append(first, range.site);
-    while (row < starts_.size() && starts_[row] <= range.last) {
+    append(change.first, change.site);
+    while (row < chunk.starts.size() && chunk.starts[row] <= change.last) {
       ++row;
     }
-    const bool resumes_next = row < starts_.size() &&
-                              range.last != kLastAddress &&
-                              starts_[row] == range.last + 1;
-    if (range.last != kLastAddress && !resumes_next) {
-      append(range.last + 1, sites_[RowOf(range.last + 1)]);
+    const bool resumes_next =
+        row < chunk.starts.size() && chunk.starts[row] == change.last + 1;
+    if (change.last != chunk_last && !resumes_next) {
+      append(change.last + 1, SiteIn(chunk, change.last + 1));
     }
   }
-  for (; row < starts_.size(); ++row) {
-    append(starts_[row], sites_[row]);
+  for (; row < chunk.starts.size(); ++row) {
+    append(chunk.starts[row], chunk.sites[row]);
   }
-  starts_ = std::move(starts);
-  sites_ = std::move(sites);
-  overlay_.clear();
-  BuildIndex();
+  merged.starts.shrink_to_fit();
+  merged.sites.shrink_to_fit();
+  BuildIndex(merged);
+  chunk = std::move(merged);
 }
 
 std::size_t BlockTable::MemoryBytes() const {
   // A red-black tree node: three pointers, a colour, and the entry.
   constexpr std::size_t kNodeBytes = 4 * sizeof(void*) + 16;
-  return starts_.capacity() * sizeof(std::uint32_t) +
-         sites_.capacity() * sizeof(std::uint16_t) +
-         index_.capacity() * sizeof(std::uint32_t) +
-         overlay_.size() * kNodeBytes;
+  std::size_t bytes = overlay_.size() * kNodeBytes;
+  for (const Chunk& chunk : chunks_) {
+    bytes += sizeof(Chunk) + chunk.starts.capacity() * sizeof(std::uint32_t) +
+             chunk.sites.capacity() * sizeof(std::uint16_t) +
+             chunk.index.capacity() * sizeof(std::uint32_t);
+  }
+  return bytes;
 }
 
 }  // namespace pathcleat
