--- a/src/pathcleat/host/route_service.cpp
+++ b/src/pathcleat/host/route_service.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <mutex>
 
-#include "pathcleat/steer/split_limit.hpp"
+#include "pathcleat/host/link_shares.hpp"
 
 namespace pathcleat {
 namespace {
@@ -14,24 +14,6 @@
 constexpr double kRetryBurst = 20;
 constexpr Duration kRetryAfterNoCapacity{1'000'000};
 
-// This host's exact shares of the limits on links out of its region.
-std::map<RegionIndex, int> ShareLinks(const HostSettings& settings) {
-  const Deployment& deployment = settings.deployment;
-  const RegionIndex own = deployment.RegionOf(settings.seat);
-  std::vector<int> weights;
-  for (const SeatIndex seat : IndicesOf<SeatIndex>(deployment.seats)) {
-    weights.push_back(deployment.RegionOf(seat) == own ? 1 : 0);
-  }
-  std::map<RegionIndex, int> shares;
-  for (const Link& link : deployment.links) {
-    if (link.from == own) {
-      const auto split = SplitLimit(link.max_in_flight, weights);
-      shares[link.to] = split[settings.seat.value];
-    }
-  }
-  return shares;
-}
-
 }  // namespace
 
 RouteService::RouteService(const HostSettings& settings,
