Remove state nobody reads and work done over again

Configuration versions by seat and latencies by instance were kept and never read; each heartbeat round asked for this host's loads once a sibling; drains were applied every 50 ms, though their marks are kept for upstreams not owned too, so that only a change of the configuration needs it; two test files built the same request. Change: the dead state is gone; one heartbeat is made a round, only its echo differs; drains are applied when the configuration changes; one GetText. Behaviour is the same.

--- a/include/pathcleat/host/member_service.hpp
+++ b/include/pathcleat/host/member_service.hpp
@@ -47,9 +47,6 @@
   /// @return those that were.
   std::vector<DomainSummary> OnGossip(const Gossip& gossip, Time now);
 
-  /// @brief A gossiping or relaying host of any failure domain was heard.
-  void OnConfigVersion(SeatIndex seat, std::uint64_t version, Time now);
-
   void OnSent(std::uint64_t sequence, Time now);
   void Tick(Time now);
   void SetLeaving();
@@ -76,9 +73,6 @@
   std::vector<DomainState> Domains() const;
   std::optional<DomainState> Find(DomainIndex domain) const;
 
-  /// @brief Configuration versions heard directly, by seat.
-  std::map<SeatIndex, std::uint64_t> ConfigVersions() const;
-
  private:
   void Report(const MembershipChange& change);
 
@@ -88,7 +82,6 @@
   Membership membership_;
   std::map<SeatIndex, SiblingState> siblings_;
   std::map<DomainIndex, DomainState> domains_;
-  std::map<SeatIndex, std::uint64_t> config_versions_;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/host/state_exchange.hpp
+++ b/include/pathcleat/host/state_exchange.hpp
@@ -59,7 +59,7 @@
   const StateTraffic& traffic() const { return traffic_; }
 
  private:
-  void SendHeartbeat(SeatIndex seat, const OwnState& own);
+  Heartbeat MakeHeartbeat() const;
   Gossip MakeGossip();
   std::vector<SeatIndex> GossipTargets();
   void Send(SeatIndex seat, const std::variant<Heartbeat, Gossip>& body);
--- a/include/pathcleat/steer/slot_table.hpp
+++ b/include/pathcleat/steer/slot_table.hpp
@@ -105,7 +105,6 @@
     Time usable_from;
     bool owned = true;
     bool healthy = true;
-    Duration latency{0};
   };
   struct Held {
     UpstreamIndex upstream;
--- a/src/pathcleat/host/entry_host.cpp
+++ b/src/pathcleat/host/entry_host.cpp
@@ -111,10 +111,7 @@
     state_.SendHeartbeats();
   });
   Every(timing.gossip_period, [this] { state_.SendGossip(); });
-  Every(kSeatTick, [this] {
-    seats_.Tick();
-    watch_.ApplyDrains();
-  });
+  Every(kSeatTick, [this] { seats_.Tick(); });
   Every(kOwnerTick, [this] { shared_.owner.Tick(); });
   Every(kShiftTick, [this] { shared_.routes.Tick(); });
   Every(timing.probe_period, [this] { watch_.ProbeAll(); });
--- a/src/pathcleat/host/member_service.cpp
+++ b/src/pathcleat/host/member_service.cpp
@@ -65,7 +65,6 @@
     sibling.config_version = heartbeat.config_version;
     sibling.loads = heartbeat.loads;
     sibling.observed = now;
-    config_versions_[message.sender] = heartbeat.config_version;
   }
   if (change) {
     Report(*change);
@@ -93,14 +92,6 @@
   return newer;
 }
 
-void MemberService::OnConfigVersion(SeatIndex seat,
-                                    std::uint64_t version,
-                                    Time) {
-  const std::lock_guard lock(mutex_);
-  std::uint64_t& kept = config_versions_[seat];
-  kept = std::max(kept, version);
-}
-
 void MemberService::OnSent(std::uint64_t sequence, Time now) {
   const std::lock_guard lock(mutex_);
   membership_.OnSent(sequence, now);
@@ -251,9 +242,4 @@
   return found->second;
 }
 
-std::map<SeatIndex, std::uint64_t> MemberService::ConfigVersions() const {
-  const std::lock_guard lock(mutex_);
-  return config_versions_;
-}
-
 }  // namespace pathcleat
--- a/src/pathcleat/host/state_exchange.cpp
+++ b/src/pathcleat/host/state_exchange.cpp
@@ -62,14 +62,15 @@
 }
 
 void StateExchange::SendHeartbeats() {
-  const OwnState own = own_state_();
   const HostSettings& settings = shared_.settings;
+  Heartbeat heartbeat = MakeHeartbeat();
   ++sequence_;
   shared_.members.OnSent(sequence_, BootClock::now());
   for (const SeatIndex seat :
        settings.deployment.SeatsIn(settings.self().domain)) {
     if (seat != settings.seat) {
-      SendHeartbeat(seat, own);
+      heartbeat.echoed = shared_.members.EchoFor(seat);
+      Send(seat, heartbeat);
     }
   }
 }
@@ -82,16 +83,17 @@
   }
 }
 
-void StateExchange::SendHeartbeat(SeatIndex seat, const OwnState& own) {
+// The same for all siblings but for the echo.
+Heartbeat StateExchange::MakeHeartbeat() const {
+  const OwnState own = own_state_();
   Heartbeat heartbeat;
-  heartbeat.echoed = shared_.members.EchoFor(seat);
   heartbeat.config_version = shared_.config.version();
   heartbeat.leaving = shared_.leaving;
   heartbeat.claims = own.claims;
   heartbeat.loads = shared_.owner.Loads();
   heartbeat.has_host_list = own.has_host_list;
   heartbeat.listed_leaving = own.listed_leaving;
-  Send(seat, heartbeat);
+  return heartbeat;
 }
 
 Gossip StateExchange::MakeGossip() {
@@ -201,7 +203,6 @@
     shared_.routes.OnDomainReport(
         summary, now - std::chrono::milliseconds(summary.age_ms));
   }
-  shared_.members.OnConfigVersion(message.sender, gossip.config_version, now);
   on_peer_version_(message.sender, gossip.config_version);
 }
 
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -12,10 +12,6 @@
 namespace pathcleat {
 namespace {
 
-std::string GetTextFor(const std::string& run_id) {
-  return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
-}
-
 Test(faults, upstream_that_breaks_off_its_answer_is_never_a_short_200) {
   TestApplication application;
   const std::string whole =
@@ -190,7 +186,7 @@
     const std::size_t entry = direct ? owner : 1 - owner;
     clients.push_back(
         std::make_unique<RawClient>(world.address(), world.CallerPort(entry)));
-    clients.back()->Send(GetTextFor("held"));
+    clients.back()->Send(GetText("held"));
     RC_ASSERT(WaitUntil(
         [&] { return world.upstream().HeldAnswers() == clients.size(); }));
   }
--- a/src/pathcleat/lab/whole_path_test.cpp
+++ b/src/pathcleat/lab/whole_path_test.cpp
@@ -9,10 +9,6 @@
 namespace pathcleat {
 namespace {
 
-std::string GetText(const std::string& run_id) {
-  return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
-}
-
 Test(whole_path, get_and_post_through_a_relay_answer_byte_for_byte) {
   TestWorld world;
   world.StartAll();
--- a/src/pathcleat/steer/slot_table.cpp
+++ b/src/pathcleat/steer/slot_table.cpp
@@ -153,7 +153,6 @@
 void SlotTable::Learn(Instance& instance, Duration latency) {
   Duration& typical = latency_[instance.service];
   typical = Blend(typical, latency);
-  instance.latency = Blend(instance.latency, latency);
   if (latency <= typical * kColdLatencyRatio) {
     instance.window = std::min(instance.window + 1, instance.slots);
   }
--- a/src/pathcleat/testing/raw_client.hpp
+++ b/src/pathcleat/testing/raw_client.hpp
@@ -9,6 +9,11 @@
 
 namespace pathcleat {
 
+/// @brief The bytes of a GET to the test world's service.
+inline std::string GetText(const std::string& run_id) {
+  return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
+}
+
 /// @brief A TCP client that sends and sees bytes as they are.
 class RawClient {
  public:
