--- a/cmake/PathcleatTargets.cmake
+++ b/cmake/PathcleatTargets.cmake
@@ -16,10 +16,11 @@
                              PRIVATE ${dir})
   target_compile_options(pathcleat_${name} PRIVATE -Wall -Wextra -Werror
                          # Boost.Accumulators' quantile feature trips it.
-                         $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>)
+                         $<$<CXX_COMPILER_ID:GNU>:-Wno-maybe-uninitialized>
+                         # GCC 12 warns falsely of joined strings (PR105651).
+                         $<$<CXX_COMPILER_ID:GNU>:-Wno-restrict>)
   target_compile_definitions(pathcleat_${name} PUBLIC
-                             PATHCLEAT_VERSION="${PROJECT_VERSION}"
-                             QT_NO_KEYWORDS)
+                             PATHCLEAT_VERSION="${PROJECT_VERSION}")
   target_link_libraries(pathcleat_${name} PUBLIC ${ARG_LIBRARIES})
   if(PATHCLEAT_TESTS AND tests)
     add_executable(${name}_test ${tests})
--- /dev/null
+++ b/include/pathcleat/core/base64.hpp
@@ -0,0 +1,17 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <optional>
+#include <string>
+
+namespace pathcleat {
+
+/// @brief Standard base64 with padding (libsodium).
+/// @ingroup core
+std::string ToBase64(const std::string& bytes);
+
+/// @brief The bytes, or nothing if the text is not base64.
+/// @ingroup core
+std::optional<std::string> FromBase64(const std::string& text);
+
+}  // namespace pathcleat
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -30,6 +30,8 @@
   kUpstreamDown = 1302,
   kUpstreamUp = 1303,
   kSlotHeldAfterAbandon = 1304,
+  kUpstreamGone = 1305,
+  kDomainDrained = 1306,
   kSeatAcquired = 1401,
   kSeatLost = 1402,
   kSeatServing = 1403,
--- /dev/null
+++ b/include/pathcleat/core/random_token.hpp
@@ -0,0 +1,12 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <string>
+
+namespace pathcleat {
+
+/// @brief 32 hexadecimal digits from the system's random source (libsodium).
+/// @ingroup core
+std::string RandomToken();
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/fleet/host_versions.hpp
@@ -0,0 +1,22 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+
+namespace pathcleat {
+
+/// @brief How far a host has come with what all hosts follow.
+/// @ingroup fleet
+struct HostVersions {
+  std::uint64_t config = 0;     ///< routing configuration in force
+  std::uint64_t commands = 0;   ///< operators' commands in force
+  std::uint64_t orders = 0;     ///< of the source, seen of the orders
+  std::uint64_t upstreams = 0;  ///< of the source, seen of the upstreams
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(config, commands, orders, upstreams);
+  }
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -0,0 +1,61 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "pathcleat/core/error.hpp"
+#include "pathcleat/core/event_log.hpp"
+#include "pathcleat/fleet/heartbeat.hpp"
+#include "pathcleat/fleet/host_table.hpp"
+
+namespace pathcleat {
+
+/// @brief Sends this host's heartbeats to the others and takes theirs.
+/// @ingroup fleet
+class PeerLink {
+ public:
+  /// @param versions tells how far this host has come.
+  /// @param on_versions told how far others have come.
+  PeerLink(boost::asio::io_context& loop,
+           HostTable& hosts,
+           EventLog& events,
+           std::function<HostVersions()> versions,
+           std::function<void(const HostVersions&)> on_versions);
+
+  Result<void> Open(const std::string& address, std::uint16_t port);
+
+  /// @brief The key that seals messages. Without it none is sent or taken.
+  void SetKey(const std::string& key) { key_ = key; }
+
+  /// @brief Sends to everybody now, asking for a reply: after a start.
+  void Announce();
+
+  /// @brief Sends to everybody now: after a change that they should know.
+  void Tell();
+
+ private:
+  void Tick();
+  void Receive();
+  void OnDatagram(std::size_t size);
+  void SendTo(const std::string& address, bool wants_reply);
+  void SendToAll(bool wants_reply);
+
+  HostTable& hosts_;
+  EventLog& events_;
+  std::function<HostVersions()> versions_;
+  std::function<void(const HostVersions&)> on_versions_;
+  std::string key_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<char, 2048> buffer_{};
+  std::uint64_t ticks_ = 0;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/gateway/call.hpp
@@ -0,0 +1,73 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/http/http_exchange.hpp"
+
+namespace pathcleat {
+
+/// @brief One caller's request, from its route to its answer.
+///
+/// A request that may not be repeated goes to a second upstream only if the
+/// first certainly did not run it: nothing was sent, or the upstream itself
+/// said so. It is told "not run" (503) under the same condition alone. With
+/// an Idempotency-Key it claims the key in the store before it is sent.
+/// @ingroup gateway
+class Call : public std::enable_shared_from_this<Call> {
+ public:
+  Call(GatewayState& state,
+       ExchangePtr exchange,
+       std::shared_ptr<const Route> route);
+  ~Call();
+  Call(const Call&) = delete;
+  Call& operator=(const Call&) = delete;
+
+  void Start();
+
+ private:
+  bool NeedsKey() const;
+  void ClaimKey();
+  void OnClaim(ClaimResult result);
+  void Attempt();
+  void Send(const Pick& pick);
+  CallTimeouts TimeoutsFor(const Pick& pick, Duration left) const;
+  void OnResult(const Pick& pick, Time sent, const CallResult& result);
+  void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
+  void OnFailure(const CallResult& result);
+  bool MayRetry();
+  void RetryOrGiveUp();
+  void Refuse(Duration retry_after, const std::string& reason);
+  void AnswerUnknown(int status, const std::string& reason);
+  void Answer(HttpResponse response, RunOutcome outcome);
+  void SettleKey(const HttpResponse& response, RunOutcome outcome);
+  void Step(std::string text);
+  void CancelAttempt();
+  void EndAttempt(UpstreamState& upstream);
+  void OnCallerLeft();
+  void OnDeadline();
+  Duration Left() const;
+
+  GatewayState& state_;
+  ExchangePtr exchange_;
+  std::shared_ptr<const Route> route_;
+  boost::asio::steady_timer deadline_timer_;
+  std::string request_id_;
+  PickRequest request_;
+  Time deadline_;
+  HttpClientPtr client_;  ///< of the attempt under way
+  UpstreamPtr upstream_;  ///< of the attempt under way
+  std::optional<ClaimedKey> claimed_;
+  std::vector<std::string> steps_;  ///< for "why"
+  bool may_have_run_ = false;
+  int attempts_ = 0;  ///< upstreams that the request has reached
+  int unsent_ = 0;    ///< upstreams that could not be reached
+  bool done_ = false;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -0,0 +1,85 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "pathcleat/core/error.hpp"
+#include "pathcleat/fleet/peer_link.hpp"
+#include "pathcleat/gateway/command_log.hpp"
+#include "pathcleat/gateway/fleet_secrets.hpp"
+#include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/gateway/host_registry.hpp"
+#include "pathcleat/gateway/operator_service.hpp"
+#include "pathcleat/gateway/source_watcher.hpp"
+#include "pathcleat/http/http_server.hpp"
+
+namespace pathcleat {
+
+/// @brief One entry host: takes callers' requests, chooses an upstream for
+/// each and passes the answers back. Lives in the thread of its event loop.
+/// @ingroup gateway
+class Gateway {
+ public:
+  /// @param store where hosts find each other.
+  /// @param source where configuration and upstreams come from.
+  Gateway(boost::asio::io_context& loop,
+          const EntrySettings& settings,
+          const HeaderNames& headers,
+          TableStore& store,
+          FleetSource& source);
+
+  /// @brief Binds all sockets and begins.
+  Result<void> Start();
+
+  /// @brief A planned stop: named to no caller any more, it goes on serving
+  /// until the grace time is nearly over, and cuts nothing.
+  /// @param done called when nothing is left to answer.
+  void Stop(std::function<void()> done);
+
+  GatewayState& state() { return state_; }
+  const FleetSecrets& secrets() const { return secrets_; }
+  const CommandLog& commands() const { return commands_; }
+  bool IsReady() const;
+
+ private:
+  void HandleCaller(const ExchangePtr& exchange);
+  void HandleReadiness(const ExchangePtr& exchange);
+  void HandleLocate(const ExchangePtr& exchange);
+  void OnOrders(const SourceUpdate& update);
+  void OnUpstreams(const SourceUpdate& update);
+  void OnDrains(const SourceUpdate& update);
+  void AdoptConfig(const RoutingConfig& config);
+  void Tick();
+  void FinishStop();
+  void AwaitQuiet();
+  void OnPeerVersions(const HostVersions& versions);
+  void OnSecrets();
+  void OnCommands();
+  HostVersions Versions() const;
+  void AdvanceShifts(Time now);
+  Result<void> ListenAt(HttpServer& server, const std::string& address);
+  void NotePlatform(bool reached, const char* topic);
+
+  GatewayState state_;
+  FleetSecrets secrets_;
+  CommandLog commands_;
+  PeerLink peers_;
+  HostRegistry registry_;
+  SourceWatcher orders_;
+  SourceWatcher upstream_list_;
+  HttpServer callers_;
+  HttpServer readiness_;
+  HttpServer locate_;
+  OperatorService operator_service_;
+  HttpServer operators_;
+  boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer stop_timer_;
+  std::function<void()> stopped_;
+  Time stop_began_;
+  Time shifts_advanced_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -0,0 +1,66 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "pathcleat/core/event_log.hpp"
+#include "pathcleat/fleet/host_table.hpp"
+#include "pathcleat/gateway/client_regions.hpp"
+#include "pathcleat/gateway/header_names.hpp"
+#include "pathcleat/gateway/key_ledger.hpp"
+#include "pathcleat/gateway/metrics.hpp"
+#include "pathcleat/gateway/trace_store.hpp"
+#include "pathcleat/gateway/upstream_pool.hpp"
+#include "pathcleat/routing/route_table.hpp"
+#include "pathcleat/routing/split_balancer.hpp"
+#include "pathcleat/routing/upstream_picker.hpp"
+#include "pathcleat/routing/upstream_table.hpp"
+#include "pathcleat/settings/entry_settings.hpp"
+#include "pathcleat/steer/retry_budget.hpp"
+
+namespace pathcleat {
+
+/// @brief The tables of one host. All of them belong to the one thread of its
+/// event loop, so there is no lock.
+/// @ingroup gateway
+struct GatewayState {
+  GatewayState(boost::asio::io_context& event_loop,
+               const EntrySettings& entry_settings,
+               const HeaderNames& header_names,
+               TableStore& store,
+               std::uint64_t incarnation);
+
+  /// @brief The retries that this host may make at a service.
+  RetryBudget& RetriesOf(const std::string& service);
+
+  /// @brief Shares what all hosts may do among those that are alive.
+  void ShareBounds(Time now);
+
+  boost::asio::io_context& loop;
+  const EntrySettings settings;
+  const HeaderNames headers;
+  EventLog events;
+  HostTable hosts;
+  RouteTable routes;
+  UpstreamTable upstreams;
+  UpstreamPicker picker;
+  SplitBalancer splits;
+  UpstreamPool pool;
+  KeyLedger keys;
+  ClientRegions client_regions;
+  TraceStore traces;
+  Metrics metrics;
+  std::map<std::string, RetryBudget> retries;  ///< by service
+  int requests = 0;                            ///< callers' requests under way
+  std::uint64_t next_request = 1;
+  bool leaving = false;
+  bool store_reached = false;
+
+ private:
+  double RetryBurst(Time now) const;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/gateway/header_names.hpp
@@ -0,0 +1,24 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <string>
+
+namespace pathcleat {
+
+/// @brief Names of the header fields that callers, hosts and upstreams
+/// exchange. The defaults are the project's own; an adapter may name others.
+/// An empty name means that nobody sends that field.
+/// @ingroup gateway
+struct HeaderNames {
+  std::string request_id = "X-Request-Id";
+  std::string deadline_ms = "X-Deadline-Ms";  ///< time left
+  std::string affinity_key = "X-Affinity-Key";
+  std::string expect_upstream = "X-Expect-Upstream";
+  std::string upstream_id = "X-Upstream-Id";
+  std::string load = "X-Upstream-Load";  ///< running,waiting,slots
+  std::string not_run = "X-Not-Run";
+  std::string cold_ms = "X-Cold-Ms";
+  std::string signature;  ///< every whole answer carries it
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/host/key_ledger.hpp
+++ b/include/pathcleat/gateway/key_ledger.hpp
@@ -1,20 +1,20 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <QObject>
+#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "pathcleat/core/event_log.hpp"
-#include "pathcleat/host/key_row.hpp"
-#include "pathcleat/platform/table_store.hpp"
+#include "pathcleat/gateway/key_row.hpp"
 #include "pathcleat/steer/key_claim.hpp"
+#include "pathcleat/store/table_store.hpp"
 
 namespace pathcleat {
 
 /// @brief A key that this process has claimed and must settle.
-/// @ingroup host
+/// @ingroup gateway
 struct ClaimedKey {
   std::string row_name;
   KeyRow row;
@@ -22,7 +22,7 @@
 };
 
 /// @brief Result of a claim; the action is final (not kPut or kRead).
-/// @ingroup host
+/// @ingroup gateway
 struct ClaimResult {
   KeyAction action = KeyAction::kRefuseNotRun;
   ClaimedKey claimed;  ///< for kRun
@@ -30,7 +30,7 @@
 };
 
 /// @brief A request's claim to its idempotency key.
-/// @ingroup host
+/// @ingroup gateway
 struct KeyRequest {
   std::string row_name;
   std::uint64_t fingerprint = 0;
@@ -39,10 +39,10 @@
 
 /// @brief Keeps idempotency keys in the table service: one conditional write
 /// to claim, one to settle. Lives in one thread's event loop.
-/// @ingroup host
-class KeyLedger : public QObject {
+/// @ingroup gateway
+class KeyLedger {
  public:
-  KeyLedger(TableStore& store, EventLog& events, QObject* parent);
+  KeyLedger(boost::asio::io_context& loop, TableStore& store, EventLog& events);
 
   /// @brief Claims a key; the callback comes once.
   void Claim(const KeyRequest& request,
@@ -70,6 +70,9 @@
   void Settle(const ClaimedKey& key, int tries_left);
   void Delete(const ClaimedKey& key, int tries_left);
 
+  void After(std::function<void()> step);
+
+  boost::asio::io_context& loop_;
   TableStore& store_;
   EventLog& events_;
   int pending_ = 0;
--- a/include/pathcleat/host/key_row.hpp
+++ b/include/pathcleat/gateway/key_row.hpp
@@ -5,13 +5,13 @@
 #include <optional>
 #include <string>
 
-#include "pathcleat/net/http_message.hpp"
+#include "pathcleat/http/http_message.hpp"
 #include "pathcleat/steer/key_claim.hpp"
 
 namespace pathcleat {
 
 /// @brief An idempotency key's row as it lies in the table service.
-/// @ingroup host
+/// @ingroup gateway
 struct KeyRow {
   KeyState state = KeyState::kRunning;
   std::string token;
@@ -21,15 +21,15 @@
 };
 
 /// @brief Name of the row of a service's key.
-/// @ingroup host
+/// @ingroup gateway
 std::string KeyRowName(const std::string& service, const std::string& key);
 
 /// @brief JSON form of a row; bodies are kept in base64.
-/// @ingroup host
+/// @ingroup gateway
 std::string ToJson(const KeyRow& row);
 
 /// @brief The row of a JSON text; no value if it is not one.
-/// @ingroup host
+/// @ingroup gateway
 std::optional<KeyRow> KeyRowFromJson(const std::string& text);
 
 }  // namespace pathcleat
--- a/include/pathcleat/host/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -17,7 +17,6 @@
 #include <string>
 #include <utility>
 
-#include "pathcleat/core/lock_rank.hpp"
 #include "pathcleat/core/run_outcome.hpp"
 #include "pathcleat/core/time.hpp"
 
@@ -25,8 +24,7 @@
 
 /// @brief Counts and latencies of answered requests by service and kind
 /// (Boost.Accumulators; quantiles by the extended P-square estimate).
-/// Thread-safe.
-/// @ingroup host
+/// @ingroup gateway
 class Metrics {
  public:
   void Record(const std::string& kind, RunOutcome outcome, Duration latency);
@@ -51,7 +49,6 @@
     std::uint64_t unknown = 0;
   };
 
-  mutable RankedMutex mutex_{LockRank::kMetrics};
   std::map<std::string, KindMetrics> kinds_;
 };
 
--- /dev/null
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -0,0 +1,48 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "pathcleat/gateway/command_log.hpp"
+#include "pathcleat/gateway/fleet_secrets.hpp"
+#include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/http/http_exchange.hpp"
+#include "pathcleat/query/command.hpp"
+
+namespace pathcleat {
+
+/// @brief Answers operators: POST /v1/query with a command as its body, and
+/// GET /v1/timeline. An operator proves itself with a bearer token.
+/// @ingroup gateway
+class OperatorService {
+ public:
+  OperatorService(GatewayState& state,
+                  CommandLog& commands,
+                  const FleetSecrets& secrets);
+
+  void Handle(const ExchangePtr& exchange);
+
+ private:
+  bool IsOperator(const HttpRequest& request) const;
+  KnownNames Names() const;
+  void Query(const ExchangePtr& exchange);
+  void Submit(const ExchangePtr& exchange, const ChangeCommand& command);
+  std::string Answer(const WhereQuery& query);
+  std::string Answer(const WhyQuery& query) const;
+  std::string Answer(const ShowQuery& query) const;
+  std::string Answer(const HelpQuery& query) const;
+  std::string ShowHosts() const;
+  std::string ShowUpstreams() const;
+  std::string ShowShifts() const;
+  std::string ShowConfig() const;
+  std::string Timeline() const;
+  std::string NextCommandId();
+
+  GatewayState& state_;
+  CommandLog& commands_;
+  const FleetSecrets& secrets_;
+  std::uint64_t next_command_ = 1;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/gateway/source_watcher.hpp
@@ -0,0 +1,78 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "pathcleat/store/fleet_source.hpp"
+
+namespace pathcleat {
+
+/// @brief What a watcher tells of its topic.
+/// @ingroup gateway
+struct SourceUpdate {
+  bool whole = false;  ///< all there is; what it lacks is gone
+  std::vector<FleetChange> changes;
+};
+
+/// @brief Keeps up with one topic of the source: reads it whole, then watches
+/// it; after a failure it goes on from where it was, after history was lost
+/// it reads it whole again.
+/// @ingroup gateway
+class SourceWatcher {
+ public:
+  using Handler = std::function<void(const SourceUpdate&)>;
+  using Observer = std::function<void(bool reached)>;
+
+  SourceWatcher(boost::asio::io_context& loop,
+                FleetSource& source,
+                SourceTopic topic,
+                Handler handler,
+                Observer observer);
+
+  void Start();
+
+  /// @brief Another host has seen this version. If this one does not see it
+  /// either before long, its watch is taken for dead and begun anew.
+  void OnPeerVersion(std::uint64_t version, Time now);
+
+  /// @brief Version up to which the topic is known here.
+  std::uint64_t version() const { return version_; }
+
+  /// @brief Whether the last call was answered.
+  bool IsReached() const { return reached_; }
+
+  /// @brief Whether the topic has been read whole once.
+  bool IsLoaded() const { return loaded_; }
+
+ private:
+  void Read(const std::string& from);
+  void OnRead(const SourceAnswer& answer);
+  void Watch();
+  void OnWatch(const SourceAnswer& answer);
+  void Pause(std::function<void()> next);
+  FleetSource::Callback Current(
+      void (SourceWatcher::*handler)(const SourceAnswer&));
+  void Note(bool reached);
+
+  FleetSource& source_;
+  SourceTopic topic_;
+  Handler handler_;
+  Observer observer_;
+  boost::asio::steady_timer timer_;
+  SourceUpdate page_;
+  std::uint64_t first_page_version_ = 0;
+  std::uint64_t version_ = 0;
+  int failures_ = 0;
+  std::uint64_t generation_ = 0;  ///< of the calls that count
+  std::optional<Time> behind_since_;
+  bool reached_ = false;
+  bool loaded_ = false;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/http/http_client.hpp
@@ -0,0 +1,140 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/http/http_limits.hpp"
+#include "pathcleat/http/http_message.hpp"
+
+namespace pathcleat {
+
+/// @brief How one request on a client connection ended.
+/// @ingroup http
+enum class CallOutcome {
+  kAnswered,  ///< a whole answer arrived
+  kNotSent,   ///< no byte of the request left this host
+  kBroken,    ///< bytes may have left; no whole answer came
+  kTimedOut,  ///< bytes may have left; no whole answer came in time
+};
+
+/// @brief Result of one request.
+/// @ingroup http
+struct CallResult {
+  CallOutcome outcome = CallOutcome::kNotSent;
+  HttpResponse response;  ///< for kAnswered
+  std::string detail;     ///< plain words, for the other outcomes
+};
+
+/// @brief Time limits of one request.
+/// @ingroup http
+struct CallTimeouts {
+  Duration connect{1'000'000};
+  Duration total{5'000'000};  ///< from Send, the connecting included
+};
+
+/// @brief The client's end of one HTTP/1.1 connection, one request at a time.
+/// It never sends a request twice. Owned by shared pointers; lives in the
+/// thread of its event loop.
+/// @ingroup http
+class HttpClient : public std::enable_shared_from_this<HttpClient> {
+ public:
+  using Callback = std::function<void(CallResult)>;
+
+  /// @brief Whether an answer belongs to the request sent. One that does not
+  /// is a late or surplus answer: it is dropped and the next one awaited.
+  using Matcher = std::function<bool(const HttpResponse&)>;
+
+  HttpClient(boost::asio::io_context& loop,
+             boost::asio::ip::tcp::endpoint endpoint,
+             const HttpLimits& limits);
+
+  /// @brief Sends a request, connecting first if there is no connection.
+  /// @param callback called once, never from inside this call, and not after
+  /// Cancel.
+  void Send(const HttpRequest& request,
+            const CallTimeouts& timeouts,
+            Callback callback,
+            Matcher matcher = nullptr);
+
+  /// @brief Uses this local IP number when it connects.
+  void BindTo(const std::string& local_address);
+
+  /// @brief Closes the connection at once; the callback is not called.
+  void Cancel();
+
+  /// @brief Whether bytes of the request under way may have left this host.
+  bool MayHaveSent() const { return connected_; }
+
+  /// @brief Whether a next request can be sent on the open connection.
+  bool IsReusable() const { return connected_ && !spent_ && !callback_; }
+
+  /// @brief Since when the connection has been idle.
+  Time idle_since() const { return idle_since_; }
+
+  /// @brief How long the peer says it keeps an idle connection; zero: unsaid.
+  Duration keep_alive() const { return keep_alive_; }
+
+  /// @brief How long the connection took to open, if this request opened it.
+  std::optional<Duration> connect_time() const { return connect_time_; }
+
+  /// @brief Whether the request under way goes over a connection that had
+  /// served another one before.
+  bool reused() const { return reused_; }
+
+ private:
+  using Parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect(Duration timeout);
+  void Write();
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  void Parse();
+  void TakeResponse();
+  void OnEnd(const boost::system::error_code& error);
+  void ArmTimer(Duration timeout, const char* detail, CallOutcome outcome);
+  void Fail(CallOutcome outcome, std::string detail);
+  void Finish(CallResult result);
+  void Close();
+  void StartParser();
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::endpoint endpoint_;
+  std::string local_address_;
+  HttpLimits limits_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::string out_;
+  bool head_ = false;
+  Callback callback_;
+  Matcher matcher_;
+  Time deadline_;
+  std::optional<Duration> connect_time_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  Time idle_since_;
+  Duration keep_alive_{0};
+  std::uint64_t timer_generation_ = 0;
+  int strangers_ = 0;  ///< answers dropped since the request was sent
+  bool connected_ = false;
+  bool written_ = false;
+  bool reading_ = false;
+  bool spent_ = false;  ///< must not carry another request
+  bool reused_ = false;
+  bool closed_ = false;
+};
+
+using HttpClientPtr = std::shared_ptr<HttpClient>;
+
+}  // namespace pathcleat
--- a/include/pathcleat/net/http_exchange.hpp
+++ b/include/pathcleat/http/http_exchange.hpp
@@ -5,28 +5,35 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
-#include "pathcleat/net/http_message.hpp"
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/http/http_message.hpp"
 
 namespace pathcleat {
 
-/// @brief One request a caller sent and the place for its answer. Belongs to
-/// the thread of its connection. Answering after the caller has left is
-/// allowed and does nothing.
-/// @ingroup net
-class HttpExchange {
+/// @brief One request that a caller sent and the place for its answer.
+/// Answering after the caller has left is allowed and does nothing.
+/// @ingroup http
+class Exchange {
  public:
-  HttpExchange(HttpRequest request, std::string caller)
-      : request_(std::move(request)), caller_(std::move(caller)) {}
+  /// @param caller the caller's IP address as text.
+  /// @param received when the request's last byte was read.
+  Exchange(HttpRequest request, std::string caller, Time received)
+      : request_(std::move(request)),
+        caller_(std::move(caller)),
+        received_(received) {}
 
   const HttpRequest& request() const { return request_; }
-
-  /// @brief The caller's IP address as text.
   const std::string& caller() const { return caller_; }
+  Time received() const { return received_; }
 
   /// @brief Gives the answer. Only the first call counts.
   void Respond(HttpResponse response);
 
+  /// @brief Ends the connection without an answer: for stand-ins that fail.
+  void Drop();
+
   /// @brief Called once if the caller leaves before the answer is given.
   void OnAbandoned(std::function<void()> callback);
 
@@ -37,21 +44,24 @@
   bool answered() const { return response_.has_value(); }
   const HttpResponse& response() const { return *response_; }
   void OnAnswered(std::function<void()> callback);
+  void OnDropped(std::function<void()> callback);
   void Abandon();
 
  private:
   HttpRequest request_;
   std::string caller_;
+  Time received_;
   std::optional<HttpResponse> response_;
   bool abandoned_ = false;
   std::function<void()> on_answered_;
   std::function<void()> on_abandoned_;
+  std::function<void()> on_dropped_;
 };
 
-using HttpExchangePtr = std::shared_ptr<HttpExchange>;
+using ExchangePtr = std::shared_ptr<Exchange>;
 
 /// @brief Takes each request; the answer may come at any later time.
-/// @ingroup net
-using HttpHandler = std::function<void(const HttpExchangePtr&)>;
+/// @ingroup http
+using ExchangeHandler = std::function<void(const ExchangePtr&)>;
 
 }  // namespace pathcleat
--- a/include/pathcleat/net/http_limits.hpp
+++ b/include/pathcleat/http/http_limits.hpp
@@ -8,7 +8,7 @@
 namespace pathcleat {
 
 /// @brief Bounds on what a peer may send over HTTP.
-/// @ingroup net
+/// @ingroup http
 struct HttpLimits {
   std::uint32_t header_bytes = 16 * 1024;
   std::uint64_t body_bytes = 1'024ULL * 1'024;
--- a/include/pathcleat/net/http_message.hpp
+++ b/include/pathcleat/http/http_message.hpp
@@ -9,7 +9,7 @@
 namespace pathcleat {
 
 /// @brief One header field; names compare without regard to case.
-/// @ingroup net
+/// @ingroup http
 struct HttpHeader {
   std::string name;
   std::string value;
@@ -23,7 +23,7 @@
 using HttpHeaders = std::vector<HttpHeader>;
 
 /// @brief A whole HTTP request.
-/// @ingroup net
+/// @ingroup http
 struct HttpRequest {
   std::string method;
   std::string target;
@@ -32,7 +32,7 @@
 };
 
 /// @brief A whole HTTP response.
-/// @ingroup net
+/// @ingroup http
 struct HttpResponse {
   int status = 0;
   HttpHeaders headers;
@@ -40,21 +40,21 @@
 };
 
 /// @brief Value of the first field called name, if there is one.
-/// @ingroup net
+/// @ingroup http
 std::optional<std::string> FindHeader(const HttpHeaders& headers,
                                       std::string_view name);
 
 /// @brief The fields that go end to end: all but the connection's own, those
 /// named by Connection, and the framing fields.
-/// @ingroup net
+/// @ingroup http
 HttpHeaders EndToEndHeaders(const HttpHeaders& headers);
 
 /// @brief A response with a plain-text body.
-/// @ingroup net
+/// @ingroup http
 HttpResponse TextResponse(int status, std::string text);
 
 /// @brief A response with a JSON body.
-/// @ingroup net
+/// @ingroup http
 HttpResponse JsonResponse(int status, std::string json);
 
 }  // namespace pathcleat
--- a/include/pathcleat/net/http_status.hpp
+++ b/include/pathcleat/http/http_status.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 /// @brief The HTTP status codes in use.
-/// @ingroup net
+/// @ingroup http
 namespace pathcleat::http_status {
 
 constexpr int kOk = 200;
@@ -14,6 +14,7 @@
 constexpr int kConflict = 409;
 constexpr int kPreconditionFailed = 412;
 constexpr int kPayloadTooLarge = 413;
+constexpr int kMisdirected = 421;
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
 constexpr int kHeaderTooLarge = 431;
--- a/include/pathcleat/lab/load_generator.hpp
+++ b/include/pathcleat/lab/load_generator.hpp
@@ -1,7 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <QObject>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -11,7 +12,7 @@
 #include <vector>
 
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/net/http_client_connection.hpp"
+#include "pathcleat/http/http_client.hpp"
 
 namespace pathcleat {
 
@@ -38,7 +39,9 @@
   std::vector<std::string> caller_prefixes{"127.101"};
   /// Entry hosts known from the start, "address:port".
   std::vector<std::string> hosts;
-  std::string locate_service;
+  /// Where callers ask which hosts to use, "address:port"; empty: nowhere.
+  std::vector<std::string> locators;
+  std::string host_name = "caller";  ///< sent as the Host field
   std::uint64_t seed = 1;
 };
 
@@ -67,9 +70,9 @@
 /// entry host which to use, goes to the next when one does not answer, and
 /// repeats keyed requests with their key.
 /// @ingroup lab
-class LoadGenerator : public QObject {
+class LoadGenerator {
  public:
-  LoadGenerator(const LoadPlan& plan, QObject* parent);
+  LoadGenerator(boost::asio::io_context& loop, const LoadPlan& plan);
 
   /// @brief Starts; finished is called after the last answer.
   void Start(std::function<void()> finished);
@@ -82,6 +85,7 @@
     std::string address;
     std::vector<std::string> hosts;
     Time hosts_until;
+    std::size_t locator_turn = 0;
   };
   struct Request;
   using RequestPtr = std::shared_ptr<Request>;
@@ -90,11 +94,14 @@
   void ScheduleNext();
   void Locate(const RequestPtr& request);
   void Send(const RequestPtr& request);
-  void OnResult(const RequestPtr& request, const ClientResult& result);
+  void OnResult(const RequestPtr& request, const CallResult& result);
   void Repeat(const RequestPtr& request, std::chrono::milliseconds wait);
   void Finish(const RequestPtr& request);
-  HttpClientConnection* ConnectionFor(const RequestPtr& request);
+  HttpClientPtr ConnectionFor(const RequestPtr& request);
+  HttpClientPtr LocatorFor(const RequestPtr& request);
+  void After(std::chrono::microseconds wait, std::function<void()> step);
 
+  boost::asio::io_context& loop_;
   LoadPlan plan_;
   std::mt19937_64 random_;
   std::vector<Caller> callers_;
--- a/include/pathcleat/lab/upstream_farm.hpp
+++ b/include/pathcleat/lab/upstream_farm.hpp
@@ -1,13 +1,13 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <QObject>
+#include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <memory>
 #include <string>
 #include <vector>
 
-#include "pathcleat/lab/http_listener.hpp"
+#include "pathcleat/http/http_server.hpp"
 #include "pathcleat/lab/upstream_stand_in.hpp"
 #include "pathcleat/settings/deployment.hpp"
 
@@ -17,23 +17,24 @@
 /// control port: GET /ledger gives the sum of their ledgers as JSON, POST
 /// /leaving/NAME makes one say that it leaves.
 /// @ingroup lab
-class UpstreamFarm : public QObject {
+class UpstreamFarm {
  public:
-  UpstreamFarm(const Deployment& deployment,
-               std::chrono::microseconds mean_service_time,
-               QObject* parent);
+  UpstreamFarm(boost::asio::io_context& loop,
+               const Deployment& deployment,
+               const HeaderNames& headers,
+               std::chrono::microseconds mean_service_time);
 
   Result<void> Listen();
   Result<std::uint16_t> ListenControl(const std::string& address,
                                       std::uint16_t port);
 
  private:
-  void Handle(const HttpExchangePtr& exchange);
+  void Handle(const ExchangePtr& exchange);
   std::string LedgerJson() const;
 
   const Deployment& deployment_;
   std::vector<std::unique_ptr<UpstreamStandIn>> upstreams_;
-  HttpListener control_;
+  HttpServer control_;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -1,15 +1,17 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <QObject>
+#include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
 #include <vector>
 
-#include "pathcleat/lab/http_listener.hpp"
+#include "pathcleat/gateway/header_names.hpp"
+#include "pathcleat/http/http_server.hpp"
 
 namespace pathcleat {
 
@@ -18,7 +20,7 @@
 struct UpstreamLedger {
   int runs = 0;
   int most_in_flight = 0;
-  int over_slots = 0;  ///< requests that arrived when all slots were full
+  int turned_away = 0;  ///< requests told that they were not run
   std::map<std::string, int> runs_by_id;   ///< by the caller's X-Run-Id
   std::map<std::string, int> runs_by_key;  ///< by Idempotency-Key
 };
@@ -26,22 +28,37 @@
 /// @brief Options of an upstream stand-in.
 /// @ingroup lab
 struct UpstreamStandInOptions {
+  std::string id = "upstream";
+  HeaderNames headers;
   int slots = 2;
+  int queue = 4;  ///< requests that may wait for a slot
   std::chrono::microseconds mean_service_time{20'000};  ///< exponential
   std::uint64_t seed = 1;
 };
 
-/// @brief Small stand-in for an upstream instance: takes a random time a
-/// request, answers with what it was asked, honours deadlines and
-/// cancellation, tells its health, and keeps a ledger.
+/// @brief How an answer is spoilt.
 /// @ingroup lab
-class UpstreamStandIn : public QObject {
+enum class SpoiltAnswer {
+  kNone,
+  kNoSignature,  ///< a success that lacks its signature
+  kStrangerId,   ///< another request's id
+  kLost,         ///< runs, then closes without an answer
+};
+
+/// @brief Small stand-in for an upstream instance: has slots and a short
+/// queue, turns away what is too much or meant for another instance, answers
+/// with what it was asked, honours cancellation, tells its load and keeps a
+/// ledger.
+/// @ingroup lab
+class UpstreamStandIn {
  public:
-  UpstreamStandIn(const UpstreamStandInOptions& options, QObject* parent);
+  UpstreamStandIn(boost::asio::io_context& loop,
+                  const UpstreamStandInOptions& options);
 
   Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
-  void SetLeaving(bool leaving) { leaving_ = leaving; }
+  const std::string& id() const { return options_.id; }
+  int slots() const { return options_.slots; }
 
   /// @brief Requests are kept until Answer; for tests that order answers.
   void HoldAnswers() { hold_ = true; }
@@ -49,6 +66,12 @@
   void AnswerHeld(std::size_t index);
   void AnswerRun(const std::string& run_id);
 
+  /// @brief Spoils all answers from now on.
+  void Spoil(SpoiltAnswer how) { spoilt_ = how; }
+
+  /// @brief Says that it has not run any request from now on.
+  void TurnAway(bool turn_away) { turn_away_ = turn_away; }
+
   const UpstreamLedger& ledger() const { return ledger_; }
   int in_flight() const { return in_flight_; }
 
@@ -56,18 +79,26 @@
   void Crash();
 
  private:
-  void Handle(const HttpExchangePtr& exchange);
-  void Run(const HttpExchangePtr& exchange);
-  void Answer(const HttpExchangePtr& exchange);
+  void Handle(const ExchangePtr& exchange);
+  bool IsForAnother(const ExchangePtr& exchange) const;
+  void RefuseNotRun(const ExchangePtr& exchange, int status);
+  void Run(const ExchangePtr& exchange);
+  void Begin(const ExchangePtr& exchange);
+  void End();
+  void Answer(const ExchangePtr& exchange);
+  std::string LoadText() const;
 
+  boost::asio::io_context& loop_;
   UpstreamStandInOptions options_;
-  HttpListener listener_;
+  std::unique_ptr<HttpServer> server_;
   std::mt19937_64 random_;
   UpstreamLedger ledger_;
-  std::vector<HttpExchangePtr> held_;
+  std::vector<ExchangePtr> held_;
+  std::vector<ExchangePtr> queue_;
+  SpoiltAnswer spoilt_ = SpoiltAnswer::kNone;
   int in_flight_ = 0;
-  bool leaving_ = false;
   bool hold_ = false;
+  bool turn_away_ = false;
 };
 
 /// @brief The body that a stand-in answers a request with: the caller can
--- a/include/pathcleat/query/command.hpp
+++ b/include/pathcleat/query/command.hpp
@@ -1,28 +1,35 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
 
 #include "pathcleat/core/error.hpp"
-#include "pathcleat/core/request_id.hpp"
-#include "pathcleat/settings/deployment.hpp"
 #include "pathcleat/steer/config_change.hpp"
 
 namespace pathcleat {
 
+/// @brief The names that commands may use.
+/// @ingroup query
+struct KnownNames {
+  std::set<std::string> services;
+  std::set<std::string> regions;
+  std::set<std::string> upstreams;
+};
+
 /// @brief "where SERVICE from CLIENT-IP"
 /// @ingroup query
 struct WhereQuery {
-  ServiceIndex service;
+  std::string service;
   std::string caller;
 };
 
 /// @brief "why REQUEST-ID"
 /// @ingroup query
 struct WhyQuery {
-  RequestId id;
+  std::string id;
 };
 
 /// @brief What "show" can show.
@@ -54,10 +61,10 @@
 /// @ingroup query
 std::string_view CommandHelp();
 
-/// @brief Reads one command; names are looked up in the deployment.
+/// @brief Reads one command; names must be known.
 /// @return kInvalid, naming the word at fault and what was expected there.
 /// @ingroup query
-Result<OperatorCommand> ParseCommand(const Deployment& deployment,
+Result<OperatorCommand> ParseCommand(const KnownNames& names,
                                      std::string_view text);
 
 }  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/route.hpp
@@ -0,0 +1,36 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief A service's share of a route's requests.
+/// @ingroup routing
+struct RouteSplit {
+  std::string service;
+  double weight = 1;
+};
+
+/// @brief Which requests go where, and how they may be treated.
+/// @ingroup routing
+struct Route {
+  std::string name;
+  std::string host;         ///< of the Host field, without a port
+  std::string path_prefix;  ///< begins and ends with a slash
+  std::vector<RouteSplit> splits;
+  bool repeatable = false;  ///< may run more than once
+  bool large_answers = false;
+  bool sticky = false;   ///< requests of one affinity key go together
+  int priority = 0;      ///< 0 is the most urgent
+  int max_attempts = 1;  ///< most upstreams that one request may go to
+  Duration timeout{5'000'000};
+  Duration target_latency{1'000'000};
+  std::vector<std::string> home_regions;  ///< empty: any region
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/route_table.hpp
@@ -0,0 +1,50 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pathcleat/routing/routing_config.hpp"
+
+namespace pathcleat {
+
+/// @brief The routes in force, ready for look-ups. The version only rises.
+/// Not thread-safe.
+/// @ingroup routing
+class RouteTable {
+ public:
+  /// @brief Takes a newer version over.
+  /// @return false, and nothing changed, if it is not newer.
+  bool Adopt(RoutingConfig config);
+
+  bool IsKnown() const { return config_ != nullptr; }
+  std::uint64_t version() const { return config_ ? config_->version : 0; }
+  const RoutingConfig& config() const { return *config_; }
+
+  /// @brief The route of the host with the longest prefix that begins the
+  /// path; null if there is none. The pointer keeps its version alive.
+  /// @param host value of the Host field; a port in it is ignored.
+  /// @param target request target; a query in it is ignored.
+  std::shared_ptr<const Route> Find(std::string_view host,
+                                    std::string_view target) const;
+
+  /// @brief A service's entry; null if the version has none of that name.
+  const ServiceInfo* FindService(std::string_view name) const;
+
+ private:
+  std::shared_ptr<const RoutingConfig> config_;
+  /// Routes of a host, longest prefix first.
+  std::map<std::string, std::vector<const Route*>, std::less<>> by_host_;
+  std::map<std::string, const ServiceInfo*, std::less<>> services_;
+};
+
+/// @brief Picks one of a route's splits so that each gets its weight.
+/// @param position where the request falls, in [0, 1).
+/// @return null for a route without splits.
+/// @ingroup routing
+const RouteSplit* PickSplit(const Route& route, double position);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/upstream.hpp
@@ -0,0 +1,34 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "pathcleat/routing/recent_keys.hpp"
+#include "pathcleat/routing/upstream_health.hpp"
+#include "pathcleat/routing/upstream_info.hpp"
+#include "pathcleat/routing/upstream_load.hpp"
+#include "pathcleat/steer/token_bucket.hpp"
+
+namespace pathcleat {
+
+/// @brief One upstream as this host knows it.
+/// @ingroup routing
+struct UpstreamState {
+  explicit UpstreamState(const UpstreamInfo& entry);
+
+  UpstreamInfo info;
+  std::string region;
+  std::uint64_t hash = 0;  ///< of the id
+  UpstreamLoad load;
+  UpstreamHealth health;
+  RecentKeys keys;
+  Time cold_until;         ///< bears few requests until then
+  TokenBucket cold_share;  ///< this host's share of what it bears when cold
+  double slowness = 1;     ///< its run times over the usual ones
+  bool removed = false;    ///< off the list; requests under way go on
+
+  bool IsCold(Time now) const { return now < cold_until; }
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/upstream_load.hpp
@@ -0,0 +1,39 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief What an upstream tells of its load in an answer.
+/// @ingroup routing
+struct LoadReport {
+  int running = 0;
+  int waiting = 0;
+  int slots = 0;
+};
+
+/// @brief Estimates the requests at an upstream from this host's own count
+/// and from reports that grow old. The part of a report that others caused
+/// fades; the own part is always exact.
+/// @ingroup routing
+class UpstreamLoad {
+ public:
+  void OnSent() { ++own_; }
+  void OnEnded() { --own_; }
+
+  /// @brief A report came with an answer; call before OnEnded.
+  void OnReport(const LoadReport& report, Time now);
+
+  int own() const { return own_; }
+
+  /// @brief Expected requests running or waiting there now, from all hosts.
+  double Expected(Time now) const;
+
+ private:
+  int own_ = 0;
+  double others_ = 0;  ///< at reported_
+  Time reported_;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -0,0 +1,134 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pathcleat/routing/link_limits.hpp"
+#include "pathcleat/routing/request_profile.hpp"
+#include "pathcleat/routing/route.hpp"
+#include "pathcleat/routing/shift_table.hpp"
+#include "pathcleat/routing/upstream_table.hpp"
+
+namespace pathcleat {
+
+/// @brief Where a host stands, and what carrying an answer costs.
+/// @ingroup routing
+struct PickerSettings {
+  std::string domain;
+  std::string region;
+  /// Cost of a gigabyte, in worths of one answer.
+  double domain_gigabyte_cost = 0;
+  double region_gigabyte_cost = 0;
+  /// Most requests in flight from this region to others, by region.
+  std::map<std::string, int> link_limits;
+};
+
+/// @brief One request that wants an upstream.
+/// @ingroup routing
+struct PickRequest {
+  const Route* route = nullptr;
+  std::string service;
+  std::uint64_t key = 0;  ///< hash of its affinity key, or of its id
+  bool sticky = false;    ///< whether key tells where it is served quickly
+  Duration time_left{0};
+  std::set<std::string> excluded;  ///< ids already tried
+  double caller_position = 0;      ///< of the caller in shifts, in [0, 1)
+};
+
+/// @brief Why there is no upstream for a request.
+/// @ingroup routing
+enum class PickFailure {
+  kNone,
+  kNoUpstream,  ///< none is listed, open and thought alive
+  kTooLate,     ///< none would answer within the time left
+  kShiftCap,    ///< to leave the region would pass a shift's cap
+};
+
+/// @brief The choice, with the inputs that decided it.
+/// @ingroup routing
+struct Pick {
+  UpstreamPtr upstream;  ///< null: see failure
+  PickFailure failure = PickFailure::kNone;
+  Duration expected{0};  ///< until the answer
+  Duration wait{0};      ///< of it, before a slot is free
+  bool warm = false;
+  bool left_region = false;
+  int candidates = 0;
+};
+
+/// @brief Chooses the upstream of each request: the one whose answer is
+/// worth most, after the cost of carrying it and of the slot that it takes.
+/// All hosts rank the upstreams for a key alike, so that they send it to the
+/// same one without talk. Not thread-safe.
+/// @ingroup routing
+class UpstreamPicker {
+ public:
+  UpstreamPicker(const PickerSettings& settings, UpstreamTable& table);
+
+  Pick Choose(const PickRequest& request, Time now);
+
+  /// @brief What is known of a region's upstreams of a service.
+  TargetState StateOf(const std::string& service,
+                      const std::string& region,
+                      Time now) const;
+
+  ShiftTable& shifts() { return shifts_; }
+  LinkLimits& links() { return links_; }
+
+  /// @brief The open upstreams of a service with what each would take, best
+  /// first, for an operator to see.
+  std::vector<Pick> Explain(const PickRequest& request, Time now);
+
+  /// @brief A connection to the upstream took this long to open.
+  void OnConnected(const UpstreamState& upstream, Duration round_trip);
+
+  /// @brief A whole answer came.
+  /// @param took from sending to the answer's last byte.
+  void OnAnswer(UpstreamState& upstream,
+                const Route& route,
+                const Pick& pick,
+                std::uint64_t key,
+                Duration took,
+                std::size_t bytes,
+                Time now);
+
+ private:
+  struct Candidate {
+    UpstreamPtr upstream;
+    std::uint64_t rank = 0;  ///< rendezvous hash with the key
+    double warmth = 0;       ///< probability that it is quick at the key
+  };
+  struct Scored {
+    Pick pick;
+    double worth = 0;
+  };
+
+  std::vector<Candidate> Candidates(const PickRequest& request, Time now) const;
+  void KeepLargeNear(std::vector<Candidate>& candidates,
+                     const PickRequest& request);
+  PickFailure PassShift(std::vector<Candidate>& candidates,
+                        const PickRequest& request);
+  void KeepRegion(std::vector<Candidate>& candidates,
+                  const std::string& region) const;
+  void EstimateWarmth(std::vector<Candidate>& candidates,
+                      const PickRequest& request) const;
+  Scored Score(const Candidate& candidate,
+               const PickRequest& request,
+               Time now);
+  RequestProfile& ProfileOf(const Route& route);
+  Duration RoundTrip(const UpstreamState& upstream) const;
+  double CarryingCost(const UpstreamState& upstream, double bytes) const;
+
+  PickerSettings settings_;
+  UpstreamTable& table_;
+  ShiftTable shifts_;
+  LinkLimits links_;
+  std::map<std::string, RequestProfile> profiles_;    ///< by route name
+  std::map<std::string, LatencyEstimate> latencies_;  ///< by failure domain
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -0,0 +1,63 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pathcleat/routing/upstream.hpp"
+
+namespace pathcleat {
+
+using UpstreamPtr = std::shared_ptr<UpstreamState>;
+
+/// @brief The upstreams that the list names, by service. Not thread-safe.
+/// @ingroup routing
+class UpstreamTable {
+ public:
+  /// @param region_of_domain region of each failure domain, by name.
+  explicit UpstreamTable(std::map<std::string, std::string> region_of_domain);
+
+  /// @brief Adds or renews an entry. What is known of the upstream beside
+  /// the entry is kept.
+  void Put(const UpstreamInfo& entry, Time now);
+
+  /// @brief The entry is gone: no new requests.
+  void Remove(const std::string& id);
+
+  /// @brief Takes a whole list over: entries that it lacks are gone.
+  void Replace(const std::vector<UpstreamInfo>& entries, Time now);
+
+  /// @brief Stops or resumes new requests to a failure domain.
+  void SetDrained(const std::string& domain, bool drained);
+  const std::set<std::string>& drained_domains() const { return drained_; }
+
+  /// @brief The upstreams and regions that operators have drained.
+  void SetDrains(std::set<std::string> upstreams,
+                 std::set<std::string> regions);
+
+  /// @brief All listed upstreams of a service.
+  const std::vector<UpstreamPtr>& Of(std::string_view service) const;
+
+  /// @brief All listed upstreams.
+  std::vector<UpstreamPtr> All() const;
+
+  /// @brief Whether new requests may go there, by list and drains.
+  bool IsOpen(const UpstreamState& upstream) const;
+
+  std::size_t size() const { return by_id_.size(); }
+
+ private:
+  std::map<std::string, std::string> region_of_domain_;
+  std::map<std::string, UpstreamPtr> by_id_;
+  std::map<std::string, std::vector<UpstreamPtr>, std::less<>> by_service_;
+  std::set<std::string> drained_;  ///< failure domains
+  std::set<std::string> drained_upstreams_;
+  std::set<std::string> drained_regions_;
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/settings/deployment.hpp
+++ b/include/pathcleat/settings/deployment.hpp
@@ -10,7 +10,6 @@
 #include "pathcleat/core/index.hpp"
 #include "pathcleat/core/request_kind.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/settings/timing.hpp"
 
 namespace pathcleat {
 
@@ -96,7 +95,6 @@
   std::vector<Link> links;
   std::vector<ClientBlock> client_blocks;
   PlatformEndpoint platform;
-  Timing timing;
   Duration latency_in_domain{200};
   Duration latency_between_domains{1'000};
   Duration latency_between_regions{35'000};
--- /dev/null
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -0,0 +1,70 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/settings/settings_fault.hpp"
+
+namespace pathcleat {
+
+/// @brief Addresses that a host listens at, "IP:PORT"; empty: not served.
+/// @ingroup settings
+struct ListenAddresses {
+  std::string callers;
+  std::string readiness;
+  std::string locate;
+  std::string operators;
+};
+
+/// @brief Bounds on what all hosts together may do.
+/// @ingroup settings
+struct FleetBounds {
+  double retry_ratio = 0.2;    ///< retries a request, in any window
+  double retry_slack = 50;     ///< and so many more in any window
+  double cold_overage = 1.5;   ///< of what a cold upstream bears
+  double region_shift = 0.15;  ///< change of region from window to window
+  Duration locate_ttl{2'000'000};
+  Duration stop_grace{6'000'000};  ///< from a planned stop to the end
+};
+
+/// @brief Cost of carrying a gigabyte, in worths of one answer.
+/// @ingroup settings
+struct CarryingCosts {
+  double between_domains = 0;
+  double between_regions = 0;
+};
+
+/// @brief Everything that one entry host learns at its start.
+/// @ingroup settings
+struct EntrySettings {
+  std::string host;
+  std::string domain;
+  std::string region;
+  std::map<std::string, std::string> region_of_domain;
+  ListenAddresses listen;
+  std::string peer_address;  ///< IP number for messages between hosts
+  std::uint16_t peer_port = 0;
+  std::vector<std::string> seeds;  ///< peers' addresses; may be stale
+  std::string store_address;
+  FleetBounds bounds;
+  CarryingCosts costs;
+  std::map<std::string, int> link_limits;  ///< in flight, by other region
+};
+
+/// @brief Settings, and all that is wrong with them; usable if faults is
+/// empty.
+/// @ingroup settings
+struct LoadedEntrySettings {
+  EntrySettings settings;
+  std::vector<SettingsFault> faults;
+};
+
+/// @brief Reads an entry host's settings file. Starts and changes nothing.
+/// @ingroup settings
+LoadedEntrySettings LoadEntrySettings(const std::string& path);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/settings/load_deployment.hpp
@@ -0,0 +1,23 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "pathcleat/settings/deployment.hpp"
+#include "pathcleat/settings/settings_fault.hpp"
+
+namespace pathcleat {
+
+/// @brief A deployment, and all that is wrong with it.
+/// @ingroup settings
+struct LoadedDeployment {
+  Deployment deployment;
+  std::vector<SettingsFault> faults;
+};
+
+/// @brief Reads a deployment's file.
+/// @ingroup settings
+LoadedDeployment LoadDeployment(const std::string& path);
+
+}  // namespace pathcleat
--- a/include/pathcleat/steer/config_change.hpp
+++ b/include/pathcleat/steer/config_change.hpp
@@ -6,7 +6,6 @@
 #include <variant>
 
 #include "pathcleat/core/hybrid_clock.hpp"
-#include "pathcleat/core/index.hpp"
 #include "pathcleat/steer/shift.hpp"
 
 namespace pathcleat {
@@ -14,7 +13,7 @@
 /// @brief Stops or resumes new work to one upstream.
 /// @ingroup steer
 struct SetUpstreamDrain {
-  UpstreamIndex upstream;
+  std::string upstream;
   bool drained = false;
 
   template <class Archive>
@@ -26,7 +25,7 @@
 /// @brief Stops or resumes new work to all upstreams of a region.
 /// @ingroup steer
 struct SetRegionDrain {
-  RegionIndex region;
+  std::string region;
   bool drained = false;
 
   template <class Archive>
@@ -49,8 +48,8 @@
 /// @brief Ends a service's shift out of a region.
 /// @ingroup steer
 struct StopShift {
-  ServiceIndex service;
-  RegionIndex from;
+  std::string service;
+  std::string from;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -63,7 +62,7 @@
 struct AssignBlock {
   std::uint32_t first_address = 0;
   std::uint8_t prefix_length = 32;
-  RegionIndex region;
+  std::string region;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/include/pathcleat/steer/config_state.hpp
+++ b/include/pathcleat/steer/config_state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -15,9 +16,10 @@
 /// @ingroup steer
 struct ConfigState {
   std::uint64_t version = 0;  ///< 0: what the settings say
-  std::set<UpstreamIndex> drained_upstreams;
-  std::set<RegionIndex> drained_regions;
-  std::map<std::pair<ServiceIndex, RegionIndex>, ShiftPlan> shifts;
+  std::set<std::string> drained_upstreams;
+  std::set<std::string> drained_regions;
+  std::map<std::pair<std::string, std::string>, ShiftPlan>
+      shifts;                       ///< by service and region left
   std::vector<AssignBlock> blocks;  ///< in order; later ones win
 
   template <class Archive>
--- a/include/pathcleat/steer/key_claim.hpp
+++ b/include/pathcleat/steer/key_claim.hpp
@@ -4,8 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "pathcleat/core/store_outcome.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/steer/seat_lease.hpp"
 
 namespace pathcleat {
 
--- a/include/pathcleat/steer/retry_budget.hpp
+++ b/include/pathcleat/steer/retry_budget.hpp
@@ -14,6 +14,9 @@
 
   void OnFirstAttempt();
 
+  /// @brief Changes how much can be saved up; more than that is lost.
+  void SetBurst(double burst);
+
   /// @brief Takes one retry, if there is one.
   bool TryRetry();
 
--- a/include/pathcleat/steer/shift.hpp
+++ b/include/pathcleat/steer/shift.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
-#include "pathcleat/core/index.hpp"
 #include "pathcleat/core/time.hpp"
 
 namespace pathcleat {
@@ -12,9 +12,9 @@
 /// @ingroup steer
 struct ShiftPlan {
   std::uint64_t id = 0;  ///< configuration version that started it
-  ServiceIndex service;
-  RegionIndex from;
-  RegionIndex to;
+  std::string service;
+  std::string from;  ///< region
+  std::string to;    ///< region
   double cap = 0;    ///< largest share of offered requests, 0 to 1
   Duration over{0};  ///< time from nothing moved to the cap, at best
 
--- a/include/pathcleat/steer/token_bucket.hpp
+++ b/include/pathcleat/steer/token_bucket.hpp
@@ -16,7 +16,15 @@
   /// @brief Takes one call, if the rate allows it now.
   bool TryTake(Time now);
 
+  /// @brief Whether TryTake would take one now.
+  bool CanTake(Time now) const;
+
+  /// @brief Changes the long-term rate; what is saved up stays.
+  void SetRate(double per_second, Time now);
+
  private:
+  double TokensAt(Time now) const;
+
   double per_second_;
   double burst_;
   double tokens_;
--- /dev/null
+++ b/include/pathcleat/store/fleet_source.hpp
@@ -0,0 +1,52 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "pathcleat/core/store_outcome.hpp"
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/store/fleet_change.hpp"
+
+namespace pathcleat {
+
+/// @brief What a source tells of.
+/// @ingroup store
+enum class SourceTopic {
+  kOrders,     ///< routing configuration and drains
+  kUpstreams,  ///< the list of upstreams
+};
+
+/// @brief Answer to a read or a watch.
+/// @ingroup store
+struct SourceAnswer {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  std::vector<FleetChange> changes;
+  std::uint64_t version = 0;  ///< watch from here on
+  std::string next;           ///< for a read: the rest begins here, if any
+};
+
+/// @brief Where a host learns the configuration, the drains and the list of
+/// upstreams. Calls are asynchronous; each callback comes once.
+/// @ingroup store
+class FleetSource {
+ public:
+  using Callback = std::function<void(SourceAnswer)>;
+  virtual ~FleetSource() = default;
+
+  /// @brief One page of everything there is.
+  /// @param from empty for the first page, else the last answer's next.
+  virtual void Read(SourceTopic topic,
+                    const std::string& from,
+                    Callback callback) = 0;
+
+  /// @brief What has changed after a version, as soon as anything has.
+  virtual void Watch(SourceTopic topic,
+                     std::uint64_t after,
+                     Duration wait,
+                     Callback callback) = 0;
+};
+
+}  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/store/read_row.hpp
@@ -0,0 +1,24 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "pathcleat/store/table_store.hpp"
+
+namespace pathcleat {
+
+/// @brief Answer to reading one row; its version is 0 if there is none.
+/// @ingroup store
+struct RowRead {
+  StoreOutcome outcome = StoreOutcome::kNotDone;
+  TableRow row;
+};
+
+/// @brief Reads one row.
+/// @ingroup store
+void ReadRow(TableStore& store,
+             const std::string& key,
+             std::function<void(RowRead)> callback);
+
+}  // namespace pathcleat
--- a/include/pathcleat/platform/table_store.hpp
+++ b/include/pathcleat/store/table_store.hpp
@@ -6,53 +6,44 @@
 #include <string>
 #include <vector>
 
-#include "pathcleat/steer/seat_lease.hpp"
+#include "pathcleat/core/store_outcome.hpp"
 
 namespace pathcleat {
 
 /// @brief A row of the table service.
-/// @ingroup platform
+/// @ingroup store
 struct TableRow {
   std::string key;
   std::uint64_t version = 0;  ///< 0: there is no such row
   std::string value;
 };
 
-/// @brief Answer to a read. The row is meaningful if the outcome is kDone.
-/// @ingroup platform
-struct TableRead {
-  StoreOutcome outcome = StoreOutcome::kUnreachable;
-  TableRow row;
-};
-
 /// @brief Answer to a scan; rows in order of their keys.
-/// @ingroup platform
+/// @ingroup store
 struct TableScan {
-  StoreOutcome outcome = StoreOutcome::kUnreachable;
+  StoreOutcome outcome = StoreOutcome::kNotDone;
   std::vector<TableRow> rows;
+  bool more = false;  ///< the rest follows the last row
 };
 
 /// @brief Answer to a write.
-/// @ingroup platform
+/// @ingroup store
 struct TableWrite {
-  StoreOutcome outcome = StoreOutcome::kUnreachable;
+  StoreOutcome outcome = StoreOutcome::kNotDone;
   std::uint64_t version = 0;  ///< of the row, for kDone
 };
 
 /// @brief The platform's transactional table service, as this project needs
-/// it: rows with versions, written on condition. All calls are asynchronous;
-/// each callback comes once, in the calling thread.
-/// @ingroup platform
+/// it: rows with versions, written on condition. Calls are asynchronous; each
+/// callback comes once, in the calling thread.
+/// @ingroup store
 class TableStore {
  public:
   virtual ~TableStore() = default;
 
-  virtual void Read(const std::string& key,
-                    std::function<void(TableRead)> callback) = 0;
-
-  /// @brief Rows with the prefix whose keys are greater than after.
-  virtual void Scan(const std::string& prefix,
-                    const std::string& after,
+  /// @brief Rows whose keys are at least from, and less than until.
+  virtual void Scan(const std::string& from,
+                    const std::string& until,
                     int most,
                     std::function<void(TableScan)> callback) = 0;
 
@@ -62,6 +53,11 @@
                      const std::string& value,
                      std::function<void(TableWrite)> callback) = 0;
 
+  /// @brief Writes whatever is there.
+  virtual void Overwrite(const std::string& key,
+                         const std::string& value,
+                         std::function<void(TableWrite)> callback) = 0;
+
   /// @brief Deletes if the row is at the expected version.
   virtual void Delete(const std::string& key,
                       std::uint64_t expected_version,
--- a/src/pathcleat/app/operator_client.cpp
+++ b/src/pathcleat/app/operator_client.cpp
@@ -1,11 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "operator_client.hpp"
 
-#include <QEventLoop>
-#include <QHostAddress>
+#include <boost/asio/io_context.hpp>
+#include <memory>
 
-#include "pathcleat/net/http_client_connection.hpp"
-#include "pathcleat/net/http_status.hpp"
+#include "pathcleat/http/endpoint.hpp"
+#include "pathcleat/http/http_client.hpp"
+#include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
 namespace {
@@ -16,23 +17,25 @@
 Result<std::string> Exchange(const OperatorEndpoint& host,
                              const std::string& token,
                              HttpRequest request) {
-  const std::string peer = host.address + ":" + std::to_string(host.port);
+  const std::string peer = host.endpoint.address().to_string() + ":" +
+                           std::to_string(host.endpoint.port());
   request.headers.push_back({"Host", peer});
   request.headers.push_back({"Authorization", "Bearer " + token});
   HttpLimits limits;
   limits.body_bytes = kLongestAnswer;
-  HttpClientConnection connection(host.address, host.port, limits, nullptr);
-  QEventLoop loop;
-  ClientResult result;
-  connection.Send(request, kTimeout, [&](const ClientResult& answer) {
-    result = answer;
-    loop.quit();
-  });
-  loop.exec();
-  if (result.outcome == ClientOutcome::kNotSent) {
+  boost::asio::io_context loop;
+  const auto client = std::make_shared<HttpClient>(loop, host.endpoint, limits);
+  CallResult result;
+  client->Send(request, {kTimeout, kTimeout},
+               [&loop, &result](const CallResult& answer) {
+                 result = answer;
+                 loop.stop();
+               });
+  loop.run();
+  if (result.outcome == CallOutcome::kNotSent) {
     return Fail({ErrorCode::kUnreachable, "ask host", peer, result.detail});
   }
-  if (result.outcome != ClientOutcome::kAnswered) {
+  if (result.outcome != CallOutcome::kAnswered) {
     return Fail({ErrorCode::kUnknown, "ask host", peer, result.detail});
   }
   if (result.response.status != http_status::kOk) {
@@ -44,19 +47,13 @@
 }  // namespace
 
 Result<OperatorEndpoint> ParseEndpoint(const std::string& text) {
-  const auto colon = text.rfind(':');
-  const QString port = QString::fromStdString(
-      colon == std::string::npos ? "" : text.substr(colon + 1));
-  bool is_number = false;
-  const ushort number = port.toUShort(&is_number);
-  const std::string address = text.substr(0, colon);
-  const QHostAddress parsed(QString::fromStdString(address));
-  if (!is_number || parsed.isNull()) {
+  const auto endpoint = ParseTcpEndpoint(text);
+  if (!endpoint) {
     return Fail({ErrorCode::kInvalid, "read arguments", text,
                  "expected a host's operator address as NUMBER:PORT, such as "
                  "127.1.1.1:9090"});
   }
-  return OperatorEndpoint{address, number};
+  return OperatorEndpoint{*endpoint};
 }
 
 Result<std::string> SendCommand(const OperatorEndpoint& host,
--- a/src/pathcleat/app/operator_client.hpp
+++ b/src/pathcleat/app/operator_client.hpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <cstdint>
+#include <boost/asio/ip/tcp.hpp>
 #include <string>
 
 #include "pathcleat/core/error.hpp"
@@ -10,8 +10,7 @@
 
 /// @brief A host's operator port as an operator gives it: "ADDRESS:PORT".
 struct OperatorEndpoint {
-  std::string address;
-  std::uint16_t port = 0;
+  boost::asio::ip::tcp::endpoint endpoint;
 };
 
 /// @brief Reads "ADDRESS:PORT"; kInvalid if it is not that.
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -5,17 +5,25 @@
 #include <docopt/docopt.h>
 #include <signal.h>
 
-#include <QCoreApplication>
-#include <QEventLoop>
+#include <boost/asio/io_context.hpp>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <memory>
 
+#include "header_names.hpp"
+#include "pathcleat/gateway/fleet_secrets.hpp"
+#include "pathcleat/http/endpoint.hpp"
+#include "pathcleat/http/http_client.hpp"
+#include "pathcleat/lab/deployment_config.hpp"
 #include "pathcleat/lab/load_audit.hpp"
 #include "pathcleat/lab/load_generator.hpp"
-#include "pathcleat/lab/measure.hpp"
-#include "pathcleat/lab/platform_stand_in.hpp"
+#include "pathcleat/lab/routing_model.hpp"
 #include "pathcleat/lab/slope.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
-#include "pathcleat/settings/load.hpp"
+#include "pathcleat/settings/load_deployment.hpp"
+#include "platform_stand_in.hpp"
+#include "platform_table.hpp"
 
 namespace pathcleat {
 namespace {
@@ -28,10 +36,22 @@
   pathcleat-lab platform DEPLOYMENT
   pathcleat-lab load DEPLOYMENT --control=PORT [--service=NAME] [--rate=N]
                 [--seconds=N] [--seed=N]
-  pathcleat-lab measure (routing | overload) [--seeds=N] [--json]
+  pathcleat-lab settings DEPLOYMENT FOLDER
+  pathcleat-lab token DEPLOYMENT
+  pathcleat-lab measure [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
+Commands:
+  upstreams  Run a stand-in for each upstream of the deployment.
+  platform   Run a stand-in for the platform's store, with the deployment's
+             configuration and upstreams in it.
+  load       Send requests, then audit the promises.
+  settings   Write the settings file of each entry host into the folder.
+  token      Print the operators' token that lies in the store.
+  measure    Compare routing policies in the model.
+  slopes     Measure what the capacity page is reckoned from.
+
 Options:
   --control=PORT   Port of the upstreams' ledger, on 127.0.0.1.
   --service-ms=N   Mean service time of the stand-ins [default: 20].
@@ -40,7 +60,6 @@
   --seconds=N      Length of the load [default: 10].
   --seed=N         Seed of the arrivals [default: 1].
   --seeds=N        Seeds of the model, from 1 up [default: 5].
-  --json           Print JSON in place of Markdown tables.
   -h --help        Show this text.
 
 Exit codes: 0 done, 1 failed or a promise was broken, 2 wrong usage.
@@ -69,18 +88,41 @@
 Result<int> RunUpstreams(const Arguments& arguments,
                          const Deployment& deployment) {
   const std::chrono::milliseconds mean(arguments.at("--service-ms").asLong());
-  UpstreamFarm farm(deployment, mean, nullptr);
+  boost::asio::io_context loop;
+  UpstreamFarm farm(loop, deployment, platform::PlatformHeaderNames(), mean);
   BOOST_LEAF_CHECK(farm.Listen());
   BOOST_LEAF_CHECK(
       farm.ListenControl(kControlAddress, PortArgument(arguments)));
-  return QCoreApplication::exec();
+  loop.run();
+  return kDone;
 }
 
 Result<int> RunPlatform(const Deployment& deployment) {
-  PlatformStandIn platform(1, nullptr);
+  boost::asio::io_context loop;
+  platform::PlatformStandIn stand_in(loop, 1);
+  stand_in.PutConfig(ConfigOf(deployment));
+  for (const UpstreamInfo& upstream : UpstreamsOf(deployment)) {
+    stand_in.PutUpstream(upstream);
+  }
   BOOST_LEAF_CHECK(
-      platform.Listen(deployment.platform.address, deployment.platform.port));
-  return QCoreApplication::exec();
+      stand_in.Listen(deployment.platform.address, deployment.platform.port));
+  loop.run();
+  return kDone;
+}
+
+Result<int> WriteSettings(const Deployment& deployment,
+                          const std::string& folder) {
+  std::filesystem::create_directories(folder);
+  for (const SeatIndex seat : IndicesOf<SeatIndex>(deployment.seats)) {
+    const std::string path = folder + "/" + deployment.At(seat).name + ".jsonc";
+    std::ofstream file(path);
+    file << SettingsTextOf(deployment, seat);
+    if (!file.flush()) {
+      return Fail({ErrorCode::kRefused, "write settings", path,
+                   "the file cannot be written"});
+    }
+  }
+  return kDone;
 }
 
 double WeightOf(Priority priority) {
@@ -103,7 +145,9 @@
       continue;
     }
     for (const RequestKind& kind : service.kinds) {
-      const std::string path = service.path_prefix + kind.path_prefix + "item";
+      const std::string below =
+          kind.path_prefix.ends_with('/') ? "item" : "/item";
+      const std::string path = service.path_prefix + kind.path_prefix + below;
       plan.kinds.push_back({service.name + "/" + kind.name,
                             kind.methods.front(), path, WeightOf(kind.priority),
                             !kind.repeatable});
@@ -111,6 +155,8 @@
   }
   for (const Seat& seat : deployment.seats) {
     plan.hosts.push_back(seat.address + ":" + std::to_string(seat.caller_port));
+    plan.locators.push_back(seat.address + ":" +
+                            std::to_string(seat.caller_port + 2));
   }
   plan.caller_prefixes.clear();
   for (std::size_t i = 0; i < deployment.regions.size(); ++i) {
@@ -119,35 +165,41 @@
   plan.per_second = static_cast<double>(arguments.at("--rate").asLong());
   plan.length = std::chrono::seconds(arguments.at("--seconds").asLong());
   plan.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
-  plan.locate_service = deployment.services.front().name;
+  plan.host_name = HostNameOf(deployment);
   return plan;
 }
 
-Result<std::string> FetchLedger(std::uint16_t port) {
+Result<std::string> Fetch(const std::string& address,
+                          const std::string& target) {
+  const auto endpoint = ParseTcpEndpoint(address);
   HttpLimits limits;
   limits.body_bytes = 256ULL * 1024 * 1024;
-  HttpClientConnection connection(kControlAddress, port, limits, nullptr);
-  QEventLoop loop;
-  ClientResult result;
-  connection.Send({"GET", "/ledger", {{"Host", "lab"}}, ""},
-                  std::chrono::seconds(10), [&](const ClientResult& answer) {
-                    result = answer;
-                    loop.quit();
-                  });
-  loop.exec();
-  if (result.outcome != ClientOutcome::kAnswered) {
-    return Fail({ErrorCode::kUnreachable, "fetch ledger",
-                 "port " + std::to_string(port), result.detail});
+  boost::asio::io_context loop;
+  const auto client = std::make_shared<HttpClient>(
+      loop, endpoint.value_or(boost::asio::ip::tcp::endpoint()), limits);
+  CallResult result;
+  client->Send({"GET", target, {{"Host", "lab"}}, ""},
+               {std::chrono::seconds(10), std::chrono::seconds(10)},
+               [&](const CallResult& answer) {
+                 result = answer;
+                 loop.stop();
+               });
+  loop.run();
+  if (result.outcome != CallOutcome::kAnswered) {
+    return Fail(
+        {ErrorCode::kUnreachable, "fetch " + target, address, result.detail});
   }
   return result.response.body;
 }
 
 Result<int> RunLoad(const Arguments& arguments, const Deployment& deployment) {
-  LoadGenerator load(PlanFrom(arguments, deployment), nullptr);
-  QEventLoop loop;
-  load.Start([&loop] { loop.quit(); });
-  loop.exec();
-  BOOST_LEAF_AUTO(ledger, FetchLedger(PortArgument(arguments)));
+  boost::asio::io_context loop;
+  LoadGenerator load(loop, PlanFrom(arguments, deployment));
+  load.Start([&loop] { loop.stop(); });
+  loop.run();
+  BOOST_LEAF_AUTO(ledger, Fetch(std::string(kControlAddress) + ":" +
+                                    std::to_string(PortArgument(arguments)),
+                                "/ledger"));
   BOOST_LEAF_AUTO(audit, AuditLoad(load, ledger));
   std::cout << ReportLoad(load, audit);
   const bool kept = audit.doubled == 0 && audit.not_run_but_ran == 0 &&
@@ -155,6 +207,19 @@
   return kept ? kDone : kFailed;
 }
 
+Result<int> PrintToken(const Deployment& deployment) {
+  boost::asio::io_context loop;
+  platform::PlatformOptions options;
+  options.address = deployment.platform.address + ":" +
+                    std::to_string(deployment.platform.port);
+  platform::PlatformTable table(loop, options);
+  FleetSecrets secrets(loop, table, [&loop] { loop.stop(); });
+  secrets.Start();
+  loop.run();
+  std::cout << secrets.operator_token() << "\n";
+  return kDone;
+}
+
 Arguments ParseArguments(int argc, char** argv) {
   try {
     return docopt::docopt_parse(kUsage, {argv + 1, argv + argc}, true, false);
@@ -168,18 +233,14 @@
 }
 
 int RunMeasure(const Arguments& arguments) {
-  const int seeds = static_cast<int>(arguments.at("--seeds").asLong());
-  const auto tables = arguments.at("routing").asBool() ? MeasureRouting(seeds)
-                                                       : MeasureOverload(seeds);
-  std::cout << (arguments.at("--json").asBool() ? ToJson(tables)
-                                                : ToText(tables))
-            << "\n";
+  std::cout << MeasureRouting(
+      static_cast<int>(arguments.at("--seeds").asLong()));
   return kDone;
 }
 
 int RunSlopes() {
-  for (const auto& measure : {HostSlopes, BlockTableSlopes, MessageSlopes,
-                              OwnerSlopes, SpreadSlopes}) {
+  for (const auto& measure :
+       {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes}) {
     std::cout << ToText(measure()) << "\n" << std::flush;
   }
   return kDone;
@@ -200,6 +261,12 @@
   if (arguments.at("platform").asBool()) {
     return RunPlatform(deployment);
   }
+  if (arguments.at("settings").asBool()) {
+    return WriteSettings(deployment, arguments.at("FOLDER").asString());
+  }
+  if (arguments.at("token").asBool()) {
+    return PrintToken(deployment);
+  }
   return RunLoad(arguments, deployment);
 }
 
@@ -210,7 +277,6 @@
   using namespace pathcleat;
   const Arguments arguments = ParseArguments(argc, argv);
   signal(SIGPIPE, SIG_IGN);
-  const QCoreApplication application(argc, argv);
   return TryOr([&] { return Run(arguments); },
                [](const Error& error) {
                  std::cerr << ToString(error) << "\n";
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -30,6 +30,8 @@
     EventInfo{kUpstreamDown, "upstream-down", kWarning},
     EventInfo{kUpstreamUp, "upstream-up", kInfo},
     EventInfo{kSlotHeldAfterAbandon, "slot-held-after-abandon", kInfo},
+    EventInfo{kUpstreamGone, "upstream-gone", kInfo},
+    EventInfo{kDomainDrained, "domain-drained", kInfo},
     EventInfo{kSeatAcquired, "seat-acquired", kInfo},
     EventInfo{kSeatLost, "seat-lost", kAlarm},
     EventInfo{kSeatServing, "seat-serving", kInfo},
--- /dev/null
+++ b/src/pathcleat/core/seal.cpp
@@ -0,0 +1,57 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/core/seal.hpp"
+
+#include <sodium/crypto_auth.h>
+#include <sodium/crypto_generichash.h>
+#include <sodium/utils.h>
+
+#include <array>
+
+namespace pathcleat {
+namespace {
+
+using Key = std::array<unsigned char, crypto_auth_KEYBYTES>;
+
+const unsigned char* Bytes(std::string_view text) {
+  return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+Key Digest(std::string_view text) {
+  Key key{};
+  crypto_generichash(key.data(), key.size(), Bytes(text), text.size(), nullptr,
+                     0);
+  return key;
+}
+
+}  // namespace
+
+std::string Seal(std::string_view message, std::string_view key) {
+  std::array<unsigned char, crypto_auth_BYTES> mac{};
+  crypto_auth(mac.data(), Bytes(message), message.size(), Digest(key).data());
+  std::string sealed(message);
+  sealed.append(reinterpret_cast<const char*>(mac.data()), mac.size());
+  return sealed;
+}
+
+std::optional<std::string_view> Unseal(std::string_view sealed,
+                                       std::string_view key) {
+  if (sealed.size() < crypto_auth_BYTES) {
+    return std::nullopt;
+  }
+  const auto message = sealed.substr(0, sealed.size() - crypto_auth_BYTES);
+  const auto mac = sealed.substr(message.size());
+  const int wrong = crypto_auth_verify(Bytes(mac), Bytes(message),
+                                       message.size(), Digest(key).data());
+  if (wrong != 0) {
+    return std::nullopt;
+  }
+  return message;
+}
+
+bool AreSecretsEqual(std::string_view a, std::string_view b) {
+  const Key left = Digest(a);
+  const Key right = Digest(b);
+  return sodium_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -0,0 +1,112 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/fleet/host_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+// A caller that knows one host alone loses it with that host.
+constexpr std::size_t kFewestHosts = 2;
+
+}  // namespace
+
+HostTable::HostTable(HostInfo self, Duration silence)
+    : self_(std::move(self)), silence_(silence) {}
+
+void HostTable::OnListed(const HostInfo& host, Time now) {
+  if (host.name == self_.name) {
+    return;
+  }
+  auto [known, added] = others_.try_emplace(host.name);
+  if (added || known->second.info.incarnation < host.incarnation) {
+    known->second = {host, now, false, {}};
+  }
+}
+
+bool HostTable::OnHeard(const HostInfo& host,
+                        const HostVersions& versions,
+                        Time now) {
+  if (host.name == self_.name) {
+    return false;
+  }
+  auto [known, added] = others_.try_emplace(host.name);
+  if (!added && host.incarnation < known->second.info.incarnation) {
+    return false;
+  }
+  const bool was_alive = !added && IsAlive(known->second, now);
+  known->second = {host, now, true, versions};
+  return !was_alive;
+}
+
+bool HostTable::IsAlive(const KnownHost& host, Time now) const {
+  return host.ever_heard && now - host.heard <= silence_;
+}
+
+std::vector<const KnownHost*> HostTable::Others() const {
+  std::vector<const KnownHost*> others;
+  for (const auto& [name, host] : others_) {
+    others.push_back(&host);
+  }
+  return others;
+}
+
+int HostTable::AliveIn(const std::string& region, Time now) const {
+  int count = self_.region == region ? 1 : 0;
+  for (const auto& [name, host] : others_) {
+    count += host.info.region == region && IsAlive(host, now) ? 1 : 0;
+  }
+  return std::max(1, count);
+}
+
+int HostTable::Alive(Time now) const {
+  int count = 1;
+  for (const auto& [name, host] : others_) {
+    count += IsAlive(host, now) ? 1 : 0;
+  }
+  return count;
+}
+
+std::vector<HostInfo> HostTable::Serving(Time now) const {
+  std::vector<HostInfo> serving;
+  if (!self_.leaving) {
+    serving.push_back(self_);
+  }
+  for (const auto& [name, host] : others_) {
+    if (!host.info.leaving && IsAlive(host, now)) {
+      serving.push_back(host.info);
+    }
+  }
+  return serving;
+}
+
+std::vector<std::string> HostTable::Locate(const std::string& region,
+                                           const std::string& domain,
+                                           std::size_t most,
+                                           Time now) const {
+  std::vector<HostInfo> serving = Serving(now);
+  const auto distance = [&](const HostInfo& host) {
+    if (host.domain == domain) {
+      return 0;
+    }
+    return host.region == region ? 1 : 2;
+  };
+  std::stable_sort(serving.begin(), serving.end(),
+                   [&](const HostInfo& a, const HostInfo& b) {
+                     return distance(a) < distance(b);
+                   });
+  std::vector<std::string> addresses;
+  int farthest = 0;
+  for (const HostInfo& host : serving) {
+    const bool enough = addresses.size() >= kFewestHosts;
+    if (addresses.size() == most || (enough && distance(host) > farthest)) {
+      break;
+    }
+    farthest = std::max(farthest, distance(host));
+    addresses.push_back(host.caller_address);
+  }
+  return addresses;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/call.cpp
@@ -0,0 +1,435 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/call.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/core/request_id.hpp"
+#include "pathcleat/gateway/upstream_protocol.hpp"
+#include "pathcleat/http/http_status.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr int kMostUnsent = 3;
+constexpr Duration kConnectTimeout{600'000};
+constexpr Duration kShortestAttempt{400'000};
+constexpr int kExpectedMultiple = 4;
+constexpr Duration kRetrySoon{250'000};
+constexpr Duration kLeastTimeLeft{10'000};
+constexpr Duration kRetryAfterStore{1'000'000};
+constexpr const char* kKeyHeader = "Idempotency-Key";
+constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
+constexpr std::size_t kLongestKey = 128;
+
+std::uint64_t Fingerprint(const HttpRequest& request) {
+  return StableHash(request.body,
+                    StableHash(request.target, StableHash(request.method)));
+}
+
+// A caller's /24 block: callers of one household or club share caches.
+double CallerPosition(const std::string& caller) {
+  return UnitHash(std::string_view(caller).substr(0, caller.rfind('.')));
+}
+
+double UnitOf(std::uint64_t hash) {
+  constexpr double kRange = 18446744073709551616.0;
+  return static_cast<double>(hash) / kRange;
+}
+
+}  // namespace
+
+Call::Call(GatewayState& state,
+           ExchangePtr exchange,
+           std::shared_ptr<const Route> route)
+    : state_(state),
+      exchange_(std::move(exchange)),
+      route_(std::move(route)),
+      deadline_timer_(state.loop) {
+  ++state_.requests;
+  const HttpHeaders& headers = exchange_->request().headers;
+  const std::uint64_t incarnation = state_.hosts.self().incarnation;
+  request_id_ =
+      FindHeader(headers, state_.headers.request_id)
+          .value_or(ToString(RequestId{incarnation, state_.next_request++, 0}));
+  const auto key = FindHeader(headers, state_.headers.affinity_key);
+  request_.route = route_.get();
+  request_.caller_position = CallerPosition(exchange_->caller());
+  request_.sticky = route_->sticky && key.has_value();
+  request_.key = StableHash(request_.sticky ? *key : request_id_,
+                            StableHash(route_->name));
+  const Duration allowed = std::min(
+      route_->timeout, CallerDeadline(state_.headers, exchange_->request())
+                           .value_or(route_->timeout));
+  deadline_ = exchange_->received() + allowed;
+}
+
+Call::~Call() {
+  --state_.requests;
+}
+
+Duration Call::Left() const {
+  return deadline_ - BootClock::now();
+}
+
+void Call::Start() {
+  exchange_->OnAbandoned([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->OnCallerLeft();
+    }
+  });
+  deadline_timer_.expires_after(Left());
+  deadline_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->OnDeadline();
+        }
+      });
+  request_.service = state_.splits.Choose(*route_, UnitOf(request_.key));
+  state_.RetriesOf(request_.service).OnFirstAttempt();
+  Step("taken from " + exchange_->caller() + " by route " + route_->name +
+       " to " + request_.service + ", configuration " +
+       std::to_string(state_.routes.version()));
+  if (NeedsKey()) {
+    ClaimKey();
+  } else {
+    Attempt();
+  }
+}
+
+bool Call::NeedsKey() const {
+  return !route_->repeatable &&
+         FindHeader(exchange_->request().headers, kKeyHeader).has_value();
+}
+
+void Call::ClaimKey() {
+  const std::string key = *FindHeader(exchange_->request().headers, kKeyHeader);
+  if (key.empty() || key.size() > kLongestKey) {
+    Answer(TextResponse(http_status::kBadRequest,
+                        "Idempotency-Key: expected 1 to 128 characters\n"),
+           RunOutcome::kNotRun);
+    return;
+  }
+  // While the store does not answer, a claim would only make its caller wait
+  // for the same refusal.
+  if (!state_.store_reached) {
+    Refuse(kRetryAfterStore, "the key cannot be claimed: no store");
+    return;
+  }
+  KeyRequest request;
+  request.row_name = KeyRowName(request_.service, key);
+  request.fingerprint = Fingerprint(exchange_->request());
+  request.ends_wall_micros =
+      WallMicros() + static_cast<std::uint64_t>(Left().count());
+  state_.keys.Claim(request, [self = shared_from_this()](ClaimResult result) {
+    self->OnClaim(std::move(result));
+  });
+}
+
+void Call::OnClaim(ClaimResult result) {
+  switch (result.action) {
+    case KeyAction::kRun:
+      Step("key claimed in the store");
+      if (done_) {
+        state_.keys.Release(result.claimed);
+        return;
+      }
+      claimed_ = std::move(result.claimed);
+      Attempt();
+      return;
+    case KeyAction::kAnswerKept:
+      state_.events.Record(EventCode::kKeyReplayed, request_id_,
+                           "the kept answer was given again");
+      Answer(std::move(result.kept), RunOutcome::kAnswered);
+      return;
+    case KeyAction::kAnswerRunning:
+      state_.events.Record(EventCode::kKeyInProgress, request_id_,
+                           "a repeat of a running key");
+      Answer(TextResponse(http_status::kConflict,
+                          "a request with this key is running; ask again "
+                          "later\n"),
+             RunOutcome::kUnknown);
+      return;
+    case KeyAction::kAnswerUnknown:
+      AnswerUnknown(http_status::kBadGateway,
+                    "a request with this key may have run; it is never run "
+                    "again");
+      return;
+    case KeyAction::kAnswerMismatch:
+      Answer(TextResponse(http_status::kUnprocessable,
+                          "this key was used for another request\n"),
+             RunOutcome::kNotRun);
+      return;
+    case KeyAction::kRefuseNotRun:
+    case KeyAction::kPut:
+    case KeyAction::kRead:
+      break;
+  }
+  Refuse(kRetryAfterStore, "the key cannot be claimed: the store fails");
+}
+
+void Call::Attempt() {
+  request_.time_left = Left();
+  const Pick pick = state_.picker.Choose(request_, BootClock::now());
+  switch (pick.failure) {
+    case PickFailure::kNone:
+      Send(pick);
+      return;
+    case PickFailure::kNoUpstream:
+      RetryOrGiveUp();
+      return;
+    case PickFailure::kTooLate:
+      Refuse(kRetrySoon, "no upstream would answer in time");
+      return;
+    case PickFailure::kShiftCap:
+      Refuse(kRetrySoon, "to leave the region would pass the shift's cap");
+      return;
+  }
+}
+
+// A repeatable request leaves an upstream that stays silent for far longer
+// than expected while there is time to try another.
+CallTimeouts Call::TimeoutsFor(const Pick& pick, Duration left) const {
+  CallTimeouts timeouts;
+  timeouts.connect = std::min(kConnectTimeout, left);
+  timeouts.total = left;
+  if (route_->repeatable && attempts_ + 1 < route_->max_attempts) {
+    const Duration patience =
+        std::max(kShortestAttempt, pick.expected * kExpectedMultiple);
+    if (patience < left / 2) {
+      timeouts.total = patience;
+    }
+  }
+  return timeouts;
+}
+
+void Call::Send(const Pick& pick) {
+  const Time now = BootClock::now();
+  const Duration left = Left();
+  if (left < kLeastTimeLeft) {
+    OnDeadline();
+    return;
+  }
+  UpstreamState& upstream = *pick.upstream;
+  Step("sent to " + upstream.info.id + " in " + upstream.info.domain +
+       ", the best of " + std::to_string(pick.candidates) + ": expected " +
+       std::to_string(pick.expected.count() / 1000) + " ms, waiting " +
+       std::to_string(pick.wait.count() / 1000) + " ms" +
+       (pick.warm ? ", warm" : ""));
+  request_.excluded.insert(upstream.info.id);
+  upstream_ = pick.upstream;
+  upstream.load.OnSent();
+  state_.picker.links().OnSent(upstream.region);
+  upstream.health.OnSent();
+  if (upstream.IsCold(now)) {
+    upstream.cold_share.TryTake(now);
+  }
+  client_ = state_.pool.Take(upstream.info, now);
+  const auto is_own = [id = request_id_, name = state_.headers.request_id](
+                          const HttpResponse& response) {
+    const auto found = FindHeader(response.headers, name);
+    return id.empty() || !found || *found == id;
+  };
+  client_->Send(
+      ToUpstream(state_.headers, exchange_->request(), request_id_,
+                 upstream.info.id, left),
+      TimeoutsFor(pick, left),
+      [self = shared_from_this(), pick, now](const CallResult& result) {
+        self->OnResult(pick, now, result);
+      },
+      is_own);
+}
+
+void Call::OnResult(const Pick& pick, Time sent, const CallResult& result) {
+  const HttpClientPtr client = std::exchange(client_, nullptr);
+  const UpstreamPtr upstream = std::exchange(upstream_, nullptr);
+  if (result.outcome == CallOutcome::kAnswered) {
+    if (const auto report = LoadReportIn(state_.headers, result.response)) {
+      upstream->load.OnReport(*report, BootClock::now());
+    }
+  }
+  EndAttempt(*upstream);
+  if (const auto opened = client->connect_time()) {
+    state_.picker.OnConnected(*upstream, *opened);
+  }
+  if (result.outcome != CallOutcome::kAnswered) {
+    Step("attempt failed: " + result.detail);
+  }
+  switch (result.outcome) {
+    case CallOutcome::kAnswered:
+      state_.pool.Return(upstream->info.id, client);
+      OnAnswer(pick, sent, result);
+      return;
+    case CallOutcome::kNotSent:
+      ++unsent_;
+      upstream->health.OnFailure(BootClock::now());
+      RetryOrGiveUp();
+      return;
+    case CallOutcome::kBroken:
+    case CallOutcome::kTimedOut:
+      ++attempts_;
+      upstream->health.OnFailure(BootClock::now());
+      OnFailure(result);
+      return;
+  }
+}
+
+void Call::EndAttempt(UpstreamState& upstream) {
+  upstream.load.OnEnded();
+  state_.picker.links().OnEnded(upstream.region);
+}
+
+void Call::OnAnswer(const Pick& pick, Time sent, const CallResult& result) {
+  ++attempts_;
+  const Time now = BootClock::now();
+  UpstreamState& upstream = *pick.upstream;
+  if (IsNotRun(state_.headers, result.response)) {
+    if (result.response.status == http_status::kMisdirected) {
+      // Another upstream has the address now; the list will say so.
+      upstream.health.OnFailure(now);
+    }
+    Step("not run by the upstream: status " +
+         std::to_string(result.response.status));
+    RetryOrGiveUp();
+    return;
+  }
+  if (!IsWholeAnswer(state_.headers, result.response)) {
+    upstream.health.OnFailure(now);
+    OnFailure({CallOutcome::kBroken, {}, "the answer lacks its signature"});
+    return;
+  }
+  upstream.health.OnSuccess();
+  state_.picker.OnAnswer(upstream, *route_, pick, request_.key, now - sent,
+                         result.response.body.size(), now);
+  HttpResponse response = result.response;
+  response.headers = EndToEndHeaders(response.headers);
+  Answer(std::move(response), RunOutcome::kAnswered);
+}
+
+void Call::OnFailure(const CallResult& result) {
+  may_have_run_ = true;
+  if (done_) {
+    SettleKey({}, RunOutcome::kUnknown);
+    return;
+  }
+  if (route_->repeatable) {
+    RetryOrGiveUp();
+    return;
+  }
+  AnswerUnknown(http_status::kBadGateway,
+                "the request may have run: " + result.detail);
+}
+
+bool Call::MayRetry() {
+  if (attempts_ == 0) {
+    return unsent_ < kMostUnsent;
+  }
+  return attempts_ < route_->max_attempts && unsent_ < kMostUnsent &&
+         Left() > kLeastTimeLeft &&
+         state_.RetriesOf(request_.service).TryRetry();
+}
+
+void Call::RetryOrGiveUp() {
+  if (done_) {
+    SettleKey({}, RunOutcome::kNotRun);
+    return;
+  }
+  request_.time_left = Left();
+  const Pick next = state_.picker.Choose(request_, BootClock::now());
+  if (next.upstream && MayRetry()) {
+    Send(next);
+    return;
+  }
+  if (!may_have_run_) {
+    Refuse(kRetrySoon, "no upstream has taken it");
+    return;
+  }
+  AnswerUnknown(http_status::kBadGateway, "no upstream answered");
+}
+
+void Call::Refuse(Duration retry_after, const std::string& reason) {
+  state_.events.Record(EventCode::kRequestRefused, request_id_, reason);
+  Answer(NotRunResponse(reason, retry_after), RunOutcome::kNotRun);
+}
+
+void Call::AnswerUnknown(int status, const std::string& reason) {
+  state_.events.Record(EventCode::kRequestUnknown, request_id_, reason);
+  Answer(TextResponse(status, reason + "\n"), RunOutcome::kUnknown);
+}
+
+void Call::SettleKey(const HttpResponse& response, RunOutcome outcome) {
+  if (!claimed_) {
+    return;
+  }
+  switch (outcome) {
+    case RunOutcome::kAnswered:
+      state_.keys.Finish(std::move(*claimed_), response);
+      break;
+    case RunOutcome::kNotRun:
+      state_.keys.Release(*claimed_);
+      break;
+    case RunOutcome::kUnknown:
+      state_.keys.MarkUnknown(std::move(*claimed_));
+      break;
+  }
+  claimed_.reset();
+}
+
+void Call::Answer(HttpResponse response, RunOutcome outcome) {
+  SettleKey(response, outcome);
+  if (done_) {
+    return;
+  }
+  done_ = true;
+  deadline_timer_.cancel();
+  if (!FindHeader(response.headers, state_.headers.request_id)) {
+    response.headers.push_back({state_.headers.request_id, request_id_});
+  }
+  response.headers.push_back({kOutcomeHeader, ToString(outcome)});
+  const Duration latency = BootClock::now() - exchange_->received();
+  Step("answered with status " + std::to_string(response.status) + ", " +
+       ToString(outcome));
+  state_.metrics.Record(route_->name, outcome, latency);
+  state_.traces.Keep(request_id_, std::move(steps_));
+  exchange_->Respond(std::move(response));
+}
+
+void Call::Step(std::string text) {
+  const Duration since = BootClock::now() - exchange_->received();
+  steps_.push_back("+" + std::to_string(since.count() / 1000) +
+                   " ms: " + std::move(text));
+}
+
+// Repeatable work is cancelled at the upstream, and what has not been sent is
+// taken back. Other work runs to its end, as nobody could tell afterwards how
+// far it had come.
+void Call::CancelAttempt() {
+  if (client_ && (route_->repeatable || !client_->MayHaveSent())) {
+    std::exchange(client_, nullptr)->Cancel();
+    EndAttempt(*std::exchange(upstream_, nullptr));
+  }
+}
+
+void Call::OnCallerLeft() {
+  done_ = true;
+  deadline_timer_.cancel();
+  state_.events.Record(EventCode::kCallerLeft, request_id_, "");
+  CancelAttempt();
+}
+
+void Call::OnDeadline() {
+  if (done_) {
+    return;
+  }
+  const bool sent = client_ && client_->MayHaveSent();
+  if (sent || may_have_run_) {
+    AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
+  } else {
+    Refuse(kRetrySoon, "its time is over");
+  }
+  CancelAttempt();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/command_log.cpp
@@ -0,0 +1,235 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/command_log.hpp"
+
+#include <array>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cstdio>
+#include <optional>
+#include <sstream>
+#include <utility>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/store/read_row.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr const char* kPrefix = "config/";
+constexpr const char* kAfterPrefix = "config0";  // '0' follows '/'
+constexpr int kRowsAtOnce = 64;
+constexpr int kReadBackTries = 3;
+constexpr std::size_t kKeptChanges = 64;
+constexpr std::chrono::milliseconds kRetryPause{1'000};
+
+std::string RowName(std::uint64_t version) {
+  std::array<char, 32> digits{};
+  std::snprintf(digits.data(), digits.size(), "%020llu",
+                static_cast<unsigned long long>(version));
+  return std::string(kPrefix) + digits.data();
+}
+
+std::string Encode(const ConfigChange& change) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(change);
+  }
+  return stream.str();
+}
+
+std::optional<ConfigChange> Decode(const std::string& bytes) {
+  std::istringstream stream(bytes);
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    ConfigChange change;
+    archive(change);
+    return change;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace
+
+struct CommandLog::Command {
+  ConfigChange change;
+  std::function<void(CommandResult)> callback;
+};
+
+CommandLog::CommandLog(boost::asio::io_context& loop,
+                       TableStore& store,
+                       EventLog& events,
+                       std::function<void()> on_change)
+    : store_(store),
+      events_(events),
+      on_change_(std::move(on_change)),
+      timer_(loop),
+      log_(kKeptChanges) {}
+
+void CommandLog::Start() {
+  Scan([this](StoreOutcome outcome) {
+    if (outcome == StoreOutcome::kDone) {
+      return;
+    }
+    timer_.expires_after(kRetryPause);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        Start();
+      }
+    });
+  });
+}
+
+void CommandLog::OnPeerVersion(std::uint64_t version) {
+  if (version > log_.version() && waiters_.empty()) {
+    Scan([](StoreOutcome) {});
+  }
+}
+
+void CommandLog::Scan(Done done) {
+  waiters_.push_back(std::move(done));
+  if (waiters_.size() == 1) {
+    ScanNext();
+  }
+}
+
+void CommandLog::ScanNext() {
+  store_.Scan(RowName(log_.version() + 1), kAfterPrefix, kRowsAtOnce,
+              [this](const TableScan& scan) { OnScan(scan); });
+}
+
+void CommandLog::OnScan(const TableScan& scan) {
+  if (scan.outcome != StoreOutcome::kDone) {
+    FinishScan(scan.outcome);
+    return;
+  }
+  std::vector<ConfigChange> changes;
+  for (const TableRow& row : scan.rows) {
+    if (auto change = Decode(row.value)) {
+      changes.push_back(std::move(*change));
+    } else {
+      events_.Record(EventCode::kSettingsFault, row.key,
+                     "a row that is no command; what was before stays");
+    }
+  }
+  const std::uint64_t before = log_.version();
+  Apply(changes);
+  if (scan.more && log_.version() > before) {
+    ScanNext();
+    return;
+  }
+  known_ = true;
+  FinishScan(StoreOutcome::kDone);
+}
+
+void CommandLog::FinishScan(StoreOutcome outcome) {
+  for (const Done& done : std::exchange(waiters_, {})) {
+    done(outcome);
+  }
+}
+
+void CommandLog::Apply(const std::vector<ConfigChange>& changes) {
+  if (log_.Apply(changes).empty()) {
+    return;
+  }
+  events_.Record(EventCode::kConfigApplied,
+                 "command " + std::to_string(log_.version()), "in force");
+  on_change_();
+}
+
+void CommandLog::Submit(const ConfigOperation& operation,
+                        const std::string& command_id,
+                        std::function<void(CommandResult)> callback) {
+  auto command = std::make_shared<Command>();
+  command->change.command_id = command_id;
+  command->change.operation = operation;
+  command->callback = std::move(callback);
+  // First the newest version, so that a host that lags does not lose a race
+  // that was over long ago.
+  Scan([this, command](StoreOutcome outcome) {
+    if (outcome != StoreOutcome::kDone) {
+      Reject(command,
+             {ErrorCode::kUnreachable, "read configuration", "table service",
+              "not reached; nothing was changed, try again"});
+      return;
+    }
+    command->change.version = log_.version() + 1;
+    command->change.time = events_.clock().Tick(WallMicros());
+    Write(command);
+  });
+}
+
+void CommandLog::Write(const CommandPtr& command) {
+  store_.Write(RowName(command->change.version), 0, Encode(command->change),
+               [this, command](const TableWrite& write) {
+                 switch (write.outcome) {
+                   case StoreOutcome::kDone:
+                     Accept(command);
+                     return;
+                   case StoreOutcome::kNotDone:
+                   case StoreOutcome::kHistoryGone:
+                     Reject(command,
+                            {ErrorCode::kUnreachable, "write configuration",
+                             "table service", "not done; nothing changed"});
+                     return;
+                   case StoreOutcome::kConflict:
+                   case StoreOutcome::kUnknown:
+                     ReadBack(command, kReadBackTries);
+                     return;
+                 }
+               });
+}
+
+void CommandLog::ReadBack(const CommandPtr& command, int tries_left) {
+  ReadRow(
+      store_, RowName(command->change.version),
+      [this, command, tries_left](const RowRead& read) {
+        if (read.outcome != StoreOutcome::kDone && tries_left > 0) {
+          ReadBack(command, tries_left - 1);
+          return;
+        }
+        const auto change = Decode(read.row.value);
+        if (change && change->command_id == command->change.command_id) {
+          Accept(command);
+          return;
+        }
+        if (change) {
+          events_.Record(EventCode::kConfigConflict, command->change.command_id,
+                         "version " + std::to_string(command->change.version) +
+                             " went to command " + change->command_id);
+          Scan([](StoreOutcome) {});
+          Reject(
+              command,
+              {ErrorCode::kConflict, "write configuration", "table service",
+               "version " + std::to_string(command->change.version) +
+                   " went to another command (" + change->command_id +
+                   "); nothing of this one was changed: look at 'show config' "
+                   "and give it again if it is still wanted"});
+          return;
+        }
+        Reject(command,
+               {ErrorCode::kUnknown, "write configuration", "table service",
+                "the answer was lost; look at 'show config' for command " +
+                    command->change.command_id});
+      });
+}
+
+void CommandLog::Accept(const CommandPtr& command) {
+  events_.Record(EventCode::kCommandAccepted, command->change.command_id,
+                 "as version " + std::to_string(command->change.version));
+  Apply({command->change});
+  CommandResult result;
+  result.accepted = true;
+  result.version = command->change.version;
+  command->callback(result);
+}
+
+void CommandLog::Reject(const CommandPtr& command, Error error) {
+  CommandResult result;
+  result.error = std::move(error);
+  command->callback(result);
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/fleet_secrets.cpp
@@ -0,0 +1,62 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/fleet_secrets.hpp"
+
+#include <utility>
+
+#include "pathcleat/core/random_token.hpp"
+#include "pathcleat/store/read_row.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Two secrets of equal length, one after the other.
+constexpr const char* kRow = "secrets";
+constexpr std::chrono::milliseconds kRetryPause{700};
+
+}  // namespace
+
+FleetSecrets::FleetSecrets(boost::asio::io_context& loop,
+                           TableStore& store,
+                           std::function<void()> on_known)
+    : store_(store), on_known_(std::move(on_known)), timer_(loop) {}
+
+void FleetSecrets::Read() {
+  ReadRow(store_, kRow, [this](const RowRead& read) {
+    if (read.outcome != StoreOutcome::kDone) {
+      Retry();
+      return;
+    }
+    if (read.row.version == 0) {
+      Create();
+      return;
+    }
+    const std::size_t half = read.row.value.size() / 2;
+    peer_key_ = read.row.value.substr(0, half);
+    operator_token_ = read.row.value.substr(half);
+    on_known_();
+  });
+}
+
+// Of several hosts that find no row one wins; whatever the outcome, the row
+// is read again.
+void FleetSecrets::Create() {
+  store_.Write(kRow, 0, RandomToken() + RandomToken(),
+               [this](const TableWrite& write) {
+                 if (write.outcome == StoreOutcome::kNotDone) {
+                   Retry();
+                 } else {
+                   Read();
+                 }
+               });
+}
+
+void FleetSecrets::Retry() {
+  timer_.expires_after(kRetryPause);
+  timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Read();
+    }
+  });
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -0,0 +1,323 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/gateway.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "pathcleat/gateway/call.hpp"
+#include "pathcleat/http/endpoint.hpp"
+#include "pathcleat/http/http_status.hpp"
+#include "pathcleat/http/query_text.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr std::chrono::milliseconds kTickPeriod{250};
+constexpr std::size_t kMostLocated = 16;
+// Before the grace time ends, accepting stops this long, and the process
+// ends that long.
+constexpr Duration kFinishMargin{1'500'000};
+constexpr Duration kEndMargin{500'000};
+constexpr std::chrono::milliseconds kQuietCheckPeriod{20};
+
+HttpResponse Unavailable(const char* reason) {
+  HttpResponse response =
+      TextResponse(http_status::kUnavailable, std::string(reason) + "\n");
+  response.headers.push_back({"Retry-After", "0.3"});
+  return response;
+}
+
+}  // namespace
+
+Gateway::Gateway(boost::asio::io_context& loop,
+                 const EntrySettings& settings,
+                 const HeaderNames& headers,
+                 TableStore& store,
+                 FleetSource& source)
+    : state_(loop, settings, headers, store, WallMicros()),
+      secrets_(loop, store, [this] { OnSecrets(); }),
+      commands_(loop, store, state_.events, [this] { OnCommands(); }),
+      peers_(
+          loop,
+          state_.hosts,
+          state_.events,
+          [this] { return Versions(); },
+          [this](const HostVersions& versions) { OnPeerVersions(versions); }),
+      registry_(loop, store, state_.hosts, [this] { peers_.Announce(); }),
+      orders_(
+          loop,
+          source,
+          SourceTopic::kOrders,
+          [this](const SourceUpdate& update) { OnOrders(update); },
+          [this](bool reached) { NotePlatform(reached, "orders"); }),
+      upstream_list_(
+          loop,
+          source,
+          SourceTopic::kUpstreams,
+          [this](const SourceUpdate& update) { OnUpstreams(update); },
+          [this](bool reached) { NotePlatform(reached, "upstreams"); }),
+      callers_(loop, [this](const ExchangePtr& e) { HandleCaller(e); }),
+      readiness_(loop, [this](const ExchangePtr& e) { HandleReadiness(e); }),
+      locate_(loop, [this](const ExchangePtr& e) { HandleLocate(e); }),
+      operator_service_(state_, commands_, secrets_),
+      operators_(loop,
+                 [this](const ExchangePtr& e) { operator_service_.Handle(e); }),
+      tick_timer_(loop),
+      stop_timer_(loop) {}
+
+Result<void> Gateway::ListenAt(HttpServer& server, const std::string& address) {
+  if (address.empty()) {
+    return {};
+  }
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint) {
+    return Fail({ErrorCode::kInvalid, "listen", address,
+                 "expected an IP number and a port"});
+  }
+  BOOST_LEAF_CHECK(
+      server.Listen(endpoint->address().to_string(), endpoint->port()));
+  return {};
+}
+
+Result<void> Gateway::Start() {
+  const EntrySettings& settings = state_.settings;
+  callers_.OnRejected([this](int status, const std::string& caller) {
+    state_.events.Record(EventCode::kCallerInputRejected, caller,
+                         "status " + std::to_string(status));
+  });
+  BOOST_LEAF_CHECK(ListenAt(callers_, settings.listen.callers));
+  BOOST_LEAF_CHECK(ListenAt(readiness_, settings.listen.readiness));
+  BOOST_LEAF_CHECK(ListenAt(locate_, settings.listen.locate));
+  BOOST_LEAF_CHECK(ListenAt(operators_, settings.listen.operators));
+  BOOST_LEAF_CHECK(peers_.Open(settings.peer_address, settings.peer_port));
+  orders_.Start();
+  upstream_list_.Start();
+  secrets_.Start();
+  commands_.Start();
+  registry_.Start();
+  Tick();
+  state_.events.Record(EventCode::kHostStarted, settings.host,
+                       "callers at " + settings.listen.callers);
+  return {};
+}
+
+bool Gateway::IsReady() const {
+  return !state_.leaving && state_.routes.IsKnown() &&
+         upstream_list_.IsLoaded();
+}
+
+HostVersions Gateway::Versions() const {
+  return {state_.routes.version(), commands_.version(), orders_.version(),
+          upstream_list_.version()};
+}
+
+void Gateway::OnPeerVersions(const HostVersions& versions) {
+  const Time now = BootClock::now();
+  commands_.OnPeerVersion(versions.commands);
+  orders_.OnPeerVersion(versions.orders, now);
+  upstream_list_.OnPeerVersion(versions.upstreams, now);
+}
+
+void Gateway::OnSecrets() {
+  peers_.SetKey(secrets_.peer_key());
+  peers_.Announce();
+}
+
+void Gateway::OnCommands() {
+  const ConfigState& state = commands_.state();
+  state_.upstreams.SetDrains(state.drained_upstreams, state.drained_regions);
+  state_.picker.shifts().Sync(state, BootClock::now());
+  state_.client_regions.Assign(state.blocks);
+  peers_.Tell();
+}
+
+void Gateway::AdvanceShifts(Time now) {
+  constexpr Duration kPeriod{1'000'000};
+  if (now - shifts_advanced_ < kPeriod) {
+    return;
+  }
+  shifts_advanced_ = now;
+  state_.picker.shifts().Advance(
+      [this, now](const std::string& service, const std::string& region) {
+        return state_.picker.StateOf(service, region, now);
+      },
+      [this](const ShiftStatus& shift) {
+        const bool moves =
+            shift.step == PaceStep::kAdvanced || shift.step == PaceStep::kAtCap;
+        state_.events.Record(
+            moves ? EventCode::kShiftStep : EventCode::kShiftHeld,
+            shift.plan.service,
+            std::string(ToString(shift.step)) + ", at " +
+                std::to_string(shift.fraction) + " of cap " +
+                std::to_string(shift.plan.cap));
+      },
+      now);
+}
+
+void Gateway::HandleReadiness(const ExchangePtr& exchange) {
+  exchange->Respond(IsReady() ? TextResponse(http_status::kOk, "ready\n")
+                              : Unavailable("not ready"));
+}
+
+void Gateway::HandleLocate(const ExchangePtr& exchange) {
+  const std::string& target = exchange->request().target;
+  const std::string own = state_.client_regions.RegionOf(exchange->caller())
+                              .value_or(state_.settings.region);
+  const auto hosts =
+      state_.hosts.Locate(QueryValue(target, "region").value_or(own),
+                          QueryValue(target, "failure_domain").value_or(""),
+                          kMostLocated, BootClock::now());
+  const double ttl =
+      std::chrono::duration<double>(state_.settings.bounds.locate_ttl).count();
+  exchange->Respond(JsonResponse(
+      http_status::kOk,
+      nlohmann::json{{"hosts", hosts}, {"ttl_seconds", ttl}}.dump()));
+}
+
+void Gateway::HandleCaller(const ExchangePtr& exchange) {
+  if (!state_.routes.IsKnown() || !upstream_list_.IsLoaded()) {
+    exchange->Respond(Unavailable("not run: no configuration yet"));
+    return;
+  }
+  const HttpRequest& request = exchange->request();
+  const auto host = FindHeader(request.headers, "Host").value_or("");
+  auto route = state_.routes.Find(host, request.target);
+  if (!route) {
+    exchange->Respond(TextResponse(http_status::kNotFound, "no such route\n"));
+    return;
+  }
+  std::make_shared<Call>(state_, exchange, std::move(route))->Start();
+}
+
+void Gateway::AdoptConfig(const RoutingConfig& config) {
+  if (state_.routes.Adopt(config)) {
+    callers_.SetLimits(config.caller_limits);
+    state_.events.Record(EventCode::kConfigApplied,
+                         std::to_string(config.version), "in force");
+  }
+}
+
+void Gateway::OnOrders(const SourceUpdate& update) {
+  for (const FleetChange& change : update.changes) {
+    if (const auto* config = std::get_if<RoutingConfig>(&change)) {
+      AdoptConfig(*config);
+    } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
+      state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
+    }
+  }
+  OnDrains(update);
+}
+
+void Gateway::OnDrains(const SourceUpdate& update) {
+  std::set<std::string> named;
+  for (const FleetChange& change : update.changes) {
+    if (const auto* drain = std::get_if<DomainDrain>(&change)) {
+      named.insert(drain->domain);
+      state_.upstreams.SetDrained(drain->domain, drain->drained);
+      state_.events.Record(
+          EventCode::kDomainDrained, drain->domain,
+          drain->drained ? "nothing new goes there" : "taken back");
+    }
+  }
+  if (!update.whole) {
+    return;
+  }
+  for (const auto& [domain, region] : state_.settings.region_of_domain) {
+    if (!named.contains(domain)) {
+      state_.upstreams.SetDrained(domain, false);
+    }
+  }
+}
+
+void Gateway::OnUpstreams(const SourceUpdate& update) {
+  const Time now = BootClock::now();
+  std::vector<UpstreamInfo> listed;
+  for (const FleetChange& change : update.changes) {
+    if (const auto* upstream = std::get_if<UpstreamInfo>(&change)) {
+      listed.push_back(*upstream);
+      state_.upstreams.Put(*upstream, now);
+      if (upstream->leaving) {
+        state_.pool.Drop(upstream->id);
+        state_.events.Record(EventCode::kUpstreamLeaving, upstream->id, "");
+      }
+    } else if (const auto* gone = std::get_if<UpstreamGone>(&change)) {
+      state_.upstreams.Remove(gone->id);
+      state_.pool.Drop(gone->id);
+      state_.events.Record(EventCode::kUpstreamGone, gone->id, "");
+    } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
+      state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
+    }
+  }
+  if (update.whole) {
+    state_.upstreams.Replace(listed, now);
+  }
+  state_.ShareBounds(now);
+}
+
+void Gateway::NotePlatform(bool reached, const char* topic) {
+  state_.store_reached = reached;
+  state_.events.Record(
+      reached ? EventCode::kPlatformUp : EventCode::kPlatformDown, topic,
+      reached ? "the store answers" : "the store does not answer");
+}
+
+void Gateway::Tick() {
+  const Time now = BootClock::now();
+  AdvanceShifts(now);
+  state_.ShareBounds(now);
+  state_.pool.CloseIdle(now);
+  tick_timer_.expires_after(kTickPeriod);
+  tick_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Tick();
+    }
+  });
+}
+
+void Gateway::Stop(std::function<void()> done) {
+  if (state_.leaving) {
+    return;
+  }
+  state_.leaving = true;
+  stopped_ = std::move(done);
+  stop_began_ = BootClock::now();
+  state_.hosts.SetLeaving();
+  peers_.Tell();
+  callers_.CloseAfterAnswers();
+  state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
+  stop_timer_.expires_after(
+      std::max(Duration(0), state_.settings.bounds.stop_grace - kFinishMargin));
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      FinishStop();
+    }
+  });
+}
+
+void Gateway::FinishStop() {
+  callers_.StopAccepting();
+  callers_.FinishAndClose();
+  AwaitQuiet();
+}
+
+void Gateway::AwaitQuiet() {
+  const Duration since = BootClock::now() - stop_began_;
+  const bool over = since > state_.settings.bounds.stop_grace - kEndMargin;
+  if (over || (state_.requests == 0 && callers_.connections() == 0)) {
+    state_.events.Record(
+        EventCode::kHostStopped, state_.settings.host,
+        std::to_string(state_.requests) + " requests left unanswered");
+    stopped_();
+    return;
+  }
+  stop_timer_.expires_after(kQuietCheckPeriod);
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      AwaitQuiet();
+    }
+  });
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -0,0 +1,104 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/gateway_state.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace pathcleat {
+namespace {
+
+constexpr std::size_t kEventsKept = 512;
+constexpr std::size_t kTracesKept = 256;
+// Heartbeats come twice a second, from other regions once.
+constexpr Duration kHostSilence{2'500'000};
+// Of what all hosts may retry this much is given out: windows slide, and
+// hosts see each other come and go late.
+constexpr double kRetryShare = 0.7;
+constexpr double kSlackShare = 0.6;
+// A cold upstream's requests come from its region's hosts but for this part.
+constexpr double kFarColdShare = 0.2;
+
+HostInfo SelfOf(const EntrySettings& settings, std::uint64_t incarnation) {
+  HostInfo self;
+  self.name = settings.host;
+  self.incarnation = incarnation;
+  self.domain = settings.domain;
+  self.region = settings.region;
+  self.caller_address = settings.listen.callers;
+  self.peer_address =
+      settings.peer_address + ":" + std::to_string(settings.peer_port);
+  return self;
+}
+
+std::vector<std::string> RegionsOf(const EntrySettings& settings) {
+  std::set<std::string> regions;
+  for (const auto& [domain, region] : settings.region_of_domain) {
+    regions.insert(region);
+  }
+  return {regions.begin(), regions.end()};
+}
+
+PickerSettings PickerSettingsOf(const EntrySettings& settings) {
+  PickerSettings picker;
+  picker.domain = settings.domain;
+  picker.region = settings.region;
+  picker.domain_gigabyte_cost = settings.costs.between_domains;
+  picker.region_gigabyte_cost = settings.costs.between_regions;
+  picker.link_limits = settings.link_limits;
+  return picker;
+}
+
+}  // namespace
+
+GatewayState::GatewayState(boost::asio::io_context& event_loop,
+                           const EntrySettings& entry_settings,
+                           const HeaderNames& header_names,
+                           TableStore& store,
+                           std::uint64_t incarnation)
+    : loop(event_loop),
+      settings(entry_settings),
+      headers(header_names),
+      events(settings.host, kEventsKept),
+      hosts(SelfOf(settings, incarnation), kHostSilence),
+      upstreams(settings.region_of_domain),
+      picker(PickerSettingsOf(settings), upstreams),
+      pool(loop),
+      keys(loop, store, events),
+      client_regions(RegionsOf(settings)),
+      traces(kTracesKept) {}
+
+double GatewayState::RetryBurst(Time now) const {
+  return settings.bounds.retry_slack * kSlackShare / hosts.Alive(now);
+}
+
+RetryBudget& GatewayState::RetriesOf(const std::string& service) {
+  const auto found = retries.find(service);
+  if (found != retries.end()) {
+    return found->second;
+  }
+  return retries
+      .emplace(service, RetryBudget(settings.bounds.retry_ratio * kRetryShare,
+                                    RetryBurst(BootClock::now())))
+      .first->second;
+}
+
+void GatewayState::ShareBounds(Time now) {
+  picker.links().SetSharers(hosts.AliveIn(settings.region, now));
+  for (auto& [service, budget] : retries) {
+    budget.SetBurst(RetryBurst(now));
+  }
+  for (const UpstreamPtr& upstream : upstreams.All()) {
+    const ServiceInfo* service = routes.FindService(upstream->info.service);
+    if (!upstream->IsCold(now) || service == nullptr) {
+      continue;
+    }
+    const int near = hosts.AliveIn(upstream->region, now);
+    const int far = std::max(1, hosts.Alive(now) - near);
+    const bool is_near = upstream->region == settings.region;
+    const double share =
+        is_near ? (1 - kFarColdShare) / near : kFarColdShare / far;
+    upstream->cold_share.SetRate(service->cold_per_second * share, now);
+  }
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/host/key_ledger.cpp
+++ b/src/pathcleat/gateway/key_ledger.cpp
@@ -1,11 +1,13 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/host/key_ledger.hpp"
+#include "pathcleat/gateway/key_ledger.hpp"
 
-#include <QTimer>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
 #include <utility>
 
+#include "pathcleat/core/random_token.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/wire/seal.hpp"
+#include "pathcleat/store/read_row.hpp"
 
 namespace pathcleat {
 namespace {
@@ -34,8 +36,21 @@
   }
 };
 
-KeyLedger::KeyLedger(TableStore& store, EventLog& events, QObject* parent)
-    : QObject(parent), store_(store), events_(events) {}
+KeyLedger::KeyLedger(boost::asio::io_context& loop,
+                     TableStore& store,
+                     EventLog& events)
+    : loop_(loop), store_(store), events_(events) {}
+
+void KeyLedger::After(std::function<void()> step) {
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(loop_, kSettleAgainAfter);
+  timer->async_wait(
+      [timer, step = std::move(step)](const boost::system::error_code& error) {
+        if (!error) {
+          step();
+        }
+      });
+}
 
 void KeyLedger::Claim(const KeyRequest& request,
                       std::function<void(ClaimResult)> callback) {
@@ -73,24 +88,24 @@
 }
 
 void KeyLedger::Read(const ClaimingPtr& claiming) {
-  store_.Read(claiming->request.row_name,
-              [this, claiming](const TableRead& read) {
-                if (read.outcome != StoreOutcome::kDone) {
-                  Step(claiming, KeyClaim::OnReadFailed());
-                  return;
-                }
-                ObservedKey observed;
-                observed.version = read.row.version;
-                if (const auto row = KeyRowFromJson(read.row.value)) {
-                  observed.state = row->state;
-                  observed.token = row->token;
-                  observed.fingerprint = row->fingerprint;
-                  observed.is_overdue =
-                      WallMicros() > row->ends_wall_micros + kClockSkewMicros;
-                  claiming->kept = row->answer;
-                }
-                Step(claiming, claiming->claim.OnRead(observed));
-              });
+  ReadRow(store_, claiming->request.row_name,
+          [this, claiming](const RowRead& read) {
+            if (read.outcome != StoreOutcome::kDone) {
+              Step(claiming, KeyClaim::OnReadFailed());
+              return;
+            }
+            ObservedKey observed;
+            observed.version = read.row.version;
+            if (const auto row = KeyRowFromJson(read.row.value)) {
+              observed.state = row->state;
+              observed.token = row->token;
+              observed.fingerprint = row->fingerprint;
+              observed.is_overdue =
+                  WallMicros() > row->ends_wall_micros + kClockSkewMicros;
+              claiming->kept = row->answer;
+            }
+            Step(claiming, claiming->claim.OnRead(observed));
+          });
 }
 
 void KeyLedger::Finish(ClaimedKey key, const HttpResponse& answer) {
@@ -131,25 +146,22 @@
                          "unknown");
           return;
         }
-        QTimer::singleShot(kSettleAgainAfter, this, [this, key, tries_left] {
-          Settle(key, tries_left - 1);
-        });
+        After([this, key, tries_left] { Settle(key, tries_left - 1); });
       });
 }
 
 void KeyLedger::Delete(const ClaimedKey& key, int tries_left) {
-  store_.Delete(key.row_name, key.version,
-                [this, key, tries_left](const TableWrite& write) {
-                  const bool done = write.outcome == StoreOutcome::kDone ||
-                                    write.outcome == StoreOutcome::kConflict;
-                  if (done || tries_left == 0) {
-                    --pending_;
-                    return;
-                  }
-                  QTimer::singleShot(
-                      kSettleAgainAfter, this,
-                      [this, key, tries_left] { Delete(key, tries_left - 1); });
-                });
+  store_.Delete(
+      key.row_name, key.version,
+      [this, key, tries_left](const TableWrite& write) {
+        const bool done = write.outcome == StoreOutcome::kDone ||
+                          write.outcome == StoreOutcome::kConflict;
+        if (done || tries_left == 0) {
+          --pending_;
+          return;
+        }
+        After([this, key, tries_left] { Delete(key, tries_left - 1); });
+      });
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/host/key_row.cpp
+++ b/src/pathcleat/gateway/key_row.cpp
@@ -1,9 +1,10 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/host/key_row.hpp"
+#include "pathcleat/gateway/key_row.hpp"
 
-#include <QByteArray>
 #include <nlohmann/json.hpp>
 
+#include "pathcleat/core/base64.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -40,12 +41,11 @@
   for (const HttpHeader& header : row.answer.headers) {
     headers.push_back({header.name, header.value});
   }
-  const QByteArray body = QByteArray::fromStdString(row.answer.body);
   const json value = {
-      {"state", NameOf(row.state)},           {"token", row.token},
-      {"fingerprint", row.fingerprint},       {"ends", row.ends_wall_micros},
-      {"status", row.answer.status},          {"headers", headers},
-      {"body", body.toBase64().toStdString()}};
+      {"state", NameOf(row.state)},       {"token", row.token},
+      {"fingerprint", row.fingerprint},   {"ends", row.ends_wall_micros},
+      {"status", row.answer.status},      {"headers", headers},
+      {"body", ToBase64(row.answer.body)}};
   return value.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -65,9 +65,11 @@
       row.answer.headers.push_back(
           {header.at(0).get<std::string>(), header.at(1).get<std::string>()});
     }
-    const std::string body = value.at("body").get<std::string>();
-    row.answer.body =
-        QByteArray::fromBase64(QByteArray::fromStdString(body)).toStdString();
+    const auto body = FromBase64(value.at("body").get<std::string>());
+    if (!body) {
+      return std::nullopt;
+    }
+    row.answer.body = *body;
     return row;
   } catch (const json::exception&) {
     return std::nullopt;
--- a/src/pathcleat/host/metrics.cpp
+++ b/src/pathcleat/gateway/metrics.cpp
@@ -1,9 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/host/metrics.hpp"
+#include "pathcleat/gateway/metrics.hpp"
 
 #include <array>
 #include <iomanip>
-#include <mutex>
 #include <sstream>
 
 namespace pathcleat {
@@ -21,7 +20,6 @@
 void Metrics::Record(const std::string& kind,
                      RunOutcome outcome,
                      Duration latency) {
-  const std::lock_guard lock(mutex_);
   KindMetrics& metrics = kinds_[kind];
   switch (outcome) {
     case RunOutcome::kAnswered:
@@ -40,7 +38,6 @@
 std::string Metrics::ToText() const {
   std::ostringstream text;
   text << std::fixed << std::setprecision(1);
-  const std::lock_guard lock(mutex_);
   for (const auto& [name, metrics] : kinds_) {
     text << name << ": answered " << metrics.answered << ", not-run "
          << metrics.not_run << ", unknown " << metrics.unknown;
--- /dev/null
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -0,0 +1,302 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/operator_service.hpp"
+
+#include <iomanip>
+#include <sstream>
+#include <type_traits>
+#include <utility>
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/core/seal.hpp"
+#include "pathcleat/http/http_status.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr const char* kBearer = "Bearer ";
+constexpr std::size_t kMostLocated = 8;
+
+int StatusOf(const Error& error) {
+  switch (error.code) {
+    case ErrorCode::kInvalid:
+      return http_status::kBadRequest;
+    case ErrorCode::kConflict:
+      return http_status::kConflict;
+    default:
+      return http_status::kUnavailable;
+  }
+}
+
+std::string Percent(double share) {
+  constexpr double kWhole = 100;
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1) << share * kWhole << "%";
+  return text.str();
+}
+
+std::string Age(Time observed, Time now) {
+  return std::to_string(static_cast<int>(ToMilliseconds(now - observed))) +
+         " ms ago";
+}
+
+}  // namespace
+
+OperatorService::OperatorService(GatewayState& state,
+                                 CommandLog& commands,
+                                 const FleetSecrets& secrets)
+    : state_(state), commands_(commands), secrets_(secrets) {}
+
+void OperatorService::Handle(const ExchangePtr& exchange) {
+  const HttpRequest& request = exchange->request();
+  if (!IsOperator(request)) {
+    state_.events.Record(EventCode::kOperatorRejected, exchange->caller(),
+                         "wrong or missing token");
+    exchange->Respond(
+        TextResponse(http_status::kUnauthorized, "wrong or missing token\n"));
+    return;
+  }
+  if (request.method == "POST" && request.target == "/v1/query") {
+    Query(exchange);
+  } else if (request.method == "GET" && request.target == "/v1/timeline") {
+    exchange->Respond(TextResponse(http_status::kOk, Timeline()));
+  } else {
+    exchange->Respond(
+        TextResponse(http_status::kNotFound,
+                     "expected POST /v1/query or GET /v1/timeline\n"));
+  }
+}
+
+bool OperatorService::IsOperator(const HttpRequest& request) const {
+  const auto header = FindHeader(request.headers, "Authorization");
+  return header && !secrets_.operator_token().empty() &&
+         AreSecretsEqual(*header, kBearer + secrets_.operator_token());
+}
+
+KnownNames OperatorService::Names() const {
+  KnownNames names;
+  if (state_.routes.IsKnown()) {
+    for (const ServiceInfo& service : state_.routes.config().services) {
+      names.services.insert(service.name);
+    }
+  }
+  for (const auto& [domain, region] : state_.settings.region_of_domain) {
+    names.regions.insert(region);
+  }
+  for (const UpstreamPtr& upstream : state_.upstreams.All()) {
+    names.upstreams.insert(upstream->info.id);
+  }
+  return names;
+}
+
+void OperatorService::Query(const ExchangePtr& exchange) {
+  TryOr(
+      [&]() -> Result<void> {
+        BOOST_LEAF_AUTO(command,
+                        ParseCommand(Names(), exchange->request().body));
+        std::visit(
+            [&](const auto& query) {
+              using Query = std::decay_t<decltype(query)>;
+              if constexpr (std::is_same_v<Query, ChangeCommand>) {
+                Submit(exchange, query);
+              } else {
+                exchange->Respond(
+                    TextResponse(http_status::kOk, Answer(query)));
+              }
+            },
+            command);
+        return {};
+      },
+      [&](const Error& error) {
+        exchange->Respond(TextResponse(StatusOf(error), error.detail + "\n"));
+      });
+}
+
+std::string OperatorService::NextCommandId() {
+  return state_.settings.host + "-" +
+         std::to_string(state_.hosts.self().incarnation) + "-" +
+         std::to_string(next_command_++);
+}
+
+void OperatorService::Submit(const ExchangePtr& exchange,
+                             const ChangeCommand& command) {
+  commands_.Submit(
+      command.operation, NextCommandId(),
+      [exchange](const CommandResult& result) {
+        if (result.accepted) {
+          exchange->Respond(TextResponse(
+              http_status::kOk, "accepted as configuration version " +
+                                    std::to_string(result.version) + "\n"));
+        } else {
+          exchange->Respond(
+              TextResponse(StatusOf(result.error),
+                           "not accepted: " + ToString(result.error) + "\n"));
+        }
+      });
+}
+
+std::string OperatorService::Answer(const HelpQuery&) const {
+  return std::string(CommandHelp());
+}
+
+std::string OperatorService::Answer(const WhereQuery& query) {
+  const Time now = BootClock::now();
+  const std::string region = state_.client_regions.RegionOf(query.caller)
+                                 .value_or(state_.settings.region);
+  std::ostringstream text;
+  text << "entry hosts for " << query.caller << ":";
+  for (const std::string& address :
+       state_.hosts.Locate(region, "", kMostLocated, now)) {
+    text << " " << address;
+  }
+  text << "\n"
+       << query.service << " from " << state_.settings.host
+       << ", upstreams best first:\n";
+  const Route route;
+  PickRequest request;
+  request.route = &route;
+  request.service = query.service;
+  request.key = StableHash(query.caller);
+  for (const Pick& pick : state_.picker.Explain(request, now)) {
+    const UpstreamState& upstream = *pick.upstream;
+    text << "  " << upstream.info.id << " in " << upstream.info.domain << ": "
+         << upstream.load.Expected(now) << " of " << upstream.info.slots
+         << " slots in use, expected " << ToMilliseconds(pick.expected)
+         << " ms, of it waiting " << ToMilliseconds(pick.wait) << " ms\n";
+  }
+  return text.str();
+}
+
+std::string OperatorService::Answer(const WhyQuery& query) const {
+  const auto steps = state_.traces.Find(query.id);
+  if (!steps) {
+    return "request " + query.id +
+           " is not known at this host: it was taken by another one, or is "
+           "older than the newest requests\n";
+  }
+  std::string text;
+  for (const std::string& step : *steps) {
+    text += step + "\n";
+  }
+  return text;
+}
+
+std::string OperatorService::Answer(const ShowQuery& query) const {
+  switch (query.topic) {
+    case ShowTopic::kHosts:
+      return ShowHosts();
+    case ShowTopic::kUpstreams:
+      return ShowUpstreams();
+    case ShowTopic::kShifts:
+      return ShowShifts();
+    case ShowTopic::kConfig:
+      return ShowConfig();
+    case ShowTopic::kMetrics:
+      return state_.metrics.ToText();
+  }
+  return "";
+}
+
+std::string OperatorService::ShowHosts() const {
+  const Time now = BootClock::now();
+  std::ostringstream text;
+  text << state_.settings.host << ": this host"
+       << (state_.leaving ? ", leaving" : "") << ", store "
+       << (state_.store_reached ? "reached" : "out of reach") << "\n";
+  for (const KnownHost* host : state_.hosts.Others()) {
+    text << host->info.name << ": in " << host->info.domain << ", "
+         << (state_.hosts.IsAlive(*host, now) ? "alive" : "silent")
+         << (host->info.leaving ? ", leaving" : "");
+    if (host->ever_heard) {
+      text << ", heard " << Age(host->heard, now) << ", routes at version "
+           << host->versions.config << ", commands at "
+           << host->versions.commands;
+    }
+    text << "\n";
+  }
+  return text.str();
+}
+
+std::string OperatorService::ShowUpstreams() const {
+  const Time now = BootClock::now();
+  std::ostringstream text;
+  text << "as seen from " << state_.settings.host << ":\n";
+  for (const UpstreamPtr& upstream : state_.upstreams.All()) {
+    text << "  " << upstream->info.id << ": " << upstream->info.service
+         << " in " << upstream->info.domain << " at " << upstream->info.address
+         << ", " << upstream->load.own() << " from here, about "
+         << upstream->load.Expected(now) << " of " << upstream->info.slots
+         << " slots in use"
+         << (state_.upstreams.IsOpen(*upstream) ? "" : ", drained or leaving")
+         << (upstream->IsCold(now) ? ", cold" : "")
+         << (upstream->health.IsSuspect() ? ", does not answer" : "") << "\n";
+  }
+  return text.str();
+}
+
+std::string OperatorService::ShowShifts() const {
+  std::ostringstream text;
+  for (const ShiftStatus& shift : state_.picker.shifts().All()) {
+    text << shift.plan.service << " from " << shift.plan.from << " to "
+         << shift.plan.to << ": at " << Percent(shift.fraction) << " of cap "
+         << Percent(shift.plan.cap) << ", moved " << shift.moved << " of "
+         << shift.offered << " at this host, " << ToString(shift.step) << "\n";
+  }
+  const std::string shifts = text.str();
+  return shifts.empty() ? "no shift away from " + state_.settings.region + "\n"
+                        : shifts;
+}
+
+std::string OperatorService::ShowConfig() const {
+  const Time now = BootClock::now();
+  const ConfigState& state = commands_.state();
+  std::ostringstream text;
+  text << "routes: version " << state_.routes.version() << "\n"
+       << "commands: version " << state.version << ", its age "
+       << (commands_.IsKnown() ? "confirmed by the table service"
+                               : "unknown: the table service has not "
+                                 "answered since the start")
+       << "\n";
+  int heard = 1;
+  int in_force = 1;
+  std::string behind;
+  for (const KnownHost* host : state_.hosts.Others()) {
+    if (!state_.hosts.IsAlive(*host, now)) {
+      behind += "  unheard: " + host->info.name + "\n";
+      continue;
+    }
+    ++heard;
+    const bool current = host->versions.commands >= state.version &&
+                         host->versions.config >= state_.routes.version();
+    in_force += current ? 1 : 0;
+    if (!current) {
+      behind += "  behind: " + host->info.name + "\n";
+    }
+  }
+  text << "in force at " << in_force << " of " << heard << " hosts heard\n"
+       << behind;
+  for (const std::string& upstream : state.drained_upstreams) {
+    text << "drained: upstream " << upstream << "\n";
+  }
+  for (const std::string& region : state.drained_regions) {
+    text << "drained: region " << region << "\n";
+  }
+  for (const std::string& domain : state_.upstreams.drained_domains()) {
+    text << "drained: failure domain " << domain << "\n";
+  }
+  for (const auto& [key, plan] : state.shifts) {
+    text << "shift: " << plan.service << " from " << plan.from << " to "
+         << plan.to << " cap " << Percent(plan.cap) << "\n";
+  }
+  text << "client blocks changed: " << state_.client_regions.assigned() << "\n";
+  return text.str();
+}
+
+std::string OperatorService::Timeline() const {
+  std::string text;
+  for (const Event& event : state_.events.Snapshot()) {
+    text += ToJsonLine(event) + "\n";
+  }
+  return text;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/trace_store.cpp
@@ -0,0 +1,31 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/trace_store.hpp"
+
+#include <utility>
+
+namespace pathcleat {
+
+void TraceStore::Keep(const std::string& request_id,
+                      std::vector<std::string> steps) {
+  const bool added =
+      traces_.insert_or_assign(request_id, std::move(steps)).second;
+  if (!added) {
+    return;
+  }
+  order_.push_back(request_id);
+  if (order_.size() > capacity_) {
+    traces_.erase(order_.front());
+    order_.pop_front();
+  }
+}
+
+std::optional<std::vector<std::string>> TraceStore::Find(
+    const std::string& request_id) const {
+  const auto found = traces_.find(request_id);
+  if (found == traces_.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/upstream_protocol.cpp
@@ -0,0 +1,104 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
+#include <array>
+#include <boost/beast/core/string.hpp>
+#include <charconv>
+#include <cstdio>
+#include <string_view>
+
+#include "pathcleat/http/http_status.hpp"
+
+namespace pathcleat {
+namespace {
+
+using boost::beast::iequals;
+
+std::string SecondsText(Duration duration) {
+  std::array<char, 32> text{};
+  const int size =
+      std::snprintf(text.data(), text.size(), "%.3f",
+                    std::chrono::duration<double>(duration).count());
+  return {text.data(), static_cast<std::size_t>(size)};
+}
+
+}  // namespace
+
+std::optional<Duration> CallerDeadline(const HeaderNames& names,
+                                       const HttpRequest& request) {
+  const auto text = FindHeader(request.headers, names.deadline_ms);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::int64_t value = 0;
+  const auto parsed =
+      std::from_chars(text->data(), text->data() + text->size(), value);
+  if (parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(value);
+}
+
+HttpRequest ToUpstream(const HeaderNames& names,
+                       const HttpRequest& request,
+                       const std::string& request_id,
+                       const std::string& upstream_id,
+                       Duration left) {
+  HttpRequest out = request;
+  out.headers = EndToEndHeaders(out.headers);
+  std::erase_if(out.headers, [&names](const HttpHeader& header) {
+    return iequals(header.name, names.deadline_ms) ||
+           iequals(header.name, names.expect_upstream) ||
+           iequals(header.name, "Expect");
+  });
+  if (!FindHeader(out.headers, names.request_id)) {
+    out.headers.push_back({names.request_id, request_id});
+  }
+  const auto milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
+  out.headers.push_back({names.deadline_ms, std::to_string(milliseconds)});
+  out.headers.push_back({names.expect_upstream, upstream_id});
+  return out;
+}
+
+std::optional<LoadReport> LoadReportIn(const HeaderNames& names,
+                                       const HttpResponse& response) {
+  const auto text = FindHeader(response.headers, names.load);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::array<int, 3> numbers{};
+  const char* at = text->data();
+  const char* end = text->data() + text->size();
+  for (int& number : numbers) {
+    const auto parsed = std::from_chars(at, end, number);
+    if (parsed.ec != std::errc()) {
+      return std::nullopt;
+    }
+    at = parsed.ptr == end ? end : parsed.ptr + 1;
+  }
+  return LoadReport{numbers[0], numbers[1], numbers[2]};
+}
+
+bool IsNotRun(const HeaderNames& names, const HttpResponse& response) {
+  return response.status == http_status::kMisdirected ||
+         FindHeader(response.headers, names.not_run).has_value();
+}
+
+bool IsWholeAnswer(const HeaderNames& names, const HttpResponse& response) {
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  const bool success =
+      response.status >= kFirstSuccess && response.status < kFirstRedirect;
+  return !success || names.signature.empty() ||
+         FindHeader(response.headers, names.signature).has_value();
+}
+
+HttpResponse NotRunResponse(const std::string& reason, Duration retry_after) {
+  HttpResponse response =
+      TextResponse(http_status::kUnavailable, "not run: " + reason + "\n");
+  response.headers.push_back({"Retry-After", SecondsText(retry_after)});
+  return response;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/http/http_client.cpp
@@ -0,0 +1,271 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/http/http_client.hpp"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <charconv>
+#include <utility>
+
+#include "pathcleat/http/http_codec.hpp"
+
+namespace pathcleat {
+namespace {
+
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t kReadChunk = 8UL * 1024;
+constexpr int kMostStrangers = 2;
+constexpr unsigned kUnackedTimeoutMs = 3'000;
+constexpr int kFirstFinalStatus = 200;
+
+using UserTimeout =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+// The "timeout" parameter of a Keep-Alive field, in whole seconds.
+Duration KeepAliveOf(const HttpResponse& response) {
+  const auto field = FindHeader(response.headers, "Keep-Alive");
+  if (!field) {
+    return Duration::zero();
+  }
+  constexpr std::string_view kName = "timeout=";
+  const auto at = field->find(kName);
+  if (at == std::string::npos) {
+    return Duration::zero();
+  }
+  int seconds = 0;
+  const char* begin = field->data() + at + kName.size();
+  std::from_chars(begin, field->data() + field->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+HttpClient::HttpClient(boost::asio::io_context& loop,
+                       boost::asio::ip::tcp::endpoint endpoint,
+                       const HttpLimits& limits)
+    : loop_(loop),
+      endpoint_(std::move(endpoint)),
+      limits_(limits),
+      socket_(loop),
+      timer_(loop) {}
+
+void HttpClient::Send(const HttpRequest& request,
+                      const CallTimeouts& timeouts,
+                      Callback callback,
+                      Matcher matcher) {
+  out_ = SerializeRequest(request);
+  head_ = request.method == "HEAD";
+  callback_ = std::move(callback);
+  matcher_ = std::move(matcher);
+  strangers_ = 0;
+  written_ = false;
+  deadline_ = BootClock::now() + timeouts.total;
+  reused_ = connected_;
+  connect_time_.reset();
+  StartParser();
+  if (connected_) {
+    Write();
+  } else {
+    Connect(std::min(timeouts.connect, timeouts.total));
+  }
+}
+
+void HttpClient::BindTo(const std::string& local_address) {
+  local_address_ = local_address;
+}
+
+void HttpClient::Cancel() {
+  callback_ = nullptr;
+  Close();
+}
+
+void HttpClient::StartParser() {
+  parser_.emplace();
+  parser_->header_limit(limits_.header_bytes);
+  parser_->body_limit(limits_.body_bytes);
+  parser_->eager(true);
+  parser_->skip(head_);
+}
+
+void HttpClient::Connect(Duration timeout) {
+  ArmTimer(timeout, "no connection in time", CallOutcome::kNotSent);
+  if (!local_address_.empty()) {
+    error_code ignored;
+    const auto local = boost::asio::ip::make_address(local_address_, ignored);
+    socket_.open(endpoint_.protocol(), ignored);
+    socket_.bind({local, 0}, ignored);
+  }
+  const Time began = BootClock::now();
+  socket_.async_connect(
+      endpoint_, [self = shared_from_this(), began](const error_code& error) {
+        if (self->closed_ || !self->callback_) {
+          return;
+        }
+        if (error) {
+          self->Fail(CallOutcome::kNotSent, error.message());
+          return;
+        }
+        error_code ignored;
+        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.set_option(UserTimeout(kUnackedTimeoutMs), ignored);
+        self->connected_ = true;
+        self->connect_time_ = BootClock::now() - began;
+        self->Write();
+      });
+}
+
+void HttpClient::Write() {
+  ArmTimer(deadline_ - BootClock::now(), "no answer in time",
+           CallOutcome::kTimedOut);
+  boost::asio::async_write(
+      socket_, boost::asio::buffer(out_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        // A failed write shows in the reading too, after any early answer.
+        self->written_ = !error;
+      });
+  Read();
+}
+
+void HttpClient::Read() {
+  if (reading_ || closed_) {
+    return;
+  }
+  reading_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadChunk),
+      [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+        self->OnRead(error, bytes);
+      });
+}
+
+void HttpClient::OnRead(const error_code& error, std::size_t bytes) {
+  reading_ = false;
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    OnEnd(error);
+    return;
+  }
+  buffer_.commit(bytes);
+  if (!callback_) {
+    // Bytes on an idle connection belong to no request.
+    Close();
+    return;
+  }
+  Parse();
+}
+
+void HttpClient::Parse() {
+  error_code error;
+  while (buffer_.size() > 0 && !parser_->is_done() && !error) {
+    const std::size_t used = parser_->put(buffer_.data(), error);
+    buffer_.consume(used);
+  }
+  if (error && error != http::error::need_more) {
+    Fail(CallOutcome::kBroken, error.message());
+    return;
+  }
+  if (parser_->is_done()) {
+    TakeResponse();
+    return;
+  }
+  Read();
+}
+
+void HttpClient::TakeResponse() {
+  const bool keep_alive = parser_->get().keep_alive();
+  CallResult result;
+  result.outcome = CallOutcome::kAnswered;
+  result.response = FromBeast(parser_->release());
+  if (result.response.status < kFirstFinalStatus) {
+    StartParser();
+    Parse();
+    return;
+  }
+  if (matcher_ && !matcher_(result.response)) {
+    spent_ = true;
+    if (++strangers_ > kMostStrangers || !keep_alive) {
+      Fail(CallOutcome::kBroken, "the answer is another request's");
+      return;
+    }
+    StartParser();
+    Parse();
+    return;
+  }
+  keep_alive_ = KeepAliveOf(result.response);
+  spent_ = spent_ || !keep_alive || buffer_.size() > 0 || !written_;
+  Finish(std::move(result));
+}
+
+void HttpClient::OnEnd(const error_code& error) {
+  if (!callback_) {
+    Close();
+    return;
+  }
+  const bool clean_end = error == boost::asio::error::eof;
+  if (clean_end && parser_->is_header_done() && !parser_->is_done() &&
+      parser_->need_eof()) {
+    error_code ended;
+    parser_->put_eof(ended);
+    if (!ended) {
+      TakeResponse();
+      return;
+    }
+  }
+  Fail(CallOutcome::kBroken, parser_->got_some()
+                                 ? "the answer ended early"
+                                 : "the connection ended with no answer");
+}
+
+void HttpClient::ArmTimer(Duration timeout,
+                          const char* detail,
+                          CallOutcome outcome) {
+  // An expiry that is already queued cannot be cancelled any more; the
+  // generation tells it from the one in force.
+  const std::uint64_t generation = ++timer_generation_;
+  timer_.expires_after(timeout);
+  timer_.async_wait([self = shared_from_this(), generation, detail,
+                     outcome](const error_code& error) {
+    if (!error && self->callback_ && generation == self->timer_generation_) {
+      self->Fail(outcome, detail);
+    }
+  });
+}
+
+void HttpClient::Fail(CallOutcome outcome, std::string detail) {
+  spent_ = true;
+  Finish({outcome, {}, std::move(detail)});
+}
+
+void HttpClient::Finish(CallResult result) {
+  ++timer_generation_;
+  timer_.cancel();
+  out_ = std::string();
+  matcher_ = nullptr;
+  idle_since_ = BootClock::now();
+  if (spent_) {
+    Close();
+  } else {
+    Read();
+  }
+  if (const auto callback = std::exchange(callback_, nullptr)) {
+    callback(std::move(result));
+  }
+}
+
+void HttpClient::Close() {
+  closed_ = true;
+  connected_ = false;
+  spent_ = true;
+  timer_.cancel();
+  error_code error;
+  socket_.close(error);
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/http/http_codec.cpp
@@ -0,0 +1,115 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/http/http_codec.hpp"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/status.hpp>
+#include <string_view>
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t kTypicalHeaderBytes = 512;
+
+template <class Fields>
+HttpHeaders CopyHeaders(const Fields& fields) {
+  HttpHeaders headers;
+  for (const auto& field : fields) {
+    headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+void AppendHeaders(std::string& bytes, const HttpHeaders& headers) {
+  for (const HttpHeader& header : headers) {
+    bytes += header.name;
+    bytes += ": ";
+    bytes += header.value;
+    bytes += "\r\n";
+  }
+}
+
+void AppendLength(std::string& bytes, std::size_t length) {
+  bytes += "Content-Length: ";
+  bytes += std::to_string(length);
+  bytes += "\r\n";
+}
+
+bool MayHaveBody(const HttpRequest& request) {
+  return !request.body.empty() || request.method == "POST" ||
+         request.method == "PUT";
+}
+
+// 1xx, 204 and 304 answers have no body and no length.
+bool HasNoBody(int status) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status < kFirstFinal || status == kNoContent || status == kNotModified;
+}
+
+}  // namespace
+
+HttpRequest FromBeast(BeastRequest message) {
+  HttpRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.headers = CopyHeaders(message);
+  request.body = std::move(message.body());
+  return request;
+}
+
+HttpResponse FromBeast(BeastResponse message) {
+  HttpResponse response;
+  response.status = static_cast<int>(message.result_int());
+  response.headers = CopyHeaders(message);
+  response.body = std::move(message.body());
+  return response;
+}
+
+std::string SerializeRequest(const HttpRequest& request) {
+  std::string bytes;
+  bytes.reserve(kTypicalHeaderBytes + request.body.size());
+  bytes += request.method;
+  bytes += ' ';
+  bytes += request.target;
+  bytes += " HTTP/1.1\r\n";
+  AppendHeaders(bytes, request.headers);
+  if (MayHaveBody(request)) {
+    AppendLength(bytes, request.body.size());
+  }
+  bytes += "\r\n";
+  bytes += request.body;
+  return bytes;
+}
+
+std::string SerializeResponse(const HttpResponse& response,
+                              bool keep_alive,
+                              bool head) {
+  const auto reason =
+      http::obsolete_reason(http::int_to_status(response.status));
+  std::string bytes;
+  bytes.reserve(kTypicalHeaderBytes + response.body.size());
+  bytes += "HTTP/1.1 ";
+  bytes += std::to_string(response.status);
+  bytes += ' ';
+  bytes += std::string_view(reason.data(), reason.size());
+  bytes += "\r\n";
+  AppendHeaders(bytes, response.headers);
+  if (!HasNoBody(response.status)) {
+    AppendLength(bytes, response.body.size());
+  }
+  if (!keep_alive) {
+    bytes += "Connection: close\r\n";
+  }
+  bytes += "\r\n";
+  if (!head && !HasNoBody(response.status)) {
+    bytes += response.body;
+  }
+  return bytes;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/net/http_message.cpp
+++ b/src/pathcleat/http/http_message.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/net/http_message.hpp"
+#include "pathcleat/http/http_message.hpp"
 
 #include <algorithm>
 #include <array>
--- /dev/null
+++ b/src/pathcleat/http/http_server.cpp
@@ -0,0 +1,129 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/http/http_server.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "server_session.hpp"
+
+namespace pathcleat {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::chrono::milliseconds kSweepPeriod{500};
+constexpr std::chrono::milliseconds kAcceptRetryPause{50};
+
+}  // namespace
+
+HttpServer::HttpServer(boost::asio::io_context& loop, ExchangeHandler handler)
+    : loop_(loop),
+      handler_(std::move(handler)),
+      acceptor_(loop),
+      sweep_timer_(loop),
+      accept_timer_(loop) {}
+
+HttpServer::~HttpServer() {
+  const auto sessions = std::exchange(sessions_, {});
+  for (const auto& session : sessions) {
+    session->Detach();
+  }
+}
+
+Result<std::uint16_t> HttpServer::Listen(const std::string& address,
+                                         std::uint16_t port) {
+  error_code error;
+  const auto ip = boost::asio::ip::make_address(address, error);
+  const tcp::endpoint endpoint(ip, port);
+  if (!error) {
+    acceptor_.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Fail({ErrorCode::kRefused, "listen",
+                 address + ":" + std::to_string(port), error.message()});
+  }
+  acceptor_.non_blocking(true, error);
+  Accept();
+  Sweep();
+  return acceptor_.local_endpoint(error).port();
+}
+
+void HttpServer::Accept() {
+  acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
+    if (error == boost::asio::error::operation_aborted) {
+      return;
+    }
+    if (error) {
+      RetryAccept();
+      return;
+    }
+    Open(std::move(socket));
+    Accept();
+  });
+}
+
+// Out of descriptors: tried again when some may have been freed.
+void HttpServer::RetryAccept() {
+  accept_timer_.expires_after(kAcceptRetryPause);
+  accept_timer_.async_wait([this](const error_code& error) {
+    if (!error && acceptor_.is_open()) {
+      Accept();
+    }
+  });
+}
+
+void HttpServer::Open(tcp::socket socket) {
+  const auto session =
+      std::make_shared<ServerSession>(*this, std::move(socket));
+  sessions_.insert(session);
+  session->Start();
+}
+
+void HttpServer::Sweep() {
+  sweep_timer_.expires_after(kSweepPeriod);
+  sweep_timer_.async_wait([this](const error_code& error) {
+    if (error) {
+      return;
+    }
+    const Time now = BootClock::now();
+    const std::vector<std::shared_ptr<ServerSession>> sessions(
+        sessions_.begin(), sessions_.end());
+    for (const auto& session : sessions) {
+      session->CheckTime(now);
+    }
+    Sweep();
+  });
+}
+
+void HttpServer::StopAccepting() {
+  error_code error;
+  while (acceptor_.is_open() && !error) {
+    tcp::socket socket(loop_);
+    acceptor_.accept(socket, error);
+    if (!error) {
+      Open(std::move(socket));
+    }
+  }
+  acceptor_.close(error);
+}
+
+void HttpServer::FinishAndClose() {
+  close_after_answers_ = true;
+  const std::vector<std::shared_ptr<ServerSession>> sessions(sessions_.begin(),
+                                                             sessions_.end());
+  for (const auto& session : sessions) {
+    session->Finish();
+  }
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/http/server_session.hpp
@@ -0,0 +1,68 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "pathcleat/http/http_server.hpp"
+
+namespace pathcleat {
+
+/// @brief The server's end of one connection. While a request waits for its
+/// answer the socket is still read, so that a caller's leaving is seen at
+/// once; what arrives meanwhile is kept as the next request.
+/// @ingroup http
+class ServerSession : public std::enable_shared_from_this<ServerSession> {
+ public:
+  ServerSession(HttpServer& server, boost::asio::ip::tcp::socket socket);
+
+  void Start();
+
+  /// @brief Closes if idle; otherwise after the answer under way.
+  void Finish();
+
+  /// @brief Ends what has taken too long. Called several times a second.
+  void CheckTime(Time now);
+
+  /// @brief The server is going away: no callbacks any more.
+  void Detach();
+
+ private:
+  using Parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(const boost::system::error_code& error, std::size_t bytes);
+  void Parse();
+  bool ParseStep();
+  bool CheckHeader();
+  void TakeRequest();
+  void Reject(int status);
+  void Answer();
+  void OnWritten(const boost::system::error_code& error);
+  void BeginClose();
+  void Close();
+  void StartRequest();
+
+  HttpServer* server_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string caller_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  ExchangePtr exchange_;  ///< the request that waits for its answer
+  std::string out_;
+  Time phase_began_;  ///< of waiting idle, of reading, or of closing
+  bool header_seen_ = false;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool last_request_ = false;
+  bool closing_ = false;  ///< half-closed; what arrives is dropped
+  bool closed_ = false;
+};
+
+}  // namespace pathcleat
--- a/src/pathcleat/lab/load_audit.cpp
+++ b/src/pathcleat/lab/load_audit.cpp
@@ -16,6 +16,7 @@
   }
   LoadAudit audit;
   audit.over_slots = ledger["over_slots"].get<int>();
+  audit.turned_away = ledger["turned_away"].get<int>();
   for (const auto& [key, runs] : ledger["runs_by_key"].items()) {
     audit.doubled += runs.get<int>() > 1 ? 1 : 0;
   }
@@ -45,7 +46,8 @@
   }
   text << "doubled " << audit.doubled << ", told not-run but run "
        << audit.not_run_but_ran << ", over slots " << audit.over_slots
-       << ", cut answers " << audit.cut << "\n";
+       << ", turned away by upstreams " << audit.turned_away << ", cut answers "
+       << audit.cut << "\n";
   return text.str();
 }
 
