--- /dev/null
+++ b/src/pathcleat/lab/routing_model.cpp
@@ -0,0 +1,374 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/lab/routing_model.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/lab/load_generator.hpp"
+#include "pathcleat/routing/upstream_picker.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr const char* kService = "service";
+
+std::string RegionName(int region) {
+  return "region-" + std::to_string(region);
+}
+
+// Steps in order of their virtual time.
+class Agenda {
+ public:
+  Time now() const { return now_; }
+
+  void At(Time time, std::function<void()> step) {
+    steps_.push({time, next_++, std::move(step)});
+  }
+  void After(Duration wait, std::function<void()> step) {
+    At(now_ + wait, std::move(step));
+  }
+  void Run() {
+    while (!steps_.empty()) {
+      const Step step = steps_.top();
+      steps_.pop();
+      now_ = step.time;
+      step.run();
+    }
+  }
+
+ private:
+  struct Step {
+    Time time;
+    std::uint64_t number;
+    std::function<void()> run;
+    bool operator<(const Step& other) const {
+      return time != other.time ? time > other.time : number > other.number;
+    }
+  };
+  std::priority_queue<Step> steps_;
+  Time now_{Duration(1'000'000)};
+  std::uint64_t next_ = 0;
+};
+
+struct ModelRequest {
+  int region = 0;
+  std::uint64_t key = 0;
+  Time arrived;
+  std::function<void(bool ran)> done;
+};
+
+class ModelUpstream {
+ public:
+  ModelUpstream(Agenda& agenda, const ModelPlan& plan, std::mt19937_64& random)
+      : agenda_(agenda),
+        plan_(plan),
+        random_(random),
+        keys_(static_cast<std::size_t>(plan.keys_remembered)) {}
+
+  // Takes a request, or says at once that it does not.
+  bool Offer(const ModelRequest& request) {
+    if (running_ < plan_.slots) {
+      Begin(request);
+      return true;
+    }
+    if (static_cast<int>(waiting_.size()) >= plan_.queue) {
+      return false;
+    }
+    waiting_.push_back(request);
+    return true;
+  }
+
+  LoadReport Report() const {
+    return {running_, static_cast<int>(waiting_.size()), plan_.slots};
+  }
+
+ private:
+  void Begin(const ModelRequest& request) {
+    ++running_;
+    std::normal_distribution<double> spread(1.0, 0.15);
+    const double share = keys_.Contains(request.key) ? plan_.warm_share : 1.0;
+    const double run = static_cast<double>(plan_.cold_run.count()) * share *
+                       std::max(0.3, spread(random_));
+    agenda_.After(Duration(static_cast<Duration::rep>(run)), [this, request] {
+      keys_.Touch(request.key);
+      --running_;
+      request.done(true);
+      if (!waiting_.empty()) {
+        const ModelRequest next = waiting_.front();
+        waiting_.pop_front();
+        Begin(next);
+      }
+    });
+  }
+
+  Agenda& agenda_;
+  const ModelPlan& plan_;
+  std::mt19937_64& random_;
+  RecentKeys keys_;
+  std::deque<ModelRequest> waiting_;
+  int running_ = 0;
+};
+
+// One entry host: its own tables, as in the shipped program.
+struct ModelHost {
+  ModelHost(const ModelPlan& plan, int region)
+      : table(Regions(plan)), picker(Settings(region), table) {}
+
+  static std::map<std::string, std::string> Regions(const ModelPlan& plan) {
+    std::map<std::string, std::string> regions;
+    for (int r = 0; r < plan.regions; ++r) {
+      regions[RegionName(r)] = RegionName(r);
+    }
+    return regions;
+  }
+  static PickerSettings Settings(int region) {
+    PickerSettings settings;
+    settings.domain = RegionName(region);
+    settings.region = RegionName(region);
+    return settings;
+  }
+
+  UpstreamTable table;
+  UpstreamPicker picker;
+};
+
+class Model {
+ public:
+  explicit Model(const ModelPlan& plan) : plan_(plan), random_(plan.seed) {
+    route_.name = "route";
+    route_.repeatable = true;
+    route_.sticky = true;
+    route_.target_latency = plan.target_latency;
+    route_.timeout = plan.timeout;
+    if (plan.policy == ModelPolicy::kSharedQueue) {
+      shared_plan_ = plan;
+      shared_plan_.slots = plan.slots * plan.upstreams_in_region * plan.regions;
+      shared_plan_.queue = 1'000'000;
+      shared_plan_.keys_remembered = plan.keys;
+      upstreams_["shared"] =
+          std::make_unique<ModelUpstream>(agenda_, shared_plan_, random_);
+    } else {
+      MakeFleet();
+    }
+  }
+
+  ModelResult Run() {
+    ScheduleArrival();
+    agenda_.Run();
+    result_.p50_ms = Quantile(latency_ms_, 0.5);
+    result_.p99_ms = Quantile(latency_ms_, 0.99);
+    result_.away_share =
+        result_.offered == 0 ? 0 : static_cast<double>(away_) / result_.offered;
+    return result_;
+  }
+
+ private:
+  void MakeFleet() {
+    std::vector<UpstreamInfo> list;
+    for (int r = 0; r < plan_.regions; ++r) {
+      for (int i = 0; i < plan_.upstreams_in_region; ++i) {
+        UpstreamInfo info;
+        info.id = "upstream-" + std::to_string(r) + "-" + std::to_string(i);
+        info.service = kService;
+        info.domain = RegionName(r);
+        info.slots = plan_.slots;
+        list.push_back(info);
+        upstreams_[info.id] =
+            std::make_unique<ModelUpstream>(agenda_, plan_, random_);
+      }
+    }
+    for (int r = 0; r < plan_.regions; ++r) {
+      for (int h = 0; h < plan_.hosts_in_region; ++h) {
+        hosts_.push_back(std::make_unique<ModelHost>(plan_, r));
+        hosts_.back()->table.Replace(list, agenda_.now());
+      }
+    }
+  }
+
+  void ScheduleArrival() {
+    std::exponential_distribution<double> gap(plan_.per_second);
+    constexpr double kMicros = 1e6;
+    agenda_.After(Duration(static_cast<Duration::rep>(gap(random_) * kMicros)),
+                  [this] {
+                    if (agenda_.now() - start_ < plan_.length) {
+                      Arrive();
+                      ScheduleArrival();
+                    }
+                  });
+  }
+
+  void Arrive() {
+    std::discrete_distribution<int> draw_region(plan_.region_share.begin(),
+                                                plan_.region_share.end());
+    std::uniform_int_distribution<int> draw_key(0, plan_.keys - 1);
+    ModelRequest request;
+    request.region = draw_region(random_);
+    request.key = StableHash(std::to_string(draw_key(random_)));
+    request.arrived = agenda_.now();
+    const bool counts = agenda_.now() - start_ >= plan_.warm_up;
+    result_.offered += counts ? 1 : 0;
+    if (plan_.policy == ModelPolicy::kSharedQueue) {
+      request.done = [this, request, counts](bool) {
+        Finish(request, counts, false);
+      };
+      upstreams_.begin()->second->Offer(request);
+      return;
+    }
+    std::uniform_int_distribution<int> draw_host(0, plan_.hosts_in_region - 1);
+    const int host =
+        request.region * plan_.hosts_in_region + draw_host(random_);
+    Send(*hosts_[static_cast<std::size_t>(host)], request, counts);
+  }
+
+  Pick ChooseAt(ModelHost& host, const ModelRequest& request) {
+    PickRequest wanted;
+    wanted.route = &route_;
+    wanted.service = kService;
+    wanted.key = request.key;
+    wanted.sticky = plan_.policy == ModelPolicy::kPicker;
+    wanted.time_left = plan_.timeout;
+    if (plan_.policy != ModelPolicy::kRandomNear) {
+      return host.picker.Choose(wanted, agenda_.now());
+    }
+    std::uniform_int_distribution<std::size_t> draw(
+        0, static_cast<std::size_t>(plan_.upstreams_in_region) - 1);
+    Pick pick;
+    pick.upstream = host.table.Of(
+        kService)[static_cast<std::size_t>(request.region *
+                                           plan_.upstreams_in_region) +
+                  draw(random_)];
+    return pick;
+  }
+
+  void Send(ModelHost& host, ModelRequest request, bool counts) {
+    const Pick pick = ChooseAt(host, request);
+    if (!pick.upstream) {
+      result_.refused += counts ? 1 : 0;
+      return;
+    }
+    const bool away = pick.upstream->region != RegionName(request.region);
+    const Duration one_way =
+        away ? plan_.round_trip_between_regions / 2 : Duration(300);
+    host.picker.OnConnected(*pick.upstream, one_way * 2);
+    pick.upstream->load.OnSent();
+    const Time sent = agenda_.now();
+    ModelUpstream* target = upstreams_[pick.upstream->info.id].get();
+    const auto back = [this, &host, pick, request, sent, target, one_way,
+                       counts, away](bool ran) {
+      const LoadReport report = target->Report();
+      agenda_.After(one_way, [=, this, &host] {
+        pick.upstream->load.OnReport(report, agenda_.now());
+        pick.upstream->load.OnEnded();
+        if (!ran) {
+          result_.turned_away += counts ? 1 : 0;
+          result_.refused += counts ? 1 : 0;
+          return;
+        }
+        host.picker.OnAnswer(*pick.upstream, route_, pick, request.key,
+                             agenda_.now() - sent, 1'000, agenda_.now());
+        Finish(request, counts, away);
+      });
+    };
+    request.done = back;
+    agenda_.After(one_way, [target, request, back] {
+      if (!target->Offer(request)) {
+        back(false);
+      }
+    });
+  }
+
+  void Finish(const ModelRequest& request, bool counts, bool away) {
+    if (!counts) {
+      return;
+    }
+    const Duration took = agenda_.now() - request.arrived;
+    (took <= plan_.target_latency ? result_.in_target : result_.late) += 1;
+    away_ += away ? 1 : 0;
+    latency_ms_.push_back(ToMilliseconds(took));
+  }
+
+  ModelPlan plan_;
+  ModelPlan shared_plan_;
+  std::mt19937_64 random_;
+  Agenda agenda_;
+  Time start_ = agenda_.now();
+  Route route_;
+  std::map<std::string, std::unique_ptr<ModelUpstream>> upstreams_;
+  std::vector<std::unique_ptr<ModelHost>> hosts_;
+  ModelResult result_;
+  std::vector<double> latency_ms_;
+  int away_ = 0;
+};
+
+double Median(std::vector<double> values) {
+  return Quantile(std::move(values), 0.5);
+}
+
+}  // namespace
+
+const char* ToString(ModelPolicy policy) {
+  switch (policy) {
+    case ModelPolicy::kPicker:
+      return "picker";
+    case ModelPolicy::kPickerNoKey:
+      return "picker without keys";
+    case ModelPolicy::kRandomNear:
+      return "random in the region";
+    case ModelPolicy::kSharedQueue:
+      return "shared queue (ideal)";
+  }
+  return "picker";
+}
+
+ModelResult RunModel(const ModelPlan& plan) {
+  return Model(plan).Run();
+}
+
+std::string MeasureRouting(int seeds) {
+  std::string text =
+      "| policy | requests/s | in target | p50 ms | p99 ms | refused | turned "
+      "away | run away from home |\n|---|---|---|---|---|---|---|---|\n";
+  for (const double rate : {100.0, 200.0, 300.0, 400.0}) {
+    for (const ModelPolicy policy :
+         {ModelPolicy::kPicker, ModelPolicy::kPickerNoKey,
+          ModelPolicy::kRandomNear, ModelPolicy::kSharedQueue}) {
+      std::vector<double> in_target;
+      std::vector<double> p50;
+      std::vector<double> p99;
+      std::vector<double> refused;
+      std::vector<double> turned;
+      std::vector<double> away;
+      for (int seed = 1; seed <= seeds; ++seed) {
+        ModelPlan plan;
+        plan.policy = policy;
+        plan.per_second = rate;
+        plan.seed = static_cast<std::uint64_t>(seed);
+        const ModelResult result = RunModel(plan);
+        const double offered = std::max(1, result.offered);
+        in_target.push_back(result.InTargetShare());
+        p50.push_back(result.p50_ms);
+        p99.push_back(result.p99_ms);
+        refused.push_back(result.refused / offered);
+        turned.push_back(result.turned_away / offered);
+        away.push_back(result.away_share);
+      }
+      const auto cell = [](const std::vector<double>& values) {
+        std::string number = std::to_string(Median(values));
+        return " | " + number.substr(0, number.find('.') + 4);
+      };
+      text += "| " + std::string(ToString(policy)) + " | " +
+              std::to_string(static_cast<int>(rate)) + cell(in_target) +
+              cell(p50) + cell(p99) + cell(refused) + cell(turned) +
+              cell(away) + " |\n";
+    }
+  }
+  return text;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/query/command.hpp"
 
-#include <QHostAddress>
+#include <boost/asio/ip/network_v4.hpp>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -43,8 +43,8 @@
 
 class Parser {
  public:
-  Parser(const Deployment& deployment, std::string_view text)
-      : deployment_(deployment), words_(SplitWords(text)) {}
+  Parser(const KnownNames& names, std::string_view text)
+      : names_(names), words_(SplitWords(text)) {}
 
   Result<OperatorCommand> Parse() {
     BOOST_LEAF_AUTO(verb, Word("a command; 'help' lists them"));
@@ -90,8 +90,9 @@
     BOOST_LEAF_ASSIGN(query.service, Service());
     BOOST_LEAF_CHECK(Keyword("from"));
     BOOST_LEAF_ASSIGN(query.caller, Word("a client's IPv4 number"));
-    const QHostAddress address(QString::fromStdString(query.caller));
-    if (address.protocol() != QAbstractSocket::IPv4Protocol) {
+    boost::system::error_code error;
+    boost::asio::ip::make_address_v4(query.caller, error);
+    if (error) {
       --next_;
       return Expected("a client's IPv4 number");
     }
@@ -99,13 +100,8 @@
   }
 
   Result<OperatorCommand> ParseWhy() {
-    BOOST_LEAF_AUTO(text, Word("a request id"));
-    const auto id = ParseRequestId(text);
-    if (!id) {
-      --next_;
-      return Expected("a request id such as 5f3a-1c");
-    }
-    return OperatorCommand(WhyQuery{*id});
+    BOOST_LEAF_AUTO(id, Word("a request id"));
+    return OperatorCommand(WhyQuery{id});
   }
 
   Result<OperatorCommand> ParseShow() {
@@ -171,16 +167,15 @@
 
   Result<OperatorCommand> ParseAssign() {
     BOOST_LEAF_AUTO(text, Word("a client block"));
-    const auto subnet = QHostAddress::parseSubnet(QString::fromStdString(text));
-    const bool valid = subnet.second >= 0 && subnet.second <= 32 &&
-                       subnet.first.protocol() == QAbstractSocket::IPv4Protocol;
-    if (!valid) {
+    boost::system::error_code error;
+    const auto subnet = boost::asio::ip::make_network_v4(text, error);
+    if (error) {
       --next_;
       return Expected("a client block such as 10.1.0.0/16");
     }
     AssignBlock assign;
-    assign.first_address = subnet.first.toIPv4Address();
-    assign.prefix_length = static_cast<std::uint8_t>(subnet.second);
+    assign.first_address = subnet.network().to_uint();
+    assign.prefix_length = static_cast<std::uint8_t>(subnet.prefix_length());
     BOOST_LEAF_CHECK(Keyword("to"));
     BOOST_LEAF_ASSIGN(assign.region, Region());
     return Change(assign);
@@ -207,37 +202,20 @@
     return {};
   }
 
-  // A name that the deployment's finder knows.
-  template <class Find>
-  auto Named(const std::string& sort, Find find)
-      -> Result<typename decltype(find(std::string()))::value_type> {
+  Result<std::string> Named(const std::string& sort,
+                            const std::set<std::string>& known) {
     const std::string article = sort == "upstream" ? "an " : "a ";
     BOOST_LEAF_AUTO(name, Word(article + sort));
-    const auto found = find(name);
-    if (!found) {
+    if (!known.contains(name)) {
       --next_;
       return Expected("the name of " + article + sort);
     }
-    return *found;
-  }
-
-  Result<ServiceIndex> Service() {
-    return Named("service", [this](const std::string& name) {
-      return deployment_.FindService(name);
-    });
+    return name;
   }
 
-  Result<RegionIndex> Region() {
-    return Named("region", [this](const std::string& name) {
-      return deployment_.FindRegion(name);
-    });
-  }
-
-  Result<UpstreamIndex> Upstream() {
-    return Named("upstream", [this](const std::string& name) {
-      return deployment_.FindUpstream(name);
-    });
-  }
+  Result<std::string> Service() { return Named("service", names_.services); }
+  Result<std::string> Region() { return Named("region", names_.regions); }
+  Result<std::string> Upstream() { return Named("upstream", names_.upstreams); }
 
   // A number followed by one of the units.
   Result<double> NumberWith(const std::string& wanted, std::string& unit) {
@@ -287,7 +265,7 @@
                      "; found " + found});
   }
 
-  const Deployment& deployment_;
+  const KnownNames& names_;
   std::vector<std::string> words_;
   std::size_t next_ = 0;
 };
@@ -298,9 +276,9 @@
   return kHelp;
 }
 
-Result<OperatorCommand> ParseCommand(const Deployment& deployment,
+Result<OperatorCommand> ParseCommand(const KnownNames& names,
                                      std::string_view text) {
-  return Parser(deployment, text).Parse();
+  return Parser(names, text).Parse();
 }
 
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/routing/upstream_health.cpp
@@ -0,0 +1,24 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/upstream_health.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+namespace {
+
+constexpr Duration kFirstPause{500'000};
+constexpr int kMostDoublings = 3;
+
+}  // namespace
+
+void UpstreamHealth::OnFailure(Time now) {
+  ++failures_;
+  trying_ = false;
+  if (IsSuspect()) {
+    const int doublings =
+        std::min(failures_ - kFailuresToSuspect, kMostDoublings);
+    retry_at_ = now + kFirstPause * (1 << doublings);
+  }
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -0,0 +1,108 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/upstream_table.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pathcleat/core/hash.hpp"
+
+namespace pathcleat {
+namespace {
+
+// About as many as an upstream of the users' services keeps in mind.
+constexpr std::size_t kKeysRemembered = 48;
+constexpr double kColdBurst = 1;
+
+}  // namespace
+
+UpstreamState::UpstreamState(const UpstreamInfo& entry)
+    : info(entry),
+      hash(StableHash(entry.id)),
+      keys(kKeysRemembered),
+      cold_share(0, kColdBurst) {}
+
+UpstreamTable::UpstreamTable(
+    std::map<std::string, std::string> region_of_domain)
+    : region_of_domain_(std::move(region_of_domain)) {}
+
+void UpstreamTable::Put(const UpstreamInfo& entry, Time now) {
+  auto& upstream = by_id_[entry.id];
+  if (!upstream) {
+    upstream = std::make_shared<UpstreamState>(entry);
+    by_service_[entry.service].push_back(upstream);
+  }
+  upstream->info = entry;
+  upstream->region = region_of_domain_[entry.domain];
+  if (entry.cold_for > Duration::zero()) {
+    upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
+    upstream->keys.Clear();
+  }
+}
+
+void UpstreamTable::Remove(const std::string& id) {
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) {
+    return;
+  }
+  const UpstreamPtr upstream = found->second;
+  upstream->removed = true;
+  std::erase(by_service_[upstream->info.service], upstream);
+  by_id_.erase(found);
+}
+
+void UpstreamTable::Replace(const std::vector<UpstreamInfo>& entries,
+                            Time now) {
+  std::set<std::string> listed;
+  for (const UpstreamInfo& entry : entries) {
+    listed.insert(entry.id);
+    Put(entry, now);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [id, upstream] : by_id_) {
+    if (!listed.contains(id)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    Remove(id);
+  }
+}
+
+void UpstreamTable::SetDrained(const std::string& domain, bool drained) {
+  if (drained) {
+    drained_.insert(domain);
+  } else {
+    drained_.erase(domain);
+  }
+}
+
+void UpstreamTable::SetDrains(std::set<std::string> upstreams,
+                              std::set<std::string> regions) {
+  drained_upstreams_ = std::move(upstreams);
+  drained_regions_ = std::move(regions);
+}
+
+const std::vector<UpstreamPtr>& UpstreamTable::Of(
+    std::string_view service) const {
+  static const std::vector<UpstreamPtr> none;
+  const auto found = by_service_.find(service);
+  return found == by_service_.end() ? none : found->second;
+}
+
+std::vector<UpstreamPtr> UpstreamTable::All() const {
+  std::vector<UpstreamPtr> all;
+  all.reserve(by_id_.size());
+  for (const auto& [id, upstream] : by_id_) {
+    all.push_back(upstream);
+  }
+  return all;
+}
+
+bool UpstreamTable::IsOpen(const UpstreamState& upstream) const {
+  return !upstream.removed && !upstream.info.leaving &&
+         !drained_.contains(upstream.info.domain) &&
+         !drained_upstreams_.contains(upstream.info.id) &&
+         !drained_regions_.contains(upstream.region);
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -0,0 +1,107 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/settings/entry_settings.hpp"
+
+#include "json_reader.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr Bounds kRatio{0, 100};
+constexpr Bounds kCount{0, 1e9};
+constexpr Bounds kMilliseconds{0, 3'600'000};
+
+Duration Milliseconds(double value) {
+  constexpr double kMicros = 1e3;
+  return Duration(static_cast<Duration::rep>(value * kMicros));
+}
+
+Duration MillisecondsOr(JsonReader& reader,
+                        const std::string& key,
+                        Duration fallback) {
+  return Milliseconds(
+      reader.NumberOr(key, kMilliseconds, ToMilliseconds(fallback)));
+}
+
+ListenAddresses ReadListen(JsonReader& reader) {
+  ListenAddresses listen;
+  listen.callers = reader.Text("callers");
+  listen.readiness = reader.TextOr("readiness", "");
+  listen.locate = reader.TextOr("locate", "");
+  listen.operators = reader.TextOr("operators", "");
+  return listen;
+}
+
+FleetBounds ReadBounds(JsonReader& reader) {
+  FleetBounds bounds;
+  bounds.retry_ratio =
+      reader.NumberOr("retry_ratio", kRatio, bounds.retry_ratio);
+  bounds.retry_slack =
+      reader.NumberOr("retry_slack", kCount, bounds.retry_slack);
+  bounds.cold_overage =
+      reader.NumberOr("cold_overage", kRatio, bounds.cold_overage);
+  bounds.region_shift =
+      reader.NumberOr("region_shift", kRatio, bounds.region_shift);
+  bounds.locate_ttl =
+      MillisecondsOr(reader, "locate_ttl_ms", bounds.locate_ttl);
+  bounds.stop_grace =
+      MillisecondsOr(reader, "stop_grace_ms", bounds.stop_grace);
+  return bounds;
+}
+
+CarryingCosts ReadCosts(JsonReader& reader) {
+  CarryingCosts costs;
+  costs.between_domains = reader.NumberOr("between_domains", kCount, 0);
+  costs.between_regions = reader.NumberOr("between_regions", kCount, 0);
+  return costs;
+}
+
+void ReadEntry(JsonReader& reader, EntrySettings& out) {
+  out.host = reader.Text("host");
+  out.domain = reader.Text("failure_domain");
+  out.region = reader.Text("region");
+  reader.EachObject("failure_domains", true, [&out](JsonReader& domain) {
+    out.region_of_domain[domain.Text("name")] = domain.Text("region");
+  });
+  reader.Nested("listen",
+                [&out](JsonReader& r) { out.listen = ReadListen(r); });
+  reader.Nested("peers", [&out](JsonReader& r) {
+    out.peer_address = r.Text("address");
+    out.peer_port = r.Port("port");
+    out.seeds = r.Texts("seeds");
+  });
+  reader.Nested("store", [&out](JsonReader& r) {
+    out.store_address = r.Text("address");
+  });
+  reader.Nested("bounds",
+                [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
+  reader.Nested("gigabyte_costs",
+                [&out](JsonReader& r) { out.costs = ReadCosts(r); });
+  reader.EachObject("links", false, [&out](JsonReader& link) {
+    constexpr int kNoDefault = 1;
+    out.link_limits[link.Text("to")] =
+        link.IntegerOr("max_in_flight", kCount, kNoDefault);
+  });
+  if (!out.region_of_domain.contains(out.domain)) {
+    reader.Fault("failure_domain",
+                 "'" + out.domain + "' is not among failure_domains");
+  }
+}
+
+}  // namespace
+
+LoadedEntrySettings LoadEntrySettings(const std::string& path) {
+  LoadedEntrySettings loaded;
+  const JsonFile file = ReadJsonFile(path, loaded.faults);
+  if (!file.root.is_object()) {
+    if (loaded.faults.empty()) {
+      loaded.faults.push_back({path, 1, "", "expected an object"});
+    }
+    return loaded;
+  }
+  JsonReader reader(file, file.root, "", loaded.faults);
+  ReadEntry(reader, loaded.settings);
+  reader.Finish();
+  return loaded;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/settings/read_deployment.cpp
+++ b/src/pathcleat/settings/read_deployment.cpp
@@ -1,7 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "read_deployment.hpp"
 
-#include <QHostAddress>
+#include <boost/asio/ip/network_v4.hpp>
 #include <set>
 #include <utility>
 
@@ -20,8 +20,9 @@
 
 std::string IpText(JsonReader& reader, const std::string& key) {
   std::string text = reader.Text(key);
-  const QHostAddress address(QString::fromStdString(text));
-  if (!text.empty() && address.protocol() != QAbstractSocket::IPv4Protocol) {
+  boost::system::error_code error;
+  boost::asio::ip::make_address_v4(text, error);
+  if (!text.empty() && error) {
     reader.Fault(key, "expected an IPv4 number; found '" + text + "'");
   }
   return text;
@@ -52,8 +53,6 @@
     root_.EachObject("links", false, [this](auto& r) { ReadLink(r); });
     root_.EachObject("client_blocks", false, [this](auto& r) { ReadBlock(r); });
     root_.Nested("platform", [this](auto& r) { ReadPlatform(r); });
-    root_.Nested("timing", [this](auto& r) { ReadTiming(r); });
-    CheckTiming();
     return std::move(out_);
   }
 
@@ -185,12 +184,13 @@
   void ReadBlock(JsonReader& reader) {
     ClientBlock block;
     const std::string text = reader.Text("block");
-    const auto subnet = QHostAddress::parseSubnet(QString::fromStdString(text));
-    if (subnet.second < 0) {
+    boost::system::error_code error;
+    const auto subnet = boost::asio::ip::make_network_v4(text, error);
+    if (error) {
       reader.Fault("block", "expected an IPv4 block such as 10.0.0.0/8");
     }
-    block.first_address = subnet.first.toIPv4Address();
-    block.prefix_length = subnet.second;
+    block.first_address = subnet.network().to_uint();
+    block.prefix_length = subnet.prefix_length();
     block.region = Reference(reader, "region", FindRegion());
     out_.client_blocks.push_back(block);
   }
@@ -205,37 +205,6 @@
     platform.burst = reader.IntegerOr("burst", kRate, platform.burst);
   }
 
-  void ReadTiming(JsonReader& reader) {
-    const auto read = [&reader](const char* key, Duration& field) {
-      field = FromMilliseconds(
-          reader.NumberOr(key, kMilliseconds, ToMilliseconds(field)));
-    };
-    Timing& timing = out_.timing;
-    read("heartbeat_ms", timing.heartbeat_period);
-    read("gossip_ms", timing.gossip_period);
-    read("lease_ms", timing.lease_length);
-    read("lease_renewal_ms", timing.lease_renewal);
-    read("release_margin_ms", timing.release_margin);
-    read("peer_silence_ms", timing.peer_silence);
-    read("probe_ms", timing.probe_period);
-    read("locate_ttl_ms", timing.locate_ttl);
-    read("config_poll_ms", timing.config_poll);
-    read("platform_timeout_ms", timing.platform_timeout);
-  }
-
-  void CheckTiming() {
-    const Timing& timing = out_.timing;
-    if (timing.lease_renewal * 2 > timing.lease_length) {
-      root_.Fault("timing/lease_renewal_ms",
-                  "expected at most half of lease_ms, so that one lost "
-                  "renewal does not lose the seat");
-    }
-    if (timing.peer_silence <= timing.heartbeat_period * 2) {
-      root_.Fault("timing/peer_silence_ms",
-                  "expected more than two heartbeat periods");
-    }
-  }
-
   JsonReader& root_;
   Deployment out_;
   std::set<std::string> names_;
--- a/src/pathcleat/steer/key_claim.cpp
+++ b/src/pathcleat/steer/key_claim.cpp
@@ -33,7 +33,8 @@
       // The row is another's, or this claim's own from a put whose answer
       // was lost: the token in it tells.
       return Retry(KeyAction::kRead);
-    case StoreOutcome::kUnreachable:
+    case StoreOutcome::kNotDone:
+    case StoreOutcome::kHistoryGone:
       return KeyAction::kRefuseNotRun;
   }
   return KeyAction::kRefuseNotRun;
--- a/src/pathcleat/steer/retry_budget.cpp
+++ b/src/pathcleat/steer/retry_budget.cpp
@@ -12,6 +12,11 @@
   saved_ = std::min(burst_, saved_ + share_);
 }
 
+void RetryBudget::SetBurst(double burst) {
+  burst_ = burst;
+  saved_ = std::min(saved_, burst_);
+}
+
 bool RetryBudget::TryRetry() {
   if (saved_ < 1) {
     return false;
--- a/src/pathcleat/steer/token_bucket.cpp
+++ b/src/pathcleat/steer/token_bucket.cpp
@@ -8,11 +8,27 @@
 TokenBucket::TokenBucket(double per_second, double burst)
     : per_second_(per_second), burst_(burst), tokens_(burst) {}
 
-bool TokenBucket::TryTake(Time now) {
-  if (started_) {
-    const double elapsed = std::chrono::duration<double>(now - last_).count();
-    tokens_ = std::min(burst_, tokens_ + elapsed * per_second_);
+double TokenBucket::TokensAt(Time now) const {
+  if (!started_) {
+    return tokens_;
   }
+  const double elapsed = std::chrono::duration<double>(now - last_).count();
+  return std::min(burst_, tokens_ + std::max(0.0, elapsed) * per_second_);
+}
+
+bool TokenBucket::CanTake(Time now) const {
+  return TokensAt(now) >= 1;
+}
+
+void TokenBucket::SetRate(double per_second, Time now) {
+  tokens_ = TokensAt(now);
+  started_ = true;
+  last_ = now;
+  per_second_ = per_second;
+}
+
+bool TokenBucket::TryTake(Time now) {
+  tokens_ = TokensAt(now);
   started_ = true;
   last_ = now;
   if (tokens_ < 1) {
--- /dev/null
+++ b/src/pathcleat/store/read_row.cpp
@@ -0,0 +1,24 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/store/read_row.hpp"
+
+#include <utility>
+
+namespace pathcleat {
+
+void ReadRow(TableStore& store,
+             const std::string& key,
+             std::function<void(RowRead)> callback) {
+  constexpr int kOneRow = 1;
+  const std::string after = key + '\1';
+  store.Scan(key, after, kOneRow,
+             [key, callback = std::move(callback)](const TableScan& scan) {
+               RowRead read;
+               read.outcome = scan.outcome;
+               if (!scan.rows.empty() && scan.rows.front().key == key) {
+                 read.row = scan.rows.front();
+               }
+               callback(read);
+             });
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/testing/event_loop.hpp
+++ b/src/pathcleat/testing/event_loop.hpp
@@ -7,46 +7,35 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/nullappender.h>
 
-#include <QCoreApplication>
-#include <QDeadlineTimer>
-#include <QTimer>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
-#include <memory>
 #include <string>
 
 namespace pathcleat {
 
-/// @brief An application object for a test that needs an event loop.
-class TestApplication {
- public:
-  TestApplication() : application_(argc_, argv_) {
-    // Once a process: what log4cplus has torn down cannot be used again.
-    static log4cplus::Initializer logging;
-    log4cplus::Logger::getRoot().addAppender(
-        log4cplus::SharedAppenderPtr(new log4cplus::NullAppender));
-  }
-
- private:
-  int argc_ = 1;
-  char name_[5] = "test";
-  char* argv_[2] = {name_, nullptr};
-  QCoreApplication application_;
-};
+/// @brief Silences the log of a test process.
+inline void SilenceLog() {
+  // Once a process: what log4cplus has torn down cannot be used again.
+  static log4cplus::Initializer logging;
+  log4cplus::Logger::getRoot().addAppender(
+      log4cplus::SharedAppenderPtr(new log4cplus::NullAppender));
+}
 
 /// @brief Runs the event loop until a condition holds.
 /// @return false if it did not hold for a time far beyond any needed.
-inline bool WaitUntil(const std::function<bool()>& condition) {
-  constexpr int kLongestWaitMs = 120'000;
-  constexpr int kSliceMs = 5;
-  QTimer wake;
-  wake.start(kSliceMs);
-  const QDeadlineTimer deadline(kLongestWaitMs);
+inline bool WaitUntil(boost::asio::io_context& loop,
+                      const std::function<bool()>& condition) {
+  constexpr std::chrono::seconds kLongestWait{60};
+  constexpr std::chrono::milliseconds kSlice{5};
+  const auto deadline = std::chrono::steady_clock::now() + kLongestWait;
   while (!condition()) {
-    if (deadline.hasExpired()) {
+    if (std::chrono::steady_clock::now() > deadline) {
       return false;
     }
-    QCoreApplication::processEvents(QEventLoop::WaitForMoreEvents);
+    loop.restart();
+    loop.run_one_for(kSlice);
   }
   return true;
 }
--- a/src/pathcleat/testing/raw_client.hpp
+++ b/src/pathcleat/testing/raw_client.hpp
@@ -1,47 +1,83 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <QHostAddress>
-#include <QTcpSocket>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <memory>
 #include <string>
 
-#include "event_loop.hpp"
-
 namespace pathcleat {
 
-/// @brief The bytes of a GET to the test world's service.
-inline std::string GetText(const std::string& run_id) {
-  return "GET /s/item HTTP/1.1\r\nHost: t\r\nX-Run-Id: " + run_id + "\r\n\r\n";
-}
-
 /// @brief A TCP client that sends and sees bytes as they are.
 class RawClient {
  public:
-  RawClient(const std::string& address, std::uint16_t port) {
-    QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_,
-                     [this] { received_ += socket_.readAll().toStdString(); });
-    socket_.connectToHost(QHostAddress(QString::fromStdString(address)), port);
-    WaitUntil(
-        [this] { return socket_.state() == QAbstractSocket::ConnectedState; });
+  RawClient(boost::asio::io_context& loop,
+            const std::string& address,
+            std::uint16_t port)
+      : shared_(std::make_shared<Shared>(loop)) {
+    shared_->socket.connect({boost::asio::ip::make_address(address), port});
+    Read(shared_);
   }
+  ~RawClient() { Close(); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
 
   void Send(const std::string& bytes) {
-    socket_.write(bytes.data(), static_cast<qint64>(bytes.size()));
-    socket_.flush();
+    shared_->unsent += bytes;
+    Write(shared_);
   }
-  void Close() { socket_.abort(); }
-  bool IsClosed() const {
-    return socket_.state() == QAbstractSocket::UnconnectedState;
+  void Close() {
+    boost::system::error_code error;
+    shared_->socket.close(error);
   }
-  const std::string& received() const { return received_; }
+  bool IsClosed() const { return shared_->closed; }
+  const std::string& received() const { return shared_->received; }
   bool Has(const std::string& text) const {
-    return received_.find(text) != std::string::npos;
+    return shared_->received.find(text) != std::string::npos;
   }
-  qint64 unsent() const { return socket_.bytesToWrite(); }
 
  private:
-  QTcpSocket socket_;
-  std::string received_;
+  struct Shared {
+    explicit Shared(boost::asio::io_context& loop) : socket(loop) {}
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 65536> buffer{};
+    std::string received;
+    std::string unsent;
+    std::string sending;
+    bool closed = false;
+  };
+
+  static void Write(const std::shared_ptr<Shared>& shared) {
+    if (!shared->sending.empty() || shared->unsent.empty()) {
+      return;
+    }
+    shared->sending.swap(shared->unsent);
+    boost::asio::async_write(
+        shared->socket, boost::asio::buffer(shared->sending),
+        [shared](const boost::system::error_code& error, std::size_t) {
+          shared->sending.clear();
+          if (!error) {
+            Write(shared);
+          }
+        });
+  }
+
+  static void Read(const std::shared_ptr<Shared>& shared) {
+    shared->socket.async_read_some(
+        boost::asio::buffer(shared->buffer),
+        [shared](const boost::system::error_code& error, std::size_t bytes) {
+          if (error) {
+            shared->closed = true;
+            return;
+          }
+          shared->received.append(shared->buffer.data(), bytes);
+          Read(shared);
+        });
+  }
+
+  std::shared_ptr<Shared> shared_;
 };
 
 }  // namespace pathcleat
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -4,7 +4,7 @@
 # does nothing where they are there.
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format-14 clang-tidy-14 curl
-  libboost1.81-dev qt6-base-dev liblog4cplus-dev libdocopt-dev libcereal-dev
+  libboost1.81-dev libboost-url1.81-dev libsodium-dev liblog4cplus-dev libdocopt-dev libcereal-dev
   libcriterion-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev)
 missing=()
 for package in "${packages[@]}"; do
