Hosts that the platform does not serve follow their peers

TCP probes find a dead watch after 3 s.

Measured: source_watcher_test and host_turned_away_by_the_platform pass and fail without the mechanism.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -47,6 +47,7 @@
   kCommandAccepted = 1603,
   kShiftStep = 1604,
   kShiftHeld = 1605,
+  kTakenFromPeer = 1606,
   kPeerRejected = 1701,
   kOperatorRejected = 1702,
 };
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -22,11 +22,12 @@
  public:
   /// @param versions tells how far this host has come.
   /// @param on_versions told how far others have come.
-  PeerLink(boost::asio::io_context& loop,
-           HostTable& hosts,
-           EventLog& events,
-           std::function<HostVersions()> versions,
-           std::function<void(const HostVersions&)> on_versions);
+  PeerLink(
+      boost::asio::io_context& loop,
+      HostTable& hosts,
+      EventLog& events,
+      std::function<HostVersions()> versions,
+      std::function<void(const HostInfo&, const HostVersions&)> on_versions);
 
   Result<void> Open(const std::string& address, std::uint16_t port);
 
@@ -49,7 +50,7 @@
   HostTable& hosts_;
   EventLog& events_;
   std::function<HostVersions()> versions_;
-  std::function<void(const HostVersions&)> on_versions_;
+  std::function<void(const HostInfo&, const HostVersions&)> on_versions_;
   std::string key_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
--- /dev/null
+++ b/include/pathcleat/gateway/fleet_snapshot.hpp
@@ -0,0 +1,36 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pathcleat/routing/routing_config.hpp"
+#include "pathcleat/routing/upstream_info.hpp"
+#include "pathcleat/store/fleet_source.hpp"
+
+namespace pathcleat {
+
+/// @brief All that one host knows of a topic: what another one takes over
+/// while it cannot reach the platform itself.
+/// @ingroup gateway
+struct FleetSnapshot {
+  SourceTopic topic = SourceTopic::kOrders;
+  std::uint64_t version = 0;            ///< of the source
+  RoutingConfig config;                 ///< for kOrders
+  std::set<std::string> drained;        ///< for kOrders: failure domains
+  std::vector<UpstreamInfo> upstreams;  ///< for kUpstreams
+};
+
+/// @brief A snapshot's bytes (cereal, portable binary).
+/// @ingroup gateway
+std::string EncodeSnapshot(const FleetSnapshot& snapshot);
+
+/// @brief Reads a snapshot; nothing if the bytes are none.
+/// @ingroup gateway
+std::optional<FleetSnapshot> DecodeSnapshot(std::string_view bytes);
+
+}  // namespace pathcleat
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/host_registry.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
+#include "pathcleat/gateway/peer_snapshots.hpp"
 #include "pathcleat/gateway/source_watcher.hpp"
 #include "pathcleat/http/http_server.hpp"
 
@@ -55,7 +56,9 @@
   void Tick();
   void FinishStop();
   void AwaitQuiet();
-  void OnPeerVersions(const HostVersions& versions);
+  void OnPeerVersions(const HostInfo& peer, const HostVersions& versions);
+  FleetSnapshot Snapshot(SourceTopic topic) const;
+  void OnSnapshot(const FleetSnapshot& snapshot);
   void OnSecrets();
   void OnCommands();
   HostVersions Versions() const;
@@ -67,6 +70,7 @@
   FleetSecrets secrets_;
   CommandLog commands_;
   PeerLink peers_;
+  PeerSnapshots snapshots_;
   HostRegistry registry_;
   SourceWatcher orders_;
   SourceWatcher upstream_list_;
--- a/include/pathcleat/gateway/source_watcher.hpp
+++ b/include/pathcleat/gateway/source_watcher.hpp
@@ -41,6 +41,14 @@
   /// either before long, its watch is taken for dead and begun anew.
   void OnPeerVersion(std::uint64_t version, Time now);
 
+  /// @brief What this host knows by now from elsewhere: the watch goes on
+  /// from there.
+  void AdoptVersion(std::uint64_t version);
+
+  /// @brief Whether others have known more than this host for a while, so
+  /// that it had better ask them.
+  bool IsBehind(std::uint64_t peer_version, Time now) const;
+
   /// @brief Version up to which the topic is known here.
   std::uint64_t version() const { return version_; }
 
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -47,6 +47,7 @@
     EventInfo{kCommandAccepted, "command-accepted", kInfo},
     EventInfo{kShiftStep, "shift-step", kInfo},
     EventInfo{kShiftHeld, "shift-held", kWarning},
+    EventInfo{kTakenFromPeer, "taken-from-peer", kInfo},
     EventInfo{kPeerRejected, "peer-rejected", kAlarm},
     EventInfo{kOperatorRejected, "operator-rejected", kAlarm},
 };
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -20,11 +20,12 @@
 
 }  // namespace
 
-PeerLink::PeerLink(boost::asio::io_context& loop,
-                   HostTable& hosts,
-                   EventLog& events,
-                   std::function<HostVersions()> versions,
-                   std::function<void(const HostVersions&)> on_versions)
+PeerLink::PeerLink(
+    boost::asio::io_context& loop,
+    HostTable& hosts,
+    EventLog& events,
+    std::function<HostVersions()> versions,
+    std::function<void(const HostInfo&, const HostVersions&)> on_versions)
     : hosts_(hosts),
       events_(events),
       versions_(std::move(versions)),
@@ -132,7 +133,7 @@
     events_.Record(EventCode::kPeerHeard, heartbeat->host.name,
                    "heartbeats arrive from " + heartbeat->host.domain);
   }
-  on_versions_(heartbeat->versions);
+  on_versions_(heartbeat->host, heartbeat->versions);
   if (heartbeat->wants_reply) {
     SendTo(heartbeat->host.peer_address, false);
   }
--- /dev/null
+++ b/src/pathcleat/gateway/fleet_snapshot.cpp
@@ -0,0 +1,82 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/fleet_snapshot.hpp"
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <chrono>
+#include <sstream>
+
+namespace pathcleat {
+
+// cereal finds these by argument-dependent lookup.
+// NOLINTBEGIN(readability-identifier-naming)
+template <class Archive, class Length>
+void Transfer(Archive& archive, Length& length) {
+  auto count = static_cast<std::int64_t>(length.count());
+  archive(count);
+  length = Length(count);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RouteSplit& split) {
+  archive(split.service, split.weight);
+}
+
+template <class Archive>
+void serialize(Archive& archive, Route& route) {
+  archive(route.name, route.host, route.path_prefix, route.splits,
+          route.repeatable, route.large_answers, route.sticky, route.priority,
+          route.max_attempts, route.home_regions);
+  Transfer(archive, route.timeout);
+  Transfer(archive, route.target_latency);
+}
+
+template <class Archive>
+void serialize(Archive& archive, ServiceInfo& service) {
+  archive(service.name, service.health_path, service.max_connections,
+          service.cold_per_second);
+}
+
+template <class Archive>
+void serialize(Archive& archive, HttpLimits& limits) {
+  archive(limits.header_bytes, limits.body_bytes);
+  Transfer(archive, limits.idle_time);
+  Transfer(archive, limits.read_time);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RoutingConfig& config) {
+  archive(config.version, config.routes, config.services, config.caller_limits);
+}
+
+template <class Archive>
+void serialize(Archive& archive, FleetSnapshot& snapshot) {
+  archive(snapshot.topic, snapshot.version, snapshot.config, snapshot.drained,
+          snapshot.upstreams);
+}
+// NOLINTEND(readability-identifier-naming)
+
+std::string EncodeSnapshot(const FleetSnapshot& snapshot) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    archive(snapshot);
+  }
+  return stream.str();
+}
+
+std::optional<FleetSnapshot> DecodeSnapshot(std::string_view bytes) {
+  std::istringstream stream{std::string(bytes)};
+  try {
+    cereal::PortableBinaryInputArchive archive(stream);
+    FleetSnapshot snapshot;
+    archive(snapshot);
+    return snapshot;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -44,7 +44,13 @@
           state_.hosts,
           state_.events,
           [this] { return Versions(); },
-          [this](const HostVersions& versions) { OnPeerVersions(versions); }),
+          [this](const HostInfo& peer, const HostVersions& versions) {
+            OnPeerVersions(peer, versions);
+          }),
+      snapshots_(
+          loop,
+          [this](SourceTopic topic) { return Snapshot(topic); },
+          [this](const FleetSnapshot& snapshot) { OnSnapshot(snapshot); }),
       registry_(loop, store, state_.hosts, [this] { peers_.Announce(); }),
       orders_(
           loop,
@@ -92,6 +98,7 @@
   BOOST_LEAF_CHECK(ListenAt(locate_, settings.listen.locate));
   BOOST_LEAF_CHECK(ListenAt(operators_, settings.listen.operators));
   BOOST_LEAF_CHECK(peers_.Open(settings.peer_address, settings.peer_port));
+  BOOST_LEAF_CHECK(snapshots_.Open(settings.peer_address, settings.peer_port));
   orders_.Start();
   upstream_list_.Start();
   secrets_.Start();
@@ -113,15 +120,75 @@
           upstream_list_.version()};
 }
 
-void Gateway::OnPeerVersions(const HostVersions& versions) {
+void Gateway::OnPeerVersions(const HostInfo& peer,
+                             const HostVersions& versions) {
   const Time now = BootClock::now();
   commands_.OnPeerVersion(versions.commands);
   orders_.OnPeerVersion(versions.orders, now);
   upstream_list_.OnPeerVersion(versions.upstreams, now);
+  if (orders_.IsBehind(versions.orders, now)) {
+    snapshots_.Fetch(SourceTopic::kOrders, peer.peer_address);
+  }
+  if (upstream_list_.IsBehind(versions.upstreams, now)) {
+    snapshots_.Fetch(SourceTopic::kUpstreams, peer.peer_address);
+  }
+}
+
+FleetSnapshot Gateway::Snapshot(SourceTopic topic) const {
+  const Time now = BootClock::now();
+  FleetSnapshot snapshot;
+  snapshot.topic = topic;
+  if (topic == SourceTopic::kOrders) {
+    snapshot.version = orders_.version();
+    snapshot.drained = state_.upstreams.drained_domains();
+    if (state_.routes.IsKnown()) {
+      snapshot.config = state_.routes.config();
+    }
+    return snapshot;
+  }
+  snapshot.version = upstream_list_.version();
+  for (const UpstreamPtr& upstream : state_.upstreams.All()) {
+    UpstreamInfo info = upstream->info;
+    info.cold_for = std::max(Duration::zero(), upstream->cold_until - now);
+    snapshot.upstreams.push_back(info);
+  }
+  return snapshot;
+}
+
+// Taken over only if it is newer than what this host has seen itself.
+void Gateway::OnSnapshot(const FleetSnapshot& snapshot) {
+  SourceWatcher& watcher =
+      snapshot.topic == SourceTopic::kOrders ? orders_ : upstream_list_;
+  if (snapshot.version <= watcher.version()) {
+    return;
+  }
+  SourceUpdate update;
+  update.whole = true;
+  if (snapshot.topic == SourceTopic::kOrders) {
+    if (snapshot.config.version > 0) {
+      update.changes.emplace_back(snapshot.config);
+    }
+    for (const std::string& domain : snapshot.drained) {
+      update.changes.emplace_back(DomainDrain{domain, true});
+    }
+    OnOrders(update);
+  } else {
+    for (const UpstreamInfo& upstream : snapshot.upstreams) {
+      update.changes.emplace_back(upstream);
+    }
+    OnUpstreams(update);
+  }
+  watcher.AdoptVersion(snapshot.version);
+  state_.events.Record(EventCode::kTakenFromPeer,
+                       std::to_string(snapshot.version),
+                       snapshot.topic == SourceTopic::kOrders
+                           ? "orders, the platform not being heard"
+                           : "upstreams, the platform not being heard");
 }
 
 void Gateway::OnSecrets() {
   peers_.SetKey(secrets_.peer_key());
+  snapshots_.SetKey(secrets_.peer_key());
   peers_.Announce();
 }
 
--- a/src/pathcleat/gateway/source_watcher.cpp
+++ b/src/pathcleat/gateway/source_watcher.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kWatchTime{20'000'000};
 // A watch that has not told for so long what others know is dead.
 constexpr Duration kDeadWatchAfter{700'000};
+// Behind for so long, a host asks the others.
+constexpr Duration kAskPeersAfter{400'000};
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr int kMostDoublings = 3;
 
@@ -51,9 +53,12 @@
     Read(answer.next);
     return;
   }
-  version_ = first_page_version_;
-  loaded_ = true;
-  handler_(std::exchange(page_, {}));
+  const SourceUpdate update = std::exchange(page_, {});
+  if (first_page_version_ >= version_) {
+    version_ = first_page_version_;
+    loaded_ = true;
+    handler_(update);
+  }
   Watch();
 }
 
@@ -72,9 +77,12 @@
     Pause([this] { Watch(); });
     return;
   }
-  version_ = std::max(version_, answer.version);
-  if (!answer.changes.empty()) {
-    handler_({false, answer.changes});
+  // What has since been taken from a peer may be newer than this answer.
+  if (answer.version >= version_) {
+    version_ = answer.version;
+    if (!answer.changes.empty()) {
+      handler_({false, answer.changes});
+    }
   }
   Watch();
 }
@@ -105,6 +113,25 @@
   }
 }
 
+bool SourceWatcher::IsBehind(std::uint64_t peer_version, Time now) const {
+  const bool late = behind_since_ && now - *behind_since_ > kAskPeersAfter;
+  return peer_version > version_ && (late || !reached_);
+}
+
+void SourceWatcher::AdoptVersion(std::uint64_t version) {
+  if (version <= version_) {
+    return;
+  }
+  version_ = version;
+  behind_since_.reset();
+  const bool was_loaded = std::exchange(loaded_, true);
+  if (!was_loaded) {
+    // The first read goes on failing; from now on a watch is enough.
+    ++generation_;
+    Watch();
+  }
+}
+
 void SourceWatcher::Pause(std::function<void()> next) {
   timer_.expires_after(kFirstPause *
                        (1 << std::min(failures_ - 1, kMostDoublings)));
--- /dev/null
+++ b/src/pathcleat/gateway/source_watcher_test.cpp
@@ -0,0 +1,111 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/source_watcher.hpp"
+
+#include <vector>
+
+#include "event_loop.hpp"
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+// A source whose answers the test gives by hand.
+class HandSource : public FleetSource {
+ public:
+  void Read(SourceTopic, const std::string&, Callback callback) override {
+    reads.push_back(std::move(callback));
+  }
+  void Watch(SourceTopic,
+             std::uint64_t after,
+             Duration,
+             Callback callback) override {
+    watched_after = after;
+    watches.push_back(std::move(callback));
+  }
+
+  std::vector<Callback> reads;
+  std::vector<Callback> watches;
+  std::uint64_t watched_after = 0;
+};
+
+struct WatcherWorld {
+  WatcherWorld()
+      : watcher(
+            loop,
+            source,
+            SourceTopic::kUpstreams,
+            [this](const SourceUpdate& update) { updates.push_back(update); },
+            [](bool) {}) {
+    watcher.Start();
+  }
+
+  static SourceAnswer Done(std::uint64_t version,
+                           std::vector<FleetChange> changes = {}) {
+    return {StoreOutcome::kDone, std::move(changes), version, ""};
+  }
+
+  boost::asio::io_context loop{1};
+  HandSource source;
+  std::vector<SourceUpdate> updates;
+  SourceWatcher watcher;
+};
+
+Test(source_watcher, reads_whole_then_watches_from_there) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  cr_assert_eq(world.updates.size(), 1U);
+  cr_assert(world.updates[0].whole);
+  cr_assert_eq(world.source.watched_after, 7U);
+  world.source.watches.back()(WatcherWorld::Done(9, {UpstreamGone{"u"}}));
+  cr_assert_not(world.updates[1].whole);
+  cr_assert_eq(world.source.watched_after, 9U);
+}
+
+Test(source_watcher, lost_history_is_read_whole_again) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  world.source.watches.back()({StoreOutcome::kHistoryGone, {}, 0, ""});
+  cr_assert_eq(world.source.reads.size(), 2U);
+}
+
+// A watch begun before a peer told more would bring back what has since
+// gone. Checked to fail with the comparison in OnWatch taken out.
+Test(source_watcher, answer_older_than_what_a_peer_told_is_dropped) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  world.watcher.AdoptVersion(20);
+  UpstreamInfo removed_since;
+  removed_since.id = "gone";
+  world.source.watches.back()(WatcherWorld::Done(9, {removed_since}));
+  cr_assert_eq(world.updates.size(), 1U);
+  cr_assert_eq(world.source.watched_after, 20U);
+}
+
+Test(source_watcher, silent_watch_is_begun_anew_when_peers_know_more) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  const Time now{Duration(1'000'000)};
+  world.watcher.OnPeerVersion(8, now);
+  cr_assert_eq(world.source.watches.size(), 1U);
+  world.watcher.OnPeerVersion(8, now + Duration(2'000'000));
+  cr_assert_eq(world.source.watches.size(), 2U);
+  // The answer to the watch given up does not count any more.
+  world.source.watches.front()(WatcherWorld::Done(8, {UpstreamGone{"u"}}));
+  cr_assert_eq(world.updates.size(), 1U);
+  world.source.watches.back()(WatcherWorld::Done(8, {UpstreamGone{"u"}}));
+  cr_assert_eq(world.updates.size(), 2U);
+}
+
+// Pages are as of different moments: the watch begins at the first one's.
+Test(source_watcher, watch_begins_at_the_first_page) {
+  WatcherWorld world;
+  SourceAnswer first = WatcherWorld::Done(7, {UpstreamGone{"a"}});
+  first.next = "b";
+  world.source.reads.back()(first);
+  world.source.reads.back()(WatcherWorld::Done(11, {UpstreamGone{"b"}}));
+  cr_assert_eq(world.source.watched_after, 7U);
+  cr_assert_eq(world.updates[0].changes.size(), 2U);
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -23,8 +23,18 @@
 constexpr unsigned kUnackedTimeoutMs = 3'000;
 constexpr int kFirstFinalStatus = 200;
 
-using UserTimeout =
-    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+// A peer that is cut off says nothing: probes find it out where nothing is
+// written, as in a long watch.
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbes = 2;
+
+template <int Name>
+using TcpOption =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
+using KeepAliveIdle = TcpOption<TCP_KEEPIDLE>;
+using KeepAliveInterval = TcpOption<TCP_KEEPINTVL>;
+using KeepAliveCount = TcpOption<TCP_KEEPCNT>;
+using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
 
 // The "timeout" parameter of a Keep-Alive field, in whole seconds.
 Duration KeepAliveOf(const HttpResponse& response) {
@@ -101,22 +111,27 @@
     socket_.bind({local, 0}, ignored);
   }
   const Time began = BootClock::now();
-  socket_.async_connect(
-      endpoint_, [self = shared_from_this(), began](const error_code& error) {
-        if (self->closed_ || !self->callback_) {
-          return;
-        }
-        if (error) {
-          self->Fail(CallOutcome::kNotSent, error.message());
-          return;
-        }
-        error_code ignored;
-        self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-        self->socket_.set_option(UserTimeout(kUnackedTimeoutMs), ignored);
-        self->connected_ = true;
-        self->connect_time_ = BootClock::now() - began;
-        self->Write();
-      });
+  socket_.async_connect(endpoint_, [self = shared_from_this(),
+                                    began](const error_code& error) {
+    if (self->closed_ || !self->callback_) {
+      return;
+    }
+    if (error) {
+      self->Fail(CallOutcome::kNotSent, error.message());
+      return;
+    }
+    error_code ignored;
+    self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    self->socket_.set_option(UserTimeout(kUnackedTimeoutMs), ignored);
+    self->socket_.set_option(boost::asio::socket_base::keep_alive(true),
+                             ignored);
+    self->socket_.set_option(KeepAliveIdle(kProbeAfterSeconds), ignored);
+    self->socket_.set_option(KeepAliveInterval(kProbeAfterSeconds), ignored);
+    self->socket_.set_option(KeepAliveCount(kProbes), ignored);
+    self->connected_ = true;
+    self->connect_time_ = BootClock::now() - began;
+    self->Write();
+  });
 }
 
 void HttpClient::Write() {
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -202,6 +202,32 @@
   }));
 }
 
+// The platform turns one host away and serves the others: what they learn
+// reaches it. Checked to fail with snapshots_.Fetch taken out.
+Test(faults, host_turned_away_by_the_platform_follows_its_peers) {
+  TestWorld world;
+  world.StartAll();
+  platform::StandInFaults away;
+  away.turned_away = {TestWorld::StoreSideAddress(1)};
+  world.platform().SetFaults(away);
+  RoutingConfig newer = world.config();
+  newer.version = 2;
+  world.platform().PutConfig(newer);
+  UpstreamInfo leaving = world.upstream_info(0);
+  leaving.leaving = true;
+  world.platform().PutUpstream(leaving);
+  world.platform().SetEvacuated("domain-0", true);
+  // The watches that wait at the platform may still have told one change.
+  cr_assert(world.Await([&] {
+    const GatewayState& state = world.host(1).state();
+    const auto all = state.upstreams.All();
+    return state.routes.version() == 2 &&
+           state.upstreams.drained_domains().contains("domain-0") &&
+           std::any_of(all.begin(), all.end(),
+                       [](const UpstreamPtr& u) { return u->info.leaving; });
+  }));
+}
+
 Test(faults, host_without_configuration_says_503_and_is_not_ready) {
   TestWorld world;
   platform::StandInFaults away;
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -53,6 +53,7 @@
     platform::PlatformOptions options;
     options.address = store_address_;
     options.call_timeout = Duration(500'000);
+    options.local_address = StoreSideAddress(index);
     host.table = std::make_unique<platform::PlatformTable>(loop_, options);
     host.feed = std::make_unique<platform::FleetFeed>(loop_, options);
     host.gateway = std::make_unique<Gateway>(loop_, host.settings,
@@ -99,6 +100,11 @@
     }
   }
 
+  /// @brief IP number that a host calls the platform from.
+  static std::string StoreSideAddress(std::size_t host) {
+    return "127.200.0." + std::to_string(host + 1);
+  }
+
   Gateway& host(std::size_t index) { return *hosts_[index]->gateway; }
   UpstreamStandIn& upstream(std::size_t i) { return *upstreams_[i]; }
   const UpstreamInfo& upstream_info(std::size_t i) const { return infos_[i]; }
