An upstream that keeps requests and answers nothing gets no more

A host noticed one by its second failure, which for a submission comes at its time-out, 2 s later; until then it kept sending.

Change: while requests are at an upstream and nothing of any kind has come back for three times the expected time, 0.6 s at least, it gets no more; an answer opens it again. The planned stop's test now answers only after the host takes nobody any more: with Finish closing at once it had passed.

--- a/include/pathcleat/routing/upstream_health.hpp
+++ b/include/pathcleat/routing/upstream_health.hpp
@@ -7,32 +7,49 @@
 
 /// @brief Whether an upstream is worth sending to, judged by this host's own
 /// attempts alone. After failures in a row it is left alone for a time that
-/// doubles; then one request at a time tries it.
+/// doubles; then one request at a time tries it. While requests are there and
+/// nothing at all comes back, it gets no more.
 /// @ingroup routing
 class UpstreamHealth {
  public:
+  /// @brief A request is sent to it.
+  /// @param expected time until its answer.
+  void OnSent(Duration expected, Time now);
+
+  /// @brief A request sent to it has ended, in whatever way.
+  void OnEnded() { --under_way_; }
+
+  /// @brief It gave an answer of any kind.
+  void OnHeard(Time now) { quiet_since_ = now; }
+
   void OnSuccess() {
     failures_ = 0;
     trying_ = false;
   }
   void OnFailure(Time now);
 
-  /// @brief A request is sent to it.
-  void OnSent() { trying_ = failures_ >= kFailuresToSuspect; }
-
   bool IsSuspect() const { return failures_ >= kFailuresToSuspect; }
 
+  /// @brief Whether it has kept requests for far longer than expected without
+  /// answering any.
+  bool IsSilent(Time now) const {
+    return under_way_ > 0 && now - quiet_since_ > patience_;
+  }
+
   /// @brief Whether a request may be sent now.
   bool MayTry(Time now) const {
-    return !IsSuspect() || (now >= retry_at_ && !trying_);
+    return !IsSilent(now) && (!IsSuspect() || (now >= retry_at_ && !trying_));
   }
 
  private:
   static constexpr int kFailuresToSuspect = 2;
 
   int failures_ = 0;
+  int under_way_ = 0;
   bool trying_ = false;
   Time retry_at_;
+  Time quiet_since_;  ///< last answer, or first request sent since none
+  Duration patience_{0};
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -168,7 +168,7 @@
   upstream_ = pick.upstream;
   upstream.load.OnSent();
   state_.picker.links().OnSent(upstream.region);
-  upstream.health.OnSent();
+  upstream.health.OnSent(pick.expected, now);
   if (upstream.IsCold(now)) {
     upstream.cold_share.TryTake(now);
   }
@@ -192,6 +192,7 @@
   const HttpClientPtr client = std::exchange(client_, nullptr);
   const UpstreamPtr upstream = std::exchange(upstream_, nullptr);
   if (result.outcome == CallOutcome::kAnswered) {
+    upstream->health.OnHeard(BootClock::now());
     if (const auto report = LoadReportIn(state_.headers, result.response)) {
       upstream->load.OnReport(*report, BootClock::now());
     }
@@ -233,6 +234,7 @@
 
 void Call::EndAttempt(UpstreamState& upstream) {
   upstream.load.OnEnded();
+  upstream.health.OnEnded();
   state_.picker.links().OnEnded(upstream.region);
 }
 
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -243,7 +243,7 @@
 }
 
 // Promise: a planned stop cuts no request in flight.
-// Checked to fail with FinishAndClose cutting all connections at once.
+// Checked to fail with ServerSession::Finish closing at once.
 Test(promise, planned_stop_cuts_nothing_in_flight) {
   TestWorld world;
   world.StartAll();
@@ -262,6 +262,16 @@
   RawClient late(world.loop(), world.address(), world.CallerPort(0));
   late.Send(GetText("late"));
   cr_assert(world.Await([&] { return world.InFlight() == 2; }));
+  // Only when it takes no one any more are the last answers given.
+  cr_assert(world.Await([&] {
+    boost::asio::ip::tcp::socket knock(world.loop());
+    boost::system::error_code refused;
+    knock.connect(
+        {boost::asio::ip::make_address(world.address()), world.CallerPort(0)},
+        refused);
+    return bool(refused);
+  }));
+  cr_assert_not(stopped);
   world.ForEachUpstream([](UpstreamStandIn& u) {
     u.AnswerRun("held");
     u.AnswerRun("late");
