A planned stop ends the process within the grace time

Their last line, PC1003 with nothing left unanswered, came 4.5 s after SIGTERM, the process stayed beyond 6 s: the logging library joins its threads at a normal end.

Ruled out: requests or connections that keep the host (PC1003 says none), the stop's timer (4.5 s as set).

Change: after the event loop has ended the process leaves without a normal end; nothing is kept in it.

--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -124,7 +124,11 @@
       [&]() -> Result<int> {
         BOOST_LEAF_CHECK(gateway.Start());
         loop.run();
-        return kDone;
+        // The logging library joins its threads at a normal end, which took
+        // longer than the grace time leaves. Nothing is kept here: all is
+        // answered by now, and what lasts is in the store.
+        std::cerr.flush();
+        std::_Exit(kDone);
       },
       [](const Error& error) {
         std::cerr << ToString(error) << "\n";
