--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -1,31 +1,18 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/fleet/heartbeat.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
-#include <sstream>
+
+#include "pathcleat/core/binary_codec.hpp"
 
 namespace pathcleat {
 
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(heartbeat);
-  }
-  return stream.str();
+  return EncodeBinary(heartbeat);
 }
 
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
-  std::istringstream stream{std::string(bytes)};
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    Heartbeat heartbeat;
-    archive(heartbeat);
-    return heartbeat;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return DecodeBinary<Heartbeat>(bytes);
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/command_log.cpp
+++ b/src/pathcleat/gateway/command_log.cpp
@@ -2,14 +2,12 @@
 #include "pathcleat/gateway/command_log.hpp"
 
 #include <array>
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cstdio>
-#include <optional>
-#include <sstream>
 #include <utility>
 
+#include "pathcleat/core/binary_codec.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/store/read_row.hpp"
 
@@ -30,27 +28,6 @@
   return std::string(kPrefix) + digits.data();
 }
 
-std::string Encode(const ConfigChange& change) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(change);
-  }
-  return stream.str();
-}
-
-std::optional<ConfigChange> Decode(const std::string& bytes) {
-  std::istringstream stream(bytes);
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    ConfigChange change;
-    archive(change);
-    return change;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 struct CommandLog::Command {
@@ -107,7 +84,7 @@
   }
   std::vector<ConfigChange> changes;
   for (const TableRow& row : scan.rows) {
-    if (auto change = Decode(row.value)) {
+    if (auto change = DecodeBinary<ConfigChange>(row.value)) {
       changes.push_back(std::move(*change));
     } else {
       events_.Record(EventCode::kSettingsFault, row.key,
@@ -162,24 +139,24 @@
 }
 
 void CommandLog::Write(const CommandPtr& command) {
-  store_.Write(RowName(command->change.version), 0, Encode(command->change),
-               [this, command](const TableWrite& write) {
-                 switch (write.outcome) {
-                   case StoreOutcome::kDone:
-                     Accept(command);
-                     return;
-                   case StoreOutcome::kNotDone:
-                   case StoreOutcome::kHistoryGone:
-                     Reject(command,
-                            {ErrorCode::kUnreachable, "write configuration",
+  store_.Write(
+      RowName(command->change.version), 0, EncodeBinary(command->change),
+      [this, command](const TableWrite& write) {
+        switch (write.outcome) {
+          case StoreOutcome::kDone:
+            Accept(command);
+            return;
+          case StoreOutcome::kNotDone:
+          case StoreOutcome::kHistoryGone:
+            Reject(command, {ErrorCode::kUnreachable, "write configuration",
                              "table service", "not done; nothing changed"});
-                     return;
-                   case StoreOutcome::kConflict:
-                   case StoreOutcome::kUnknown:
-                     ReadBack(command, kReadBackTries);
-                     return;
-                 }
-               });
+            return;
+          case StoreOutcome::kConflict:
+          case StoreOutcome::kUnknown:
+            ReadBack(command, kReadBackTries);
+            return;
+        }
+      });
 }
 
 void CommandLog::ReadBack(const CommandPtr& command, int tries_left) {
@@ -190,7 +167,7 @@
           ReadBack(command, tries_left - 1);
           return;
         }
-        const auto change = Decode(read.row.value);
+        const auto change = DecodeBinary<ConfigChange>(read.row.value);
         if (change && change->command_id == command->change.command_id) {
           Accept(command);
           return;
--- a/src/pathcleat/gateway/fleet_snapshot.cpp
+++ b/src/pathcleat/gateway/fleet_snapshot.cpp
@@ -1,12 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/fleet_snapshot.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <chrono>
-#include <sstream>
+
+#include "pathcleat/core/binary_codec.hpp"
 
 namespace pathcleat {
 
@@ -59,24 +59,11 @@
 // NOLINTEND(readability-identifier-naming)
 
 std::string EncodeSnapshot(const FleetSnapshot& snapshot) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(snapshot);
-  }
-  return stream.str();
+  return EncodeBinary(snapshot);
 }
 
 std::optional<FleetSnapshot> DecodeSnapshot(std::string_view bytes) {
-  std::istringstream stream{std::string(bytes)};
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    FleetSnapshot snapshot;
-    archive(snapshot);
-    return snapshot;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
+  return DecodeBinary<FleetSnapshot>(bytes);
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/host_registry.cpp
+++ b/src/pathcleat/gateway/host_registry.cpp
@@ -1,12 +1,11 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/host_registry.hpp"
 
-#include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/string.hpp>
-#include <optional>
-#include <sstream>
 #include <utility>
 
+#include "pathcleat/core/binary_codec.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -15,27 +14,6 @@
 constexpr int kPageRows = 500;
 constexpr std::chrono::milliseconds kRetryPause{1'000};
 
-std::string Encode(const HostInfo& host) {
-  std::ostringstream stream;
-  {
-    cereal::PortableBinaryOutputArchive archive(stream);
-    archive(host);
-  }
-  return stream.str();
-}
-
-std::optional<HostInfo> Decode(const std::string& bytes) {
-  std::istringstream stream(bytes);
-  try {
-    cereal::PortableBinaryInputArchive archive(stream);
-    HostInfo host;
-    archive(host);
-    return host;
-  } catch (const std::exception&) {
-    return std::nullopt;
-  }
-}
-
 }  // namespace
 
 HostRegistry::HostRegistry(boost::asio::io_context& loop,
@@ -53,7 +31,7 @@
 
 void HostRegistry::WriteOwn() {
   const HostInfo& self = hosts_.self();
-  store_.Overwrite(kPrefix + self.name, Encode(self),
+  store_.Overwrite(kPrefix + self.name, EncodeBinary(self),
                    [this](const TableWrite& write) {
                      if (write.outcome == StoreOutcome::kDone) {
                        ReadOthers(kPrefix);
@@ -75,7 +53,7 @@
   }
   const Time now = BootClock::now();
   for (const TableRow& row : scan.rows) {
-    if (const auto host = Decode(row.value)) {
+    if (const auto host = DecodeBinary<HostInfo>(row.value)) {
       hosts_.OnListed(*host, now);
     }
   }
