Few hosts send to a cold upstream at a time

Ruled out: upstreams that turn cold unknown to a host (the entries told it).

Change: all hosts rank the senders for a cold upstream alike, near ones first; half of the slack's number send, the rate is theirs alone (routing/cold_share). cold_slack is a bound of the settings; cold_overage and region_shift, read and never used, are gone.

--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -60,6 +60,8 @@
   bool store_reached = false;
 
  private:
+  /// @brief This host's share of what each cold upstream bears.
+  void ShareCold(Time now);
   double RetryBurst(Time now) const;
 };
 
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -23,10 +23,9 @@
 /// @brief Bounds on what all hosts together may do.
 /// @ingroup settings
 struct FleetBounds {
-  double retry_ratio = 0.2;    ///< retries a request, in any window
-  double retry_slack = 50;     ///< and so many more in any window
-  double cold_overage = 1.5;   ///< of what a cold upstream bears
-  double region_shift = 0.15;  ///< change of region from window to window
+  double retry_ratio = 0.2;  ///< retries a request, in any window
+  double retry_slack = 50;   ///< and so many more in any window
+  double cold_slack = 5;     ///< requests a second beyond what one bears
   Duration locate_ttl{2'000'000};
   Duration stop_grace{6'000'000};  ///< from a planned stop to the end
 };
--- a/include/pathcleat/steer/token_bucket.hpp
+++ b/include/pathcleat/steer/token_bucket.hpp
@@ -5,7 +5,8 @@
 
 namespace pathcleat {
 
-/// @brief Rate limit with a burst. Not thread-safe.
+/// @brief Rate limit with a burst. At a rate of 0 nothing passes. Not
+/// thread-safe.
 /// @ingroup steer
 class TokenBucket {
  public:
--- a/src/pathcleat/core/hash.cpp
+++ b/src/pathcleat/core/hash.cpp
@@ -16,4 +16,8 @@
          kScale;
 }
 
+std::uint64_t MixHashes(std::uint64_t a, std::uint64_t b) {
+  return StableHash({reinterpret_cast<const char*>(&a), sizeof a}, b);
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -4,6 +4,9 @@
 #include <algorithm>
 #include <set>
 
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/routing/cold_share.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -15,8 +18,6 @@
 // hosts see each other come and go late.
 constexpr double kRetryShare = 0.7;
 constexpr double kSlackShare = 0.6;
-// A cold upstream's requests come from its region's hosts but for this part.
-constexpr double kFarColdShare = 0.2;
 
 HostInfo SelfOf(const EntrySettings& settings, std::uint64_t incarnation) {
   HostInfo self;
@@ -87,17 +88,28 @@
   for (auto& [service, budget] : retries) {
     budget.SetBurst(RetryBurst(now));
   }
+  ShareCold(now);
+}
+
+void GatewayState::ShareCold(Time now) {
   for (const UpstreamPtr& upstream : upstreams.All()) {
     const ServiceInfo* service = routes.FindService(upstream->info.service);
     if (!upstream->IsCold(now) || service == nullptr) {
       continue;
     }
-    const int near = hosts.AliveIn(upstream->region, now);
-    const int far = std::max(1, hosts.Alive(now) - near);
-    const bool is_near = upstream->region == settings.region;
-    const double share =
-        is_near ? (1 - kFarColdShare) / near : kFarColdShare / far;
-    upstream->cold_share.SetRate(service->cold_per_second * share, now);
+    const std::string& region = upstream->region;
+    const auto sender = [&region](const HostInfo& host) {
+      return ColdSender{StableHash(host.name), host.region == region};
+    };
+    std::vector<ColdSender> others;
+    for (const KnownHost* host : hosts.Others()) {
+      if (hosts.IsAlive(*host, now)) {
+        others.push_back(sender(host->info));
+      }
+    }
+    const ColdBound bound{service->cold_per_second, settings.bounds.cold_slack};
+    upstream->cold_share.SetRate(
+        ColdRate(bound, upstream->hash, sender(hosts.self()), others), now);
   }
 }
 
--- /dev/null
+++ b/src/pathcleat/routing/cold_share_test.cpp
@@ -0,0 +1,90 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/cold_share.hpp"
+
+#include <deque>
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/steer/token_bucket.hpp"
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr Duration kStep{10'000};
+constexpr Duration kWindow{1'000'000};
+
+// One host of a fleet, with its own share of a cold upstream.
+struct Sender {
+  ColdSender place;
+  TokenBucket share{0, 1};
+};
+
+std::vector<Sender> Fleet(int count, int near) {
+  std::vector<Sender> fleet(count);
+  for (int i = 0; i < count; ++i) {
+    fleet[i].place = {StableHash("host-" + std::to_string(i)), i < near};
+  }
+  return fleet;
+}
+
+std::vector<ColdSender> OthersOf(const std::vector<Sender>& fleet,
+                                 std::size_t self) {
+  std::vector<ColdSender> others;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    if (i != self) {
+      others.push_back(fleet[i].place);
+    }
+  }
+  return others;
+}
+
+// With a share of its own at each of 80 hosts, each with one request saved up,
+// a cold upstream got 80 at once (FAILBACK on the grown deployments).
+Test(cold_share, all_hosts_together_keep_the_bound_in_every_second) {
+  cr_assert(Holds("any second, any fleet", [] {
+    const int count = *rc::gen::inRange(1, 100);
+    std::vector<Sender> fleet = Fleet(count, count / 3);
+    const ColdBound bound{double(*rc::gen::inRange(1, 20)), 5};
+    const Time start{Duration(1'000'000)};
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      fleet[i].share.SetRate(
+          ColdRate(bound, 7, fleet[i].place, OthersOf(fleet, i)), start);
+    }
+    std::deque<Time> sent;
+    for (Time now = start; now < start + 3 * kWindow; now += kStep) {
+      for (Sender& sender : fleet) {
+        if (sender.share.TryTake(now)) {
+          sent.push_back(now);
+        }
+      }
+      while (!sent.empty() && sent.front() <= now - kWindow) {
+        sent.pop_front();
+      }
+      RC_ASSERT(double(sent.size()) <= bound.per_second + bound.slack);
+    }
+  }));
+}
+
+Test(cold_share, near_hosts_send_and_somebody_always_does) {
+  cr_assert(Holds("senders", [] {
+    const int count = *rc::gen::inRange(1, 40);
+    const int near = *rc::gen::inRange(0, count + 1);
+    const std::vector<Sender> fleet = Fleet(count, near);
+    const ColdBound bound{4, 5};
+    int senders = 0;
+    double rate = 0;
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+      const double own =
+          ColdRate(bound, 11, fleet[i].place, OthersOf(fleet, i));
+      senders += own > 0 ? 1 : 0;
+      rate += own;
+      RC_ASSERT(own <= 0 || fleet[i].place.near ||
+                near < ColdSenderCount(bound.slack));
+    }
+    RC_ASSERT(senders == std::min(count, ColdSenderCount(bound.slack)));
+    RC_ASSERT(rate > 3.99 && rate < 4.01);
+  }));
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -41,10 +41,6 @@
   return Duration(static_cast<Duration::rep>(seconds * kMicros));
 }
 
-std::uint64_t Mix(std::uint64_t a, std::uint64_t b) {
-  return StableHash({reinterpret_cast<const char*>(&a), sizeof a}, b);
-}
-
 double WorthAt(double expected, double target) {
   const double on_time =
       1 / (1 + std::exp((expected - target) / (kSpread * target)));
@@ -96,7 +92,8 @@
     if (is_home && reachable && bears && table_.IsOpen(*upstream) &&
         upstream->health.MayTry(now) &&
         !request.excluded.contains(upstream->info.id)) {
-      candidates.push_back({upstream, Mix(request.key, upstream->hash), 0});
+      candidates.push_back(
+          {upstream, MixHashes(request.key, upstream->hash), 0});
     }
   }
   return candidates;
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -55,10 +55,7 @@
       reader.NumberOr("retry_ratio", kRatio, bounds.retry_ratio);
   bounds.retry_slack =
       reader.NumberOr("retry_slack", kCount, bounds.retry_slack);
-  bounds.cold_overage =
-      reader.NumberOr("cold_overage", kRatio, bounds.cold_overage);
-  bounds.region_shift =
-      reader.NumberOr("region_shift", kRatio, bounds.region_shift);
+  bounds.cold_slack = reader.NumberOr("cold_slack", kCount, bounds.cold_slack);
   bounds.locate_ttl =
       MillisecondsOr(reader, "locate_ttl_ms", bounds.locate_ttl);
   bounds.stop_grace =
--- a/src/pathcleat/steer/token_bucket.cpp
+++ b/src/pathcleat/steer/token_bucket.cpp
@@ -17,7 +17,7 @@
 }
 
 bool TokenBucket::CanTake(Time now) const {
-  return TokensAt(now) >= 1;
+  return per_second_ > 0 && TokensAt(now) >= 1;
 }
 
 void TokenBucket::SetRate(double per_second, Time now) {
@@ -31,7 +31,7 @@
   tokens_ = TokensAt(now);
   started_ = true;
   last_ = now;
-  if (tokens_ < 1) {
+  if (!CanTake(now)) {
     return false;
   }
   tokens_ -= 1;
