--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -5,7 +5,9 @@
 #include <span>
 #include <string>
 
+#include "pathcleat/core/event_field.hpp"
 #include "pathcleat/core/hybrid_clock.hpp"
+#include "pathcleat/core/log_class.hpp"
 
 namespace pathcleat {
 
@@ -22,6 +24,11 @@
   kRequestRetried = 1103,
   kCallerLeft = 1105,
   kCallerInputRejected = 1106,
+  kRequestTaken = 1110,
+  kRequestSent = 1111,
+  kAttemptFailed = 1112,
+  kAttemptNotRun = 1113,
+  kRequestAnswered = 1114,
   kKeyReplayed = 1201,
   kKeyInProgress = 1202,
   kKeyWriteFailed = 1203,
@@ -42,6 +49,7 @@
   kTakenFromPeer = 1606,
   kPeerRejected = 1701,
   kOperatorRejected = 1702,
+  kLogDropped = 1901,
 };
 
 /// @brief How an operator should take an event.
@@ -54,6 +62,8 @@
   EventCode code;
   const char* name;
   Severity severity;
+  LogClass log_class;
+  const char* subject;  ///< what the subject is: the name of its field
 };
 
 /// @brief All events, in order of their numbers.
@@ -69,15 +79,20 @@
 struct Event {
   HybridTime time;
   EventCode code = EventCode::kHostStarted;
-  std::string host;     ///< seat of the process that saw it
-  std::string subject;  ///< request id, upstream, seat or peer
-  std::string text;     ///< plain sentence
+  std::string host;     ///< of the process that saw it
+  std::string subject;  ///< request id, upstream, peer: see EventInfo
+  std::string text;     ///< plain sentence, or empty
+  EventFields fields;   ///< what decided it and its outcome
 };
 
 /// @brief "PC1001" form of a code.
 /// @ingroup core
 std::string ToString(EventCode code);
 
+/// @brief An event as a person reads it: its name, text and fields.
+/// @ingroup core
+std::string ToText(const Event& event);
+
 /// @brief An event as one JSON line, the form of the log and the time line.
 /// @ingroup core
 std::string ToJsonLine(const Event& event);
--- /dev/null
+++ b/include/pathcleat/core/event_field.hpp
@@ -0,0 +1,68 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief One typed input or outcome of what an event tells.
+/// @ingroup core
+struct EventField {
+  using Value = std::variant<std::int64_t, double, bool, std::string>;
+
+  const char* name;
+  Value value;
+};
+
+using EventFields = std::vector<EventField>;
+
+/// @brief Names of fields. The same thing has the same name in every event.
+/// @ingroup core
+namespace field {
+constexpr const char* kAgeMs = "age_ms";
+constexpr const char* kAttempt = "attempt";
+constexpr const char* kCaller = "caller";
+constexpr const char* kCandidates = "candidates";
+constexpr const char* kConfigVersion = "config_version";
+constexpr const char* kDetail = "detail";
+constexpr const char* kDomain = "domain";
+constexpr const char* kDroppedFailures = "dropped_failures";
+constexpr const char* kDroppedRequests = "dropped_requests";
+constexpr const char* kDroppedStates = "dropped_states";
+constexpr const char* kElapsedMs = "elapsed_ms";
+constexpr const char* kExpectedMs = "expected_ms";
+constexpr const char* kLatencyMs = "latency_ms";
+constexpr const char* kLeftMs = "left_ms";
+constexpr const char* kListAgeMs = "list_age_ms";
+constexpr const char* kListVersion = "list_version";
+constexpr const char* kOutcome = "outcome";
+constexpr const char* kReason = "reason";
+constexpr const char* kRepeatable = "repeatable";
+constexpr const char* kRetryAfterMs = "retry_after_ms";
+constexpr const char* kRoute = "route";
+constexpr const char* kService = "service";
+constexpr const char* kStatus = "status";
+constexpr const char* kTargetMs = "target_ms";
+constexpr const char* kUpstream = "upstream";
+constexpr const char* kWaitMs = "wait_ms";
+constexpr const char* kWarm = "warm";
+}  // namespace field
+
+/// @brief A whole number as a field.
+template <class Number>
+EventField NumberField(const char* name, Number value) {
+  return {name, static_cast<std::int64_t>(value)};
+}
+
+/// @brief A duration as a field, in whole milliseconds.
+inline EventField MillisecondsField(const char* name, Duration value) {
+  constexpr std::int64_t kMicros = 1'000;
+  return {name, static_cast<std::int64_t>(value.count()) / kMicros};
+}
+
+}  // namespace pathcleat
--- a/include/pathcleat/core/event_log.hpp
+++ b/include/pathcleat/core/event_log.hpp
@@ -12,7 +12,7 @@
 namespace pathcleat {
 
 /// @brief Keeps the newest events in memory for the time line and writes each
-/// as a JSON line through log4cplus. Thread-safe.
+/// as a JSON line through log4cplus, to a logger for each class. Thread-safe.
 /// @ingroup core
 class EventLog {
  public:
@@ -21,7 +21,19 @@
   EventLog(std::string host, std::size_t capacity);
 
   /// @brief Stamps, keeps and logs one event.
-  void Record(EventCode code, std::string subject, std::string text);
+  void Record(EventCode code,
+              std::string subject,
+              std::string text,
+              EventFields fields = {});
+
+  /// @brief An event as of now, not kept or logged yet.
+  Event Stamp(EventCode code,
+              std::string subject,
+              std::string text,
+              EventFields fields);
+
+  /// @brief Keeps and logs a stamped event.
+  void Write(Event event, LogClass log_class);
 
   /// @brief The kept events, oldest first.
   std::vector<Event> Snapshot() const;
@@ -37,8 +49,8 @@
   std::deque<Event> events_;
 };
 
-/// @brief Sets log4cplus up to write plain message lines to standard error.
+/// @brief The class of the lines that go through a logger of this name.
 /// @ingroup core
-void InitializeLogging();
+LogClass ClassOfLogger(const std::string& logger);
 
 }  // namespace pathcleat
--- /dev/null
+++ b/include/pathcleat/core/histogram.hpp
@@ -0,0 +1,32 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief Durations counted in fixed buckets, in the shape that monitoring
+/// systems add up over processes. Not thread-safe.
+/// @ingroup core
+class Histogram {
+ public:
+  /// Upper bounds of the buckets, seconds; the last bucket has none.
+  static constexpr std::array<double, 12> kBounds = {
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30};
+
+  void Add(Duration duration);
+
+  /// @brief Durations up to a bound, or all for the index after the last.
+  std::uint64_t CountUpTo(std::size_t bound) const;
+  double sum_seconds() const { return sum_seconds_; }
+
+ private:
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  double sum_seconds_ = 0;
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -41,10 +41,15 @@
   void OnFailure(const CallResult& result);
   bool MayRetry();
   void RetryOrGiveUp();
-  void Refuse(Duration retry_after, const std::string& reason);
+  void Refuse(Duration retry_after,
+              const std::string& reason,
+              const Pick* best = nullptr);
   void AnswerUnknown(int status, const std::string& reason);
   void Answer(HttpResponse response, RunOutcome outcome);
-  void Step(std::string text);
+  void NoteTaken();
+  void NoteSent(const Pick& pick, Time now);
+  void Note(EventCode code, EventFields fields);
+  bool WentWrong(RunOutcome outcome, Duration latency) const;
   void CancelAttempt();
   void EndAttempt(UpstreamState& upstream);
   void NoteFailure(UpstreamState& upstream);
@@ -60,9 +65,10 @@
   std::string request_id_;
   PickRequest request_;
   Time deadline_;
-  HttpClientPtr client_;            ///< of the attempt under way
-  UpstreamPtr upstream_;            ///< of the attempt under way
-  std::vector<std::string> steps_;  ///< for "why"
+  HttpClientPtr client_;       ///< of the attempt under way
+  UpstreamPtr upstream_;       ///< of the attempt under way
+  std::vector<Event> events_;  ///< what befell the request, in order
+  bool retried_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;  ///< upstreams that the request has reached
   int unsent_ = 0;    ///< upstreams that could not be reached
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -65,6 +65,7 @@
   std::size_t CountGone(const SourceUpdate& update) const;
   void OnGone(const std::string& id, bool may_come_back, Time now);
   void BoundLapses(Time until);
+  void RecordOfList(EventCode code, const std::string& upstream);
   void OnStore(bool reached, const char* topic);
   void OnAccess();
 
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <utility>
 
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/fleet/peer_link.hpp"
@@ -15,9 +16,17 @@
 #include "pathcleat/gateway/host_registry.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
 #include "pathcleat/http/http_server.hpp"
+#include "pathcleat/store/store_call_stats.hpp"
 
 namespace pathcleat {
 
+/// @brief What lies outside a host's tables and is shown on its metrics page.
+/// @ingroup gateway
+struct GatewayProbes {
+  std::function<LogCounts()> log_dropped;  ///< lines, since the start
+  const StoreCallStats* store_calls = nullptr;
+};
+
 /// @brief One entry host: takes callers' requests, chooses an upstream for
 /// each and passes the answers back. Lives in the thread of its event loop.
 /// @ingroup gateway
@@ -31,6 +40,9 @@
           TableStore& store,
           FleetSource& source);
 
+  /// @brief What the metrics page shows of the process around this host.
+  void SetProbes(GatewayProbes probes) { probes_ = std::move(probes); }
+
   /// @brief Binds all sockets and begins.
   Result<void> Start();
 
@@ -55,6 +67,7 @@
   void HandleCaller(const ExchangePtr& exchange);
   void HandleReadiness(const ExchangePtr& exchange);
   void HandleLocate(const ExchangePtr& exchange);
+  void HandleMetrics(const ExchangePtr& exchange);
   void Tick();
   void FinishStop();
   void AwaitQuiet();
@@ -74,6 +87,8 @@
   HttpServer locate_;
   OperatorService operator_service_;
   HttpServer operators_;
+  HttpServer metrics_;
+  GatewayProbes probes_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> stopped_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -12,6 +12,7 @@
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/gateway/key_ledger.hpp"
 #include "pathcleat/gateway/metrics.hpp"
+#include "pathcleat/gateway/request_log.hpp"
 #include "pathcleat/gateway/trace_store.hpp"
 #include "pathcleat/gateway/upstream_pool.hpp"
 #include "pathcleat/routing/route_table.hpp"
@@ -52,12 +53,16 @@
   KeyLedger keys;
   ClientRegions client_regions;
   TraceStore traces;
+  RequestLog request_log;
   Metrics metrics;
   std::map<std::string, RetryBudget> retries;  ///< by service
   int requests = 0;                            ///< callers' requests under way
   std::uint64_t next_request = 1;
   bool leaving = false;
   bool store_reached = false;
+  Time routes_since;               ///< when the routes came into force here
+  std::uint64_t list_version = 0;  ///< of the list of upstreams
+  Time list_since;                 ///< when it last changed here
 
  private:
   /// @brief This host's share of what each cold upstream bears.
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -17,6 +17,7 @@
 #include <string>
 #include <utility>
 
+#include "pathcleat/core/histogram.hpp"
 #include "pathcleat/core/run_outcome.hpp"
 #include "pathcleat/core/time.hpp"
 
@@ -29,10 +30,15 @@
  public:
   void Record(const std::string& kind, RunOutcome outcome, Duration latency);
 
+  /// @brief A request was refused as not run.
+  void OnRefused(const std::string& reason) { ++refusals_[reason]; }
+
+  /// @brief A request was sent where it was expected to wait so long.
+  void OnSent(Duration wait) { waits_.Add(wait); }
+
   /// @brief A table as text, one kind a line.
   std::string ToText() const;
 
- private:
   using Latency = boost::accumulators::accumulator_set<
       double,
       boost::accumulators::stats<
@@ -41,14 +47,25 @@
           boost::accumulators::tag::max,
           boost::accumulators::tag::extended_p_square_quantile>>;
 
+  /// @brief Requests of one route.
   struct KindMetrics {
     KindMetrics();
     Latency latency;
+    Histogram buckets;  ///< of the same latencies
     std::uint64_t answered = 0;
     std::uint64_t not_run = 0;
     std::uint64_t unknown = 0;
   };
 
+  const std::map<std::string, KindMetrics>& kinds() const { return kinds_; }
+  const std::map<std::string, std::uint64_t>& refusals() const {
+    return refusals_;
+  }
+  const Histogram& waits() const { return waits_; }
+
+ private:
+  std::map<std::string, std::uint64_t> refusals_;  ///< by reason
+  Histogram waits_;
   std::map<std::string, KindMetrics> kinds_;
 };
 
--- a/include/pathcleat/gateway/trace_store.hpp
+++ b/include/pathcleat/gateway/trace_store.hpp
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "pathcleat/core/event.hpp"
+
 namespace pathcleat {
 
 /// @brief Remembers, for the newest requests, each step with its inputs and
@@ -17,15 +19,14 @@
  public:
   explicit TraceStore(std::size_t capacity) : capacity_(capacity) {}
 
-  /// @brief Keeps a finished request's steps.
-  void Keep(const std::string& request_id, std::vector<std::string> steps);
+  /// @brief Keeps a finished request's events.
+  void Keep(const std::string& request_id, std::vector<Event> events);
 
-  std::optional<std::vector<std::string>> Find(
-      const std::string& request_id) const;
+  std::optional<std::vector<Event>> Find(const std::string& request_id) const;
 
  private:
   std::size_t capacity_;
-  std::unordered_map<std::string, std::vector<std::string>> traces_;
+  std::unordered_map<std::string, std::vector<Event>> traces_;
   std::deque<std::string> order_;
 };
 
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -26,7 +26,8 @@
   RecentKeys keys;
   Time cold_until;         ///< bears few requests until then
   TokenBucket cold_share;  ///< this host's share of what it bears when cold
-  double slowness = 1;     ///< its run times over the usual ones
+  std::uint64_t turned_away = 0;   ///< requests that it said it did not run
+  double slowness = 1;             ///< its run times over the usual ones
   std::optional<Time> lapse_ends;  ///< its entry is gone; it may come back
   bool removed = false;            ///< off the list; requests under way go on
 
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -18,6 +18,7 @@
   std::string readiness;
   std::string locate;
   std::string operators;
+  std::string metrics;
 };
 
 /// @brief Bounds on what all hosts together may do.
@@ -47,7 +48,6 @@
   ListenAddresses listen;
   std::string peer_address;  ///< IP number for messages between hosts
   std::uint16_t peer_port = 0;
-  std::vector<std::string> seeds;  ///< peers' addresses; may be stale
   std::string store_address;
   FleetBounds bounds;
   CarryingCosts costs;
--- a/include/pathcleat/steer/retry_budget.hpp
+++ b/include/pathcleat/steer/retry_budget.hpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <cstdint>
+
 namespace pathcleat {
 
 /// @brief Allows retries up to a share of first attempts, so that overload
@@ -20,10 +22,17 @@
   /// @brief Takes one retry, if there is one.
   bool TryRetry();
 
+  /// @brief Retries taken since the start.
+  std::uint64_t taken() const { return taken_; }
+
+  /// @brief Retries that may be taken now.
+  double left() const { return saved_; }
+
  private:
   double share_;
   double burst_;
   double saved_;
+  std::uint64_t taken_ = 0;
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -2,7 +2,9 @@
 // The shipped program.
 
 #include <docopt/docopt.h>
+#include <log4cplus/initializer.h>
 #include <signal.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
@@ -19,8 +21,11 @@
 
 #include "fleet_feed.hpp"
 #include "header_names.hpp"
+#include "log_files.hpp"
 #include "operator_client.hpp"
+#include "pathcleat/core/log_writer.hpp"
 #include "pathcleat/gateway/gateway.hpp"
+#include "pathcleat/query/request_story.hpp"
 #include "platform_table.hpp"
 
 namespace pathcleat {
@@ -34,6 +39,8 @@
   pathcleat check [SETTINGS]
   pathcleat query [--token-file=FILE] HOST [TEXT]
   pathcleat timeline [--token-file=FILE] HOST...
+  pathcleat timeline --logs [FILE...]
+  pathcleat why ID [FILE...]
   pathcleat (-h | --help)
   pathcleat --version
 
@@ -42,13 +49,19 @@
   check     Say every fault of a settings file; start nothing.
   query     Give a command to a host, or without TEXT read commands from the
             prompt. 'help' lists them.
-  timeline  Merge the events of several hosts into one time line.
+  timeline  Merge the events of several hosts, or of their logs, into one time
+            line.
+  why       Tell from the hosts' logs what befell a request, and the cause.
+
+FILE is a host's log or several of them in one, plain or compressed by gzip; if
+none is given, standard input is read.
 
 SETTINGS is a file in JSON with comments; if it is not given, the variable
 PATHCLEAT_SETTINGS names it. HOST is a host's operator address, such as
 127.1.1.1:9090.
 
 Options:
+  --logs             Read logs in place of asking hosts.
   --token-file=FILE  File whose first line is the operators' token
                      [default: operator.token].
   -h --help          Show this text.
@@ -60,6 +73,8 @@
 constexpr int kDone = 0;
 constexpr int kFailed = 1;
 constexpr int kWrongUsage = 2;
+// Log lines that wait for a slow reader.
+constexpr std::size_t kLogBytesWaiting = 256UL * 1024;
 
 using Arguments = std::map<std::string, docopt::value>;
 
@@ -87,20 +102,38 @@
   return kDone;
 }
 
+EventFields DroppedFields(const LogCounts& dropped) {
+  const auto count = [&dropped](LogClass log_class) {
+    return dropped.at(static_cast<std::size_t>(log_class));
+  };
+  return {NumberField(field::kDroppedRequests, count(LogClass::kRequest)),
+          NumberField(field::kDroppedFailures, count(LogClass::kFailure)),
+          NumberField(field::kDroppedStates, count(LogClass::kState))};
+}
+
 int RunEntry(const std::string& path) {
   const LoadedEntrySettings loaded = LoadEntrySettings(path);
   if (ReportFaults(loaded)) {
     return kWrongUsage;
   }
   signal(SIGPIPE, SIG_IGN);
-  InitializeLogging();
+  log4cplus::Initializer logging;
   boost::asio::io_context loop(1);
+  LogWriter log(loop, STDOUT_FILENO, kLogBytesWaiting);
+  log.Attach();
+  StoreCallStats store_calls;
   platform::PlatformOptions options;
   options.address = loaded.settings.store_address;
+  options.stats = &store_calls;
   platform::PlatformTable table(loop, options);
   platform::FleetFeed feed(loop, options);
   Gateway gateway(loop, loaded.settings, platform::PlatformHeaderNames(), table,
                   feed);
+  gateway.SetProbes({[&log] { return log.dropped(); }, &store_calls});
+  log.OnDropped([&gateway](const LogCounts& dropped) {
+    gateway.state().events.Record(EventCode::kLogDropped, "log", "",
+                                  DroppedFields(dropped));
+  });
   boost::asio::signal_set stop_signals(loop, SIGTERM, SIGINT);
   stop_signals.async_wait([&](const boost::system::error_code& error, int) {
     if (!error) {
@@ -127,6 +160,7 @@
         // The logging library joins its threads at a normal end, which took
         // longer than the grace time leaves. Nothing is kept here: all is
         // answered by now, and what lasts is in the store.
+        log.Flush();
         std::cerr.flush();
         std::_Exit(kDone);
       },
@@ -215,11 +249,37 @@
   return exit_code;
 }
 
+Result<int> RunLogTimeline(const Arguments& arguments) {
+  BOOST_LEAF_AUTO(log, ReadLogFiles(arguments.at("FILE").asStringList()));
+  for (const LogLine& line : log.lines) {
+    std::cout << line.text << "\n";
+  }
+  return kDone;
+}
+
+Result<int> RunWhy(const Arguments& arguments) {
+  const std::string id = arguments.at("ID").asString();
+  BOOST_LEAF_AUTO(log, ReadLogFiles(arguments.at("FILE").asStringList()));
+  const RequestStory story = TellStory(log, id);
+  std::cout << ToText(story, id);
+  return story.lines.empty() ? kFailed : kDone;
+}
+
+bool Asks(const Arguments& arguments, const char* command) {
+  return arguments.at(command).asBool();
+}
+
 int RunClient(const Arguments& arguments) {
   return TryOr(
-      [&] {
-        return arguments.at("query").asBool() ? RunQuery(arguments)
-                                              : RunTimeline(arguments);
+      [&]() -> Result<int> {
+        if (Asks(arguments, "query")) {
+          return RunQuery(arguments);
+        }
+        if (Asks(arguments, "why")) {
+          return RunWhy(arguments);
+        }
+        return Asks(arguments, "--logs") ? RunLogTimeline(arguments)
+                                         : RunTimeline(arguments);
       },
       [](const Error& error) {
         std::cerr << ToString(error) << "\n";
@@ -244,7 +304,8 @@
 
 int Main(int argc, char** argv) {
   const Arguments arguments = ParseArguments(argc, argv);
-  if (arguments.at("query").asBool() || arguments.at("timeline").asBool()) {
+  if (Asks(arguments, "query") || Asks(arguments, "timeline") ||
+      Asks(arguments, "why")) {
     return RunClient(arguments);
   }
   const std::string path = SettingsPath(arguments);
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -4,44 +4,54 @@
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace pathcleat {
 namespace {
 
 using enum EventCode;
+using enum LogClass;
 using enum Severity;
 
 constexpr std::array kCatalogue = {
-    EventInfo{kHostStarted, "host-started", kInfo},
-    EventInfo{kHostLeaving, "host-leaving", kInfo},
-    EventInfo{kHostStopped, "host-stopped", kInfo},
-    EventInfo{kSettingsFault, "settings-fault", kAlarm},
-    EventInfo{kSettingsReloaded, "settings-reloaded", kInfo},
-    EventInfo{kRequestRefused, "request-refused", kInfo},
-    EventInfo{kRequestUnknown, "request-unknown", kWarning},
-    EventInfo{kRequestRetried, "request-retried", kInfo},
-    EventInfo{kCallerLeft, "caller-left", kInfo},
-    EventInfo{kCallerInputRejected, "caller-input-rejected", kInfo},
-    EventInfo{kKeyReplayed, "key-replayed", kInfo},
-    EventInfo{kKeyInProgress, "key-in-progress", kInfo},
-    EventInfo{kKeyWriteFailed, "key-write-failed", kWarning},
-    EventInfo{kUpstreamLeaving, "upstream-leaving", kInfo},
-    EventInfo{kUpstreamDown, "upstream-down", kWarning},
-    EventInfo{kUpstreamUp, "upstream-up", kInfo},
-    EventInfo{kUpstreamGone, "upstream-gone", kInfo},
-    EventInfo{kDomainDrained, "domain-drained", kInfo},
-    EventInfo{kPeerSilent, "peer-silent", kWarning},
-    EventInfo{kPeerHeard, "peer-heard", kInfo},
-    EventInfo{kPlatformDown, "platform-down", kAlarm},
-    EventInfo{kPlatformUp, "platform-up", kInfo},
-    EventInfo{kConfigApplied, "config-applied", kInfo},
-    EventInfo{kConfigConflict, "config-conflict", kInfo},
-    EventInfo{kCommandAccepted, "command-accepted", kInfo},
-    EventInfo{kShiftStep, "shift-step", kInfo},
-    EventInfo{kShiftHeld, "shift-held", kWarning},
-    EventInfo{kTakenFromPeer, "taken-from-peer", kInfo},
-    EventInfo{kPeerRejected, "peer-rejected", kAlarm},
-    EventInfo{kOperatorRejected, "operator-rejected", kAlarm},
+    EventInfo{kHostStarted, "host-started", kInfo, kState, "process"},
+    EventInfo{kHostLeaving, "host-leaving", kInfo, kState, "process"},
+    EventInfo{kHostStopped, "host-stopped", kInfo, kState, "process"},
+    EventInfo{kSettingsFault, "settings-fault", kAlarm, kState, "key"},
+    EventInfo{kSettingsReloaded, "settings-reloaded", kInfo, kState, "process"},
+    EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
+    EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
+              "request"},
+    EventInfo{kRequestRetried, "request-retried", kInfo, kFailure, "request"},
+    EventInfo{kCallerLeft, "caller-left", kInfo, kFailure, "request"},
+    EventInfo{kCallerInputRejected, "caller-input-rejected", kInfo, kFailure,
+              "caller"},
+    EventInfo{kRequestTaken, "request-taken", kInfo, kRequest, "request"},
+    EventInfo{kRequestSent, "request-sent", kInfo, kRequest, "request"},
+    EventInfo{kAttemptFailed, "attempt-failed", kInfo, kFailure, "request"},
+    EventInfo{kAttemptNotRun, "attempt-not-run", kInfo, kFailure, "request"},
+    EventInfo{kRequestAnswered, "request-answered", kInfo, kRequest, "request"},
+    EventInfo{kKeyReplayed, "key-replayed", kInfo, kFailure, "key"},
+    EventInfo{kKeyInProgress, "key-in-progress", kInfo, kFailure, "key"},
+    EventInfo{kKeyWriteFailed, "key-write-failed", kWarning, kFailure, "key"},
+    EventInfo{kUpstreamLeaving, "upstream-leaving", kInfo, kState, "upstream"},
+    EventInfo{kUpstreamDown, "upstream-down", kWarning, kState, "upstream"},
+    EventInfo{kUpstreamUp, "upstream-up", kInfo, kState, "upstream"},
+    EventInfo{kUpstreamGone, "upstream-gone", kInfo, kState, "upstream"},
+    EventInfo{kDomainDrained, "domain-drained", kInfo, kState, "domain"},
+    EventInfo{kPeerSilent, "peer-silent", kWarning, kState, "peer"},
+    EventInfo{kPeerHeard, "peer-heard", kInfo, kState, "peer"},
+    EventInfo{kPlatformDown, "platform-down", kAlarm, kState, "topic"},
+    EventInfo{kPlatformUp, "platform-up", kInfo, kState, "topic"},
+    EventInfo{kConfigApplied, "config-applied", kInfo, kState, "topic"},
+    EventInfo{kConfigConflict, "config-conflict", kInfo, kState, "command"},
+    EventInfo{kCommandAccepted, "command-accepted", kInfo, kState, "command"},
+    EventInfo{kShiftStep, "shift-step", kInfo, kState, "service"},
+    EventInfo{kShiftHeld, "shift-held", kWarning, kState, "service"},
+    EventInfo{kTakenFromPeer, "taken-from-peer", kInfo, kState, "peer"},
+    EventInfo{kPeerRejected, "peer-rejected", kAlarm, kState, "peer"},
+    EventInfo{kOperatorRejected, "operator-rejected", kAlarm, kState, "caller"},
+    EventInfo{kLogDropped, "log-dropped", kWarning, kState, "topic"},
 };
 
 const char* NameOf(Severity severity) {
@@ -73,6 +83,20 @@
   return "PC" + std::to_string(static_cast<int>(code));
 }
 
+std::string ToText(const Event& event) {
+  std::ostringstream text;
+  text << InfoOf(event.code).name;
+  if (!event.text.empty()) {
+    text << ": " << event.text;
+  }
+  text << std::boolalpha;
+  for (const EventField& field : event.fields) {
+    text << " " << field.name << "=";
+    std::visit([&text](const auto& value) { text << value; }, field.value);
+  }
+  return text.str();
+}
+
 std::string ToJsonLine(const Event& event) {
   const EventInfo& info = InfoOf(event.code);
   nlohmann::ordered_json line;
@@ -81,8 +105,14 @@
   line["name"] = info.name;
   line["severity"] = NameOf(info.severity);
   line["host"] = event.host;
-  line["subject"] = event.subject;
-  line["text"] = event.text;
+  line[info.subject] = event.subject;
+  if (!event.text.empty()) {
+    line["text"] = event.text;
+  }
+  for (const EventField& field : event.fields) {
+    std::visit([&](const auto& value) { line[field.name] = value; },
+               field.value);
+  }
   return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
--- a/src/pathcleat/core/event_log.cpp
+++ b/src/pathcleat/core/event_log.cpp
@@ -1,13 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/core/event_log.hpp"
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
-#include <memory>
 #include <mutex>
 #include <utility>
 
@@ -16,7 +12,7 @@
 namespace pathcleat {
 namespace {
 
-constexpr const char* kLoggerName = "pathcleat";
+constexpr const char* kLoggerPrefix = "pathcleat.";
 
 log4cplus::LogLevel LevelOf(Severity severity) {
   switch (severity) {
@@ -30,16 +26,48 @@
   return log4cplus::INFO_LOG_LEVEL;
 }
 
+log4cplus::Logger LoggerOf(LogClass log_class) {
+  return log4cplus::Logger::getInstance(std::string(kLoggerPrefix) +
+                                        ToString(log_class));
+}
+
 }  // namespace
 
+LogClass ClassOfLogger(const std::string& logger) {
+  for (const LogClass log_class : {LogClass::kRequest, LogClass::kFailure}) {
+    if (logger.ends_with(ToString(log_class))) {
+      return log_class;
+    }
+  }
+  return LogClass::kState;
+}
+
 EventLog::EventLog(std::string host, std::size_t capacity)
     : host_(std::move(host)), capacity_(capacity) {}
 
-void EventLog::Record(EventCode code, std::string subject, std::string text) {
-  Event event{clock_.Tick(WallMicros()), code, host_, std::move(subject),
-              std::move(text)};
-  auto logger = log4cplus::Logger::getInstance(kLoggerName);
-  logger.log(LevelOf(InfoOf(code).severity), ToJsonLine(event));
+Event EventLog::Stamp(EventCode code,
+                      std::string subject,
+                      std::string text,
+                      EventFields fields) {
+  return {clock_.Tick(WallMicros()),
+          code,
+          host_,
+          std::move(subject),
+          std::move(text),
+          std::move(fields)};
+}
+
+void EventLog::Record(EventCode code,
+                      std::string subject,
+                      std::string text,
+                      EventFields fields) {
+  Write(Stamp(code, std::move(subject), std::move(text), std::move(fields)),
+        InfoOf(code).log_class);
+}
+
+void EventLog::Write(Event event, LogClass log_class) {
+  LoggerOf(log_class).log(LevelOf(InfoOf(event.code).severity),
+                          ToJsonLine(event));
   const std::lock_guard lock(mutex_);
   events_.push_back(std::move(event));
   if (events_.size() > capacity_) {
@@ -52,16 +80,4 @@
   return {events_.begin(), events_.end()};
 }
 
-void InitializeLogging() {
-  static log4cplus::Initializer initializer;
-  constexpr bool kToStandardError = true;
-  constexpr bool kFlushEachLine = true;
-  log4cplus::SharedAppenderPtr appender(
-      new log4cplus::ConsoleAppender(kToStandardError, kFlushEachLine));
-  appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-  auto root = log4cplus::Logger::getRoot();
-  root.addAppender(appender);
-  root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
-}
-
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/core/log_buffer.cpp
@@ -0,0 +1,52 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/core/log_buffer.hpp"
+
+#include <array>
+
+namespace pathcleat {
+namespace {
+
+// Part of the capacity that lines of each class may fill.
+constexpr std::array<double, kLogClasses> kRoom = {0.5, 0.75, 1};
+
+}  // namespace
+
+const char* ToString(LogClass log_class) {
+  switch (log_class) {
+    case LogClass::kRequest:
+      return "request";
+    case LogClass::kFailure:
+      return "failure";
+    case LogClass::kState:
+      return "state";
+  }
+  return "state";
+}
+
+void LogBuffer::Push(LogClass log_class, std::string_view line) {
+  const auto index = static_cast<std::size_t>(log_class);
+  const double room = kRoom.at(index) * static_cast<double>(capacity_);
+  if (static_cast<double>(size() + line.size() + 1) > room) {
+    ++dropped_.at(index);
+    return;
+  }
+  bytes_.append(line);
+  bytes_.push_back('\n');
+}
+
+std::string_view LogBuffer::Front(std::size_t most) const {
+  return std::string_view(bytes_).substr(written_, most);
+}
+
+void LogBuffer::Pop(std::size_t bytes) {
+  written_ += bytes;
+  if (IsEmpty()) {
+    bytes_.clear();
+    written_ = 0;
+  } else if (written_ > capacity_ / 2) {
+    bytes_.erase(0, written_);
+    written_ = 0;
+  }
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -18,6 +18,8 @@
 constexpr int kExpectedMultiple = 4;
 constexpr Duration kRetrySoon{250'000};
 constexpr Duration kLeastTimeLeft{10'000};
+// An answer that takes so many times its target is worth explaining.
+constexpr int kSlowMultiple = 3;
 constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
 
 // A caller's /24 block: callers of one household or club share caches.
@@ -83,9 +85,7 @@
       });
   request_.service = state_.splits.Choose(*route_, UnitOf(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
-  Step("taken from " + exchange_->caller() + " by route " + route_->name +
-       " to " + request_.service + ", configuration " +
-       std::to_string(state_.routes.version()));
+  NoteTaken();
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
     ClaimKey();
   } else {
@@ -105,7 +105,6 @@
     Answer(decision.answer, decision.outcome);
     return;
   }
-  Step("key claimed in the store");
   if (done_) {
     key_.Settle({}, RunOutcome::kNotRun);
     return;
@@ -124,13 +123,13 @@
       RetryOrGiveUp();
       return;
     case PickFailure::kTooLate:
-      Refuse(kRetrySoon, "no upstream would answer in time");
+      Refuse(kRetrySoon, "too_late", &pick);
       return;
     case PickFailure::kOverloaded:
-      Refuse(pick.retry_after, "it would wait too long");
+      Refuse(pick.retry_after, "overloaded", &pick);
       return;
     case PickFailure::kShiftCap:
-      Refuse(kRetrySoon, "to leave the region would pass the shift's cap");
+      Refuse(kRetrySoon, "shift_cap");
       return;
   }
 }
@@ -159,11 +158,8 @@
     return;
   }
   UpstreamState& upstream = *pick.upstream;
-  Step("sent to " + upstream.info.id + " in " + upstream.info.domain +
-       ", the best of " + std::to_string(pick.candidates) + ": expected " +
-       std::to_string(pick.expected.count() / 1000) + " ms, waiting " +
-       std::to_string(pick.wait.count() / 1000) + " ms" +
-       (pick.warm ? ", warm" : ""));
+  NoteSent(pick, now);
+  state_.metrics.OnSent(pick.wait);
   request_.excluded.insert(upstream.info.id);
   upstream_ = pick.upstream;
   upstream.load.OnSent();
@@ -202,7 +198,10 @@
     state_.picker.OnConnected(*upstream, *opened);
   }
   if (result.outcome != CallOutcome::kAnswered) {
-    Step("attempt failed: " + result.detail);
+    Note(EventCode::kAttemptFailed,
+         {{field::kUpstream, upstream->info.id},
+          {field::kDetail, result.detail},
+          MillisecondsField(field::kElapsedMs, BootClock::now() - sent)});
   }
   switch (result.outcome) {
     case CallOutcome::kAnswered:
@@ -247,8 +246,10 @@
       // Another upstream has the address now; the list will say so.
       NoteFailure(upstream);
     }
-    Step("not run by the upstream: status " +
-         std::to_string(result.response.status));
+    ++upstream.turned_away;
+    Note(EventCode::kAttemptNotRun,
+         {{field::kUpstream, upstream.info.id},
+          NumberField(field::kStatus, result.response.status)});
     RetryOrGiveUp();
     return;
   }
@@ -301,25 +302,40 @@
   request_.time_left = Left();
   const Pick next = state_.picker.Choose(request_, BootClock::now());
   if (next.upstream && MayRetry()) {
-    state_.events.Record(EventCode::kRequestRetried, request_id_,
-                         "at " + next.upstream->info.id);
+    retried_ = true;
+    Note(EventCode::kRequestRetried,
+         {{field::kUpstream, next.upstream->info.id}});
     Send(next);
     return;
   }
   if (!may_have_run_) {
-    Refuse(kRetrySoon, "no upstream has taken it");
+    Refuse(kRetrySoon, "no_upstream");
     return;
   }
   AnswerUnknown(http_status::kBadGateway, "no upstream answered");
 }
 
-void Call::Refuse(Duration retry_after, const std::string& reason) {
-  state_.events.Record(EventCode::kRequestRefused, request_id_, reason);
+void Call::Refuse(Duration retry_after,
+                  const std::string& reason,
+                  const Pick* best) {
+  EventFields fields = {
+      {field::kReason, reason},
+      MillisecondsField(field::kRetryAfterMs, retry_after),
+      MillisecondsField(field::kTargetMs, route_->target_latency),
+      MillisecondsField(field::kLeftMs, Left())};
+  if (best != nullptr) {
+    fields.push_back(MillisecondsField(field::kWaitMs, best->wait));
+    fields.push_back(MillisecondsField(field::kExpectedMs, best->expected));
+    fields.push_back(NumberField(field::kCandidates, best->candidates));
+  }
+  state_.metrics.OnRefused(reason);
+  Note(EventCode::kRequestRefused, std::move(fields));
   Answer(NotRunResponse(reason, retry_after), RunOutcome::kNotRun);
 }
 
 void Call::AnswerUnknown(int status, const std::string& reason) {
-  state_.events.Record(EventCode::kRequestUnknown, request_id_, reason);
+  Note(EventCode::kRequestUnknown,
+       {{field::kReason, reason}, NumberField(field::kStatus, status)});
   Answer(TextResponse(status, reason + "\n"), RunOutcome::kUnknown);
 }
 
@@ -335,17 +351,50 @@
   }
   response.headers.push_back({kOutcomeHeader, ToString(outcome)});
   const Duration latency = BootClock::now() - exchange_->received();
-  Step("answered with status " + std::to_string(response.status) + ", " +
-       ToString(outcome));
+  Note(EventCode::kRequestAnswered,
+       {NumberField(field::kStatus, response.status),
+        {field::kOutcome, std::string(ToString(outcome))},
+        MillisecondsField(field::kLatencyMs, latency)});
   state_.metrics.Record(route_->name, outcome, latency);
-  state_.traces.Keep(request_id_, std::move(steps_));
+  state_.request_log.Finish(request_id_, WentWrong(outcome, latency), events_,
+                            BootClock::now());
+  state_.traces.Keep(request_id_, std::move(events_));
   exchange_->Respond(std::move(response));
 }
 
-void Call::Step(std::string text) {
-  const Duration since = BootClock::now() - exchange_->received();
-  steps_.push_back("+" + std::to_string(since.count() / 1000) +
-                   " ms: " + std::move(text));
+void Call::Note(EventCode code, EventFields fields) {
+  events_.push_back(
+      state_.events.Stamp(code, request_id_, "", std::move(fields)));
+}
+
+void Call::NoteTaken() {
+  const Time now = BootClock::now();
+  Note(EventCode::kRequestTaken,
+       {{field::kCaller, exchange_->caller()},
+        {field::kRoute, route_->name},
+        {field::kService, request_.service},
+        {field::kRepeatable, route_->repeatable},
+        MillisecondsField(field::kLeftMs, Left()),
+        NumberField(field::kConfigVersion, state_.routes.version()),
+        MillisecondsField(field::kAgeMs, now - state_.routes_since)});
+}
+
+void Call::NoteSent(const Pick& pick, Time now) {
+  Note(EventCode::kRequestSent,
+       {{field::kUpstream, pick.upstream->info.id},
+        {field::kDomain, pick.upstream->info.domain},
+        NumberField(field::kAttempt, attempts_ + unsent_ + 1),
+        NumberField(field::kCandidates, pick.candidates),
+        MillisecondsField(field::kExpectedMs, pick.expected),
+        MillisecondsField(field::kWaitMs, pick.wait),
+        {field::kWarm, pick.warm},
+        NumberField(field::kListVersion, state_.list_version),
+        MillisecondsField(field::kListAgeMs, now - state_.list_since)});
+}
+
+bool Call::WentWrong(RunOutcome outcome, Duration latency) const {
+  return outcome != RunOutcome::kAnswered || retried_ ||
+         latency > route_->target_latency * kSlowMultiple;
 }
 
 // Repeatable work is cancelled at the upstream, and what has not been sent is
@@ -361,7 +410,9 @@
 void Call::OnCallerLeft() {
   done_ = true;
   deadline_timer_.cancel();
-  state_.events.Record(EventCode::kCallerLeft, request_id_, "");
+  Note(EventCode::kCallerLeft, {});
+  state_.request_log.Finish(request_id_, true, events_, BootClock::now());
+  state_.traces.Keep(request_id_, events_);
   CancelAttempt();
 }
 
@@ -373,7 +424,7 @@
   if (sent || may_have_run_) {
     AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
   } else {
-    Refuse(kRetrySoon, "its time is over");
+    Refuse(kRetrySoon, "time_over");
   }
   CancelAttempt();
 }
--- a/src/pathcleat/gateway/command_log.cpp
+++ b/src/pathcleat/gateway/command_log.cpp
@@ -111,8 +111,8 @@
   if (log_.Apply(changes).empty()) {
     return;
   }
-  events_.Record(EventCode::kConfigApplied,
-                 "command " + std::to_string(log_.version()), "in force");
+  events_.Record(EventCode::kConfigApplied, "commands", "",
+                 {NumberField(field::kConfigVersion, log_.version())});
   on_change_();
 }
 
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -166,8 +166,9 @@
 void FleetView::AdoptConfig(const RoutingConfig& config) {
   if (state_.routes.Adopt(config)) {
     on_config_(config);
-    state_.events.Record(EventCode::kConfigApplied,
-                         std::to_string(config.version), "in force");
+    state_.routes_since = BootClock::now();
+    state_.events.Record(EventCode::kConfigApplied, "routes", "",
+                         {NumberField(field::kConfigVersion, config.version)});
   }
 }
 
@@ -241,6 +242,8 @@
       }
     }
   }
+  state_.list_version = upstream_list_.version();
+  state_.list_since = now;
   state_.ShareBounds(now);
   peers_.Publish(SourceTopic::kUpstreams);
 }
@@ -249,7 +252,7 @@
   state_.upstreams.Put(upstream, now);
   if (upstream.leaving) {
     state_.pool.Drop(upstream.id);
-    state_.events.Record(EventCode::kUpstreamLeaving, upstream.id, "");
+    RecordOfList(EventCode::kUpstreamLeaving, upstream.id);
   }
 }
 
@@ -293,7 +296,13 @@
   }
   state_.upstreams.Remove(id);
   state_.pool.Drop(id);
-  state_.events.Record(EventCode::kUpstreamGone, id, "");
+  RecordOfList(EventCode::kUpstreamGone, id);
+}
+
+void FleetView::RecordOfList(EventCode code, const std::string& upstream) {
+  state_.events.Record(
+      code, upstream, "",
+      {NumberField(field::kListVersion, upstream_list_.version())});
 }
 
 void FleetView::Tick(Time now) {
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "pathcleat/gateway/call.hpp"
+#include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_status.hpp"
 #include "pathcleat/http/query_text.hpp"
@@ -61,6 +62,7 @@
       operator_service_(state_, commands_, secrets_),
       operators_(loop,
                  [this](const ExchangePtr& e) { operator_service_.Handle(e); }),
+      metrics_(loop, [this](const ExchangePtr& e) { HandleMetrics(e); }),
       tick_timer_(loop),
       stop_timer_(loop) {}
 
@@ -88,6 +90,7 @@
   BOOST_LEAF_CHECK(ListenAt(readiness_, settings.listen.readiness));
   BOOST_LEAF_CHECK(ListenAt(locate_, settings.listen.locate));
   BOOST_LEAF_CHECK(ListenAt(operators_, settings.listen.operators));
+  BOOST_LEAF_CHECK(ListenAt(metrics_, settings.listen.metrics));
   BOOST_LEAF_CHECK(peers_.Open(settings.peer_address, settings.peer_port));
   BOOST_LEAF_CHECK(view_.Open(settings.peer_address, settings.peer_port));
   view_.Start();
@@ -167,6 +170,17 @@
       nlohmann::json{{"hosts", hosts}, {"ttl_seconds", ttl}}.dump()));
 }
 
+void Gateway::HandleMetrics(const ExchangePtr& exchange) {
+  MetricsInputs inputs;
+  inputs.versions = Versions();
+  inputs.store_calls = probes_.store_calls;
+  if (probes_.log_dropped) {
+    inputs.log_dropped = probes_.log_dropped();
+  }
+  exchange->Respond(TextResponse(
+      http_status::kOk, RenderMetrics(state_, inputs, BootClock::now())));
+}
+
 void Gateway::HandleCaller(const ExchangePtr& exchange) {
   if (!view_.IsLoaded()) {
     exchange->Respond(Unavailable("not run: no configuration yet"));
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -66,7 +66,8 @@
       pool(loop),
       keys(loop, store, events),
       client_regions(RegionsOf(settings)),
-      traces(kTracesKept) {}
+      traces(kTracesKept),
+      request_log(events) {}
 
 double GatewayState::RetryBurst(Time now) const {
   return settings.bounds.retry_slack * kSlackShare / hosts.Alive(now);
--- a/src/pathcleat/gateway/metrics.cpp
+++ b/src/pathcleat/gateway/metrics.cpp
@@ -25,6 +25,7 @@
     case RunOutcome::kAnswered:
       ++metrics.answered;
       metrics.latency(ToMilliseconds(latency));
+      metrics.buckets.Add(latency);
       break;
     case RunOutcome::kNotRun:
       ++metrics.not_run;
--- /dev/null
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -0,0 +1,240 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/metrics_page.hpp"
+
+#include <sys/resource.h>
+
+#include <initializer_list>
+#include <sstream>
+
+namespace pathcleat {
+namespace {
+
+struct Label {
+  const char* name;
+  std::string value;
+};
+using Labels = std::initializer_list<Label>;
+
+// Writes families of samples; label values are escaped.
+class Page {
+ public:
+  void Family(const char* name, const char* type, const char* help) {
+    text_ << "# HELP " << name << " " << help << "\n# TYPE " << name << " "
+          << type << "\n";
+  }
+
+  template <class Number>
+  void Sample(const std::string& name, Labels labels, Number value) {
+    text_ << name;
+    const char* separator = "{";
+    for (const Label& label : labels) {
+      text_ << separator << label.name << "=\"" << Escaped(label.value) << "\"";
+      separator = ",";
+    }
+    text_ << (labels.size() > 0 ? "} " : " ") << value << "\n";
+  }
+
+  void Buckets(const std::string& name,
+               const Label& label,
+               const Histogram& histogram) {
+    for (std::size_t i = 0; i < Histogram::kBounds.size(); ++i) {
+      std::ostringstream bound;
+      bound << Histogram::kBounds.at(i);
+      Sample(name + "_bucket", {label, {"le", bound.str()}},
+             histogram.CountUpTo(i));
+    }
+    const std::uint64_t all = histogram.CountUpTo(Histogram::kBounds.size());
+    Sample(name + "_bucket", {label, {"le", "+Inf"}}, all);
+    Sample(name + "_sum", {label}, histogram.sum_seconds());
+    Sample(name + "_count", {label}, all);
+  }
+
+  std::string Text() const { return text_.str(); }
+
+ private:
+  static std::string Escaped(const std::string& value) {
+    std::string escaped;
+    for (const char c : value) {
+      if (c == '\n') {
+        escaped += "\\n";
+        continue;
+      }
+      if (c == '"' || c == '\\') {
+        escaped += '\\';
+      }
+      escaped += c;
+    }
+    return escaped;
+  }
+
+  std::ostringstream text_;
+};
+
+void AddRequests(Page& page, const GatewayState& state) {
+  page.Family("pathcleat_requests_total", "counter",
+              "Requests that ended, by route and outcome.");
+  for (const auto& [route, kind] : state.metrics.kinds()) {
+    page.Sample("pathcleat_requests_total",
+                {{"route", route}, {"outcome", "answered"}}, kind.answered);
+    page.Sample("pathcleat_requests_total",
+                {{"route", route}, {"outcome", "not-run"}}, kind.not_run);
+    page.Sample("pathcleat_requests_total",
+                {{"route", route}, {"outcome", "unknown"}}, kind.unknown);
+  }
+  page.Family("pathcleat_request_duration_seconds", "histogram",
+              "From a request's last byte to its answer, by route.");
+  for (const auto& [route, kind] : state.metrics.kinds()) {
+    page.Buckets("pathcleat_request_duration_seconds", {"route", route},
+                 kind.buckets);
+  }
+  page.Family("pathcleat_expected_wait_seconds", "histogram",
+              "Wait for a slot at the chosen upstream, as expected.");
+  page.Buckets("pathcleat_expected_wait_seconds", {"at", "sending"},
+               state.metrics.waits());
+  page.Family("pathcleat_refusals_total", "counter",
+              "Requests refused as not run, by reason.");
+  for (const auto& [reason, count] : state.metrics.refusals()) {
+    page.Sample("pathcleat_refusals_total", {{"reason", reason}}, count);
+  }
+  page.Family("pathcleat_requests_under_way", "gauge", "Callers waiting now.");
+  page.Sample("pathcleat_requests_under_way", {}, state.requests);
+}
+
+void AddBudgets(Page& page, const GatewayState& state) {
+  page.Family("pathcleat_retries_total", "counter",
+              "Requests sent once more, by service.");
+  for (const auto& [service, budget] : state.retries) {
+    page.Sample("pathcleat_retries_total", {{"service", service}},
+                budget.taken());
+  }
+  page.Family("pathcleat_retries_left", "gauge",
+              "Retries that this host may make now, by service.");
+  for (const auto& [service, budget] : state.retries) {
+    page.Sample("pathcleat_retries_left", {{"service", service}},
+                budget.left());
+  }
+}
+
+void AddUpstreams(Page& page, const GatewayState& state, Time now) {
+  page.Family("pathcleat_upstream_in_flight", "gauge",
+              "Requests of this host at an upstream.");
+  for (const UpstreamPtr& upstream : state.upstreams.All()) {
+    page.Sample(
+        "pathcleat_upstream_in_flight",
+        {{"upstream", upstream->info.id}, {"service", upstream->info.service}},
+        upstream->load.own());
+  }
+  page.Family("pathcleat_upstream_not_run_total", "counter",
+              "Requests that an upstream said it did not run.");
+  for (const UpstreamPtr& upstream : state.upstreams.All()) {
+    page.Sample("pathcleat_upstream_not_run_total",
+                {{"upstream", upstream->info.id}}, upstream->turned_away);
+  }
+  int open = 0;
+  int cold = 0;
+  int suspect = 0;
+  for (const UpstreamPtr& upstream : state.upstreams.All()) {
+    open += state.upstreams.IsOpen(*upstream) ? 1 : 0;
+    cold += upstream->IsCold(now) ? 1 : 0;
+    suspect += upstream->health.IsSuspect() ? 1 : 0;
+  }
+  page.Family("pathcleat_upstreams", "gauge", "Upstreams, by state.");
+  page.Sample("pathcleat_upstreams", {{"state", "listed"}},
+              state.upstreams.size());
+  page.Sample("pathcleat_upstreams", {{"state", "open"}}, open);
+  page.Sample("pathcleat_upstreams", {{"state", "cold"}}, cold);
+  page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
+}
+
+void AddStore(Page& page, const StoreCallStats& stats) {
+  page.Family("pathcleat_store_calls_total", "counter",
+              "Calls to the platform's store, by call and outcome.");
+  for (const auto& [call, count] : stats.calls) {
+    page.Sample("pathcleat_store_calls_total",
+                {{"call", call.first}, {"outcome", ToString(call.second)}},
+                count);
+  }
+  page.Family("pathcleat_store_call_duration_seconds", "histogram",
+              "Calls to the store that do not wait for changes.");
+  page.Buckets("pathcleat_store_call_duration_seconds", {"call", "all"},
+               stats.latency);
+}
+
+void AddFleet(Page& page,
+              const GatewayState& state,
+              const HostVersions& versions,
+              Time now) {
+  page.Family("pathcleat_config_version", "gauge", "Routes in force here.");
+  page.Sample("pathcleat_config_version", {}, versions.config);
+  page.Family("pathcleat_commands_version", "gauge", "Commands in force here.");
+  page.Sample("pathcleat_commands_version", {}, versions.commands);
+  page.Family("pathcleat_feed_version", "gauge",
+              "Newest change of the store that is known here, by topic.");
+  page.Sample("pathcleat_feed_version", {{"topic", "orders"}}, versions.orders);
+  page.Sample("pathcleat_feed_version", {{"topic", "upstreams"}},
+              versions.upstreams);
+  page.Family("pathcleat_feed_lag_versions", "gauge",
+              "How far the newest host heard is ahead, by topic.");
+  std::uint64_t orders = versions.orders;
+  std::uint64_t upstreams = versions.upstreams;
+  for (const KnownHost* host : state.hosts.Others()) {
+    orders = std::max(orders, host->versions.orders);
+    upstreams = std::max(upstreams, host->versions.upstreams);
+  }
+  page.Sample("pathcleat_feed_lag_versions", {{"topic", "orders"}},
+              orders - versions.orders);
+  page.Sample("pathcleat_feed_lag_versions", {{"topic", "upstreams"}},
+              upstreams - versions.upstreams);
+  page.Family("pathcleat_store_watched", "gauge",
+              "1: this host watches the store itself.");
+  page.Sample("pathcleat_store_watched", {},
+              versions.store == StoreAccess::kWatching ? 1 : 0);
+  page.Family("pathcleat_hosts_alive", "gauge", "Hosts heard, this one too.");
+  page.Sample("pathcleat_hosts_alive", {}, state.hosts.Alive(now));
+}
+
+void AddProcess(Page& page, const GatewayState& state, const LogCounts& drops) {
+  page.Family("pathcleat_log_lines_dropped_total", "counter",
+              "Lines that found no room, by class.");
+  for (const LogClass log_class :
+       {LogClass::kRequest, LogClass::kFailure, LogClass::kState}) {
+    page.Sample("pathcleat_log_lines_dropped_total",
+                {{"class", ToString(log_class)}},
+                drops.at(static_cast<std::size_t>(log_class)));
+  }
+  page.Family("pathcleat_failures_not_logged_total", "counter",
+              "Requests that failed beyond the log's rate.");
+  page.Sample("pathcleat_failures_not_logged_total", {},
+              state.request_log.left_out());
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  constexpr double kMicros = 1e6;
+  constexpr long kKilobyte = 1024;
+  page.Family("process_cpu_seconds_total", "counter", "Processor time.");
+  page.Sample(
+      "process_cpu_seconds_total", {},
+      static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+          static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) /
+              kMicros);
+  page.Family("process_peak_memory_bytes", "gauge", "Largest memory so far.");
+  page.Sample("process_peak_memory_bytes", {}, usage.ru_maxrss * kKilobyte);
+}
+
+}  // namespace
+
+std::string RenderMetrics(const GatewayState& state,
+                          const MetricsInputs& inputs,
+                          Time now) {
+  Page page;
+  AddRequests(page, state);
+  AddBudgets(page, state);
+  AddUpstreams(page, state, now);
+  AddFleet(page, state, inputs.versions, now);
+  if (inputs.store_calls != nullptr) {
+    AddStore(page, *inputs.store_calls);
+  }
+  AddProcess(page, state, inputs.log_dropped);
+  return page.Text();
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -167,15 +167,18 @@
 }
 
 std::string OperatorService::Answer(const WhyQuery& query) const {
-  const auto steps = state_.traces.Find(query.id);
-  if (!steps) {
+  const auto events = state_.traces.Find(query.id);
+  if (!events) {
     return "request " + query.id +
            " is not known at this host: it was taken by another one, or is "
            "older than the newest requests\n";
   }
+  constexpr std::uint64_t kMicrosInMillisecond = 1'000;
   std::string text;
-  for (const std::string& step : *steps) {
-    text += step + "\n";
+  for (const Event& event : *events) {
+    const std::uint64_t since = event.time.micros - events->front().time.micros;
+    text += "+" + std::to_string(since / kMicrosInMillisecond) + " ms " +
+            ToText(event) + "\n";
   }
   return text;
 }
--- a/src/pathcleat/gateway/trace_store.cpp
+++ b/src/pathcleat/gateway/trace_store.cpp
@@ -6,9 +6,9 @@
 namespace pathcleat {
 
 void TraceStore::Keep(const std::string& request_id,
-                      std::vector<std::string> steps) {
+                      std::vector<Event> events) {
   const bool added =
-      traces_.insert_or_assign(request_id, std::move(steps)).second;
+      traces_.insert_or_assign(request_id, std::move(events)).second;
   if (!added) {
     return;
   }
@@ -19,7 +19,7 @@
   }
 }
 
-std::optional<std::vector<std::string>> TraceStore::Find(
+std::optional<std::vector<Event>> TraceStore::Find(
     const std::string& request_id) const {
   const auto found = traces_.find(request_id);
   if (found == traces_.end()) {
--- /dev/null
+++ b/src/pathcleat/query/request_story_test.cpp
@@ -0,0 +1,82 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/query/request_story.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+const char* const kLog = R"(
+10.1.0.5 out: {"time":"5000000.0","name":"request-taken","host":"b","request":"r","config_version":2,"age_ms":900}
+{"time":"4000000.0","name":"config-applied","host":"a","topic":"routes","config_version":3}
+{"time":"5000000.1","name":"request-sent","host":"b","request":"r","upstream":"u1","list_version":7,"list_age_ms":800}
+{"time":"4900000.0","name":"upstream-gone","host":"a","upstream":"u1","list_version":8}
+{"time":"5002000.0","name":"request-answered","host":"b","request":"r","status":200}
+{"time":"1.0","name":"peer-heard","host":"a","peer":"c"}
+{"time":"6000000.0","name":"log-dropped","host":"b","dropped_requests":4,"dropped_failures":0,"dropped_states":0}
+not an event {
+)";
+
+LogLines Logs(const std::string& text) {
+  std::istringstream stream(text);
+  LogLines log;
+  ReadLog(stream, log);
+  SortByTime(log);
+  return log;
+}
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+Test(request_story, old_views_are_named_with_their_ages) {
+  const RequestStory story = TellStory(Logs(kLog), "r");
+  cr_assert_eq(story.lines.size(), 3U);
+  cr_assert_eq(story.causes.size(), 2U);
+  cr_assert(story.causes[0].cause == RequestCause::kOldConfig);
+  cr_assert(Has(story.causes[0].sentence, "in force at a for 1000 ms"));
+  cr_assert(story.causes[1].cause == RequestCause::kLeavingUpstream);
+  cr_assert(Has(story.causes[1].sentence, "leaving for 100 ms"));
+}
+
+Test(request_story, what_the_logs_lack_is_said) {
+  const std::string text = ToText(TellStory(Logs(kLog), "r"), "r");
+  cr_assert(Has(text, "missing: no line of host c"));
+  cr_assert(Has(text, "b dropped lines: 4 of requests"));
+  cr_assert(Has(text, "1 lines are no events"));
+  const RequestStory unknown = TellStory(Logs(kLog), "other");
+  cr_assert(unknown.causes[0].cause == RequestCause::kNoLines);
+}
+
+Test(request_story, lines_in_any_order_tell_the_same) {
+  cr_assert(Holds("any order", [] {
+    std::vector<std::string> lines;
+    std::istringstream stream(kLog);
+    for (std::string line; std::getline(stream, line);) {
+      lines.push_back(line);
+    }
+    for (std::size_t i = lines.size(); i > 1; --i) {
+      std::swap(lines[i - 1], lines[*rc::gen::inRange<std::size_t>(0, i)]);
+    }
+    std::string text;
+    for (const std::string& line : lines) {
+      text += line + "\n";
+    }
+    RC_ASSERT(ToText(TellStory(Logs(text), "r"), "r") ==
+              ToText(TellStory(Logs(kLog), "r"), "r"));
+  }));
+}
+
+Test(request_story, any_bytes_are_read_or_counted) {
+  cr_assert(Holds("no bytes do harm", [] {
+    const auto bytes =
+        *rc::gen::container<std::string>(rc::gen::inRange<char>(-128, 127));
+    TellStory(Logs("{" + bytes), "r");
+  }));
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -46,6 +46,7 @@
   listen.readiness = AddressOr(reader, "readiness", "");
   listen.locate = AddressOr(reader, "locate", "");
   listen.operators = AddressOr(reader, "operators", "");
+  listen.metrics = AddressOr(reader, "metrics", "");
   return listen;
 }
 
@@ -82,7 +83,6 @@
   reader.Nested("peers", [&out](JsonReader& r) {
     out.peer_address = r.Text("address");
     out.peer_port = r.Port("port");
-    out.seeds = r.Texts("seeds");
   });
   reader.Nested("store", [&out](JsonReader& r) {
     out.store_address = r.Text("address");
--- a/src/pathcleat/steer/retry_budget.cpp
+++ b/src/pathcleat/steer/retry_budget.cpp
@@ -22,6 +22,7 @@
     return false;
   }
   saved_ -= 1;
+  ++taken_;
   return true;
 }
 
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -5,7 +5,8 @@
 set -euo pipefail
 packages=(g++ cmake ninja-build pkg-config clang-format-14 clang-tidy-14 curl
   libboost1.81-dev libboost-url1.81-dev libsodium-dev liblog4cplus-dev libdocopt-dev libcereal-dev
-  libcriterion-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev)
+  libcriterion-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev
+  zlib1g-dev)
 missing=()
 for package in "${packages[@]}"; do
   status=$(dpkg-query -W -f='${Status}' "$package" 2>/dev/null || true)
