A slow answer is left only for another upstream, and never while stopping

Ruled out: the stop's order (the request was taken before it, its grace time was not over).

Change: patience is a timer beside the attempt: when it is over and another upstream would have the request within the retry budget, the attempt is cancelled and sent there; else it is waited for. A host that stops leaves work where it is. RequestTrace and PickRequestOf are taken out of Call.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -8,6 +8,7 @@
 
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/key_guard.hpp"
+#include "pathcleat/gateway/request_trace.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
 namespace pathcleat {
@@ -35,7 +36,9 @@
   void OnKey(const KeyDecision& decision);
   void Attempt();
   void Send(const Pick& pick);
-  CallTimeouts TimeoutsFor(const Pick& pick, Duration left) const;
+  void ArmPatience(Duration patience);
+  void OnPatienceOver();
+  bool MayGoElsewhere() const;
   void OnResult(const Pick& pick, Time sent, const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
   void OnFailure(const CallResult& result);
@@ -46,9 +49,6 @@
               const Pick* best = nullptr);
   void AnswerUnknown(int status, const std::string& reason);
   void Answer(HttpResponse response, RunOutcome outcome);
-  void NoteTaken();
-  void NoteSent(const Pick& pick, Time now);
-  void Note(EventCode code, EventFields fields);
   bool WentWrong(RunOutcome outcome, Duration latency) const;
   void CancelAttempt();
   void EndAttempt(UpstreamState& upstream);
@@ -61,13 +61,15 @@
   ExchangePtr exchange_;
   std::shared_ptr<const Route> route_;
   boost::asio::steady_timer deadline_timer_;
+  boost::asio::steady_timer patience_timer_;  ///< of the attempt under way
   KeyGuard key_;
+  RequestTrace trace_;
   std::string request_id_;
   PickRequest request_;
   Time deadline_;
-  HttpClientPtr client_;       ///< of the attempt under way
-  UpstreamPtr upstream_;       ///< of the attempt under way
-  std::vector<Event> events_;  ///< what befell the request, in order
+  HttpClientPtr client_;  ///< of the attempt under way
+  UpstreamPtr upstream_;  ///< of the attempt under way
+  Time sent_;             ///< when that attempt was sent
   bool retried_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;  ///< upstreams that the request has reached
--- /dev/null
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -0,0 +1,58 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/http/http_exchange.hpp"
+
+namespace pathcleat {
+
+/// @brief What befalls one request, event by event, with the inputs that
+/// decided it. At its end it goes to the log and to "why".
+/// @ingroup gateway
+class RequestTrace {
+ public:
+  explicit RequestTrace(GatewayState& state) : state_(state) {}
+
+  /// @brief The id that the events name; none is noted before.
+  void SetRequest(const std::string& request_id) { request_id_ = request_id; }
+
+  void Note(EventCode code, EventFields fields);
+
+  /// @brief The request was taken.
+  /// @param left time until it must be answered.
+  void NoteTaken(const Exchange& exchange,
+                 const Route& route,
+                 const std::string& service,
+                 Duration left);
+
+  /// @brief It is sent to the upstream that was picked.
+  /// @param attempt from 1 up.
+  void NoteSent(const Pick& pick, int attempt, Time now);
+
+  /// @brief An attempt came to nothing.
+  void NoteFailed(const std::string& upstream,
+                  const std::string& detail,
+                  Duration elapsed);
+
+  /// @brief It is refused as not run.
+  /// @param best what could have been picked; may be missing.
+  void NoteRefused(const std::string& reason,
+                   Duration retry_after,
+                   const Route& route,
+                   Duration left,
+                   const Pick* best);
+
+  /// @brief The request is over.
+  /// @param failed it did not go as it should.
+  void Finish(bool failed);
+
+ private:
+  GatewayState& state_;
+  std::string request_id_;
+  std::vector<Event> events_;
+};
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -4,8 +4,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/request_id.hpp"
+#include "pathcleat/gateway/pick_request.hpp"
 #include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
 
@@ -22,11 +22,6 @@
 constexpr int kSlowMultiple = 3;
 constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
 
-// A caller's /24 block: callers of one household or club share caches.
-double CallerPosition(const std::string& caller) {
-  return UnitHash(std::string_view(caller).substr(0, caller.rfind('.')));
-}
-
 double UnitOf(std::uint64_t hash) {
   constexpr double kRange = 18446744073709551616.0;
   return static_cast<double>(hash) / kRange;
@@ -41,22 +36,17 @@
       exchange_(std::move(exchange)),
       route_(std::move(route)),
       deadline_timer_(state.loop),
-      key_(state) {
+      patience_timer_(state.loop),
+      key_(state),
+      trace_(state) {
   ++state_.requests;
   const HttpHeaders& headers = exchange_->request().headers;
   const std::uint64_t incarnation = state_.hosts.self().incarnation;
   request_id_ =
       FindHeader(headers, state_.headers.request_id)
           .value_or(ToString(RequestId{incarnation, state_.next_request++, 0}));
-  const auto key = FindHeader(headers, state_.headers.affinity_key);
-  request_.route = route_.get();
-  request_.caller_position = CallerPosition(exchange_->caller());
-  request_.sticky = route_->sticky && key.has_value();
-  request_.key = StableHash(request_.sticky ? *key : request_id_,
-                            StableHash(route_->name));
-  request_.caller_deadline =
-      CallerDeadline(state_.headers, exchange_->request())
-          .value_or(route_->timeout);
+  trace_.SetRequest(request_id_);
+  request_ = PickRequestOf(state_.headers, *exchange_, *route_, request_id_);
   const Duration allowed = std::min(route_->timeout, request_.caller_deadline);
   deadline_ = exchange_->received() + allowed;
 }
@@ -85,7 +75,7 @@
       });
   request_.service = state_.splits.Choose(*route_, UnitOf(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
-  NoteTaken();
+  trace_.NoteTaken(*exchange_, *route_, request_.service, Left());
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
     ClaimKey();
   } else {
@@ -135,19 +125,49 @@
 }
 
 // A repeatable request leaves an upstream that stays silent for far longer
-// than expected while there is time to try another.
-CallTimeouts Call::TimeoutsFor(const Pick& pick, Duration left) const {
-  CallTimeouts timeouts;
-  timeouts.connect = std::min(kConnectTimeout, left);
-  timeouts.total = left;
-  if (route_->repeatable && attempts_ + 1 < route_->max_attempts) {
-    const Duration patience =
-        std::max(kShortestAttempt, pick.expected * kExpectedMultiple);
-    if (patience < left / 2) {
-      timeouts.total = patience;
-    }
+// than expected, if another one would have it and time is left. Else it waits
+// on: a work that is under way may still be answered.
+void Call::ArmPatience(Duration patience) {
+  if (!route_->repeatable || patience > Left() / 2) {
+    return;
+  }
+  patience_timer_.expires_after(patience);
+  patience_timer_.async_wait(
+      [weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->OnPatienceOver();
+        }
+      });
+}
+
+// A host that is being stopped leaves work where it is.
+bool Call::MayGoElsewhere() const {
+  return !done_ && client_ && !state_.leaving &&
+         attempts_ + 1 < route_->max_attempts && Left() > kShortestAttempt;
+}
+
+void Call::OnPatienceOver() {
+  if (!MayGoElsewhere()) {
+    return;
   }
-  return timeouts;
+  request_.time_left = Left();
+  const Pick next = state_.picker.Choose(request_, BootClock::now());
+  if (!next.upstream || !state_.RetriesOf(request_.service).TryRetry()) {
+    ArmPatience(kRetrySoon);
+    return;
+  }
+  trace_.NoteFailed(upstream_->info.id,
+                    "no answer for far longer than expected",
+                    BootClock::now() - sent_);
+  ++attempts_;
+  may_have_run_ = true;
+  NoteFailure(*upstream_);
+  CancelAttempt();
+  retried_ = true;
+  trace_.Note(EventCode::kRequestRetried,
+              {{field::kUpstream, next.upstream->info.id}});
+  Send(next);
 }
 
 void Call::Send(const Pick& pick) {
@@ -158,10 +178,11 @@
     return;
   }
   UpstreamState& upstream = *pick.upstream;
-  NoteSent(pick, now);
+  trace_.NoteSent(pick, attempts_ + unsent_ + 1, now);
   state_.metrics.OnSent(pick.wait);
   request_.excluded.insert(upstream.info.id);
   upstream_ = pick.upstream;
+  sent_ = now;
   upstream.load.OnSent();
   state_.picker.links().OnSent(upstream.region);
   upstream.health.OnSent(pick.expected, now);
@@ -177,14 +198,16 @@
   client_->Send(
       ToUpstream(state_.headers, exchange_->request(), request_id_,
                  upstream.info.id, left),
-      TimeoutsFor(pick, left),
+      {std::min(kConnectTimeout, left), left},
       [self = shared_from_this(), pick, now](const CallResult& result) {
         self->OnResult(pick, now, result);
       },
       is_own);
+  ArmPatience(std::max(kShortestAttempt, pick.expected * kExpectedMultiple));
 }
 
 void Call::OnResult(const Pick& pick, Time sent, const CallResult& result) {
+  patience_timer_.cancel();
   const HttpClientPtr client = std::exchange(client_, nullptr);
   const UpstreamPtr upstream = std::exchange(upstream_, nullptr);
   if (result.outcome == CallOutcome::kAnswered) {
@@ -198,10 +221,8 @@
     state_.picker.OnConnected(*upstream, *opened);
   }
   if (result.outcome != CallOutcome::kAnswered) {
-    Note(EventCode::kAttemptFailed,
-         {{field::kUpstream, upstream->info.id},
-          {field::kDetail, result.detail},
-          MillisecondsField(field::kElapsedMs, BootClock::now() - sent)});
+    trace_.NoteFailed(upstream->info.id, result.detail,
+                      BootClock::now() - sent);
   }
   switch (result.outcome) {
     case CallOutcome::kAnswered:
@@ -247,9 +268,9 @@
       NoteFailure(upstream);
     }
     ++upstream.turned_away;
-    Note(EventCode::kAttemptNotRun,
-         {{field::kUpstream, upstream.info.id},
-          NumberField(field::kStatus, result.response.status)});
+    trace_.Note(EventCode::kAttemptNotRun,
+                {{field::kUpstream, upstream.info.id},
+                 NumberField(field::kStatus, result.response.status)});
     RetryOrGiveUp();
     return;
   }
@@ -303,8 +324,8 @@
   const Pick next = state_.picker.Choose(request_, BootClock::now());
   if (next.upstream && MayRetry()) {
     retried_ = true;
-    Note(EventCode::kRequestRetried,
-         {{field::kUpstream, next.upstream->info.id}});
+    trace_.Note(EventCode::kRequestRetried,
+                {{field::kUpstream, next.upstream->info.id}});
     Send(next);
     return;
   }
@@ -318,24 +339,14 @@
 void Call::Refuse(Duration retry_after,
                   const std::string& reason,
                   const Pick* best) {
-  EventFields fields = {
-      {field::kReason, reason},
-      MillisecondsField(field::kRetryAfterMs, retry_after),
-      MillisecondsField(field::kTargetMs, route_->target_latency),
-      MillisecondsField(field::kLeftMs, Left())};
-  if (best != nullptr) {
-    fields.push_back(MillisecondsField(field::kWaitMs, best->wait));
-    fields.push_back(MillisecondsField(field::kExpectedMs, best->expected));
-    fields.push_back(NumberField(field::kCandidates, best->candidates));
-  }
   state_.metrics.OnRefused(reason);
-  Note(EventCode::kRequestRefused, std::move(fields));
+  trace_.NoteRefused(reason, retry_after, *route_, Left(), best);
   Answer(NotRunResponse(reason, retry_after), RunOutcome::kNotRun);
 }
 
 void Call::AnswerUnknown(int status, const std::string& reason) {
-  Note(EventCode::kRequestUnknown,
-       {{field::kReason, reason}, NumberField(field::kStatus, status)});
+  trace_.Note(EventCode::kRequestUnknown,
+              {{field::kReason, reason}, NumberField(field::kStatus, status)});
   Answer(TextResponse(status, reason + "\n"), RunOutcome::kUnknown);
 }
 
@@ -351,47 +362,15 @@
   }
   response.headers.push_back({kOutcomeHeader, ToString(outcome)});
   const Duration latency = BootClock::now() - exchange_->received();
-  Note(EventCode::kRequestAnswered,
-       {NumberField(field::kStatus, response.status),
-        {field::kOutcome, std::string(ToString(outcome))},
-        MillisecondsField(field::kLatencyMs, latency)});
+  trace_.Note(EventCode::kRequestAnswered,
+              {NumberField(field::kStatus, response.status),
+               {field::kOutcome, std::string(ToString(outcome))},
+               MillisecondsField(field::kLatencyMs, latency)});
   state_.metrics.Record(route_->name, outcome, latency);
-  state_.request_log.Finish(request_id_, WentWrong(outcome, latency), events_,
-                            BootClock::now());
-  state_.traces.Keep(request_id_, std::move(events_));
+  trace_.Finish(WentWrong(outcome, latency));
   exchange_->Respond(std::move(response));
 }
 
-void Call::Note(EventCode code, EventFields fields) {
-  events_.push_back(
-      state_.events.Stamp(code, request_id_, "", std::move(fields)));
-}
-
-void Call::NoteTaken() {
-  const Time now = BootClock::now();
-  Note(EventCode::kRequestTaken,
-       {{field::kCaller, exchange_->caller()},
-        {field::kRoute, route_->name},
-        {field::kService, request_.service},
-        {field::kRepeatable, route_->repeatable},
-        MillisecondsField(field::kLeftMs, Left()),
-        NumberField(field::kConfigVersion, state_.routes.version()),
-        MillisecondsField(field::kAgeMs, now - state_.routes_since)});
-}
-
-void Call::NoteSent(const Pick& pick, Time now) {
-  Note(EventCode::kRequestSent,
-       {{field::kUpstream, pick.upstream->info.id},
-        {field::kDomain, pick.upstream->info.domain},
-        NumberField(field::kAttempt, attempts_ + unsent_ + 1),
-        NumberField(field::kCandidates, pick.candidates),
-        MillisecondsField(field::kExpectedMs, pick.expected),
-        MillisecondsField(field::kWaitMs, pick.wait),
-        {field::kWarm, pick.warm},
-        NumberField(field::kListVersion, state_.list_version),
-        MillisecondsField(field::kListAgeMs, now - state_.list_since)});
-}
-
 bool Call::WentWrong(RunOutcome outcome, Duration latency) const {
   return outcome != RunOutcome::kAnswered || retried_ ||
          latency > route_->target_latency * kSlowMultiple;
@@ -410,9 +389,8 @@
 void Call::OnCallerLeft() {
   done_ = true;
   deadline_timer_.cancel();
-  Note(EventCode::kCallerLeft, {});
-  state_.request_log.Finish(request_id_, true, events_, BootClock::now());
-  state_.traces.Keep(request_id_, events_);
+  trace_.Note(EventCode::kCallerLeft, {});
+  trace_.Finish(true);
   CancelAttempt();
 }
 
--- /dev/null
+++ b/src/pathcleat/gateway/pick_request.cpp
@@ -0,0 +1,33 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/pick_request.hpp"
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
+namespace pathcleat {
+namespace {
+
+// A caller's /24 block: callers of one household or club share caches.
+double CallerPosition(const std::string& caller) {
+  return UnitHash(std::string_view(caller).substr(0, caller.rfind('.')));
+}
+
+}  // namespace
+
+PickRequest PickRequestOf(const HeaderNames& names,
+                          const Exchange& exchange,
+                          const Route& route,
+                          const std::string& request_id) {
+  const auto key = FindHeader(exchange.request().headers, names.affinity_key);
+  PickRequest request;
+  request.route = &route;
+  request.caller_position = CallerPosition(exchange.caller());
+  request.sticky = route.sticky && key.has_value();
+  request.key =
+      StableHash(request.sticky ? *key : request_id, StableHash(route.name));
+  request.caller_deadline =
+      CallerDeadline(names, exchange.request()).value_or(route.timeout);
+  return request;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -0,0 +1,74 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/request_trace.hpp"
+
+#include <utility>
+
+namespace pathcleat {
+
+void RequestTrace::Note(EventCode code, EventFields fields) {
+  events_.push_back(
+      state_.events.Stamp(code, request_id_, "", std::move(fields)));
+}
+
+void RequestTrace::NoteTaken(const Exchange& exchange,
+                             const Route& route,
+                             const std::string& service,
+                             Duration left) {
+  Note(EventCode::kRequestTaken,
+       {{field::kCaller, exchange.caller()},
+        {field::kRoute, route.name},
+        {field::kService, service},
+        {field::kRepeatable, route.repeatable},
+        MillisecondsField(field::kLeftMs, left),
+        NumberField(field::kConfigVersion, state_.routes.version()),
+        MillisecondsField(field::kAgeMs,
+                          BootClock::now() - state_.routes_since)});
+}
+
+void RequestTrace::NoteSent(const Pick& pick, int attempt, Time now) {
+  Note(EventCode::kRequestSent,
+       {{field::kUpstream, pick.upstream->info.id},
+        {field::kDomain, pick.upstream->info.domain},
+        NumberField(field::kAttempt, attempt),
+        NumberField(field::kCandidates, pick.candidates),
+        MillisecondsField(field::kExpectedMs, pick.expected),
+        MillisecondsField(field::kWaitMs, pick.wait),
+        {field::kWarm, pick.warm},
+        NumberField(field::kListVersion, state_.list_version),
+        MillisecondsField(field::kListAgeMs, now - state_.list_since)});
+}
+
+void RequestTrace::NoteFailed(const std::string& upstream,
+                              const std::string& detail,
+                              Duration elapsed) {
+  Note(EventCode::kAttemptFailed,
+       {{field::kUpstream, upstream},
+        {field::kDetail, detail},
+        MillisecondsField(field::kElapsedMs, elapsed)});
+}
+
+void RequestTrace::NoteRefused(const std::string& reason,
+                               Duration retry_after,
+                               const Route& route,
+                               Duration left,
+                               const Pick* best) {
+  EventFields fields = {
+      {field::kReason, reason},
+      MillisecondsField(field::kRetryAfterMs, retry_after),
+      MillisecondsField(field::kTargetMs, route.target_latency),
+      MillisecondsField(field::kLeftMs, left)};
+  if (best != nullptr) {
+    fields.push_back(MillisecondsField(field::kWaitMs, best->wait));
+    fields.push_back(MillisecondsField(field::kExpectedMs, best->expected));
+    fields.push_back(NumberField(field::kCandidates, best->candidates));
+  }
+  Note(EventCode::kRequestRefused, std::move(fields));
+}
+
+void RequestTrace::Finish(bool failed) {
+  state_.request_log.Finish(request_id_, failed, events_, BootClock::now());
+  state_.traces.Keep(request_id_, std::move(events_));
+  events_.clear();
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -290,6 +290,52 @@
       [&] { return client.Has("end held") && late.Has("end late"); }));
 }
 
+// A work that its upstream is at is given up for another upstream only: with
+// nobody else to ask, the answer is waited for. Checked to fail (502) with the
+// attempt ended by its own time-out.
+Test(faults, slow_answer_is_waited_for_where_no_other_upstream_is) {
+  TestWorldPlan plan;
+  plan.upstreams_in_domain = 1;
+  plan.timeout = Duration(60'000'000);
+  TestWorld world(plan);
+  world.StartAll();
+  for (int i = 0; i < 40; ++i) {
+    world.Get(0, "warm" + std::to_string(i));
+  }
+  world.upstream(0).HoldAnswers();
+  RawClient client(world.loop(), world.address(), world.CallerPort(0));
+  client.Send(GetText("held"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  const Time sent = BootClock::now();
+  constexpr Duration kBeyondPatience{1'500'000};
+  cr_assert(
+      world.Await([&] { return BootClock::now() - sent > kBeyondPatience; }));
+  world.upstream(0).AnswerRun("held");
+  cr_assert(world.Await([&] { return client.Has("end held"); }));
+}
+
+// A host that is being stopped broke off downloads that were being worked on
+// (LOST on grown race results, trouble-3). Checked to fail, with two runs,
+// without the test of leaving in MayGoElsewhere.
+Test(promise, planned_stop_leaves_work_at_its_upstream) {
+  TestWorldPlan plan;
+  plan.timeout = Duration(60'000'000);
+  plan.stop_grace = Duration(3'500'000);
+  TestWorld world(plan);
+  world.StartAll();
+  for (int i = 0; i < 40; ++i) {
+    world.Get(0, "warm" + std::to_string(i));
+  }
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+  RawClient client(world.loop(), world.address(), world.CallerPort(0));
+  client.Send(GetText("held"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  cr_assert(world.Await([&] { return stopped; }));
+  cr_assert_eq(world.RunsOf("held"), 1);
+}
+
 // Promise: a submission with a key runs at most once, wherever it is repeated.
 Test(promise, repeats_at_other_hosts_run_a_key_once) {
   TestWorld world;
