Queues that stand are seen, and not fed by what has come back

A host sends to an upstream about once a second and forgot what it had told of others' load within 0.6 s; so it thought it short. And what comes back after a refusal was sent however long the queue.

Change: UpstreamLoad remembers others' usual load (learnt over 2 s, forgotten over 6 s); StandingQueue: when no request has found an upstream's wait short for 1 s, what has come back is refused too, until one does.

--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "pathcleat/routing/recent_keys.hpp"
+#include "pathcleat/routing/standing_queue.hpp"
 #include "pathcleat/routing/upstream_health.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 #include "pathcleat/routing/upstream_load.hpp"
@@ -24,6 +25,7 @@
   UpstreamLoad load;
   UpstreamHealth health;
   RecentKeys keys;
+  StandingQueue queue;
   Time cold_until;         ///< bears few requests until then
   TokenBucket cold_share;  ///< this host's share of what it bears when cold
   std::uint64_t turned_away = 0;   ///< requests that it said it did not run
--- a/include/pathcleat/routing/upstream_load.hpp
+++ b/include/pathcleat/routing/upstream_load.hpp
@@ -31,7 +31,10 @@
   double Expected(Time now) const;
 
  private:
+  double AgeMicros(Time now) const;
+
   int own_ = 0;
+  double usual_ = 0;   ///< requests of others, on average of late
   double others_ = 0;  ///< at reported_
   Time reported_;
 };
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -131,7 +131,7 @@
                Time now);
   RequestProfile& ProfileOf(const Route& route);
   bool IsFirstTry(const PickRequest& request);
-  void RefuseIfLate(Pick& pick, const PickRequest& request);
+  void RefuseIfLate(Pick& pick, const PickRequest& request, Time now);
   Duration RoundTrip(const UpstreamState& upstream) const;
   double CarryingCost(const UpstreamState& upstream, double bytes) const;
 
--- a/src/pathcleat/routing/upstream_load.cpp
+++ b/src/pathcleat/routing/upstream_load.cpp
@@ -7,8 +7,14 @@
 namespace pathcleat {
 namespace {
 
-// Others' requests last about as long as a request runs.
+// A report tells of others' requests, which last about as long as a request
+// runs; what it differs from the usual is forgotten after that.
 constexpr double kFadeMicros = 600'000;
+// The usual load by others: learnt over this time, and forgotten over that.
+constexpr double kLearnMicros = 2'000'000;
+constexpr double kForgetMicros = 6'000'000;
+// A report tells of no longer time than this, however old the last one is.
+constexpr double kLongestReportMicros = 1'000'000;
 // Reports come in bursts; each moves the estimate this far.
 constexpr double kReportWeight = 0.6;
 
@@ -19,13 +25,22 @@
   const int here = std::max(0, own_ - 1);
   const double others = std::max(0, report.running + report.waiting - here);
   const double before = Expected(now) - own_;
+  const double age = AgeMicros(now);
+  usual_ *= std::exp(-age / kForgetMicros);
+  const double told = std::min(age, kLongestReportMicros);
+  usual_ += (others - usual_) * (1 - std::exp(-told / kLearnMicros));
   others_ = before + (others - before) * kReportWeight;
   reported_ = now;
 }
 
 double UpstreamLoad::Expected(Time now) const {
-  const auto age = static_cast<double>((now - reported_).count());
-  return own_ + others_ * std::exp(-std::max(0.0, age) / kFadeMicros);
+  const double age = AgeMicros(now);
+  const double usual = usual_ * std::exp(-age / kForgetMicros);
+  return own_ + usual + (others_ - usual) * std::exp(-age / kFadeMicros);
+}
+
+double UpstreamLoad::AgeMicros(Time now) const {
+  return std::max(0.0, static_cast<double>((now - reported_).count()));
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -220,11 +220,23 @@
 
 // A request that would be late for its waiting alone takes a slot from one
 // that would not. It is refused at once, while there is time to come back.
-void UpstreamPicker::RefuseIfLate(Pick& pick, const PickRequest& request) {
+// One that has come back is sent all the same, unless the queue stands: then
+// it would stand for ever, with everything in it late.
+void UpstreamPicker::RefuseIfLate(Pick& pick,
+                                  const PickRequest& request,
+                                  Time now) {
   const Duration target = request.route->target_latency;
   const Duration run = pick.expected - pick.wait;
   const Duration spare = std::max(target - run, target / 4);
-  if (pick.wait <= spare || !IsFirstTry(request)) {
+  const bool first_try = IsFirstTry(request);
+  StandingQueue& queue = pick.upstream->queue;
+  if (pick.wait <= spare) {
+    queue.OnShort();
+    return;
+  }
+  queue.OnLong(now);
+  const bool stands = queue.IsStanding(now) && request.excluded.empty();
+  if (!first_try && !stands) {
     return;
   }
   pick.failure = PickFailure::kOverloaded;
@@ -263,7 +275,7 @@
     best.pick.failure = PickFailure::kTooLate;
     return best.pick;
   }
-  RefuseIfLate(best.pick, request);
+  RefuseIfLate(best.pick, request, now);
   return best.pick;
 }
 
--- a/src/pathcleat/routing/upstream_picker_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_test.cpp
@@ -134,6 +134,40 @@
             nullptr);
 }
 
+// Checked to fail without the test of a standing queue: then what has come
+// back keeps the queue up for ever.
+Test(upstream_picker, what_has_come_back_is_refused_while_the_queue_stands) {
+  PickerWorld world(1);
+  const auto fill = [&world](int change) {
+    for (const UpstreamPtr& upstream : world.table().All()) {
+      for (int i = 0; i < 9; ++i) {
+        if (change > 0) {
+          upstream->load.OnSent();
+        } else {
+          upstream->load.OnEnded();
+        }
+      }
+    }
+  };
+  PickRequest first = world.Request(7);
+  first.caller_deadline = Duration(3'000'000);
+  const PickRequest again = world.Request(7);
+  fill(1);
+  const Time later = kStart + Duration(1'500'000);
+  cr_assert(world.picker().Choose(first, kStart).upstream == nullptr);
+  cr_assert(world.picker().Choose(again, kStart).upstream != nullptr);
+  cr_assert(world.picker().Choose(again, later).failure ==
+            PickFailure::kOverloaded);
+  // A request of its own that another upstream did not answer still goes.
+  PickRequest elsewhere = again;
+  elsewhere.excluded.insert("none of these");
+  cr_assert(world.picker().Choose(elsewhere, later).upstream != nullptr);
+  fill(-1);
+  cr_assert(world.picker().Choose(again, later).upstream != nullptr);
+  fill(1);
+  cr_assert(world.picker().Choose(again, later).upstream != nullptr);
+}
+
 Test(upstream_picker, homes_drains_and_leaving_bind) {
   PickerWorld world;
   world.route().home_regions = {"south"};
