Patience with a silent upstream ends at half of the time left

Patience, four times the expected time, was longer than half of what was left, and then there was none at all.

Change: patience is four times the expected time, 0.4 s at least, and half of the time left at most, but twice the expected time in any case.

--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -27,6 +27,14 @@
   return static_cast<double>(hash) / kRange;
 }
 
+// How long an upstream may stay silent before another one is asked: far longer
+// than expected, but so that the other one has as much time again.
+Duration PatienceFor(Duration expected, Duration left) {
+  const Duration longest =
+      std::max(kShortestAttempt, expected * kExpectedMultiple);
+  return std::max(std::min(longest, left / 2), expected * 2);
+}
+
 }  // namespace
 
 Call::Call(GatewayState& state,
@@ -128,7 +136,7 @@
 // than expected, if another one would have it and time is left. Else it waits
 // on: a work that is under way may still be answered.
 void Call::ArmPatience(Duration patience) {
-  if (!route_->repeatable || patience > Left() / 2) {
+  if (!route_->repeatable) {
     return;
   }
   patience_timer_.expires_after(patience);
@@ -203,7 +211,7 @@
         self->OnResult(pick, now, result);
       },
       is_own);
-  ArmPatience(std::max(kShortestAttempt, pick.expected * kExpectedMultiple));
+  ArmPatience(PatienceFor(pick.expected, left));
 }
 
 void Call::OnResult(const Pick& pick, Time sent, const CallResult& result) {
