--- a/include/pathcleat/gateway/request_log.hpp
+++ b/include/pathcleat/gateway/request_log.hpp
@@ -16,7 +16,8 @@
 /// @ingroup gateway
 class RequestLog {
  public:
-  explicit RequestLog(EventLog& events);
+  /// @param enabled whether anything is logged at all.
+  explicit RequestLog(EventLog& events, bool enabled = true);
 
   /// @brief A request is over.
   /// @param failed it was refused, retried, slow, left by its caller or may
@@ -34,6 +35,7 @@
 
  private:
   EventLog& events_;
+  bool enabled_;
   TokenBucket failures_;
   std::uint64_t left_out_ = 0;
 };
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -51,6 +51,7 @@
   std::string store_address;
   FleetBounds bounds;
   CarryingCosts costs;
+  bool log_requests = true;  ///< whether requests' events go to the log
   std::map<std::string, int> link_limits;  ///< in flight, by other region
 };
 
--- a/src/pathcleat/gateway/request_log.cpp
+++ b/src/pathcleat/gateway/request_log.cpp
@@ -13,8 +13,10 @@
 
 }  // namespace
 
-RequestLog::RequestLog(EventLog& events)
-    : events_(events), failures_(kFailuresPerSecond, kFailureBurst) {}
+RequestLog::RequestLog(EventLog& events, bool enabled)
+    : events_(events),
+      enabled_(enabled),
+      failures_(kFailuresPerSecond, kFailureBurst) {}
 
 bool RequestLog::IsSampled(const std::string& request_id) {
   return StableHash(request_id) % kSampleOneOf == 0;
@@ -24,6 +26,9 @@
                         bool failed,
                         const std::vector<Event>& events,
                         Time now) {
+  if (!enabled_) {
+    return;
+  }
   if (failed && !failures_.TryTake(now)) {
     ++left_out_;
     return;
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -92,6 +92,8 @@
                 [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
   reader.Nested("gigabyte_costs",
                 [&out](JsonReader& r) { out.costs = ReadCosts(r); });
+  reader.Nested(
+      "log", [&out](JsonReader& r) { out.log_requests = r.Flag("requests"); });
   reader.EachObject("links", false, [&out](JsonReader& link) {
     constexpr int kNoDefault = 1;
     out.link_limits[link.Text("to")] =
