--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -51,8 +51,6 @@
   void Answer(HttpResponse response, RunOutcome outcome);
   bool WentWrong(RunOutcome outcome, Duration latency) const;
   void CancelAttempt();
-  void EndAttempt(UpstreamState& upstream);
-  void NoteFailure(UpstreamState& upstream);
   void OnCallerLeft();
   void OnDeadline();
   Duration Left() const;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -37,6 +37,12 @@
   /// @brief The retries that this host may make at a service.
   RetryBudget& RetriesOf(const std::string& service);
 
+  /// @brief A request that was sent to an upstream has ended, in whatever way.
+  void OnAttemptEnded(UpstreamState& upstream);
+
+  /// @brief An upstream could not be reached or did not answer wholly.
+  void OnAttemptFailed(UpstreamState& upstream);
+
   /// @brief Shares what all hosts may do among those that are alive.
   void ShareBounds(Time now);
 
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -50,6 +50,10 @@
   kShiftCap,    ///< to leave the region would pass a shift's cap
 };
 
+/// @brief Stable lower-case name of a failure, as logs and metrics tell it.
+/// @ingroup routing
+const char* ReasonOf(PickFailure failure);
+
 /// @brief The choice, with the inputs that decided it.
 /// @ingroup routing
 struct Pick {
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -113,23 +113,17 @@
 void Call::Attempt() {
   request_.time_left = Left();
   const Pick pick = state_.picker.Choose(request_, BootClock::now());
-  switch (pick.failure) {
-    case PickFailure::kNone:
-      Send(pick);
-      return;
-    case PickFailure::kNoUpstream:
-      RetryOrGiveUp();
-      return;
-    case PickFailure::kTooLate:
-      Refuse(kRetrySoon, "too_late", &pick);
-      return;
-    case PickFailure::kOverloaded:
-      Refuse(pick.retry_after, "overloaded", &pick);
-      return;
-    case PickFailure::kShiftCap:
-      Refuse(kRetrySoon, "shift_cap");
-      return;
+  if (pick.failure == PickFailure::kNone) {
+    Send(pick);
+    return;
   }
+  if (pick.failure == PickFailure::kNoUpstream) {
+    RetryOrGiveUp();
+    return;
+  }
+  const bool has_time = pick.retry_after > Duration::zero();
+  Refuse(has_time ? pick.retry_after : kRetrySoon, ReasonOf(pick.failure),
+         &pick);
 }
 
 // A repeatable request leaves an upstream that stays silent for far longer
@@ -170,7 +164,7 @@
                     BootClock::now() - sent_);
   ++attempts_;
   may_have_run_ = true;
-  NoteFailure(*upstream_);
+  state_.OnAttemptFailed(*upstream_);
   CancelAttempt();
   retried_ = true;
   trace_.Note(EventCode::kRequestRetried,
@@ -224,7 +218,7 @@
       upstream->load.OnReport(*report, BootClock::now());
     }
   }
-  EndAttempt(*upstream);
+  state_.OnAttemptEnded(*upstream);
   if (const auto opened = client->connect_time()) {
     state_.picker.OnConnected(*upstream, *opened);
   }
@@ -239,33 +233,18 @@
       return;
     case CallOutcome::kNotSent:
       ++unsent_;
-      NoteFailure(*upstream);
+      state_.OnAttemptFailed(*upstream);
       RetryOrGiveUp();
       return;
     case CallOutcome::kBroken:
     case CallOutcome::kTimedOut:
       ++attempts_;
-      NoteFailure(*upstream);
+      state_.OnAttemptFailed(*upstream);
       OnFailure(result);
       return;
   }
 }
 
-void Call::NoteFailure(UpstreamState& upstream) {
-  const bool was_suspect = upstream.health.IsSuspect();
-  upstream.health.OnFailure(BootClock::now());
-  if (!was_suspect && upstream.health.IsSuspect()) {
-    state_.events.Record(EventCode::kUpstreamDown, upstream.info.id,
-                         "failures in a row; left alone for a while");
-  }
-}
-
-void Call::EndAttempt(UpstreamState& upstream) {
-  upstream.load.OnEnded();
-  upstream.health.OnEnded();
-  state_.picker.links().OnEnded(upstream.region);
-}
-
 void Call::OnAnswer(const Pick& pick, Time sent, const CallResult& result) {
   ++attempts_;
   const Time now = BootClock::now();
@@ -273,7 +252,7 @@
   if (IsNotRun(state_.headers, result.response)) {
     if (result.response.status == http_status::kMisdirected) {
       // Another upstream has the address now; the list will say so.
-      NoteFailure(upstream);
+      state_.OnAttemptFailed(upstream);
     }
     ++upstream.turned_away;
     trace_.Note(EventCode::kAttemptNotRun,
@@ -283,7 +262,7 @@
     return;
   }
   if (!IsWholeAnswer(state_.headers, result.response)) {
-    NoteFailure(upstream);
+    state_.OnAttemptFailed(upstream);
     OnFailure({CallOutcome::kBroken, {}, "the answer lacks its signature"});
     return;
   }
@@ -390,7 +369,7 @@
 void Call::CancelAttempt() {
   if (client_ && (route_->repeatable || !client_->MayHaveSent())) {
     std::exchange(client_, nullptr)->Cancel();
-    EndAttempt(*std::exchange(upstream_, nullptr));
+    state_.OnAttemptEnded(*std::exchange(upstream_, nullptr));
   }
 }
 
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -84,6 +84,21 @@
       .first->second;
 }
 
+void GatewayState::OnAttemptFailed(UpstreamState& upstream) {
+  const bool was_suspect = upstream.health.IsSuspect();
+  upstream.health.OnFailure(BootClock::now());
+  if (!was_suspect && upstream.health.IsSuspect()) {
+    events.Record(EventCode::kUpstreamDown, upstream.info.id,
+                  "failures in a row; left alone for a while");
+  }
+}
+
+void GatewayState::OnAttemptEnded(UpstreamState& upstream) {
+  upstream.load.OnEnded();
+  upstream.health.OnEnded();
+  picker.links().OnEnded(upstream.region);
+}
+
 void GatewayState::ShareBounds(Time now) {
   picker.links().SetSharers(hosts.AliveIn(settings.region, now));
   for (auto& [service, budget] : retries) {
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -49,6 +49,22 @@
 
 }  // namespace
 
+const char* ReasonOf(PickFailure failure) {
+  switch (failure) {
+    case PickFailure::kNone:
+      return "none";
+    case PickFailure::kNoUpstream:
+      return "no_upstream";
+    case PickFailure::kTooLate:
+      return "too_late";
+    case PickFailure::kOverloaded:
+      return "overloaded";
+    case PickFailure::kShiftCap:
+      return "shift_cap";
+  }
+  return "none";
+}
+
 UpstreamPicker::UpstreamPicker(const PickerSettings& settings,
                                UpstreamTable& table)
     : settings_(settings),
