A test of the metrics page

Cause: the page had no test. Change: counts of requests, refusals and calls to the store as a host with stand-ins serves them; each family named once, before its samples.

--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -59,6 +59,7 @@
     options.address = store_address_;
     options.call_timeout = Duration(500'000);
     options.local_address = StoreSideAddress(index);
+    options.stats = &host.store_calls;
     platform::PlatformOptions table_options = options;
     if (plan_.lone_hosts.contains(index)) {
       table_options.address = lone_store_address_;
@@ -69,6 +70,7 @@
     host.gateway = std::make_unique<Gateway>(loop_, host.settings,
                                              platform::PlatformHeaderNames(),
                                              *host.table, *host.feed);
+    host.gateway->SetProbes({nullptr, &host.store_calls});
     const bool started = TryOr(
         [&]() -> Result<bool> {
           BOOST_LEAF_CHECK(host.gateway->Start());
@@ -196,6 +198,11 @@
                {"GET", "/v1/locate" + query, {{"Host", "t"}}, ""});
   }
 
+  CallResult Metrics(std::size_t host) {
+    return Ask(hosts_[host]->settings.listen.metrics,
+               {"GET", "/metrics", {{"Host", "t"}}, ""});
+  }
+
   CallResult Command(std::size_t index, const std::string& text) {
     return CommandWith(index, text, host(index).secrets().operator_token());
   }
@@ -261,6 +268,7 @@
     explicit Host(EntrySettings entry_settings)
         : settings(std::move(entry_settings)) {}
     EntrySettings settings;
+    StoreCallStats store_calls;
     std::unique_ptr<platform::PlatformTable> table;
     std::unique_ptr<platform::FleetFeed> feed;
     std::unique_ptr<Gateway> gateway;
@@ -337,7 +345,7 @@
       settings.region_of_domain[DomainName(d)] = RegionName(d);
     }
     settings.listen = {NextAddress(), NextAddress(), NextAddress(),
-                       NextAddress()};
+                       NextAddress(), NextAddress()};
     settings.peer_address = address_;
     settings.peer_port = next_port_++;
     settings.store_address = store_address_;
