--- a/src/pathcleat/lab/relay_test.cpp
+++ b/src/pathcleat/lab/relay_test.cpp
@@ -87,14 +87,19 @@
   }));
 }
 
-// The store is away, and its list of upstreams runs out meanwhile.
-void LoseList(TestWorld& world) {
+// The store refuses everything, and a host has noticed.
+void TakeStoreAway(TestWorld& world) {
   platform::StandInFaults busy;
   busy.refuse_with = http_status::kUnavailable;
   world.platform().SetFaults(busy);
   PutVersion(world, 2);
   cr_assert(
       world.Await([&] { return world.HasEvent(0, EventCode::kPlatformDown); }));
+}
+
+// The store is away, and its list of upstreams runs out meanwhile.
+void LoseList(TestWorld& world) {
+  TakeStoreAway(world);
   for (std::size_t i = 0; i < world.upstreams(); ++i) {
     world.platform().RemoveUpstream(world.upstream_info(i).id);
   }
@@ -142,12 +147,7 @@
   plan.upstreams_in_domain = 6;
   TestWorld world(plan);
   world.StartAll();
-  platform::StandInFaults busy;
-  busy.refuse_with = http_status::kUnavailable;
-  world.platform().SetFaults(busy);
-  PutVersion(world, 2);
-  cr_assert(
-      world.Await([&] { return world.HasEvent(0, EventCode::kPlatformDown); }));
+  TakeStoreAway(world);
   world.platform().RemoveUpstream(world.upstream_info(0).id);
   world.platform().SetFaults({});
   bool lapsed = false;
