Log every request where the settings ask for it, with its key and target

Ruled out: logging all by default (6% of the processor under a flood). Change: log.sample_one_of and log.failures_per_second are settings with the former constants as defaults; request-taken names the key's hash and target.

--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -36,6 +36,7 @@
 constexpr const char* kDroppedStates = "dropped_states";
 constexpr const char* kElapsedMs = "elapsed_ms";
 constexpr const char* kExpectedMs = "expected_ms";
+constexpr const char* kKey = "affinity_key";
 constexpr const char* kLatencyMs = "latency_ms";
 constexpr const char* kLeftMs = "left_ms";
 constexpr const char* kListAgeMs = "list_age_ms";
--- a/include/pathcleat/gateway/request_log.hpp
+++ b/include/pathcleat/gateway/request_log.hpp
@@ -6,6 +6,7 @@
 
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/settings/entry_settings.hpp"
 #include "pathcleat/steer/token_bucket.hpp"
 
 namespace pathcleat {
@@ -16,8 +17,7 @@
 /// @ingroup gateway
 class RequestLog {
  public:
-  /// @param enabled whether anything is logged at all.
-  explicit RequestLog(EventLog& events, bool enabled = true);
+  RequestLog(EventLog& events, const RequestLogSettings& settings);
 
   /// @brief A request is over.
   /// @param failed it was refused, retried, slow, left by its caller or may
@@ -31,11 +31,11 @@
   std::uint64_t left_out() const { return left_out_; }
 
   /// @brief Whether a request's events are logged when it goes well.
-  static bool IsSampled(const std::string& request_id);
+  bool IsSampled(const std::string& request_id) const;
 
  private:
   EventLog& events_;
-  bool enabled_;
+  RequestLogSettings settings_;
   TokenBucket failures_;
   std::uint64_t left_out_ = 0;
 };
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -22,10 +22,10 @@
   void Note(EventCode code, EventFields fields);
 
   /// @brief The request was taken.
+  /// @param picked what it asks of the picker.
   /// @param left time until it must be answered.
   void NoteTaken(const Exchange& exchange,
-                 const Route& route,
-                 const std::string& service,
+                 const PickRequest& picked,
                  Duration left);
 
   /// @brief It is sent to the upstream that was picked.
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -38,6 +38,19 @@
   double between_regions = 0;
 };
 
+/// @brief Which requests' events go to the log.
+/// @ingroup settings
+struct RequestLogSettings {
+  bool enabled = true;  ///< whether any do
+  /// Of the requests that go well, one in so many; 1 logs all of them, as an
+  /// account of a whole day needs. One in 128 costs under 2% of the processor
+  /// time (docs/MEASUREMENTS.md, "Cost of the log").
+  int sample_one_of = 128;
+  /// Requests that fail or are slow, a second; 50 is 1% of what a host of
+  /// today's size takes at most.
+  double failures_per_second = 50;
+};
+
 /// @brief Everything that one entry host learns at its start.
 /// @ingroup settings
 struct EntrySettings {
@@ -51,7 +64,7 @@
   std::string store_address;
   FleetBounds bounds;
   CarryingCosts costs;
-  bool log_requests = true;  ///< whether requests' events go to the log
+  RequestLogSettings request_log;
   std::map<std::string, int> link_limits;  ///< in flight, by other region
 };
 
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -83,7 +83,7 @@
       });
   request_.service = state_.splits.Choose(*route_, UnitOf(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
-  trace_.NoteTaken(*exchange_, *route_, request_.service, Left());
+  trace_.NoteTaken(*exchange_, request_, Left());
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
     ClaimKey();
   } else {
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -67,7 +67,7 @@
       keys(loop, store, events),
       client_regions(RegionsOf(settings)),
       traces(kTracesKept),
-      request_log(events, settings.log_requests) {}
+      request_log(events, settings.request_log) {}
 
 double GatewayState::RetryBurst(Time now) const {
   return settings.bounds.retry_slack * kSlackShare / hosts.Alive(now);
--- a/src/pathcleat/gateway/request_log.cpp
+++ b/src/pathcleat/gateway/request_log.cpp
@@ -6,27 +6,28 @@
 namespace pathcleat {
 namespace {
 
-constexpr double kFailuresPerSecond = 50;
-constexpr double kFailureBurst = 200;
-// One request of so many that go well.
-constexpr std::uint64_t kSampleOneOf = 128;
+// Failures that may be logged at once, in seconds of their rate: a burst of a
+// few seconds' failures is told whole.
+constexpr double kFailureBurstSeconds = 4;
 
 }  // namespace
 
-RequestLog::RequestLog(EventLog& events, bool enabled)
+RequestLog::RequestLog(EventLog& events, const RequestLogSettings& settings)
     : events_(events),
-      enabled_(enabled),
-      failures_(kFailuresPerSecond, kFailureBurst) {}
+      settings_(settings),
+      failures_(settings.failures_per_second,
+                settings.failures_per_second * kFailureBurstSeconds) {}
 
-bool RequestLog::IsSampled(const std::string& request_id) {
-  return StableHash(request_id) % kSampleOneOf == 0;
+bool RequestLog::IsSampled(const std::string& request_id) const {
+  const auto one_of = static_cast<std::uint64_t>(settings_.sample_one_of);
+  return StableHash(request_id) % one_of == 0;
 }
 
 void RequestLog::Finish(const std::string& request_id,
                         bool failed,
                         const std::vector<Event>& events,
                         Time now) {
-  if (!enabled_) {
+  if (!settings_.enabled) {
     return;
   }
   if (failed && !failures_.TryTake(now)) {
--- a/src/pathcleat/gateway/request_log_test.cpp
+++ b/src/pathcleat/gateway/request_log_test.cpp
@@ -15,7 +15,7 @@
     return {events.Stamp(EventCode::kRequestTaken, id, "", {})};
   }
   EventLog events{"host", 100'000};
-  RequestLog log{events};
+  RequestLog log{events, RequestLogSettings{}};
 };
 
 Test(request_log, all_hosts_keep_the_same_of_those_that_go_well) {
@@ -37,6 +37,19 @@
   }
 }
 
+Test(request_log, all_are_kept_where_the_settings_ask_for_it) {
+  LogWorld world;
+  RequestLogSettings settings;
+  settings.sample_one_of = 1;
+  RequestLog log(world.events, settings);
+  constexpr std::size_t kRequests = 500;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    log.Finish(id, false, world.EventsOf(id), kStart);
+  }
+  cr_assert_eq(world.events.Snapshot().size(), kRequests);
+}
+
 Test(request_log, failures_are_kept_up_to_a_rate_and_the_rest_counted) {
   LogWorld world;
   constexpr std::uint64_t kFailures = 10'000;
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -11,14 +11,15 @@
 }
 
 void RequestTrace::NoteTaken(const Exchange& exchange,
-                             const Route& route,
-                             const std::string& service,
+                             const PickRequest& picked,
                              Duration left) {
   Note(EventCode::kRequestTaken,
        {{field::kCaller, exchange.caller()},
-        {field::kRoute, route.name},
-        {field::kService, service},
-        {field::kRepeatable, route.repeatable},
+        {field::kRoute, picked.route->name},
+        {field::kService, picked.service},
+        {field::kRepeatable, picked.route->repeatable},
+        {field::kKey, picked.sticky ? std::to_string(picked.key) : ""},
+        MillisecondsField(field::kTargetMs, picked.route->target_latency),
         MillisecondsField(field::kLeftMs, left),
         NumberField(field::kConfigVersion, state_.routes.version()),
         MillisecondsField(field::kAgeMs,
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -71,6 +71,17 @@
   return costs;
 }
 
+RequestLogSettings ReadRequestLog(JsonReader& reader) {
+  constexpr Bounds kSample{1, 1e9};
+  RequestLogSettings log;
+  log.enabled = reader.Flag("requests");
+  log.sample_one_of =
+      reader.IntegerOr("sample_one_of", kSample, log.sample_one_of);
+  log.failures_per_second =
+      reader.NumberOr("failures_per_second", kCount, log.failures_per_second);
+  return log;
+}
+
 void ReadEntry(JsonReader& reader, EntrySettings& out) {
   out.host = reader.Text("host");
   out.domain = reader.Text("failure_domain");
@@ -92,8 +103,8 @@
                 [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
   reader.Nested("gigabyte_costs",
                 [&out](JsonReader& r) { out.costs = ReadCosts(r); });
-  reader.Nested(
-      "log", [&out](JsonReader& r) { out.log_requests = r.Flag("requests"); });
+  reader.Nested("log",
+                [&out](JsonReader& r) { out.request_log = ReadRequestLog(r); });
   reader.EachObject("links", false, [&out](JsonReader& link) {
     constexpr int kNoDefault = 1;
     out.link_limits[link.Text("to")] =
