--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -52,6 +52,9 @@
   /// than one, as the sharing of limits among them divides by it.
   int AliveIn(const std::string& region, Time now) const;
 
+  /// @brief Hosts alive now, this one included, by region.
+  std::map<std::string, int> AliveByRegion(Time now) const;
+
   /// @brief Hosts alive now, this one included.
   int Alive(Time now) const;
 
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -39,6 +39,7 @@
   void ArmPatience(Duration patience);
   void OnPatienceOver();
   bool MayGoElsewhere() const;
+  void NoteNoAnswer();
   void OnResult(const Pick& pick, Time sent, const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
   void OnFailure(const CallResult& result);
@@ -67,6 +68,7 @@
   Time deadline_;
   HttpClientPtr client_;  ///< of the attempt under way
   UpstreamPtr upstream_;  ///< of the attempt under way
+  Pick pick_;             ///< of the attempt under way
   Time sent_;             ///< when that attempt was sent
   bool retried_ = false;
   bool may_have_run_ = false;
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "pathcleat/routing/recent_keys.hpp"
+#include "pathcleat/routing/slowness.hpp"
 #include "pathcleat/routing/standing_queue.hpp"
 #include "pathcleat/routing/upstream_health.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
@@ -28,8 +29,8 @@
   StandingQueue queue;
   Time cold_until;         ///< bears few requests until then
   TokenBucket cold_share;  ///< this host's share of what it bears when cold
-  std::uint64_t turned_away = 0;   ///< requests that it said it did not run
-  double slowness = 1;             ///< its run times over the usual ones
+  std::uint64_t turned_away = 0;  ///< requests that it said it did not run
+  Slowness slowness;
   std::optional<Time> lapse_ends;  ///< its entry is gone; it may come back
   bool removed = false;            ///< off the list; requests under way go on
 
--- a/include/pathcleat/routing/upstream_health.hpp
+++ b/include/pathcleat/routing/upstream_health.hpp
@@ -20,7 +20,13 @@
   void OnEnded() { --under_way_; }
 
   /// @brief It gave an answer of any kind.
-  void OnHeard(Time now) { quiet_since_ = now; }
+  void OnHeard(Time now) {
+    quiet_since_ = now;
+    heard_ = now;
+  }
+
+  /// @brief Whether it has given any answer since then.
+  bool HasAnsweredSince(Time then) const { return heard_ > then; }
 
   void OnSuccess() {
     failures_ = 0;
@@ -48,6 +54,7 @@
   int under_way_ = 0;
   bool trying_ = false;
   Time retry_at_;
+  Time heard_;        ///< its last answer
   Time quiet_since_;  ///< last answer, or first request sent since none
   Duration patience_{0};
 };
--- a/include/pathcleat/routing/upstream_load.hpp
+++ b/include/pathcleat/routing/upstream_load.hpp
@@ -19,6 +19,10 @@
 /// @ingroup routing
 class UpstreamLoad {
  public:
+  /// @brief Whether the usual load by others is remembered once a report has
+  /// grown old; without it, no load is assumed.
+  void RememberUsual(bool remember) { remember_usual_ = remember; }
+
   void OnSent() { ++own_; }
   void OnEnded() { --own_; }
 
@@ -33,6 +37,7 @@
  private:
   double AgeMicros(Time now) const;
 
+  bool remember_usual_ = true;
   int own_ = 0;
   double usual_ = 0;   ///< requests of others, on average of late
   double others_ = 0;  ///< at reported_
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -7,7 +7,9 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/routing/key_placement.hpp"
 #include "pathcleat/routing/link_limits.hpp"
+#include "pathcleat/routing/region_shares.hpp"
 #include "pathcleat/routing/request_profile.hpp"
 #include "pathcleat/routing/route.hpp"
 #include "pathcleat/routing/shift_table.hpp"
@@ -25,6 +27,7 @@
   double region_gigabyte_cost = 0;
   /// Most requests in flight from this region to others, by region.
   std::map<std::string, int> link_limits;
+  PolicySwitches policy;
 };
 
 /// @brief One request that wants an upstream.
@@ -63,6 +66,7 @@
   Duration wait{0};         ///< of it, before a slot is free
   Duration retry_after{0};  ///< for kOverloaded
   bool warm = false;
+  WarmthSign sign;  ///< of the upstream for the key
   bool left_region = false;
   int candidates = 0;
 };
@@ -91,6 +95,9 @@
                       const std::string& region,
                       Time now) const;
 
+  /// @brief Entry hosts alive, by region.
+  void SetHosts(std::map<std::string, int> hosts) { hosts_ = std::move(hosts); }
+
   ShiftTable& shifts() { return shifts_; }
   LinkLimits& links() { return links_; }
 
@@ -101,6 +108,13 @@
   /// @brief A connection to the upstream took this long to open.
   void OnConnected(const UpstreamState& upstream, Duration round_trip);
 
+  /// @brief An attempt was given up, or its time ended, without an answer.
+  /// @param waited since it was sent.
+  void OnNoAnswer(UpstreamState& upstream,
+                  const Pick& pick,
+                  Duration waited,
+                  Time now);
+
   /// @brief A whole answer came.
   void OnAnswer(UpstreamState& upstream,
                 const PickRequest& request,
@@ -109,10 +123,9 @@
                 Time now);
 
  private:
-  struct Candidate {
-    UpstreamPtr upstream;
-    std::uint64_t rank = 0;  ///< rendezvous hash with the key
-    double warmth = 0;       ///< probability that it is quick at the key
+  struct SharesEntry {
+    RegionShares shares;
+    Time updated;
   };
   struct Scored {
     Pick pick;
@@ -126,10 +139,9 @@
                         const PickRequest& request);
   void KeepRegion(std::vector<Candidate>& candidates,
                   const std::string& region) const;
-  static void KeepKeyNear(std::vector<Candidate>& candidates,
-                          const PickRequest& request);
-  static void EstimateWarmth(std::vector<Candidate>& candidates,
-                             const PickRequest& request);
+  RegionShares& SharesOf(const std::string& service, Time now);
+  void EstimateWarmth(std::vector<Candidate>& candidates,
+                      const PickRequest& request);
   Scored Score(const Candidate& candidate,
                const PickRequest& request,
                Time now);
@@ -143,6 +155,8 @@
   UpstreamTable& table_;
   ShiftTable shifts_;
   LinkLimits links_;
+  std::map<std::string, int> hosts_;                  ///< alive, by region
+  std::map<std::string, SharesEntry> shares_;         ///< by service
   std::map<std::string, RequestProfile> profiles_;    ///< by route name
   std::map<std::string, LatencyEstimate> latencies_;  ///< by failure domain
 };
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/routing/upstream.hpp"
 
 namespace pathcleat {
@@ -20,7 +21,8 @@
 class UpstreamTable {
  public:
   /// @param region_of_domain region of each failure domain, by name.
-  explicit UpstreamTable(std::map<std::string, std::string> region_of_domain);
+  explicit UpstreamTable(std::map<std::string, std::string> region_of_domain,
+                         PolicySwitches policy = {});
 
   /// @brief Adds or renews an entry. What is known of the upstream beside
   /// the entry is kept.
@@ -55,6 +57,7 @@
 
  private:
   std::map<std::string, std::string> region_of_domain_;
+  PolicySwitches policy_;
   std::map<std::string, UpstreamPtr> by_id_;
   std::map<std::string, std::vector<UpstreamPtr>, std::less<>> by_service_;
   std::set<std::string> drained_;  ///< failure domains
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/settings/settings_fault.hpp"
 
@@ -65,6 +66,7 @@
   FleetBounds bounds;
   CarryingCosts costs;
   RequestLogSettings request_log;
+  PolicySwitches policy;  ///< mechanisms switched off, for measurements
   std::map<std::string, int> link_limits;  ///< in flight, by other region
 };
 
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -73,6 +73,16 @@
   return std::max(1, count);
 }
 
+std::map<std::string, int> HostTable::AliveByRegion(Time now) const {
+  std::map<std::string, int> alive{{self_.region, 1}};
+  for (const auto& [name, host] : others_) {
+    if (IsAlive(host, now)) {
+      ++alive[host.info.region];
+    }
+  }
+  return alive;
+}
+
 int HostTable::Alive(Time now) const {
   int count = 1;
   for (const auto& [name, host] : others_) {
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -130,7 +130,8 @@
 // than expected, if another one would have it and time is left. Else it waits
 // on: a work that is under way may still be answered.
 void Call::ArmPatience(Duration patience) {
-  if (!route_->repeatable) {
+  if (!route_->repeatable ||
+      !state_.settings.policy.IsOn(Mechanism::kPatience)) {
     return;
   }
   patience_timer_.expires_after(patience);
@@ -153,6 +154,11 @@
   if (!MayGoElsewhere()) {
     return;
   }
+  if (upstream_->health.HasAnsweredSince(sent_)) {
+    // It is busy, not silent: what it has begun would be thrown away.
+    ArmPatience(kRetrySoon);
+    return;
+  }
   request_.time_left = Left();
   const Pick next = state_.picker.Choose(request_, BootClock::now());
   if (!next.upstream || !state_.RetriesOf(request_.service).TryRetry()) {
@@ -164,7 +170,7 @@
                     BootClock::now() - sent_);
   ++attempts_;
   may_have_run_ = true;
-  state_.OnAttemptFailed(*upstream_);
+  NoteNoAnswer();
   CancelAttempt();
   retried_ = true;
   trace_.Note(EventCode::kRequestRetried,
@@ -172,6 +178,18 @@
   Send(next);
 }
 
+// The upstream under way has kept the request for too long, and answered
+// nothing else meanwhile: later ones go elsewhere. One that answers others is
+// only busy.
+void Call::NoteNoAnswer() {
+  if (upstream_->health.HasAnsweredSince(sent_)) {
+    return;
+  }
+  const Time now = BootClock::now();
+  state_.picker.OnNoAnswer(*upstream_, pick_, now - sent_, now);
+  state_.OnAttemptFailed(*upstream_);
+}
+
 void Call::Send(const Pick& pick) {
   const Time now = BootClock::now();
   const Duration left = Left();
@@ -184,6 +202,7 @@
   state_.metrics.OnSent(pick.wait);
   request_.excluded.insert(upstream.info.id);
   upstream_ = pick.upstream;
+  pick_ = pick;
   sent_ = now;
   upstream.load.OnSent();
   state_.picker.links().OnSent(upstream.region);
@@ -386,6 +405,9 @@
     return;
   }
   const bool sent = client_ && client_->MayHaveSent();
+  if (client_) {
+    NoteNoAnswer();
+  }
   if (sent || may_have_run_) {
     AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
   } else {
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -46,6 +46,7 @@
   picker.domain_gigabyte_cost = settings.costs.between_domains;
   picker.region_gigabyte_cost = settings.costs.between_regions;
   picker.link_limits = settings.link_limits;
+  picker.policy = settings.policy;
   return picker;
 }
 
@@ -61,7 +62,7 @@
       headers(header_names),
       events(settings.host, kEventsKept),
       hosts(SelfOf(settings, incarnation), kHostSilence),
-      upstreams(settings.region_of_domain),
+      upstreams(settings.region_of_domain, settings.policy),
       picker(PickerSettingsOf(settings), upstreams),
       pool(loop),
       keys(loop, store, events),
@@ -101,6 +102,7 @@
 
 void GatewayState::ShareBounds(Time now) {
   picker.links().SetSharers(hosts.AliveIn(settings.region, now));
+  picker.SetHosts(hosts.AliveByRegion(now));
   for (auto& [service, budget] : retries) {
     budget.SetBurst(RetryBurst(now));
   }
--- /dev/null
+++ b/src/pathcleat/routing/region_shares_test.cpp
@@ -0,0 +1,95 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/region_shares.hpp"
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+UpstreamState UpstreamIn(const std::string& region, int slots) {
+  UpstreamInfo info;
+  info.id = region;
+  info.slots = slots;
+  UpstreamState upstream(info);
+  upstream.region = region;
+  return upstream;
+}
+
+// Weight of all slots of a region for the keys of another.
+double Part(const RegionShares& shares,
+            const std::string& region,
+            const RegionRoom& room) {
+  return room.slots > 0 ? shares.WeightOf(UpstreamIn(region, 1)) * room.slots
+                        : 0;
+}
+
+Test(region_shares, all_keys_have_an_upstream) {
+  cr_assert(Holds("the parts of all regions add up to one", [] {
+    std::map<std::string, RegionRoom> regions;
+    double slots = 0;
+    for (const std::string name : {"a", "b", "c"}) {
+      regions[name].slots = *rc::gen::inRange(0, 200);
+      regions[name].hosts = *rc::gen::inRange(0, 30);
+      slots += regions[name].slots;
+    }
+    RC_PRE(regions["b"].slots + regions["c"].slots > 0);
+    RegionShares shares("a", true);
+    shares.Update(regions);
+    double sum = 0;
+    for (const auto& [name, room] : regions) {
+      sum += Part(shares, name, room);
+    }
+    RC_ASSERT(std::abs(sum - 1) < 1e-9);
+  }));
+}
+
+// Checked to fail with kHomePull at 0.
+Test(region_shares, region_with_room_keeps_most_of_its_keys) {
+  const std::map<std::string, RegionRoom> regions{
+      {"north", {10, 4}}, {"west", {40, 4}}, {"south", {50, 4}}};
+  RegionShares south("south", true);
+  south.Update(regions);
+  cr_assert_eq(south.HomeShare(), 1);
+  cr_assert_gt(Part(south, "south", regions.at("south")), 0.7);
+  RegionShares north("north", true);
+  north.Update(regions);
+  // Ten slots, while its callers need a third of a hundred.
+  cr_assert_float_eq(north.HomeShare(), 0.3, 1e-9);
+  cr_assert_lt(Part(north, "north", regions.at("north")), 0.3);
+}
+
+// No decision overloads a region: what all regions send to one together is
+// its part of all slots, give or take a fifth.
+Test(region_shares, regions_are_about_equally_busy) {
+  const std::map<std::string, RegionRoom> regions{
+      {"north", {10, 4}}, {"west", {40, 4}}, {"south", {50, 4}}};
+  for (const auto& [target, room] : regions) {
+    double sent = 0;
+    for (const auto& [from, unused] : regions) {
+      RegionShares shares(from, true);
+      shares.Update(regions);
+      sent += Part(shares, target, room) / 3;
+    }
+    cr_assert_float_eq(sent, room.slots / 100, 0.2 * room.slots / 100,
+                       "%s gets %f of all", target.c_str(), sent);
+  }
+}
+
+Test(region_shares, without_regions_slots_alone_count) {
+  const std::map<std::string, RegionRoom> regions{{"north", {10, 4}},
+                                                  {"south", {30, 4}}};
+  RegionShares shares("north", false);
+  shares.Update(regions);
+  cr_assert_float_eq(Part(shares, "north", regions.at("north")), 0.25, 1e-9);
+}
+
+Test(region_shares, region_without_upstreams_sends_all_elsewhere) {
+  const std::map<std::string, RegionRoom> regions{{"north", {0, 4}},
+                                                  {"south", {30, 4}}};
+  RegionShares shares("north", true);
+  shares.Update(regions);
+  cr_assert_float_eq(Part(shares, "south", regions.at("south")), 1, 1e-9);
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_load.cpp
+++ b/src/pathcleat/routing/upstream_load.cpp
@@ -28,7 +28,9 @@
   const double age = AgeMicros(now);
   usual_ *= std::exp(-age / kForgetMicros);
   const double told = std::min(age, kLongestReportMicros);
-  usual_ += (others - usual_) * (1 - std::exp(-told / kLearnMicros));
+  if (remember_usual_) {
+    usual_ += (others - usual_) * (1 - std::exp(-told / kLearnMicros));
+  }
   others_ = before + (others - before) * kReportWeight;
   reported_ = now;
 }
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -2,7 +2,6 @@
 #include "pathcleat/routing/upstream_picker.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 #include "pathcleat/core/hash.hpp"
@@ -19,17 +18,15 @@
 constexpr double kSlotSecondCost = 0.3;
 // Answers at least this large stay in their region while it has an upstream.
 constexpr double kLargeAnswerBytes = 32'768;
-// Chance that the best and second ranked upstream is quick at a key which
-// this host has not sent there itself: others rank them alike.
-constexpr double kFirstRankWarmth = 0.6;
-constexpr double kSecondRankWarmth = 0.25;
-constexpr double kKnownWarmth = 0.95;
 constexpr double kWarmEnough = 0.5;
-constexpr std::size_t kUpstreamsOfKey = 3;
+// A key leaves its nearest upstream only for an answer worth this much more,
+// a rank: whoever leaves for less makes the key known in more places than it
+// needs, and fills the region that is short of room.
+constexpr double kRankCost = 0.08;
+// The list and the fleet change a few times a minute; shares follow within
+// this time.
+constexpr Duration kSharesPeriod{250'000};
 constexpr Duration kFirstRoundTrip{2'000};
-constexpr double kSlownessWeight = 0.1;
-constexpr double kLeastSlowness = 0.8;
-constexpr double kMostSlowness = 8;
 constexpr double kBytesWeight = 0.05;
 
 double Seconds(Duration duration) {
@@ -73,7 +70,9 @@
       links_(settings.link_limits) {}
 
 RequestProfile& UpstreamPicker::ProfileOf(const Route& route) {
-  return profiles_.try_emplace(route.name, route.target_latency).first->second;
+  const bool learns = settings_.policy.IsOn(Mechanism::kLearnedWarmth);
+  return profiles_.try_emplace(route.name, route.target_latency, learns)
+      .first->second;
 }
 
 Duration UpstreamPicker::RoundTrip(const UpstreamState& upstream) const {
@@ -83,7 +82,8 @@
 
 double UpstreamPicker::CarryingCost(const UpstreamState& upstream,
                                     double bytes) const {
-  if (upstream.info.domain == settings_.domain) {
+  if (upstream.info.domain == settings_.domain ||
+      !settings_.policy.IsOn(Mechanism::kCarryingCost)) {
     return 0;
   }
   const double gigabyte = upstream.region == settings_.region
@@ -92,9 +92,8 @@
   return bytes / kBytesInGigabyte * gigabyte;
 }
 
-std::vector<UpstreamPicker::Candidate> UpstreamPicker::Candidates(
-    const PickRequest& request,
-    Time now) const {
+std::vector<Candidate> UpstreamPicker::Candidates(const PickRequest& request,
+                                                  Time now) const {
   std::vector<Candidate> candidates;
   const auto& homes = request.route->home_regions;
   for (const UpstreamPtr& upstream : table_.Of(request.service)) {
@@ -108,8 +107,9 @@
     if (is_home && reachable && bears && table_.IsOpen(*upstream) &&
         upstream->health.MayTry(now) &&
         !request.excluded.contains(upstream->info.id)) {
-      candidates.push_back(
-          {upstream, MixHashes(request.key, upstream->hash), 0});
+      Candidate candidate;
+      candidate.upstream = upstream;
+      candidates.push_back(std::move(candidate));
     }
   }
   return candidates;
@@ -165,36 +165,40 @@
   return PickFailure::kNone;
 }
 
-// A key stays with its few best ranked upstreams, also under overload: spread
-// over all it would be cold everywhere, and overload would feed on itself.
-void UpstreamPicker::KeepKeyNear(std::vector<Candidate>& candidates,
-                                 const PickRequest& request) {
-  if (!request.sticky || candidates.size() <= kUpstreamsOfKey) {
-    return;
+RegionShares& UpstreamPicker::SharesOf(const std::string& service, Time now) {
+  const auto [found, is_new] = shares_.try_emplace(
+      service,
+      RegionShares(settings_.region,
+                   settings_.policy.IsOn(Mechanism::kRegionShares)),
+      now);
+  SharesEntry& entry = found->second;
+  if (!is_new && now - entry.updated < kSharesPeriod) {
+    return entry.shares;
+  }
+  entry.updated = now;
+  std::map<std::string, RegionRoom> regions;
+  for (const UpstreamPtr& upstream : table_.Of(service)) {
+    if (table_.IsOpen(*upstream) && !upstream->health.IsSuspect()) {
+      regions[upstream->region].slots += std::max(1, upstream->info.slots);
+    }
   }
-  std::nth_element(
-      candidates.begin(), candidates.begin() + kUpstreamsOfKey - 1,
-      candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
-  candidates.resize(kUpstreamsOfKey);
+  for (const auto& [region, hosts] : hosts_) {
+    regions[region].hosts = hosts;
+  }
+  entry.shares.Update(regions);
+  return entry.shares;
 }
 
 void UpstreamPicker::EstimateWarmth(std::vector<Candidate>& candidates,
                                     const PickRequest& request) {
-  if (!request.sticky) {
-    return;
-  }
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
-  constexpr std::array<double, 2> kRankWarmth = {kFirstRankWarmth,
-                                                 kSecondRankWarmth};
-  for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (candidates[i].upstream->keys.Contains(request.key)) {
-      candidates[i].warmth = kKnownWarmth;
-    } else if (i < kRankWarmth.size()) {
-      candidates[i].warmth = kRankWarmth.at(i);
-    }
+  const Warmth& warmth = ProfileOf(*request.route).warmth;
+  for (std::size_t rank = 0; rank < candidates.size(); ++rank) {
+    Candidate& candidate = candidates[rank];
+    // Work without a key takes as long wherever it runs.
+    const bool sent =
+        !request.sticky || candidate.upstream->keys.Contains(request.key);
+    candidate.sign = {sent, request.sticky ? rank : 0};
+    candidate.warmth = warmth.Probability(candidate.sign);
   }
 }
 
@@ -203,10 +207,10 @@
                                              Time now) {
   const UpstreamState& upstream = *candidate.upstream;
   const RequestProfile& profile = ProfileOf(*request.route);
-  const double warm = Seconds(profile.warm_run.value());
-  const double cold = Seconds(profile.cold_run.value());
+  const double warm = Seconds(profile.warmth.RunTime(true));
+  const double cold = Seconds(profile.warmth.RunTime(false));
   const double run = (warm * candidate.warmth + cold * (1 - candidate.warmth)) *
-                     upstream.slowness;
+                     upstream.slowness.Value(now);
   const double slots = std::max(1, upstream.info.slots);
   const double ahead = std::max(0.0, upstream.load.Expected(now) + 1 - slots);
   const double wait = ahead / slots * run;
@@ -217,10 +221,12 @@
   scored.pick.expected = FromSeconds(expected);
   scored.pick.wait = FromSeconds(wait);
   scored.pick.warm = candidate.warmth >= kWarmEnough;
+  scored.pick.sign = candidate.sign;
   scored.pick.left_region = upstream.region != settings_.region;
   scored.worth = WorthAt(expected, Seconds(request.route->target_latency)) -
                  CarryingCost(upstream, profile.answer_bytes) -
-                 (run + wait) * kSlotSecondCost;
+                 (run + wait) * kSlotSecondCost -
+                 kRankCost * static_cast<double>(candidate.sign.rank);
   return scored;
 }
 
@@ -251,8 +257,10 @@
     return;
   }
   queue.OnLong(now);
-  const bool stands = queue.IsStanding(now) && request.excluded.empty();
-  if (!first_try && !stands) {
+  const bool stands = settings_.policy.IsOn(Mechanism::kStandingQueue) &&
+                      queue.IsStanding(now) && request.excluded.empty();
+  const bool refuses_first = settings_.policy.IsOn(Mechanism::kAdmission);
+  if (!(first_try && refuses_first) && !stands) {
     return;
   }
   pick.failure = PickFailure::kOverloaded;
@@ -275,7 +283,10 @@
     none.failure = held;
     return none;
   }
-  KeepKeyNear(candidates, request);
+  const RegionShares& shares = SharesOf(request.service, now);
+  if (request.sticky && settings_.policy.IsOn(Mechanism::kKeyPlacement)) {
+    KeepKeyNear(candidates, request.key, shares);
+  }
   EstimateWarmth(candidates, request);
   Scored best;
   for (const Candidate& candidate : candidates) {
@@ -298,6 +309,9 @@
 std::vector<Pick> UpstreamPicker::Explain(const PickRequest& request,
                                           Time now) {
   std::vector<Candidate> candidates = Candidates(request, now);
+  if (request.sticky) {
+    RankByKey(candidates, request.key, SharesOf(request.service, now));
+  }
   EstimateWarmth(candidates, request);
   std::vector<Scored> scored;
   scored.reserve(candidates.size());
@@ -342,6 +356,16 @@
       .first->second.Add(round_trip);
 }
 
+void UpstreamPicker::OnNoAnswer(UpstreamState& upstream,
+                                const Pick& pick,
+                                Duration waited,
+                                Time now) {
+  if (settings_.policy.IsOn(Mechanism::kSlowness)) {
+    const double usual = Seconds(pick.expected) / upstream.slowness.Value(now);
+    upstream.slowness.OnNoAnswer(Seconds(waited) / usual, now);
+  }
+}
+
 void UpstreamPicker::OnAnswer(UpstreamState& upstream,
                               const PickRequest& request,
                               const Pick& pick,
@@ -350,7 +374,6 @@
   RequestProfile& profile = ProfileOf(*request.route);
   profile.answer_bytes +=
       (static_cast<double>(facts.bytes) - profile.answer_bytes) * kBytesWeight;
-  const bool warm = upstream.keys.Contains(request.key);
   upstream.keys.Touch(request.key);
   // A run time is learnt where nothing waited: what a queue adds is not the
   // run's, and would make overload look like slow work.
@@ -359,14 +382,15 @@
   }
   const Duration run =
       std::max(Duration(1'000), facts.took - RoundTrip(upstream));
-  LatencyEstimate& estimate = warm ? profile.warm_run : profile.cold_run;
-  const double ratio = Seconds(run) / Seconds(estimate.value());
-  upstream.slowness += (ratio - upstream.slowness) * kSlownessWeight;
-  upstream.slowness =
-      std::clamp(upstream.slowness, kLeastSlowness, kMostSlowness);
-  if (!upstream.IsCold(now)) {
-    estimate.Add(run);
+  const Duration usual =
+      FromSeconds(Seconds(run) / upstream.slowness.Value(now));
+  Warmth& warmth = profile.warmth;
+  const bool quick = upstream.IsCold(now) ? warmth.IsQuick(usual)
+                                          : warmth.OnRun(pick.sign, usual);
+  if (!settings_.policy.IsOn(Mechanism::kSlowness)) {
+    return;
   }
+  upstream.slowness.OnRun(Seconds(run) / Seconds(warmth.RunTime(quick)), now);
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -22,13 +22,16 @@
       cold_share(0, kColdBurst) {}
 
 UpstreamTable::UpstreamTable(
-    std::map<std::string, std::string> region_of_domain)
-    : region_of_domain_(std::move(region_of_domain)) {}
+    std::map<std::string, std::string> region_of_domain,
+    PolicySwitches policy)
+    : region_of_domain_(std::move(region_of_domain)),
+      policy_(std::move(policy)) {}
 
 void UpstreamTable::Put(const UpstreamInfo& entry, Time now) {
   auto& upstream = by_id_[entry.id];
   if (!upstream) {
     upstream = std::make_shared<UpstreamState>(entry);
+    upstream->load.RememberUsual(policy_.IsOn(Mechanism::kUsualLoad));
     by_service_[entry.service].push_back(upstream);
   }
   upstream->info = entry;
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -82,6 +82,28 @@
   return log;
 }
 
+std::string JoinedMechanismNames() {
+  std::string names;
+  for (const std::string_view name : MechanismNames()) {
+    names += (names.empty() ? "" : ", ") + std::string(name);
+  }
+  return names;
+}
+
+PolicySwitches ReadPolicy(JsonReader& reader) {
+  PolicySwitches policy;
+  for (const std::string& name : reader.Texts("off")) {
+    const auto mechanism = MechanismNamed(name);
+    if (mechanism) {
+      policy.off.insert(*mechanism);
+    } else {
+      reader.Fault("off", "expected some of " + JoinedMechanismNames() +
+                              "; found '" + name + "'");
+    }
+  }
+  return policy;
+}
+
 void ReadEntry(JsonReader& reader, EntrySettings& out) {
   out.host = reader.Text("host");
   out.domain = reader.Text("failure_domain");
@@ -105,6 +127,8 @@
                 [&out](JsonReader& r) { out.costs = ReadCosts(r); });
   reader.Nested("log",
                 [&out](JsonReader& r) { out.request_log = ReadRequestLog(r); });
+  reader.Nested("policy",
+                [&out](JsonReader& r) { out.policy = ReadPolicy(r); });
   reader.EachObject("links", false, [&out](JsonReader& link) {
     constexpr int kNoDefault = 1;
     out.link_limits[link.Text("to")] =
