Tests: not run is true of what broke off, busy upstreams keep their work

Cause: with may_have_run_ set to false in Call::OnFailure all tests passed, so a repeatable request that had run could be told 'not run' unnoticed; and nothing tested that patience ends only with a silent upstream. Change: two promise tests read runs at upstreams against what callers are told; one test of a busy upstream. Measured: each fails with its mechanism switched off (faults_test.cpp:43, 66 and 263), and passes with it.

--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -32,6 +32,41 @@
   cr_assert_eq(world.RunsOf("r1"), 1);
 }
 
+// Promise: "not run" is true. A request that may be repeated and broke off at
+// every upstream has run, so it is not told otherwise. Checked to fail with
+// may_have_run_ set to false in OnFailure.
+Test(promise, broken_lookup_that_no_upstream_answers_is_unknown) {
+  TestWorld world;
+  world.StartAll();
+  SpoilAll(world, SpoiltAnswer::kLost);
+  const CallResult first = world.Get(0, "r0");
+  cr_assert_eq(first.response.status, http_status::kBadGateway);
+  cr_assert_str_eq(TestWorld::Outcome(first).c_str(), "unknown");
+  // Later ones may find no upstream left to try: only those have not run.
+  for (int i = 1; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const CallResult get = world.Get(0, id);
+    const bool told_not_run = get.response.status == http_status::kUnavailable;
+    cr_assert_eq(told_not_run, world.RunsOf(id) == 0, "%s", id.c_str());
+  }
+}
+
+// The same where the second upstream turns it away: the first one has run it.
+Test(promise, lookup_that_ran_once_is_unknown_though_others_turn_it_away) {
+  TestWorldPlan plan;
+  plan.upstreams_in_domain = 2;
+  TestWorld world(plan);
+  world.StartAll();
+  world.upstream(0).Spoil(SpoiltAnswer::kLost);
+  world.upstream(1).TurnAway(true);
+  for (int i = 0; i < 6; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    const CallResult get = world.Get(0, id);
+    const bool told_not_run = get.response.status == http_status::kUnavailable;
+    cr_assert_eq(told_not_run, world.RunsOf(id) == 0, "%s", id.c_str());
+  }
+}
+
 Test(faults, broken_lookup_is_tried_at_another_upstream) {
   TestWorld world;
   world.StartAll();
@@ -198,6 +233,38 @@
   cr_assert(world.Await([&] { return client.Has("end held"); }));
 }
 
+// An upstream that answers others is busy and not silent: what it has begun is
+// not thrown away. Checked to fail, with two runs, without HasAnsweredSince in
+// OnPatienceOver.
+Test(faults, busy_upstream_keeps_what_it_has_begun) {
+  TestWorldPlan plan;
+  plan.slots = 8;
+  plan.timeout = Duration(60'000'000);
+  TestWorld world(plan);
+  world.StartAll();
+  for (int i = 0; i < 40; ++i) {
+    world.Get(0, "warm" + std::to_string(i));
+  }
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+  RawClient client(world.loop(), world.address(), world.CallerPort(0));
+  client.Send(GetText("held"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  // Answers at both upstreams go on until patience would have ended twice.
+  const Time sent = BootClock::now();
+  constexpr Duration kBeyondPatience{1'500'000};
+  for (int i = 0; BootClock::now() - sent < kBeyondPatience; ++i) {
+    RawClient other(world.loop(), world.address(), world.CallerPort(0));
+    const std::string id = "other" + std::to_string(i);
+    other.Send(GetText(id));
+    cr_assert(world.Await([&] { return world.RunsOf(id) > 0; }));
+    world.ForEachUpstream([&id](UpstreamStandIn& u) { u.AnswerRun(id); });
+    cr_assert(world.Await([&] { return other.Has("end " + id); }));
+  }
+  cr_assert_eq(world.RunsOf("held"), 1);
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.AnswerRun("held"); });
+  cr_assert(world.Await([&] { return client.Has("end held"); }));
+}
+
 // Promise: a submission with a key runs at most once, wherever it is repeated.
 Test(promise, repeats_at_other_hosts_run_a_key_once) {
   TestWorld world;
