--- a/include/pathcleat/routing/region_shares.hpp
+++ b/include/pathcleat/routing/region_shares.hpp
@@ -17,9 +17,9 @@
 };
 
 /// @brief Which part of a service's keys the regions serve for the callers of
-/// one region. Half of the keys go by room: they stay at home as far as the
-/// region's slots go, and the others where slots are left over. The other half
-/// goes to all upstreams alike. All hosts reckon alike without talk, from the
+/// one region. Most of the keys go by room: they stay at home as far as the
+/// region's slots go, and the others where slots are left over. The rest goes
+/// to all upstreams alike. All hosts reckon alike without talk, from the
 /// list and the fleet. Not thread-safe.
 /// @ingroup routing
 class RegionShares {
--- a/src/pathcleat/routing/region_shares.cpp
+++ b/src/pathcleat/routing/region_shares.cpp
@@ -9,9 +9,9 @@
 // Part of a region's keys that goes by the region's own room; the others go to
 // all upstreams alike. Keeping all keys at home saves most bytes, but regions
 // are busy at different times, and each alone has less to balance with: of 0,
-// 0.5 and 1 the middle measured best over three sites (docs/DECISIONS.md,
-// round 2).
-constexpr double kHomePull = 0.5;
+// 0.5, 0.75 and 1 this one measured best over three sites (docs/DECISIONS.md,
+// round 6).
+constexpr double kHomePull = 0.75;
 // Least part of a region's slots that may take others' spill: a region without
 // any room to spare still has upstreams that are not busy just now.
 constexpr double kLeastSpare = 0.05;
