--- a/include/pathcleat/core/hash.hpp
+++ b/include/pathcleat/core/hash.hpp
@@ -15,6 +15,10 @@
 /// @ingroup core
 double UnitHash(std::string_view bytes, std::uint64_t seed = 0);
 
+/// @brief A hash mapped to [0, 1).
+/// @ingroup core
+double UnitOfHash(std::uint64_t hash);
+
 /// @brief One hash of two: the rank of a pair in rendezvous hashing.
 /// @ingroup core
 std::uint64_t MixHashes(std::uint64_t a, std::uint64_t b);
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -25,7 +25,7 @@
   Call(GatewayState& state,
        ExchangePtr exchange,
        std::shared_ptr<const Route> route);
-  ~Call();
+  ~Call() { --state_.requests; }
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
@@ -35,7 +35,11 @@
   void ClaimKey();
   void OnKey(const KeyDecision& decision);
   void Attempt();
+  Pick ChooseNow();
   void Send(const Pick& pick);
+  void Arm(boost::asio::steady_timer& timer,
+           Duration wait,
+           void (Call::*step)());
   void ArmPatience(Duration patience);
   void OnPatienceOver();
   bool MayGoElsewhere() const;
@@ -45,6 +49,7 @@
   void OnFailure(const CallResult& result);
   bool MayRetry();
   void RetryOrGiveUp();
+  void Retry(const Pick& next);
   void Refuse(Duration retry_after,
               const std::string& reason,
               const Pick* best = nullptr);
--- a/include/pathcleat/gateway/upstream_protocol.hpp
+++ b/include/pathcleat/gateway/upstream_protocol.hpp
@@ -6,6 +6,7 @@
 
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/gateway/header_names.hpp"
+#include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_message.hpp"
 #include "pathcleat/routing/upstream_load.hpp"
 
@@ -26,6 +27,12 @@
                        const std::string& upstream_id,
                        Duration left);
 
+/// @brief Tells a request's own answers from others' that arrive late: those
+/// with another id. An answer without an id is taken for its own.
+/// @ingroup gateway
+HttpClient::Matcher AnswersOf(const HeaderNames& names,
+                              const std::string& request_id);
+
 /// @brief The load that an upstream tells in an answer, if it tells any.
 /// @ingroup gateway
 std::optional<LoadReport> LoadReportIn(const HeaderNames& names,
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -125,7 +126,7 @@
  private:
   struct SharesEntry {
     RegionShares shares;
-    Time updated;
+    std::optional<Time> updated;  ///< nothing: not reckoned yet
   };
   struct Scored {
     Pick pick;
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -4,7 +4,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/request_id.hpp"
+#include "pathcleat/gateway/patience.hpp"
 #include "pathcleat/gateway/pick_request.hpp"
 #include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
@@ -14,27 +16,12 @@
 
 constexpr int kMostUnsent = 3;
 constexpr Duration kConnectTimeout{600'000};
-constexpr Duration kShortestAttempt{400'000};
-constexpr int kExpectedMultiple = 4;
 constexpr Duration kRetrySoon{250'000};
 constexpr Duration kLeastTimeLeft{10'000};
 // An answer that takes so many times its target is worth explaining.
 constexpr int kSlowMultiple = 3;
 constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
 
-double UnitOf(std::uint64_t hash) {
-  constexpr double kRange = 18446744073709551616.0;
-  return static_cast<double>(hash) / kRange;
-}
-
-// How long an upstream may stay silent before another one is asked: far longer
-// than expected, but so that the other one has as much time again.
-Duration PatienceFor(Duration expected, Duration left) {
-  const Duration longest =
-      std::max(kShortestAttempt, expected * kExpectedMultiple);
-  return std::max(std::min(longest, left / 2), expected * 2);
-}
-
 }  // namespace
 
 Call::Call(GatewayState& state,
@@ -59,10 +46,6 @@
   deadline_ = exchange_->received() + allowed;
 }
 
-Call::~Call() {
-  --state_.requests;
-}
-
 Duration Call::Left() const {
   return deadline_ - BootClock::now();
 }
@@ -73,15 +56,8 @@
       self->OnCallerLeft();
     }
   });
-  deadline_timer_.expires_after(Left());
-  deadline_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->OnDeadline();
-        }
-      });
-  request_.service = state_.splits.Choose(*route_, UnitOf(request_.key));
+  Arm(deadline_timer_, Left(), &Call::OnDeadline);
+  request_.service = state_.splits.Choose(*route_, UnitOfHash(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
   trace_.NoteTaken(*exchange_, request_, Left());
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
@@ -91,6 +67,19 @@
   }
 }
 
+void Call::Arm(boost::asio::steady_timer& timer,
+               Duration wait,
+               void (Call::*step)()) {
+  timer.expires_after(wait);
+  timer.async_wait(
+      [weak = weak_from_this(), step](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          (self.get()->*step)();
+        }
+      });
+}
+
 void Call::ClaimKey() {
   key_.Claim(request_.service, exchange_->request(), Left(),
              [self = shared_from_this()](const KeyDecision& decision) {
@@ -110,9 +99,13 @@
   Attempt();
 }
 
-void Call::Attempt() {
+Pick Call::ChooseNow() {
   request_.time_left = Left();
-  const Pick pick = state_.picker.Choose(request_, BootClock::now());
+  return state_.picker.Choose(request_, BootClock::now());
+}
+
+void Call::Attempt() {
+  const Pick pick = ChooseNow();
   if (pick.failure == PickFailure::kNone) {
     Send(pick);
     return;
@@ -134,14 +127,7 @@
       !state_.settings.policy.IsOn(Mechanism::kPatience)) {
     return;
   }
-  patience_timer_.expires_after(patience);
-  patience_timer_.async_wait(
-      [weak = weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->OnPatienceOver();
-        }
-      });
+  Arm(patience_timer_, patience, &Call::OnPatienceOver);
 }
 
 // A host that is being stopped leaves work where it is.
@@ -154,13 +140,9 @@
   if (!MayGoElsewhere()) {
     return;
   }
-  if (upstream_->health.HasAnsweredSince(sent_)) {
-    // It is busy, not silent: what it has begun would be thrown away.
-    ArmPatience(kRetrySoon);
-    return;
-  }
-  request_.time_left = Left();
-  const Pick next = state_.picker.Choose(request_, BootClock::now());
+  // One that answers others is busy: what it has begun would be thrown away.
+  const bool is_busy = upstream_->health.HasAnsweredSince(sent_);
+  const Pick next = is_busy ? Pick() : ChooseNow();
   if (!next.upstream || !state_.RetriesOf(request_.service).TryRetry()) {
     ArmPatience(kRetrySoon);
     return;
@@ -172,6 +154,10 @@
   may_have_run_ = true;
   NoteNoAnswer();
   CancelAttempt();
+  Retry(next);
+}
+
+void Call::Retry(const Pick& next) {
   retried_ = true;
   trace_.Note(EventCode::kRequestRetried,
               {{field::kUpstream, next.upstream->info.id}});
@@ -205,17 +191,14 @@
   pick_ = pick;
   sent_ = now;
   upstream.load.OnSent();
+  // Upstreams are quick at a key from the start of its first run on.
+  upstream.keys.Touch(request_.key);
   state_.picker.links().OnSent(upstream.region);
   upstream.health.OnSent(pick.expected, now);
   if (upstream.IsCold(now)) {
     upstream.cold_share.TryTake(now);
   }
   client_ = state_.pool.Take(upstream.info, now);
-  const auto is_own = [id = request_id_, name = state_.headers.request_id](
-                          const HttpResponse& response) {
-    const auto found = FindHeader(response.headers, name);
-    return id.empty() || !found || *found == id;
-  };
   client_->Send(
       ToUpstream(state_.headers, exchange_->request(), request_id_,
                  upstream.info.id, left),
@@ -223,7 +206,7 @@
       [self = shared_from_this(), pick, now](const CallResult& result) {
         self->OnResult(pick, now, result);
       },
-      is_own);
+      AnswersOf(state_.headers, request_id_));
   ArmPatience(PatienceFor(pick.expected, left));
 }
 
@@ -306,10 +289,10 @@
   }
   if (route_->repeatable) {
     RetryOrGiveUp();
-    return;
+  } else {
+    AnswerUnknown(http_status::kBadGateway,
+                  "the request may have run: " + result.detail);
   }
-  AnswerUnknown(http_status::kBadGateway,
-                "the request may have run: " + result.detail);
 }
 
 bool Call::MayRetry() {
@@ -326,13 +309,9 @@
     key_.Settle({}, RunOutcome::kNotRun);
     return;
   }
-  request_.time_left = Left();
-  const Pick next = state_.picker.Choose(request_, BootClock::now());
+  const Pick next = ChooseNow();
   if (next.upstream && MayRetry()) {
-    retried_ = true;
-    trace_.Note(EventCode::kRequestRetried,
-                {{field::kUpstream, next.upstream->info.id}});
-    Send(next);
+    Retry(next);
     return;
   }
   if (!may_have_run_) {
--- a/src/pathcleat/gateway/source_watcher.cpp
+++ b/src/pathcleat/gateway/source_watcher.cpp
@@ -16,7 +16,7 @@
 constexpr int kMostDoublings = 3;
 // After a change the next one is not waited for at once: changes come in
 // series, and each answer of the store is paid for.
-constexpr std::chrono::milliseconds kGatherTime{150};
+constexpr std::chrono::milliseconds kGatherTime{250};
 
 }  // namespace
 
--- a/src/pathcleat/gateway/upstream_protocol.cpp
+++ b/src/pathcleat/gateway/upstream_protocol.cpp
@@ -61,6 +61,15 @@
   return out;
 }
 
+HttpClient::Matcher AnswersOf(const HeaderNames& names,
+                              const std::string& request_id) {
+  return
+      [id = request_id, name = names.request_id](const HttpResponse& response) {
+        const auto found = FindHeader(response.headers, name);
+        return id.empty() || !found || *found == id;
+      };
+}
+
 std::optional<LoadReport> LoadReportIn(const HeaderNames& names,
                                        const HttpResponse& response) {
   const auto text = FindHeader(response.headers, names.load);
--- a/src/pathcleat/routing/key_placement.cpp
+++ b/src/pathcleat/routing/key_placement.cpp
@@ -66,9 +66,8 @@
   if (weight <= 0) {
     return std::numeric_limits<double>::infinity();
   }
-  constexpr double kRange = 18446744073709551616.0;
-  const double unit =
-      (static_cast<double>(MixHashes(key, upstream)) + 1) / (kRange + 2);
+  // From (0, 1]: the logarithm of zero is no distance.
+  const double unit = 1 - UnitOfHash(MixHashes(key, upstream));
   return -std::log(unit) / weight;
 }
 
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -23,6 +23,8 @@
 // a rank: whoever leaves for less makes the key known in more places than it
 // needs, and fills the region that is short of room.
 constexpr double kRankCost = 0.08;
+// Ranks beyond those of a key's few upstreams cost no more than the last.
+constexpr std::size_t kRanksPriced = 2;
 // The list and the fleet change a few times a minute; shares follow within
 // this time.
 constexpr Duration kSharesPeriod{250'000};
@@ -166,19 +168,20 @@
 }
 
 RegionShares& UpstreamPicker::SharesOf(const std::string& service, Time now) {
-  const auto [found, is_new] = shares_.try_emplace(
-      service,
-      RegionShares(settings_.region,
-                   settings_.policy.IsOn(Mechanism::kRegionShares)),
-      now);
+  auto found = shares_.find(service);
+  if (found == shares_.end()) {
+    const bool keeps_home = settings_.policy.IsOn(Mechanism::kRegionShares);
+    const RegionShares shares(settings_.region, keeps_home);
+    found = shares_.emplace(service, SharesEntry{shares, std::nullopt}).first;
+  }
   SharesEntry& entry = found->second;
-  if (!is_new && now - entry.updated < kSharesPeriod) {
+  if (entry.updated && now - *entry.updated < kSharesPeriod) {
     return entry.shares;
   }
   entry.updated = now;
   std::map<std::string, RegionRoom> regions;
   for (const UpstreamPtr& upstream : table_.Of(service)) {
-    if (table_.IsOpen(*upstream) && !upstream->health.IsSuspect()) {
+    if (table_.IsOpen(*upstream)) {
       regions[upstream->region].slots += std::max(1, upstream->info.slots);
     }
   }
@@ -226,7 +229,8 @@
   scored.worth = WorthAt(expected, Seconds(request.route->target_latency)) -
                  CarryingCost(upstream, profile.answer_bytes) -
                  (run + wait) * kSlotSecondCost -
-                 kRankCost * static_cast<double>(candidate.sign.rank);
+                 kRankCost * static_cast<double>(
+                                 std::min(candidate.sign.rank, kRanksPriced));
   return scored;
 }
 
@@ -286,6 +290,8 @@
   const RegionShares& shares = SharesOf(request.service, now);
   if (request.sticky && settings_.policy.IsOn(Mechanism::kKeyPlacement)) {
     KeepKeyNear(candidates, request.key, shares);
+  } else if (request.sticky) {
+    RankByKey(candidates, request.key, shares);
   }
   EstimateWarmth(candidates, request);
   Scored best;
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -168,5 +168,21 @@
             "/colour", "unknown key"));
 }
 
+Test(settings, mechanisms_are_switched_off_by_name_and_unknown_ones_named) {
+  const ExampleCopy copy("race_results");
+  const std::string file = copy.HostFile("svealand-1-a");
+  const std::string name = "hosts/svealand-1-a.jsonc";
+  copy.Replace(name, "{", "{ \"policy\": { \"off\": [\"patience\"] },");
+  const LoadedEntrySettings loaded = LoadEntrySettings(file);
+  cr_assert(loaded.faults.empty());
+  cr_assert(!loaded.settings.policy.IsOn(Mechanism::kPatience));
+  cr_assert(loaded.settings.policy.IsOn(Mechanism::kSlowness));
+  copy.Replace(name, "patience", "patients");
+  const LoadedEntrySettings wrong = LoadEntrySettings(file);
+  cr_assert_eq(wrong.faults.size(), 1U);
+  cr_assert_neq(wrong.faults[0].text.find("patients"), std::string::npos);
+  cr_assert_neq(wrong.faults[0].text.find("learned_warmth"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -6,7 +6,7 @@
 
 Plays the sites' standard days with trouble, with every mechanism on, then with
 each one off by itself, and prints the change of the mean worth, lowest to
-highest seed. Runs on copies of this checkout; their journal entries come back.
+highest seed. Runs on a copy of this checkout; its journal entries come back.
 """
 import argparse
 import pathlib
@@ -22,17 +22,15 @@
     return re.findall(r'Named\{Mechanism::\w+, "(\w+)"\}', source.read_text())
 
 
-def measure(name, sites, seeds):
-    """Mean worth by seed of each site, with a mechanism off or none."""
-    copy = bench_runs.copy_of(bench_runs.ROOT, name)
-    if name != "none":
-        bench_runs.switch_off(copy, name)
+def measure(copy, name, sites, seeds):
+    """Mean worth by seed of each site, with a mechanism off or none ("")."""
+    bench_runs.switch_off(copy, name)
     figures, broken = {}, 0
     for site in sites:
-        plays = bench_runs.play_all(copy, site, seeds, f"ablation: {name} off")
+        why = f"ablation: {name or 'nothing'} off"
+        plays = bench_runs.play_all(copy, site, seeds, why)
         figures[site] = bench_runs.by_seed(plays)
         broken += sum(p.broken for p in plays)
-    bench_runs.keep_journal(copy, bench_runs.ROOT)
     return figures, broken
 
 
@@ -57,16 +55,18 @@
         return bench_runs.fail(f"--only: {unknown[0]} is none of {', '.join(known)}")
     seeds = [11 * (i + 1) for i in range(options.seeds)]
     try:
-        all_on, broken = measure("none", options.sites, seeds)
+        copy = bench_runs.copy_of(bench_runs.ROOT, "ablation")
+        all_on, broken = measure(copy, "", options.sites, seeds)
         stems = [site.stem for site in options.sites]
         print("| off | " + " | ".join(stems) + " | days with a rule broken |")
         print("|---" * (len(stems) + 2) + "|")
         whole = [sum(all_on[s]) / len(seeds) for s in options.sites]
         print("| nothing | " + " | ".join(f"{v:.3f}" for v in whole) + f" | {broken} |")
         for name in names:
-            off, broken = measure(name, options.sites, seeds)
+            off, broken = measure(copy, name, options.sites, seeds)
             cells = [cell(all_on[s], off[s]) for s in options.sites]
             print(f"| {name} | " + " | ".join(cells) + f" | {broken} |", flush=True)
+        bench_runs.keep_journal(copy, bench_runs.ROOT)
     except bench_runs.InputFault as fault:
         return bench_runs.fail(f"ablate: {fault}")
     return 0
--- a/tools/bench_runs.py
+++ b/tools/bench_runs.py
@@ -71,11 +71,13 @@
 
 
 def switch_off(copy, mechanism):
-    """Switches a mechanism off in a copy's settings."""
+    """Switches one mechanism off in a copy's settings, or none for ""."""
     path = copy / "deploy" / "settings.jsonc"
-    text = path.read_text(encoding="utf-8")
-    policy = f'"policy": {{ "off": ["{mechanism}"] }},\n  "gigabyte_costs"'
-    path.write_text(text.replace('"gigabyte_costs"', policy, 1), encoding="utf-8")
+    text = (ROOT / "deploy" / "settings.jsonc").read_text(encoding="utf-8")
+    if mechanism:
+        policy = f'"policy": {{ "off": ["{mechanism}"] }},\n  "gigabyte_costs"'
+        text = text.replace('"gigabyte_costs"', policy, 1)
+    path.write_text(text, encoding="utf-8")
 
 
 def play(copy, site, day, seed, why):
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -3,7 +3,7 @@
 # Installs the Debian packages that the build, the tests and the checks need;
 # does nothing where they are there.
 set -euo pipefail
-packages=(g++ cmake ninja-build pkg-config clang-format-14 clang-tidy-14 curl
+packages=(g++ python3 cmake ninja-build pkg-config clang-format-14 clang-tidy-14 curl
   libboost1.81-dev libboost-url1.81-dev libsodium-dev liblog4cplus-dev libdocopt-dev libcereal-dev
   libcriterion-dev librapidcheck-dev nlohmann-json3-dev libxxhash-dev
   zlib1g-dev)
