--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -11,6 +11,7 @@
 import argparse
 import pathlib
 import re
+import statistics
 import sys
 
 import bench_runs
@@ -37,7 +38,7 @@
 def cell(with_all, without):
     """Change by switching off: median of the seeds and its spread."""
     changes = sorted(b - a for a, b in zip(with_all, without))
-    middle = changes[len(changes) // 2]
+    middle = statistics.median(changes)
     return f"{middle:+.3f} ({changes[0]:+.3f} to {changes[-1]:+.3f})"
 
 
