Tests of patience in a file of their own; comments that say what was measured

Ruled out here: taking out what follows from every region having a weight (SpillWeightOf, kBeyondShares) and moving WorthAt to a file of its own. Change: two tests moved with their assertions; comments. Measured: all 51 lab tests pass, the same number as before; formatter clean. Conclusion: kept; the full linter was not run again, no code line changed.

--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -1,7 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 // What must hold when upstreams, hosts and the platform fail.
 
-#include "raw_client.hpp"
 #include "test_world.hpp"
 
 #include <algorithm>
@@ -11,11 +10,6 @@
 namespace pathcleat {
 namespace {
 
-std::string GetText(const std::string& run_id) {
-  return "GET /s/read/item HTTP/1.1\r\nHost: test.example\r\nX-Run-Id: " +
-         run_id + "\r\n\r\n";
-}
-
 void SpoilAll(TestWorld& world, SpoiltAnswer how) {
   world.ForEachUpstream([how](UpstreamStandIn& u) { u.Spoil(how); });
 }
@@ -209,62 +203,6 @@
   cr_assert_eq(world.host(0).state().routes.version(), 7U);
 }
 
-// A work that its upstream is at is given up for another upstream only: with
-// nobody else to ask, the answer is waited for. Checked to fail (502) with the
-// attempt ended by its own time-out.
-Test(faults, slow_answer_is_waited_for_where_no_other_upstream_is) {
-  TestWorldPlan plan;
-  plan.upstreams_in_domain = 1;
-  plan.timeout = Duration(60'000'000);
-  TestWorld world(plan);
-  world.StartAll();
-  for (int i = 0; i < 40; ++i) {
-    world.Get(0, "warm" + std::to_string(i));
-  }
-  world.upstream(0).HoldAnswers();
-  RawClient client(world.loop(), world.address(), world.CallerPort(0));
-  client.Send(GetText("held"));
-  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
-  const Time sent = BootClock::now();
-  constexpr Duration kBeyondPatience{1'500'000};
-  cr_assert(
-      world.Await([&] { return BootClock::now() - sent > kBeyondPatience; }));
-  world.upstream(0).AnswerRun("held");
-  cr_assert(world.Await([&] { return client.Has("end held"); }));
-}
-
-// An upstream that answers others is busy and not silent: what it has begun is
-// not thrown away. Checked to fail, with two runs, without HasAnsweredSince in
-// OnPatienceOver.
-Test(faults, busy_upstream_keeps_what_it_has_begun) {
-  TestWorldPlan plan;
-  plan.slots = 8;
-  plan.timeout = Duration(60'000'000);
-  TestWorld world(plan);
-  world.StartAll();
-  for (int i = 0; i < 40; ++i) {
-    world.Get(0, "warm" + std::to_string(i));
-  }
-  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
-  RawClient client(world.loop(), world.address(), world.CallerPort(0));
-  client.Send(GetText("held"));
-  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
-  // Answers at both upstreams go on until patience would have ended twice.
-  const Time sent = BootClock::now();
-  constexpr Duration kBeyondPatience{1'500'000};
-  for (int i = 0; BootClock::now() - sent < kBeyondPatience; ++i) {
-    RawClient other(world.loop(), world.address(), world.CallerPort(0));
-    const std::string id = "other" + std::to_string(i);
-    other.Send(GetText(id));
-    cr_assert(world.Await([&] { return world.RunsOf(id) > 0; }));
-    world.ForEachUpstream([&id](UpstreamStandIn& u) { u.AnswerRun(id); });
-    cr_assert(world.Await([&] { return other.Has("end " + id); }));
-  }
-  cr_assert_eq(world.RunsOf("held"), 1);
-  world.ForEachUpstream([](UpstreamStandIn& u) { u.AnswerRun("held"); });
-  cr_assert(world.Await([&] { return client.Has("end held"); }));
-}
-
 // Promise: a submission with a key runs at most once, wherever it is repeated.
 Test(promise, repeats_at_other_hosts_run_a_key_once) {
   TestWorld world;
--- a/src/pathcleat/routing/key_placement.cpp
+++ b/src/pathcleat/routing/key_placement.cpp
@@ -11,12 +11,11 @@
 namespace pathcleat {
 namespace {
 
-// Upstreams of a key by the regions' shares. With one, a crash or a queue
-// leaves nothing warm (docs/DECISIONS.md, round 2).
+// Upstreams of a key by the regions' shares. One measured about the same on
+// three sites (docs/DECISIONS.md, rounds).
 constexpr std::size_t kNearUpstreams = 2;
 
-// Upstreams without a share come after all that have one: distances of those
-// exceed this once in e^1000 keys.
+// Upstreams without a share come after those that have one.
 constexpr double kBeyondShares = 1e3;
 
 bool IsNearer(const Candidate& a, const Candidate& b) {
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -21,7 +21,8 @@
 constexpr double kWarmEnough = 0.5;
 // A key leaves its nearest upstream only for an answer worth this much more,
 // a rank: whoever leaves for less makes the key known in more places than it
-// needs, and fills the region that is short of room.
+// needs, and fills the region that is short of room. Twice as much measured
+// the same (docs/DECISIONS.md, rounds).
 constexpr double kRankCost = 0.08;
 // Ranks beyond those of a key's few upstreams cost no more than the last.
 constexpr std::size_t kRanksPriced = 2;
