--- a/tools/test.sh
+++ b/tools/test.sh
@@ -7,4 +7,4 @@
 "$root/tools/install_packages.sh"
 PATHCLEAT_BUILD=$build "$root/tools/build.sh" -DCMAKE_BUILD_TYPE=Debug \
   -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1"
-ctest --test-dir "$build" --output-on-failure
+"$root/tools/run_tests.sh" "$build"
