Configuration transfers: from where, bytes and times in the log

Change: config-applied tells the version replaced, the source, bytes, transfer and decoding time; PC1607 tells each question to another host that ended without a usable answer; metrics count bytes between hosts by kind, questions under way and given up. Ruled out: nothing yet, this is for that. Test: config_transfer/ log_tells_from_where_a_version_came.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -47,6 +47,7 @@
   kShiftStep = 1604,
   kShiftHeld = 1605,
   kTakenFromPeer = 1606,
+  kTransferFailed = 1607,
   kPeerRejected = 1701,
   kOperatorRejected = 1702,
   kLogDropped = 1901,
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -13,6 +13,7 @@
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/heartbeat.hpp"
 #include "pathcleat/fleet/host_table.hpp"
+#include "pathcleat/fleet/peer_traffic.hpp"
 
 namespace pathcleat {
 
@@ -20,12 +21,14 @@
 /// @ingroup fleet
 class PeerLink {
  public:
+  /// @param traffic where the bytes are counted.
   /// @param versions tells how far this host has come.
   /// @param on_versions told how far others have come.
   PeerLink(
       boost::asio::io_context& loop,
       HostTable& hosts,
       EventLog& events,
+      PeerTraffic& traffic,
       std::function<HostVersions()> versions,
       std::function<void(const HostInfo&, const HostVersions&)> on_versions);
 
@@ -49,6 +52,7 @@
 
   HostTable& hosts_;
   EventLog& events_;
+  PeerTraffic& traffic_;
   std::function<HostVersions()> versions_;
   std::function<void(const HostInfo&, const HostVersions&)> on_versions_;
   std::string key_;
--- a/include/pathcleat/fleet/relay_choice.hpp
+++ b/include/pathcleat/fleet/relay_choice.hpp
@@ -25,11 +25,12 @@
   kNobody,  ///< nobody for a while: others of its domain try the store first
 };
 
-/// @brief The choice; the address is given for kPeer.
+/// @brief The choice; address and name are given for kPeer.
 /// @ingroup fleet
 struct RelayChoice {
   RelayKind kind = RelayKind::kStore;
   std::string peer_address;
+  std::string peer_name;
 };
 
 /// @brief Chooses whom to ask. In each failure domain the few living hosts
--- a/include/pathcleat/gateway/fleet_snapshot.hpp
+++ b/include/pathcleat/gateway/fleet_snapshot.hpp
@@ -31,7 +31,7 @@
 
 /// @brief A snapshot as a source would have told it.
 /// @ingroup gateway
-SourceAnswer AnswerOf(const FleetSnapshot& snapshot);
+SourceAnswer AnswerOf(const FleetSnapshot& snapshot, const Transfer& transfer);
 
 /// @brief A snapshot's bytes (cereal, portable binary).
 /// @ingroup gateway
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -57,7 +57,7 @@
                    const HostInfo& peer,
                    std::uint64_t changed);
   void OnOrders(const SourceUpdate& update);
-  void AdoptConfig(const RoutingConfig& config);
+  void AdoptConfig(const RoutingConfig& config, const Transfer& transfer);
   void OnDrains(const SourceUpdate& update);
   void OnUpstreams(const SourceUpdate& update);
   void OnUpstream(const UpstreamInfo& upstream, Time now);
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -8,6 +8,7 @@
 
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/host_table.hpp"
+#include "pathcleat/fleet/peer_traffic.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/gateway/key_ledger.hpp"
@@ -61,6 +62,7 @@
   TraceStore traces;
   RequestLog request_log;
   Metrics metrics;
+  PeerTraffic peer_traffic;
   std::map<std::string, RetryBudget> retries;  ///< by service
   int requests = 0;                            ///< callers' requests under way
   std::uint64_t next_request = 1;
--- a/include/pathcleat/gateway/peer_feed.hpp
+++ b/include/pathcleat/gateway/peer_feed.hpp
@@ -8,7 +8,10 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/core/event_log.hpp"
+#include "pathcleat/fleet/peer_traffic.hpp"
 #include "pathcleat/gateway/fleet_snapshot.hpp"
+#include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_server.hpp"
 
 namespace pathcleat {
@@ -21,6 +24,20 @@
   Duration wait{0};         ///< for a change, if there is none yet
 };
 
+/// @brief Whom a host asks.
+/// @ingroup gateway
+struct FeedPeer {
+  std::string name;
+  std::string address;  ///< IP number and port
+};
+
+/// @brief What another host answered.
+/// @ingroup gateway
+struct FeedAnswer {
+  FleetSnapshot snapshot;
+  Transfer transfer;
+};
+
 /// @brief Passes what one host knows of the platform's tables on to others
 /// (HTTP, sealed with the hosts' key), at once or as soon as it changes.
 /// @ingroup gateway
@@ -31,9 +48,15 @@
   /// Tells what this host knows beyond a version.
   using Reader = std::function<FleetSnapshot(SourceTopic, std::uint64_t after)>;
   /// Given nothing if the other host did not answer.
-  using Handler = std::function<void(const std::optional<FleetSnapshot>&)>;
+  using Handler = std::function<void(const std::optional<FeedAnswer>&)>;
 
-  PeerFeed(boost::asio::io_context& loop, Newest newest, Reader reader);
+  /// @param events where failed transfers are told.
+  /// @param traffic where the bytes are counted.
+  PeerFeed(boost::asio::io_context& loop,
+           EventLog& events,
+           PeerTraffic& traffic,
+           Newest newest,
+           Reader reader);
 
   Result<void> Open(const std::string& address, std::uint16_t port);
 
@@ -49,9 +72,7 @@
   void SetFirstHand(bool first_hand);
 
   /// @brief Asks another host.
-  void Ask(const std::string& peer_address,
-           const FeedRequest& request,
-           Handler handler);
+  void Ask(const FeedPeer& peer, const FeedRequest& request, Handler handler);
 
  private:
   struct Waiting {
@@ -62,12 +83,17 @@
 
   void Handle(const ExchangePtr& exchange);
   bool HasNews(const FeedRequest& request) const;
-  void Answer(const ExchangePtr& exchange, const FeedRequest& request) const;
+  void Answer(const ExchangePtr& exchange, const FeedRequest& request);
+  std::optional<FeedAnswer> TakeAnswer(const FeedPeer& peer,
+                                       const FeedRequest& request,
+                                       const CallResult& result);
   std::optional<FleetSnapshot> Open(const FeedRequest& request,
                                     const std::string& body) const;
   void Sweep();
 
   boost::asio::io_context& loop_;
+  EventLog& events_;
+  PeerTraffic& traffic_;
   Newest newest_;
   Reader reader_;
   HttpServer server_;
--- a/include/pathcleat/gateway/relayed_source.hpp
+++ b/include/pathcleat/gateway/relayed_source.hpp
@@ -40,7 +40,7 @@
 
  private:
   RelayChoice Choose(Time now);
-  void AskPeer(const std::string& peer,
+  void AskPeer(const FeedPeer& peer,
                const FeedRequest& request,
                const Callback& callback);
   Callback Noting(SourceTopic topic, Callback callback);
--- a/include/pathcleat/gateway/source_watcher.hpp
+++ b/include/pathcleat/gateway/source_watcher.hpp
@@ -21,6 +21,7 @@
   std::uint64_t changed = 0;  ///< of the newest change in it, or 0
   bool relayed = false;       ///< another host told it, not the store
   bool unsettled = false;     ///< what is gone may have lapsed by itself
+  Transfer transfer;          ///< how it came here
   std::vector<FleetChange> changes;
 };
 
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -32,8 +32,10 @@
 /// @ingroup http
 struct CallResult {
   CallOutcome outcome = CallOutcome::kNotSent;
-  HttpResponse response;  ///< for kAnswered
-  std::string detail;     ///< plain words, for the other outcomes
+  HttpResponse response;    ///< for kAnswered
+  std::string detail;       ///< plain words, for the other outcomes
+  std::uint64_t bytes = 0;  ///< that arrived, headers included
+  Duration transfer{0};     ///< from the first of them to the end
 };
 
 /// @brief Time limits of one request.
@@ -85,6 +87,9 @@
   /// @brief How long the peer says it keeps an idle connection; zero: unsaid.
   Duration keep_alive() const { return keep_alive_; }
 
+  /// @brief Bytes that arrived since the request under way was sent.
+  std::uint64_t received() const { return received_; }
+
   /// @brief How long the connection took to open, if this request opened it.
   std::optional<Duration> connect_time() const { return connect_time_; }
 
@@ -124,6 +129,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   Time idle_since_;
+  std::uint64_t received_ = 0;  ///< bytes since the request was sent
+  Time first_byte_;             ///< when the first of them arrived
   Duration keep_alive_{0};
   std::uint64_t timer_generation_ = 0;
   int strangers_ = 0;  ///< answers dropped since the request was sent
--- a/include/pathcleat/store/fleet_source.hpp
+++ b/include/pathcleat/store/fleet_source.hpp
@@ -9,6 +9,7 @@
 #include "pathcleat/core/store_outcome.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/store/fleet_change.hpp"
+#include "pathcleat/store/transfer.hpp"
 
 namespace pathcleat {
 
@@ -30,6 +31,7 @@
   bool whole = false;         ///< to a watch: the changes are all there is
   bool relayed = false;       ///< another host answered, not the store
   bool unsettled = false;     ///< what is gone may have lapsed by itself
+  Transfer transfer;          ///< how it came here
 };
 
 /// @brief Where a host learns the configuration, the drains and the list of
--- /dev/null
+++ b/include/pathcleat/store/transfer.hpp
@@ -0,0 +1,20 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief How an answer came to this host.
+/// @ingroup store
+struct Transfer {
+  std::string from;         ///< "store", or the host that answered
+  std::uint64_t bytes = 0;  ///< of the answer's body
+  Duration took{0};         ///< from its first byte to its last
+  Duration decoding{0};     ///< until it could be used
+};
+
+}  // namespace pathcleat
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -49,6 +49,7 @@
     EventInfo{kShiftStep, "shift-step", kInfo, kState, "service"},
     EventInfo{kShiftHeld, "shift-held", kWarning, kState, "service"},
     EventInfo{kTakenFromPeer, "taken-from-peer", kInfo, kState, "peer"},
+    EventInfo{kTransferFailed, "transfer-failed", kWarning, kState, "peer"},
     EventInfo{kPeerRejected, "peer-rejected", kAlarm, kState, "peer"},
     EventInfo{kOperatorRejected, "operator-rejected", kAlarm, kState, "caller"},
     EventInfo{kLogDropped, "log-dropped", kWarning, kState, "topic"},
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -24,10 +24,12 @@
     boost::asio::io_context& loop,
     HostTable& hosts,
     EventLog& events,
+    PeerTraffic& traffic,
     std::function<HostVersions()> versions,
     std::function<void(const HostInfo&, const HostVersions&)> on_versions)
     : hosts_(hosts),
       events_(events),
+      traffic_(traffic),
       versions_(std::move(versions)),
       on_versions_(std::move(on_versions)),
       socket_(loop),
@@ -95,6 +97,7 @@
   heartbeat.versions = versions_();
   heartbeat.wants_reply = wants_reply;
   const std::string bytes = Seal(EncodeHeartbeat(heartbeat), key_);
+  traffic_.OnSent(PeerMessage::kHeartbeat, bytes.size());
   // A datagram that cannot be sent now is lost, as others are on the way.
   error_code lost;
   socket_.send_to(boost::asio::buffer(bytes),
@@ -128,6 +131,7 @@
                    "a datagram that is no heartbeat of this fleet");
     return;
   }
+  traffic_.OnReceived(PeerMessage::kHeartbeat, size);
   events_.clock().Observe(heartbeat->time, WallMicros());
   if (hosts_.OnHeard(heartbeat->host, heartbeat->versions, BootClock::now())) {
     events_.Record(EventCode::kPeerHeard, heartbeat->host.name,
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -58,10 +58,10 @@
 }
 
 // Followers spread over the relays at the same distance.
-std::string NearestRelay(const HostTable& hosts,
-                         const RelayNeed& need,
-                         Distance farthest,
-                         Time now) {
+const KnownHost* NearestRelay(const HostTable& hosts,
+                              const RelayNeed& need,
+                              Distance farthest,
+                              Time now) {
   const HostInfo& self = hosts.self();
   const std::uint64_t own_hash = StableHash(self.name);
   const RankRule rule{need.domains, true, need.store_failed};
@@ -83,7 +83,7 @@
       best = host;
     }
   }
-  return best == nullptr ? std::string() : best->info.peer_address;
+  return best;
 }
 
 }  // namespace
@@ -94,18 +94,18 @@
   const RankRule past_failing{need.domains, true, need.store_failed};
   if (!need.store_failed &&
       RanksFirst(hosts, hosts.self(), past_failing, now)) {
-    return {RelayKind::kStore, ""};
+    return {};
   }
   const Distance farthest =
       need.store_failed ? Distance::kFar : Distance::kDomain;
-  const std::string relay = NearestRelay(hosts, need, farthest, now);
-  if (!relay.empty()) {
-    return {RelayKind::kPeer, relay};
+  const KnownHost* relay = NearestRelay(hosts, need, farthest, now);
+  if (relay != nullptr) {
+    return {RelayKind::kPeer, relay->info.peer_address, relay->info.name};
   }
   const RankRule all{need.domains, false, need.store_failed};
   const bool others_first =
       need.store_failed && !RanksFirst(hosts, hosts.self(), all, now);
-  return {others_first ? RelayKind::kNobody : RelayKind::kStore, ""};
+  return {others_first ? RelayKind::kNobody : RelayKind::kStore, "", ""};
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/fleet_snapshot.cpp
+++ b/src/pathcleat/gateway/fleet_snapshot.cpp
@@ -13,7 +13,7 @@
 // cereal finds these by argument-dependent lookup.
 // NOLINTBEGIN(readability-identifier-naming)
 template <class Archive, class Length>
-void Transfer(Archive& archive, Length& length) {
+void TransferLength(Archive& archive, Length& length) {
   auto count = static_cast<std::int64_t>(length.count());
   archive(count);
   length = Length(count);
@@ -29,8 +29,8 @@
   archive(route.name, route.host, route.path_prefix, route.splits,
           route.repeatable, route.large_answers, route.sticky, route.priority,
           route.max_attempts, route.home_regions);
-  Transfer(archive, route.timeout);
-  Transfer(archive, route.target_latency);
+  TransferLength(archive, route.timeout);
+  TransferLength(archive, route.target_latency);
 }
 
 template <class Archive>
@@ -42,8 +42,8 @@
 template <class Archive>
 void serialize(Archive& archive, HttpLimits& limits) {
   archive(limits.header_bytes, limits.body_bytes);
-  Transfer(archive, limits.idle_time);
-  Transfer(archive, limits.read_time);
+  TransferLength(archive, limits.idle_time);
+  TransferLength(archive, limits.read_time);
 }
 
 template <class Archive>
@@ -59,12 +59,13 @@
 }
 // NOLINTEND(readability-identifier-naming)
 
-SourceAnswer AnswerOf(const FleetSnapshot& snapshot) {
+SourceAnswer AnswerOf(const FleetSnapshot& snapshot, const Transfer& transfer) {
   SourceAnswer answer;
   answer.outcome = StoreOutcome::kDone;
   answer.version = snapshot.version;
   answer.changed = snapshot.changed;
   answer.relayed = true;
+  answer.transfer = transfer;
   answer.unsettled = snapshot.unsettled;
   if (snapshot.topic == SourceTopic::kOrders) {
     // All drains are told each time; a missing configuration is unchanged.
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -32,6 +32,8 @@
       on_access_(std::move(on_access)),
       peers_(
           state.loop,
+          state.events,
+          state.peer_traffic,
           [this](SourceTopic topic) { return WatcherOf(topic).changed(); },
           [this](SourceTopic topic, std::uint64_t after) {
             return Snapshot(topic, after);
@@ -103,18 +105,19 @@
   }
   asking_[topic] = true;
   const std::uint64_t after = watcher.IsLoaded() ? watcher.version() : 0;
-  peers_.Ask(peer.peer_address, {topic, after, Duration(0)},
-             [this, topic,
-              name = peer.name](const std::optional<FleetSnapshot>& snapshot) {
-               asking_[topic] = false;
-               if (snapshot && WatcherOf(topic).Adopt(AnswerOf(*snapshot))) {
-                 state_.events.Record(
-                     EventCode::kTakenFromPeer, name,
-                     std::string(topic == SourceTopic::kOrders ? "orders"
-                                                               : "upstreams") +
-                         " up to version " + std::to_string(snapshot->version));
-               }
-             });
+  peers_.Ask(
+      {peer.name, peer.peer_address}, {topic, after, Duration(0)},
+      [this, topic, name = peer.name](const std::optional<FeedAnswer>& answer) {
+        asking_[topic] = false;
+        if (answer && WatcherOf(topic).Adopt(
+                          AnswerOf(answer->snapshot, answer->transfer))) {
+          state_.events.Record(
+              EventCode::kTakenFromPeer, name,
+              std::string(topic == SourceTopic::kOrders ? "orders"
+                                                        : "upstreams") +
+                  " up to version " + std::to_string(answer->snapshot.version));
+        }
+      });
 }
 
 FleetSnapshot FleetView::Snapshot(SourceTopic topic,
@@ -163,12 +166,20 @@
   snapshot.gone.assign(gone.begin(), gone.end());
 }
 
-void FleetView::AdoptConfig(const RoutingConfig& config) {
+void FleetView::AdoptConfig(const RoutingConfig& config,
+                            const Transfer& transfer) {
+  const std::uint64_t replaces = state_.routes.version();
   if (state_.routes.Adopt(config)) {
     on_config_(config);
     state_.routes_since = BootClock::now();
-    state_.events.Record(EventCode::kConfigApplied, "routes", "",
-                         {NumberField(field::kConfigVersion, config.version)});
+    state_.events.Record(
+        EventCode::kConfigApplied, "routes", "",
+        {NumberField(field::kConfigVersion, config.version),
+         NumberField(field::kReplaces, replaces),
+         {field::kFrom, transfer.from},
+         NumberField(field::kBytes, transfer.bytes),
+         MillisecondsField(field::kTransferMs, transfer.took),
+         MillisecondsField(field::kDecodeMs, transfer.decoding)});
   }
 }
 
@@ -179,7 +190,7 @@
   for (const FleetChange& change : update.changes) {
     if (const auto* config = std::get_if<RoutingConfig>(&change)) {
       order_journal_.Note(update.changed, kConfigKey);
-      AdoptConfig(*config);
+      AdoptConfig(*config, update.transfer);
     } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
       state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
     }
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -43,6 +43,7 @@
           loop,
           state_.hosts,
           state_.events,
+          state_.peer_traffic,
           [this] { return Versions(); },
           [this](const HostInfo& peer, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -193,6 +193,28 @@
   page.Sample("pathcleat_hosts_alive", {}, state.hosts.Alive(now));
 }
 
+void AddPeers(Page& page, const PeerTraffic& traffic) {
+  page.Family("pathcleat_peer_bytes_sent_total", "counter",
+              "Bytes sent to other hosts, by kind.");
+  for (const PeerMessage kind : kPeerMessages) {
+    page.Sample("pathcleat_peer_bytes_sent_total", {{"kind", ToString(kind)}},
+                traffic.sent(kind));
+  }
+  page.Family("pathcleat_peer_bytes_received_total", "counter",
+              "Bytes taken from other hosts, by kind.");
+  for (const PeerMessage kind : kPeerMessages) {
+    page.Sample("pathcleat_peer_bytes_received_total",
+                {{"kind", ToString(kind)}}, traffic.received(kind));
+  }
+  page.Family("pathcleat_peer_questions_under_way", "gauge",
+              "Other hosts asked that have not answered yet.");
+  page.Sample("pathcleat_peer_questions_under_way", {}, traffic.asked());
+  page.Family("pathcleat_peer_questions_given_up_total", "counter",
+              "Other hosts asked that gave no answer that could be used.");
+  page.Sample("pathcleat_peer_questions_given_up_total", {},
+              traffic.given_up());
+}
+
 void AddProcess(Page& page, const GatewayState& state, const LogCounts& drops) {
   page.Family("pathcleat_log_lines_dropped_total", "counter",
               "Lines that found no room, by class.");
@@ -230,6 +252,7 @@
   AddBudgets(page, state);
   AddUpstreams(page, state, now);
   AddFleet(page, state, inputs.versions, now);
+  AddPeers(page, state.peer_traffic);
   if (inputs.store_calls != nullptr) {
     AddStore(page, *inputs.store_calls);
   }
--- a/src/pathcleat/gateway/peer_feed.cpp
+++ b/src/pathcleat/gateway/peer_feed.cpp
@@ -59,6 +59,21 @@
          std::to_string(wait.count());
 }
 
+PeerMessage KindOf(SourceTopic topic) {
+  return topic == SourceTopic::kOrders ? PeerMessage::kOrders
+                                       : PeerMessage::kUpstreams;
+}
+
+// Why an answer could not be used.
+std::string CauseOf(const CallResult& result) {
+  if (result.outcome != CallOutcome::kAnswered) {
+    return result.detail;
+  }
+  return result.response.status == http_status::kUnavailable
+             ? "the other host turned it away"
+             : "not an answer of this fleet";
+}
+
 void TurnAway(const ExchangePtr& exchange) {
   exchange->Respond(
       TextResponse(http_status::kUnavailable, "no news at first hand\n"));
@@ -66,8 +81,14 @@
 
 }  // namespace
 
-PeerFeed::PeerFeed(boost::asio::io_context& loop, Newest newest, Reader reader)
+PeerFeed::PeerFeed(boost::asio::io_context& loop,
+                   EventLog& events,
+                   PeerTraffic& traffic,
+                   Newest newest,
+                   Reader reader)
     : loop_(loop),
+      events_(events),
+      traffic_(traffic),
       newest_(std::move(newest)),
       reader_(std::move(reader)),
       server_(loop, [this](const ExchangePtr& e) { Handle(e); }),
@@ -100,11 +121,11 @@
   return newest_(request.topic) > request.after;
 }
 
-void PeerFeed::Answer(const ExchangePtr& exchange,
-                      const FeedRequest& request) const {
+void PeerFeed::Answer(const ExchangePtr& exchange, const FeedRequest& request) {
   const FleetSnapshot snapshot = reader_(request.topic, request.after);
-  exchange->Respond(
-      {http_status::kOk, {}, Seal(EncodeSnapshot(snapshot), key_)});
+  std::string body = Seal(EncodeSnapshot(snapshot), key_);
+  traffic_.OnSent(KindOf(request.topic), body.size());
+  exchange->Respond({http_status::kOk, {}, std::move(body)});
 }
 
 void PeerFeed::Publish(SourceTopic topic) {
@@ -144,10 +165,10 @@
   });
 }
 
-void PeerFeed::Ask(const std::string& peer_address,
+void PeerFeed::Ask(const FeedPeer& peer,
                    const FeedRequest& request,
                    Handler handler) {
-  const auto endpoint = ParseTcpEndpoint(peer_address);
+  const auto endpoint = ParseTcpEndpoint(peer.address);
   if (!endpoint || key_.empty()) {
     handler(std::nullopt);
     return;
@@ -155,17 +176,36 @@
   HttpLimits limits;
   limits.body_bytes = kLargestSnapshot;
   const auto client = std::make_shared<HttpClient>(loop_, *endpoint, limits);
-  client->Send({"GET", TargetOf(request), {{"Host", peer_address}}, ""},
+  traffic_.OnAsked();
+  client->Send({"GET", TargetOf(request), {{"Host", peer.address}}, ""},
                {kConnectTimeout, request.wait + kAnswerTimeout},
-               [this, request, client,
+               [this, peer, request, client,
                 handler = std::move(handler)](const CallResult& result) {
                  client->Cancel();
-                 handler(result.outcome == CallOutcome::kAnswered
-                             ? Open(request, result.response.body)
-                             : std::nullopt);
+                 handler(TakeAnswer(peer, request, result));
                });
 }
 
+std::optional<FeedAnswer> PeerFeed::TakeAnswer(const FeedPeer& peer,
+                                               const FeedRequest& request,
+                                               const CallResult& result) {
+  const Time arrived = BootClock::now();
+  traffic_.OnReceived(KindOf(request.topic), result.bytes);
+  auto snapshot = result.outcome == CallOutcome::kAnswered
+                      ? Open(request, result.response.body)
+                      : std::nullopt;
+  traffic_.OnEnded(!snapshot);
+  if (!snapshot) {
+    events_.Record(EventCode::kTransferFailed, peer.name, PathOf(request.topic),
+                   {NumberField(field::kBytes, result.bytes),
+                    {field::kReason, CauseOf(result)}});
+    return std::nullopt;
+  }
+  return FeedAnswer{std::move(*snapshot),
+                    {peer.name, result.response.body.size(), result.transfer,
+                     BootClock::now() - arrived}};
+}
+
 std::optional<FleetSnapshot> PeerFeed::Open(const FeedRequest& request,
                                             const std::string& body) const {
   const auto message = Unseal(body, key_);
--- a/src/pathcleat/gateway/relayed_source.cpp
+++ b/src/pathcleat/gateway/relayed_source.cpp
@@ -52,7 +52,8 @@
       from.empty() ? Choose(BootClock::now()) : RelayChoice();
   switch (choice.kind) {
     case RelayKind::kPeer:
-      AskPeer(choice.peer_address, {topic, 0, Duration(0)}, callback);
+      AskPeer({choice.peer_name, choice.peer_address}, {topic, 0, Duration(0)},
+              callback);
       return;
     case RelayKind::kNobody:
       callback(NotAsked());
@@ -78,7 +79,8 @@
     case RelayKind::kPeer:
       LeaveStore(topic);
       asked_[topic] = choice.peer_address;
-      AskPeer(choice.peer_address, {topic, after, wait}, callback);
+      AskPeer({choice.peer_name, choice.peer_address}, {topic, after, wait},
+              callback);
       return;
     case RelayKind::kNobody:
       LeaveStore(topic);
@@ -90,21 +92,21 @@
   }
 }
 
-void RelayedSource::AskPeer(const std::string& peer,
+void RelayedSource::AskPeer(const FeedPeer& peer,
                             const FeedRequest& request,
                             const Callback& callback) {
   peers_.Ask(peer, request,
-             [this, peer, topic = request.topic,
-              callback](const std::optional<FleetSnapshot>& snapshot) {
+             [this, address = peer.address, topic = request.topic,
+              callback](const std::optional<FeedAnswer>& answer) {
                const auto asked = asked_.find(topic);
-               if (asked != asked_.end() && asked->second == peer) {
+               if (asked != asked_.end() && asked->second == address) {
                  asked_.erase(asked);
                }
-               if (snapshot) {
-                 callback(AnswerOf(*snapshot));
+               if (answer) {
+                 callback(AnswerOf(answer->snapshot, answer->transfer));
                  return;
                }
-               avoided_[peer] = BootClock::now() + kAvoidTime;
+               avoided_[address] = BootClock::now() + kAvoidTime;
                callback(NotAsked());
              });
 }
--- a/src/pathcleat/gateway/source_watcher.cpp
+++ b/src/pathcleat/gateway/source_watcher.cpp
@@ -18,6 +18,14 @@
 // series, and each answer of the store is paid for.
 constexpr std::chrono::milliseconds kGatherTime{250};
 
+// The pages of one reading count as one transfer.
+void AddTransfer(Transfer& sum, const Transfer& page) {
+  sum.from = page.from;
+  sum.bytes += page.bytes;
+  sum.took += page.took;
+  sum.decoding += page.decoding;
+}
+
 }  // namespace
 
 SourceWatcher::SourceWatcher(boost::asio::io_context& loop,
@@ -54,6 +62,7 @@
                        answer.changes.end());
   page_.changed = std::max(page_.changed, answer.changed);
   page_.unsettled = answer.unsettled;
+  AddTransfer(page_.transfer, answer.transfer);
   if (!answer.next.empty()) {
     Read(answer.next);
     return;
@@ -102,7 +111,7 @@
   }
   if (whole || !answer.changes.empty()) {
     handler_({whole, answer.version, answer.changed, answer.relayed,
-              answer.unsettled, answer.changes});
+              answer.unsettled, answer.transfer, answer.changes});
   }
 }
 
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -73,6 +73,7 @@
   callback_ = std::move(callback);
   matcher_ = std::move(matcher);
   strangers_ = 0;
+  received_ = 0;
   written_ = false;
   deadline_ = BootClock::now() + timeouts.total;
   reused_ = connected_;
@@ -173,6 +174,10 @@
     Close();
     return;
   }
+  if (received_ == 0) {
+    first_byte_ = BootClock::now();
+  }
+  received_ += bytes;
   Parse();
 }
 
@@ -255,7 +260,10 @@
 
 void HttpClient::Fail(CallOutcome outcome, std::string detail) {
   spent_ = true;
-  Finish({outcome, {}, std::move(detail)});
+  CallResult result;
+  result.outcome = outcome;
+  result.detail = std::move(detail);
+  Finish(std::move(result));
 }
 
 void HttpClient::Finish(CallResult result) {
@@ -264,6 +272,10 @@
   out_ = std::string();
   matcher_ = nullptr;
   idle_since_ = BootClock::now();
+  result.bytes = received_;
+  if (received_ > 0) {
+    result.transfer = idle_since_ - first_byte_;
+  }
   if (spent_) {
     Close();
   } else {
--- /dev/null
+++ b/src/pathcleat/lab/config_transfer_test.cpp
@@ -0,0 +1,87 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// How a large configuration reaches all hosts, and what it costs their links.
+
+#include "test_world.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+namespace {
+
+constexpr int kHosts = 12;
+
+TestWorldPlan LargeDomain() {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {kHosts};
+  return plan;
+}
+
+void PutVersion(TestWorld& world, std::uint64_t version) {
+  world.config().version = version;
+  world.platform().PutConfig(world.config());
+}
+
+bool AllAt(TestWorld& world, std::uint64_t version) {
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (world.host(i).state().routes.version() != version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::optional<Event> LastEvent(TestWorld& world,
+                               std::size_t host,
+                               EventCode code) {
+  std::optional<Event> last;
+  for (const Event& event : world.host(host).state().events.Snapshot()) {
+    if (event.code == code) {
+      last = event;
+    }
+  }
+  return last;
+}
+
+bool Follows(TestWorld& world, std::size_t host) {
+  return world.host(host).Versions().store == StoreAccess::kFollowing;
+}
+
+template <class Value>
+Value FieldOf(const Event& event, const std::string& name) {
+  for (const EventField& field : event.fields) {
+    if (field.name == name) {
+      return std::get<Value>(field.value);
+    }
+  }
+  return Value();
+}
+
+std::size_t AwaitFollower(TestWorld& world) {
+  std::size_t follower = kHosts;
+  cr_assert(world.Await([&] {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      follower = Follows(world, i) ? i : follower;
+    }
+    return follower < kHosts;
+  }));
+  return follower;
+}
+
+Test(config_transfer, log_tells_from_where_a_version_came) {
+  TestWorld world(LargeDomain());
+  world.StartAll();
+  PutVersion(world, 2);
+  cr_assert(world.Await([&] { return AllAt(world, 2); }));
+  const std::size_t follower = AwaitFollower(world);
+  PutVersion(world, 3);
+  cr_assert(world.Await([&] { return AllAt(world, 3); }));
+  const auto event = LastEvent(world, follower, EventCode::kConfigApplied);
+  cr_assert(event.has_value());
+  cr_assert_eq(FieldOf<std::int64_t>(*event, field::kReplaces), 2);
+  cr_assert_gt(FieldOf<std::int64_t>(*event, field::kBytes), 0);
+  const auto from = FieldOf<std::string>(*event, field::kFrom);
+  cr_assert(from == "store" || from.starts_with("host-"), "%s", from.c_str());
+}
+
+}  // namespace
+}  // namespace pathcleat
