A test of what waits at an upstream when its host's stop ends

Cause: a host that is being stopped takes requests until 1.5 s before its grace time ends and ends 0.5 s before it, whatever the requests need: one that still waits in its upstream's queue then loses its connection without an answer. Seen: the test fails on (no 503 when the stop has ended); the two other tests of planned stops pass.

--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -34,6 +34,9 @@
   int queue = 4;  ///< requests that may wait for a slot
   std::chrono::microseconds mean_service_time{20'000};  ///< exponential
   std::uint64_t seed = 1;
+  /// Work ends at the time that the request tells: in the queue as not run,
+  /// under way by an answer that says so.
+  bool keeps_deadlines = false;
 };
 
 /// @brief How an answer is spoilt.
@@ -85,6 +88,8 @@
   void Run(const ExchangePtr& exchange);
   void Begin(const ExchangePtr& exchange);
   void End();
+  void WatchDeadline(const ExchangePtr& exchange);
+  void OnDeadline(const ExchangePtr& exchange);
   void Answer(const ExchangePtr& exchange);
   std::string LoadText() const;
 
--- a/src/pathcleat/lab/planned_stop_test.cpp
+++ b/src/pathcleat/lab/planned_stop_test.cpp
@@ -80,5 +80,45 @@
   cr_assert_eq(world.RunsOf("held"), 1);
 }
 
+// One host and one upstream with one slot, which a request from before the
+// stop holds to the end: what comes later waits in the upstream's queue.
+TestWorldPlan BusyUpstreamPlan() {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {1};
+  plan.upstreams_in_domain = 1;
+  plan.slots = 1;
+  plan.timeout = Duration(60'000'000);
+  plan.upstreams_keep_deadlines = true;
+  return plan;
+}
+
+void WarmUp(TestWorld& world) {
+  world.StartAll();
+  for (int i = 0; i < 40; ++i) {
+    world.Get(0, "warm" + std::to_string(i));
+  }
+  world.upstream(0).HoldAnswers();
+}
+
+// Promise: a stopping host begins only what it sees to its end. A request
+// that is taken after the stop began and still waits at its upstream when the
+// host must end is told, in time, that it was not run.
+Test(promise, planned_stop_answers_what_waits_at_an_upstream) {
+  TestWorld world(BusyUpstreamPlan());
+  WarmUp(world);
+  RawClient held(world.loop(), world.address(), world.CallerPort(0));
+  held.Send(GetText("held"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  RawClient late(world.loop(), world.address(), world.CallerPort(0));
+  late.Send(GetText("late"));
+  cr_assert(world.Await([&] { return stopped; }));
+  cr_assert(late.Has("HTTP/1.1 503"));
+  cr_assert(late.Has("Pathcleat-Outcome: not-run"));
+  cr_assert(late.Has("Connection: close"));
+  cr_assert_eq(world.RunsOf("late"), 0);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <utility>
 
+#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
@@ -74,9 +75,41 @@
     RefuseNotRun(exchange, http_status::kUnavailable);
     return;
   }
+  if (options_.keeps_deadlines) {
+    WatchDeadline(exchange);
+  }
   Run(exchange);
 }
 
+void UpstreamStandIn::WatchDeadline(const ExchangePtr& exchange) {
+  const auto told = CallerDeadline(options_.headers, exchange->request());
+  if (!told) {
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(loop_, *told);
+  timer->async_wait([this, timer, exchange](const boost::system::error_code&) {
+    OnDeadline(exchange);
+  });
+}
+
+void UpstreamStandIn::OnDeadline(const ExchangePtr& exchange) {
+  if (!exchange->IsOpen()) {
+    return;
+  }
+  if (std::erase(queue_, exchange) > 0) {
+    RefuseNotRun(exchange, http_status::kUnavailable);
+    return;
+  }
+  std::erase(held_, exchange);
+  HttpResponse response =
+      TextResponse(http_status::kGatewayTimeout, "ended at its deadline\n");
+  const HeaderNames& names = options_.headers;
+  response.headers.push_back(
+      {names.request_id, Field(exchange, names.request_id)});
+  exchange->Respond(std::move(response));
+  End();
+}
+
 bool UpstreamStandIn::IsForAnother(const ExchangePtr& exchange) const {
   const std::string wanted = Field(exchange, options_.headers.expect_upstream);
   return !wanted.empty() && wanted != options_.id;
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -28,6 +28,7 @@
   HttpLimits caller_limits;
   Duration timeout{5'000'000};
   Duration stop_grace{2'500'000};
+  bool upstreams_keep_deadlines = false;
   /// Hosts that know other secrets than the rest, so that no host hears them.
   std::set<std::size_t> lone_hosts;
 };
@@ -327,6 +328,7 @@
         options.slots = plan_.slots;
         options.mean_service_time = plan_.service_time;
         options.seed = next_port_;
+        options.keeps_deadlines = plan_.upstreams_keep_deadlines;
         upstreams_.push_back(std::make_unique<UpstreamStandIn>(loop_, options));
         Must(upstreams_.back()->Listen(address_, next_port_++));
         infos_.push_back(info);
