One attempt at an upstream as a type of its own

No behaviour changes: the order of the steps is as before, but for the connection's return to the pool, which now comes before the answer is looked at by Call rather than after. Ruled out: new tests, as no behaviour is new.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -9,6 +9,7 @@
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/key_guard.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
+#include "pathcleat/gateway/upstream_attempt.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
 namespace pathcleat {
@@ -43,8 +44,7 @@
   void ArmPatience(Duration patience);
   void OnPatienceOver();
   bool MayGoElsewhere() const;
-  void NoteNoAnswer();
-  void OnResult(const Pick& pick, Time sent, const CallResult& result);
+  void OnResult(const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
   void OnFailure(const CallResult& result);
   bool MayRetry();
@@ -66,15 +66,12 @@
   std::shared_ptr<const Route> route_;
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer patience_timer_;  ///< of the attempt under way
+  UpstreamAttempt attempt_;                   ///< under way, or the last one
   KeyGuard key_;
   RequestTrace trace_;
   std::string request_id_;
   PickRequest request_;
   Time deadline_;
-  HttpClientPtr client_;  ///< of the attempt under way
-  UpstreamPtr upstream_;  ///< of the attempt under way
-  Pick pick_;             ///< of the attempt under way
-  Time sent_;             ///< when that attempt was sent
   bool retried_ = false;
   bool may_have_run_ = false;
   int attempts_ = 0;  ///< upstreams that the request has reached
--- /dev/null
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -0,0 +1,63 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/http/http_client.hpp"
+
+namespace pathcleat {
+
+/// @brief One request at one upstream: what is sent, what this host then
+/// knows of the upstream, and how it ends. Used again for the next upstream.
+/// @ingroup gateway
+class UpstreamAttempt {
+ public:
+  using Callback = std::function<void(const CallResult&)>;
+
+  explicit UpstreamAttempt(GatewayState& state) : state_(state) {}
+
+  /// @brief Sends a request to the upstream that was picked.
+  /// @param key the request's key, a hash.
+  /// @param left time until the answer must be there.
+  /// @param callback called once, never inside this call, and not after
+  /// Cancel; it keeps this object alive.
+  void Start(const Pick& pick,
+             std::uint64_t key,
+             const HttpRequest& request,
+             const std::string& request_id,
+             Duration left,
+             Callback callback);
+
+  /// @brief Ends the exchange at the upstream; the callback is not called.
+  void Cancel();
+
+  /// @brief Whether an upstream has been sent to and has not answered yet.
+  bool IsUnderWay() const { return client_ != nullptr; }
+
+  /// @brief Whether it is under way and bytes of it may have left this host.
+  bool MayHaveSent() const { return client_ && client_->MayHaveSent(); }
+
+  /// @brief Whether the upstream has answered others since it was sent.
+  bool IsBusy() const;
+
+  /// @brief The upstream has kept the request for too long, and answered
+  /// nothing else meanwhile: later ones go elsewhere. One that answers others
+  /// is only busy.
+  void NoteNoAnswer();
+
+  // Of the attempt under way, or the last one.
+  const Pick& pick() const { return pick_; }
+  Time sent() const { return sent_; }
+
+ private:
+  void OnResult(const CallResult& result, const Callback& callback);
+
+  GatewayState& state_;
+  HttpClientPtr client_;  ///< of the attempt under way
+  Pick pick_;
+  Time sent_;
+};
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr int kMostUnsent = 3;
-constexpr Duration kConnectTimeout{600'000};
 constexpr Duration kRetrySoon{250'000};
 constexpr Duration kLeastTimeLeft{10'000};
 // An answer that takes so many times its target is worth explaining.
@@ -32,6 +31,7 @@
       route_(std::move(route)),
       deadline_timer_(state.loop),
       patience_timer_(state.loop),
+      attempt_(state),
       key_(state),
       trace_(state) {
   ++state_.requests;
@@ -132,7 +132,7 @@
 
 // A host that is being stopped leaves work where it is.
 bool Call::MayGoElsewhere() const {
-  return !done_ && client_ && !state_.leaving &&
+  return !done_ && attempt_.IsUnderWay() && !state_.leaving &&
          attempts_ + 1 < route_->max_attempts && Left() > kShortestAttempt;
 }
 
@@ -141,18 +141,17 @@
     return;
   }
   // One that answers others is busy: what it has begun would be thrown away.
-  const bool is_busy = upstream_->health.HasAnsweredSince(sent_);
-  const Pick next = is_busy ? Pick() : ChooseNow();
+  const Pick next = attempt_.IsBusy() ? Pick() : ChooseNow();
   if (!next.upstream || !state_.RetriesOf(request_.service).TryRetry()) {
     ArmPatience(kRetrySoon);
     return;
   }
-  trace_.NoteFailed(upstream_->info.id,
+  trace_.NoteFailed(attempt_.pick().upstream->info.id,
                     "no answer for far longer than expected",
-                    BootClock::now() - sent_);
+                    BootClock::now() - attempt_.sent());
   ++attempts_;
   may_have_run_ = true;
-  NoteNoAnswer();
+  attempt_.NoteNoAnswer();
   CancelAttempt();
   Retry(next);
 }
@@ -164,84 +163,44 @@
   Send(next);
 }
 
-// The upstream under way has kept the request for too long, and answered
-// nothing else meanwhile: later ones go elsewhere. One that answers others is
-// only busy.
-void Call::NoteNoAnswer() {
-  if (upstream_->health.HasAnsweredSince(sent_)) {
-    return;
-  }
-  const Time now = BootClock::now();
-  state_.picker.OnNoAnswer(*upstream_, pick_, now - sent_, now);
-  state_.OnAttemptFailed(*upstream_);
-}
-
 void Call::Send(const Pick& pick) {
-  const Time now = BootClock::now();
   const Duration left = Left();
   if (left < kLeastTimeLeft) {
     OnDeadline();
     return;
   }
-  UpstreamState& upstream = *pick.upstream;
-  trace_.NoteSent(pick, attempts_ + unsent_ + 1, now);
+  const std::string& upstream = pick.upstream->info.id;
+  trace_.NoteSent(pick, attempts_ + unsent_ + 1, BootClock::now());
   state_.metrics.OnSent(pick.wait);
-  request_.excluded.insert(upstream.info.id);
-  upstream_ = pick.upstream;
-  pick_ = pick;
-  sent_ = now;
-  upstream.load.OnSent();
-  // Upstreams are quick at a key from the start of its first run on.
-  upstream.keys.Touch(request_.key);
-  state_.picker.links().OnSent(upstream.region);
-  upstream.health.OnSent(pick.expected, now);
-  if (upstream.IsCold(now)) {
-    upstream.cold_share.TryTake(now);
-  }
-  client_ = state_.pool.Take(upstream.info, now);
-  client_->Send(
-      ToUpstream(state_.headers, exchange_->request(), request_id_,
-                 upstream.info.id, left),
-      {std::min(kConnectTimeout, left), left},
-      [self = shared_from_this(), pick, now](const CallResult& result) {
-        self->OnResult(pick, now, result);
-      },
-      AnswersOf(state_.headers, request_id_));
+  request_.excluded.insert(upstream);
+  attempt_.Start(pick, request_.key, exchange_->request(), request_id_, left,
+                 [self = shared_from_this()](const CallResult& result) {
+                   self->OnResult(result);
+                 });
   ArmPatience(PatienceFor(pick.expected, left));
 }
 
-void Call::OnResult(const Pick& pick, Time sent, const CallResult& result) {
+void Call::OnResult(const CallResult& result) {
   patience_timer_.cancel();
-  const HttpClientPtr client = std::exchange(client_, nullptr);
-  const UpstreamPtr upstream = std::exchange(upstream_, nullptr);
-  if (result.outcome == CallOutcome::kAnswered) {
-    upstream->health.OnHeard(BootClock::now());
-    if (const auto report = LoadReportIn(state_.headers, result.response)) {
-      upstream->load.OnReport(*report, BootClock::now());
-    }
-  }
-  state_.OnAttemptEnded(*upstream);
-  if (const auto opened = client->connect_time()) {
-    state_.picker.OnConnected(*upstream, *opened);
-  }
+  const Pick pick = attempt_.pick();
+  const Time sent = attempt_.sent();
+  UpstreamState& upstream = *pick.upstream;
   if (result.outcome != CallOutcome::kAnswered) {
-    trace_.NoteFailed(upstream->info.id, result.detail,
-                      BootClock::now() - sent);
+    trace_.NoteFailed(upstream.info.id, result.detail, BootClock::now() - sent);
   }
   switch (result.outcome) {
     case CallOutcome::kAnswered:
-      state_.pool.Return(upstream->info.id, client);
       OnAnswer(pick, sent, result);
       return;
     case CallOutcome::kNotSent:
       ++unsent_;
-      state_.OnAttemptFailed(*upstream);
+      state_.OnAttemptFailed(upstream);
       RetryOrGiveUp();
       return;
     case CallOutcome::kBroken:
     case CallOutcome::kTimedOut:
       ++attempts_;
-      state_.OnAttemptFailed(*upstream);
+      state_.OnAttemptFailed(upstream);
       OnFailure(result);
       return;
   }
@@ -365,9 +324,9 @@
 // taken back. Other work runs to its end, as nobody could tell afterwards how
 // far it had come.
 void Call::CancelAttempt() {
-  if (client_ && (route_->repeatable || !client_->MayHaveSent())) {
-    std::exchange(client_, nullptr)->Cancel();
-    state_.OnAttemptEnded(*std::exchange(upstream_, nullptr));
+  if (attempt_.IsUnderWay() &&
+      (route_->repeatable || !attempt_.MayHaveSent())) {
+    attempt_.Cancel();
   }
 }
 
@@ -383,9 +342,9 @@
   if (done_) {
     return;
   }
-  const bool sent = client_ && client_->MayHaveSent();
-  if (client_) {
-    NoteNoAnswer();
+  const bool sent = attempt_.MayHaveSent();
+  if (attempt_.IsUnderWay()) {
+    attempt_.NoteNoAnswer();
   }
   if (sent || may_have_run_) {
     AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
--- /dev/null
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -0,0 +1,83 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/upstream_attempt.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr Duration kConnectTimeout{600'000};
+
+}  // namespace
+
+void UpstreamAttempt::Start(const Pick& pick,
+                            std::uint64_t key,
+                            const HttpRequest& request,
+                            const std::string& request_id,
+                            Duration left,
+                            Callback callback) {
+  const Time now = BootClock::now();
+  UpstreamState& upstream = *pick.upstream;
+  pick_ = pick;
+  sent_ = now;
+  upstream.load.OnSent();
+  // Upstreams are quick at a key from the start of its first run on.
+  upstream.keys.Touch(key);
+  state_.picker.links().OnSent(upstream.region);
+  upstream.health.OnSent(pick.expected, now);
+  if (upstream.IsCold(now)) {
+    upstream.cold_share.TryTake(now);
+  }
+  client_ = state_.pool.Take(upstream.info, now);
+  client_->Send(
+      ToUpstream(state_.headers, request, request_id, upstream.info.id, left),
+      {std::min(kConnectTimeout, left), left},
+      [this, callback = std::move(callback)](const CallResult& result) {
+        OnResult(result, callback);
+      },
+      AnswersOf(state_.headers, request_id));
+}
+
+void UpstreamAttempt::OnResult(const CallResult& result,
+                               const Callback& callback) {
+  const HttpClientPtr client = std::exchange(client_, nullptr);
+  UpstreamState& upstream = *pick_.upstream;
+  const bool answered = result.outcome == CallOutcome::kAnswered;
+  if (answered) {
+    upstream.health.OnHeard(BootClock::now());
+    if (const auto report = LoadReportIn(state_.headers, result.response)) {
+      upstream.load.OnReport(*report, BootClock::now());
+    }
+  }
+  state_.OnAttemptEnded(upstream);
+  if (const auto opened = client->connect_time()) {
+    state_.picker.OnConnected(upstream, *opened);
+  }
+  if (answered) {
+    state_.pool.Return(upstream.info.id, client);
+  }
+  callback(result);
+}
+
+void UpstreamAttempt::Cancel() {
+  std::exchange(client_, nullptr)->Cancel();
+  state_.OnAttemptEnded(*pick_.upstream);
+}
+
+bool UpstreamAttempt::IsBusy() const {
+  return pick_.upstream->health.HasAnsweredSince(sent_);
+}
+
+void UpstreamAttempt::NoteNoAnswer() {
+  if (IsBusy()) {
+    return;
+  }
+  const Time now = BootClock::now();
+  state_.picker.OnNoAnswer(*pick_.upstream, pick_, now - sent_, now);
+  state_.OnAttemptFailed(*pick_.upstream);
+}
+
+}  // namespace pathcleat
