HttpClient: limits on silence, apart from the total time

A request had one limit, its total time. A large answer over a thin link was given up while it still arrived, and one that had stopped was waited for until the same moment. Ruled out: a shorter total time (it cuts what arrives), TCP's probes alone (a peer whose process or middle box stopped still acknowledges them).

Interface: CallTimeouts has two further members after connect and total, both kNoLimit unless given: first_byte (from the request's last byte to the answer's first one) and progress (without a byte received after that). Either one, or TCP's own probes, end the request as kTimedOut or kBroken with CallResult::silent set; HttpClient::silent() tells the same of a connection that was idle. An interim answer or another request's answer starts the wait for the first byte anew. Bytes that have come and are not read yet show load and no silence.

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -36,13 +36,26 @@
   std::string detail;       ///< plain words, for the other outcomes
   std::uint64_t bytes = 0;  ///< that arrived, headers included
   Duration transfer{0};     ///< from the first of them to the end
+  /// Given up by a limit on silence or by TCP's probes: the peer neither sent
+  /// nor closed. Not set where the total time ran out.
+  bool silent = false;
 };
 
-/// @brief Time limits of one request.
+/// @brief Stands for no limit beside the total time.
+/// @ingroup http
+inline constexpr Duration kNoLimit = Duration::max();
+
+/// @brief Time limits of one request. A large answer over a thin link takes
+/// long and is worth waiting for while it arrives (`total`); one that stopped
+/// is not (`progress`).
 /// @ingroup http
 struct CallTimeouts {
   Duration connect{1'000'000};
   Duration total{5'000'000};  ///< from Send, the connecting included
+  /// From the request's last byte to the answer's first one.
+  Duration first_byte = kNoLimit;
+  /// Without a byte received, once the answer's first one has come.
+  Duration progress = kNoLimit;
 };
 
 /// @brief The client's end of one HTTP/1.1 connection, one request at a time.
@@ -97,18 +110,29 @@
   /// served another one before.
   bool reused() const { return reused_; }
 
+  /// @brief Whether the connection was given up as silent: see
+  /// CallResult::silent. An idle one can be, too.
+  bool silent() const { return silent_; }
+
  private:
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Connect(Duration timeout);
+  void OnNoConnection();
   void Write();
+  void OnWritten(bool whole);
   void Read();
+  void NoteHeard();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
   void TakeResponse();
+  void AwaitNext();
   void OnEnd(const boost::system::error_code& error);
-  void ArmTimer(Duration timeout, const char* detail, CallOutcome outcome);
+  Time Limit() const;
+  void ArmLimit();
+  void OnLimit();
+  void ArmTimer(Duration timeout, void (HttpClient::*step)());
   void Fail(CallOutcome outcome, std::string detail);
   void Finish(CallResult result);
   void Close();
@@ -124,7 +148,9 @@
   bool head_ = false;
   Callback callback_;
   Matcher matcher_;
+  CallTimeouts timeouts_;
   Time deadline_;
+  Time quiet_since_;  ///< last byte received, or the request's last one sent
   std::optional<Duration> connect_time_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
@@ -136,6 +162,8 @@
   int strangers_ = 0;  ///< answers dropped since the request was sent
   bool connected_ = false;
   bool written_ = false;
+  bool heard_ = false;  ///< bytes have come since the request was sent
+  bool silent_ = false;
   bool reading_ = false;
   bool spent_ = false;  ///< must not carry another request
   bool reused_ = false;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -75,6 +75,8 @@
   strangers_ = 0;
   received_ = 0;
   written_ = false;
+  heard_ = false;
+  timeouts_ = timeouts;
   deadline_ = BootClock::now() + timeouts.total;
   reused_ = connected_;
   connect_time_.reset();
@@ -104,7 +106,7 @@
 }
 
 void HttpClient::Connect(Duration timeout) {
-  ArmTimer(timeout, "no connection in time", CallOutcome::kNotSent);
+  ArmTimer(timeout, &HttpClient::OnNoConnection);
   if (!local_address_.empty()) {
     error_code ignored;
     const auto local = boost::asio::ip::make_address(local_address_, ignored);
@@ -136,17 +138,24 @@
 }
 
 void HttpClient::Write() {
-  ArmTimer(deadline_ - BootClock::now(), "no answer in time",
-           CallOutcome::kTimedOut);
+  ArmLimit();
   boost::asio::async_write(
       socket_, boost::asio::buffer(out_),
       [self = shared_from_this()](const error_code& error, std::size_t) {
         // A failed write shows in the reading too, after any early answer.
-        self->written_ = !error;
+        self->OnWritten(!error);
       });
   Read();
 }
 
+void HttpClient::OnWritten(bool whole) {
+  written_ = whole;
+  if (whole && callback_ && !heard_) {
+    quiet_since_ = BootClock::now();
+    ArmLimit();
+  }
+}
+
 void HttpClient::Read() {
   if (reading_ || closed_) {
     return;
@@ -178,9 +187,17 @@
     first_byte_ = BootClock::now();
   }
   received_ += bytes;
+  NoteHeard();
   Parse();
 }
 
+void HttpClient::NoteHeard() {
+  quiet_since_ = BootClock::now();
+  if (!std::exchange(heard_, true)) {
+    ArmLimit();
+  }
+}
+
 void HttpClient::Parse() {
   error_code error;
   while (buffer_.size() > 0 && !parser_->is_done() && !error) {
@@ -204,8 +221,7 @@
   result.outcome = CallOutcome::kAnswered;
   result.response = FromBeast(parser_->release());
   if (result.response.status < kFirstFinalStatus) {
-    StartParser();
-    Parse();
+    AwaitNext();
     return;
   }
   if (matcher_ && !matcher_(result.response)) {
@@ -214,8 +230,7 @@
       Fail(CallOutcome::kBroken, "the answer is another request's");
       return;
     }
-    StartParser();
-    Parse();
+    AwaitNext();
     return;
   }
   keep_alive_ = KeepAliveOf(result.response);
@@ -223,7 +238,16 @@
   Finish(std::move(result));
 }
 
+// What came was not the answer: the wait for its first byte goes on.
+void HttpClient::AwaitNext() {
+  StartParser();
+  heard_ = buffer_.size() > 0;
+  ArmLimit();
+  Parse();
+}
+
 void HttpClient::OnEnd(const error_code& error) {
+  silent_ = error == boost::asio::error::timed_out;
   if (!callback_) {
     Close();
     return;
@@ -243,17 +267,53 @@
                                  : "the connection ended with no answer");
 }
 
-void HttpClient::ArmTimer(Duration timeout,
-                          const char* detail,
-                          CallOutcome outcome) {
+// A request that is still being sent is bounded by the total time and by TCP,
+// which notices that nothing is taken.
+Time HttpClient::Limit() const {
+  const Duration quiet = heard_ ? timeouts_.progress : timeouts_.first_byte;
+  const bool bounded = quiet != kNoLimit && (heard_ || written_);
+  return bounded ? std::min(deadline_, quiet_since_ + quiet) : deadline_;
+}
+
+void HttpClient::ArmLimit() {
+  ArmTimer(Limit() - BootClock::now(), &HttpClient::OnLimit);
+}
+
+void HttpClient::OnLimit() {
+  const Time now = BootClock::now();
+  if (now < Limit()) {
+    ArmLimit();
+    return;
+  }
+  if (now >= deadline_) {
+    Fail(CallOutcome::kTimedOut, "no answer in time");
+    return;
+  }
+  // What has come and is not read yet shows this host's load, no silence.
+  error_code error;
+  if (socket_.available(error) > 0 && !error) {
+    quiet_since_ = now;
+    ArmLimit();
+    return;
+  }
+  silent_ = true;
+  Fail(CallOutcome::kTimedOut,
+       heard_ ? "the answer stopped" : "the connection is silent");
+}
+
+void HttpClient::OnNoConnection() {
+  Fail(CallOutcome::kNotSent, "no connection in time");
+}
+
+void HttpClient::ArmTimer(Duration timeout, void (HttpClient::*step)()) {
   // An expiry that is already queued cannot be cancelled any more; the
   // generation tells it from the one in force.
   const std::uint64_t generation = ++timer_generation_;
   timer_.expires_after(timeout);
-  timer_.async_wait([self = shared_from_this(), generation, detail,
-                     outcome](const error_code& error) {
+  timer_.async_wait([self = shared_from_this(), generation,
+                     step](const error_code& error) {
     if (!error && self->callback_ && generation == self->timer_generation_) {
-      self->Fail(outcome, detail);
+      (self.get()->*step)();
     }
   });
 }
@@ -263,6 +323,7 @@
   CallResult result;
   result.outcome = outcome;
   result.detail = std::move(detail);
+  result.silent = silent_;
   Finish(std::move(result));
 }
 
--- /dev/null
+++ b/src/pathcleat/testing/scripted_server.hpp
@@ -0,0 +1,86 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace pathcleat {
+
+/// @brief A TCP server that sends to its last caller the bytes that a test
+/// gives it, whole or a byte at a time.
+class ScriptedServer {
+ public:
+  ScriptedServer(boost::asio::io_context& loop, const std::string& address)
+      : acceptor_(loop, {boost::asio::ip::make_address(address), 0}),
+        socket_(loop),
+        pace_(loop) {
+    Accept();
+  }
+
+  boost::asio::ip::tcp::endpoint endpoint() const {
+    return acceptor_.local_endpoint();
+  }
+  int accepted() const { return accepted_; }
+  bool Has(const std::string& text) const {
+    return received_.find(text) != std::string::npos;
+  }
+
+  void Send(const std::string& bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+
+  /// @brief Sends a byte, waits, and so on.
+  void Drip(std::string bytes, std::chrono::milliseconds pause) {
+    if (bytes.empty()) {
+      return;
+    }
+    Send(bytes.substr(0, 1));
+    pace_.expires_after(pause);
+    pace_.async_wait([this, rest = bytes.substr(1),
+                      pause](const boost::system::error_code& error) {
+      if (!error) {
+        Drip(rest, pause);
+      }
+    });
+  }
+
+ private:
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (!error) {
+        socket_ = std::move(socket);
+        ++accepted_;
+        Read();
+        Accept();
+      }
+    });
+  }
+
+  void Read() {
+    socket_.async_read_some(
+        boost::asio::buffer(buffer_),
+        [this](const boost::system::error_code& error, std::size_t bytes) {
+          if (!error) {
+            received_.append(buffer_.data(), bytes);
+            Read();
+          }
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer pace_;
+  std::array<char, 4096> buffer_{};
+  std::string received_;
+  int accepted_ = 0;
+};
+
+}  // namespace pathcleat
