Tools: lost worth counted from a caller's first attempt

Cause: the account of lost worth followed the report's own worth, in which a request that is refused at once, comes back and is then quick earns the mean of a full and a late credit.

Ruled out: reading the mean from the hosts' logs alone. The report holds what is needed for the credit: counts by whole times beside the worth of each row; a report names no attempt, so where it was earned is joined from the logs by caller, route, key and time, and the notes state how far both agree.

An attempt that never reached its upstream is no offer. Callers that left are in the log's requests.

--- a/tools/lost_worth.py
+++ b/tools/lost_worth.py
@@ -2,27 +2,34 @@
 # Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 """Account of a day's lost worth.
 
-    tools/lost_worth.py REPORT [LOG]
+    tools/lost_worth.py REPORT [LOG] [--site SITE]
 
 REPORT is what the users' bench writes with --report. LOG is the same run's
 output with --log all, from hosts whose settings log every request
-("log": { "requests": true, "sample_one_of": 1, "failures_per_second": 5000 }).
-The lines of the account add up to 1 - worth. Without LOG the causes are the
-outcomes that callers saw. Exit code 2: an input cannot be read; it is named.
+("log": { "requests": true, "sample_one_of": 1, "failures_per_second": 5000 }); it may be
+compressed (.gz). The lines of the account add up to 1 - worth. Without LOG the
+causes are the outcomes that callers saw. With the day's site file a second
+account counts worth from the callers' first attempts (tools/first_try.py).
+Exit code 2: an input cannot be read; it is named.
 """
+import argparse
 import collections
 import dataclasses
+import gzip
 import json
+import re
 import sys
 
+import first_try
+
 # Share of its credit that an answer later than its target loses; the users'
 # pages give late answers a fifth.
 LATE_LOSS = 0.8
-# One way from a host to its callers and back, in seconds: between what a host
-# measures and what its caller does. The largest of the users' deployments.
-CALLER_ROUND_TRIP_S = 0.016
 WINDOW_S = 2.0
+# What an attempt tells that never reached its upstream.
+NO_CONTACT = ("Connection refused", "no connection in time")
 
+LEFT = "left"
 FIRST_VISIT = "late: first visit of a key (no policy wins it)"
 DARK = "came back after a refusal, or found no host"
 
@@ -37,8 +44,24 @@
 
     start: float
     domain: str
-    outcome: str  # "late", "refused" or "failed"; "" if it went well
+    outcome: str  # "late", "refused", "failed" or LEFT; "" if it went well
     cause: str
+    end: float = 0  # as start, in seconds of the day
+    caller: str = ""
+    route: str = ""
+    key: str = ""
+    target: float = 0  # in seconds, as are left and held
+    left: float = 0  # what the request had at its start
+    held: float = 0
+    repeatable: bool = False
+    refused: bool = False
+    left_unanswered: bool = False  # its caller closed before the answer
+    offered: bool = False  # sent to an upstream within the target
+
+    @property
+    def served(self):
+        """Whether an upstream's success was given."""
+        return self.outcome in ("", "late")
 
 
 @dataclasses.dataclass
@@ -60,7 +83,7 @@
     except (OSError, ValueError) as error:
         raise InputFault(f"{path}: {error}") from error
     for key in ("G", "parts", "prices", "all", "classes", "zones", "windows"):
-        if key not in report:
+        if not isinstance(report, dict) or key not in report:
             raise InputFault(f"{path}: no '{key}' in it; is it a report?")
     return report
 
@@ -68,27 +91,34 @@
 def read_events(path):
     """Events of each request at each host, in order."""
     events = collections.defaultdict(list)
+    opened = gzip.open if str(path).endswith(".gz") else open
     try:
-        with open(path, encoding="utf-8", errors="replace") as file:
+        with opened(path, "rt", encoding="utf-8", errors="replace") as file:
             for line in file:
                 begin = line.find('{"time"')
-                if begin < 0:
+                if begin < 0 or '"request":' not in line:
                     continue
                 try:
                     event = json.loads(line[begin:])
                 except ValueError:
                     continue  # a line cut short by a kill
-                if "request" in event:
-                    events[event["request"], event["host"]].append(event)
-    except OSError as error:
+                event["written"] = seconds_before(line[:begin])
+                events[event["request"], event["host"]].append(event)
+    except (OSError, EOFError) as error:
         raise InputFault(f"{path}: {error}") from error
     if not events:
         raise InputFault(f"{path}: no events of requests in it")
     return events
 
 
+def seconds_before(prefix):
+    """The bench's clock, which stands before a host's line."""
+    number = re.match(r"\s*(-?[0-9.]+)\s", prefix)
+    return float(number.group(1)) if number else 0.0
+
+
 def seconds_of(event):
-    """The event's time in seconds."""
+    """The event's time in seconds, by its host's clock."""
     return float(event["time"].split(".")[0]) / 1e6
 
 
@@ -111,40 +141,78 @@
     by_name = collections.defaultdict(list)
     for event in events:
         by_name[event["name"]].append(event)
-    if not by_name["request-taken"] or not by_name["request-answered"]:
+    if not by_name["request-taken"]:
+        return None
+    if not by_name["request-answered"] and not by_name["caller-left"]:
         return None
     taken = by_name["request-taken"][0]
+    key = (taken["service"], taken.get("affinity_key", ""))
+    outcome, cause = ending(by_name, visits, key)
+    for send in by_name["request-sent"]:
+        visits[key].add(send["upstream"])
+    host = taken["host"].split("-", 1)[-1].rsplit("-", 1)[0]
+    request = Request(start_of(events), host, outcome, cause)
+    request.caller = taken.get("caller", "")
+    request.route = taken.get("route", "")
+    request.key = taken.get("affinity_key", "")
+    request.target = taken["target_ms"] / 1e3
+    request.left = taken.get("left_ms", 0) / 1e3
+    request.end = events[-1]["written"]
+    request.held = request.end - request.start
+    request.repeatable = taken.get("repeatable", False)
+    request.refused = outcome == "refused"
+    request.left_unanswered = outcome == LEFT
+    request.offered = any(
+        is_offer(send, by_name, request) for send in by_name["request-sent"]
+    )
+    return request
+
+
+def ending(by_name, visits, key):
+    """Outcome and cause of a request, by its events."""
+    if not by_name["request-answered"]:
+        return LEFT, "its caller left"
+    taken = by_name["request-taken"][0]
     answered = by_name["request-answered"][0]
     sends = by_name["request-sent"]
-    key = (taken["service"], taken.get("affinity_key", ""))
-    outcome, cause = "", ""
     if answered["status"] == 503:
         reason = by_name["request-refused"]
-        outcome = "refused"
-        cause = "refused: " + (reason[0]["reason"] if reason else "not ready")
-    elif answered["status"] != 200:
+        return "refused", "refused: " + (reason[0]["reason"] if reason else "not ready")
+    if answered["status"] != 200:
         detail = by_name["attempt-failed"] or by_name["request-unknown"]
         told = detail[-1].get("detail") or detail[-1].get("reason") if detail else ""
-        outcome = "failed"
-        cause = f"failed: {told or 'the upstream answered ' + str(answered['status'])}"
-    elif answered["latency_ms"] / 1e3 + CALLER_ROUND_TRIP_S > taken["target_ms"] / 1e3:
-        outcome = "late"
-        cause = late_cause(sends, visits, key) if sends else "late: at the host"
-    for send in sends:
-        visits[key].add(send["upstream"])
-    host = taken["host"].split("-", 1)[-1].rsplit("-", 1)[0]
-    return Request(seconds_of(taken), host, outcome, cause)
+        return "failed", (
+            f"failed: {told or 'the upstream answered ' + str(answered['status'])}"
+        )
+    time_s = answered["latency_ms"] / 1e3 + first_try.CALLER_ROUND_TRIP_S
+    if time_s > taken["target_ms"] / 1e3:
+        return "late", late_cause(sends, visits, key) if sends else "late: at the host"
+    return "", ""
+
+
+def start_of(events):
+    """When a request was taken. A host writes its events at its end, so the
+    bench's one clock is read there and the host's own only for the difference."""
+    return events[-1]["written"] - (seconds_of(events[-1]) - seconds_of(events[0]))
+
+
+def is_offer(send, by_name, request):
+    """Whether a send came within the target and wasn't cut at once."""
+    if seconds_of(send) - seconds_of(by_name["request-taken"][0]) > request.target:
+        return False
+    cuts = [e for e in by_name["attempt-failed"] if e["upstream"] == send["upstream"]]
+    least = first_try.OFFER_SHARE * request.target
+    return not cuts or (
+        cuts[0].get("detail") not in NO_CONTACT
+        and cuts[0].get("elapsed_ms", 0) / 1e3 >= least
+    )
 
 
 def read_requests(path):
     """All requests of a log, with times from the first one on."""
     visits = collections.defaultdict(set)
-    histories = sorted(read_events(path).values(), key=lambda e: seconds_of(e[0]))
-    requests = [r for r in (judge(h, visits) for h in histories) if r]
-    began = requests[0].start if requests else 0
-    for request in requests:
-        request.start -= began
-    return requests
+    histories = sorted(read_events(path).values(), key=start_of)
+    return [r for r in (judge(h, visits) for h in histories) if r]
 
 
 def scopes_of(report, requests):
@@ -217,17 +285,8 @@
         print(f"  {value / total:6.3f}  {name}")
 
 
-def main(arguments):
-    """Prints the account; returns the exit code."""
-    if not 1 <= len(arguments) <= 2:
-        print(__doc__, file=sys.stderr)
-        return 2
-    try:
-        report = read_report(arguments[0])
-        requests = read_requests(arguments[1]) if len(arguments) == 2 else []
-    except InputFault as fault:
-        print(f"lost_worth: {fault}", file=sys.stderr)
-        return 2
+def print_account(report, requests):
+    """The account by one rule."""
     lost = account(report, requests)
     total = sum(lost.values())
     print(f"worth {report['G']:.4f}, lost {1 - report['G']:.4f}, accounted {total:.4f}")
@@ -237,6 +296,31 @@
     print_rows("window (from second)", report["windows"])
     print_rows("kind of request", report["classes"])
     print_rows("failure domain of the callers", report["zones"])
+
+
+def main(arguments):
+    """Prints the account; returns the exit code."""
+    parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
+    parser.add_argument("report")
+    parser.add_argument("log", nargs="?")
+    parser.add_argument("--site")
+    try:
+        options = parser.parse_args(arguments)
+    except SystemExit as ended:
+        return ended.code
+    try:
+        report = read_report(options.report)
+        requests = read_requests(options.log) if options.log else []
+        kinds = first_try.read_kinds(options.site) if options.site else {}
+        restated = first_try.restate(report, requests, kinds, WINDOW_S) if kinds else None
+    except (InputFault, first_try.SiteFault) as fault:
+        print(f"lost_worth: {fault}", file=sys.stderr)
+        return 2
+    print_account(report, requests)
+    if restated:
+        print("\ncounted from the first attempt")
+        print_account(restated.report, [first_try.whole(c) for c in first_try.join(requests)])
+        print("\n" + "\n".join(restated.notes))
     return 0
 
 
