Tools: ablation and varied deployments by both rules, plays kept

Ruled out: reading reports without logs.

Reports, sites and settings that can't be read are named, exit 2.

Tests: tools/bench_runs_test.py, 6 tests, seen to fail with these lines off: "if report.exists(): return" in play, the comparison in claim, the check in jobs; the others cover a play without a report, a kept report that can't be read, and the settings of a copy.

--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -2,11 +2,15 @@
 # Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 """What each mechanism of the policy is worth, as a table.
 
-    PATHCLEAT_BENCH=PROGRAM tools/ablate.py [--seeds N] [--only NAME,...] SITE...
+    PATHCLEAT_BENCH=PROGRAM tools/ablate.py [--seeds N] [--only NAME,...]
+        [--keep DIRECTORY] SITE...
 
 Plays the sites' standard days with trouble, with every mechanism on, then with
 each one off by itself, and prints the change of the mean worth, lowest to
-highest seed. Runs on a copy of this checkout; its journal entries come back.
+highest seed: first by the earlier rule, then counted from the callers' first
+attempts (tools/first_try.py). Runs on a copy of this checkout; its journal
+entries come back. What --keep holds already isn't played again, so a table that
+was broken off goes on. PATHCLEAT_JOBS: days at once.
 """
 import argparse
 import pathlib
@@ -23,31 +27,61 @@
     return re.findall(r'Named\{Mechanism::\w+, "(\w+)"\}', source.read_text())
 
 
-def measure(copy, name, sites, seeds):
-    """Mean worth by seed of each site, with a mechanism off or none ("")."""
+def measure(copy, name, sites, seeds, keep):
+    """Plays of each site, with a mechanism off or none ("")."""
     bench_runs.switch_off(copy, name)
-    figures, broken = {}, 0
+    plays = {}
     for site in sites:
         why = f"ablation: {name or 'nothing'} off"
-        plays = bench_runs.play_all(copy, site, seeds, why)
-        figures[site] = bench_runs.by_seed(plays)
-        broken += sum(p.broken for p in plays)
-    return figures, broken
+        folder = None
+        if keep:
+            folder = keep / (name or "nothing")
+            folder.mkdir(parents=True, exist_ok=True)
+        plays[site] = bench_runs.play_all(copy, site, seeds, why, keep=folder)
+    return plays
 
 
-def cell(with_all, without):
+def change(with_all, without, rule):
     """Change by switching off: median of the seeds and its spread."""
-    changes = sorted(b - a for a, b in zip(with_all, without))
+    pairs = zip(bench_runs.by_seed(with_all, rule), bench_runs.by_seed(without, rule))
+    changes = sorted(after - before for before, after in pairs)
     middle = statistics.median(changes)
     return f"{middle:+.3f} ({changes[0]:+.3f} to {changes[-1]:+.3f})"
 
 
+def mean(plays, rule):
+    """Mean worth of a site."""
+    return f"{statistics.mean(rule(plays)):.3f}"
+
+
+def row_of(name, plays, cell):
+    """A row of the table: both rules side by side for each site."""
+    rules = (bench_runs.worths, bench_runs.first_tries)
+    cells = [" / ".join(cell(site, rule) for rule in rules) for site in plays]
+    broken = sum(p.broken for site in plays.values() for p in site)
+    return f"| {name} | " + " | ".join(cells) + f" | {broken} |"
+
+
+def print_table(copy, names, options, seeds):
+    """Plays and prints row by row."""
+    stems = [site.stem for site in options.sites]
+    print("| off | " + " | ".join(stems) + " | days with a rule broken |")
+    print("|---" * (len(stems) + 2) + "|")
+    whole = measure(copy, "", options.sites, seeds, options.keep)
+    print(row_of("nothing", whole, lambda s, rule: mean(whole[s], rule)), flush=True)
+    for name in names:
+        off = measure(copy, name, options.sites, seeds, options.keep)
+        cell = lambda s, rule: change(whole[s], off[s], rule)
+        print(row_of(name, off, cell), flush=True)
+
+
 def main():
     """Prints the table; returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
     parser.add_argument("sites", nargs="+", type=pathlib.Path)
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--only", default="")
+    parser.add_argument("--keep", type=pathlib.Path)
     options = parser.parse_args()
     known = mechanism_names()
     names = options.only.split(",") if options.only else known
@@ -56,19 +90,14 @@
         return bench_runs.fail(f"--only: {unknown[0]} is none of {', '.join(known)}")
     seeds = [11 * (i + 1) for i in range(options.seeds)]
     try:
+        if options.keep:
+            bench_runs.claim(options.keep, bench_runs.ROOT)
         copy = bench_runs.copy_of(bench_runs.ROOT, "ablation")
-        all_on, broken = measure(copy, "", options.sites, seeds)
-        stems = [site.stem for site in options.sites]
-        print("| off | " + " | ".join(stems) + " | days with a rule broken |")
-        print("|---" * (len(stems) + 2) + "|")
-        whole = [sum(all_on[s]) / len(seeds) for s in options.sites]
-        print("| nothing | " + " | ".join(f"{v:.3f}" for v in whole) + f" | {broken} |")
-        for name in names:
-            off, broken = measure(copy, name, options.sites, seeds)
-            cells = [cell(all_on[s], off[s]) for s in options.sites]
-            print(f"| {name} | " + " | ".join(cells) + f" | {broken} |", flush=True)
-        bench_runs.keep_journal(copy, bench_runs.ROOT)
-    except bench_runs.InputFault as fault:
+        try:
+            print_table(copy, names, options, seeds)
+        finally:
+            bench_runs.keep_journal(copy, bench_runs.ROOT)
+    except (OSError, bench_runs.InputFault) as fault:
         return bench_runs.fail(f"ablate: {fault}")
     return 0
 
--- a/tools/bench_runs.py
+++ b/tools/bench_runs.py
@@ -5,7 +5,8 @@
 """
 import concurrent.futures
 import dataclasses
-import json
+import gzip
+import hashlib
 import os
 import pathlib
 import shutil
@@ -14,10 +15,18 @@
 import sys
 import tempfile
 
+import first_try
+import lost_worth
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # Days at once: half of the processors, as the bench's page advises.
 JOBS = max(1, (os.cpu_count() or 2) // 2)
+# What a play's figures depend on.
+CODE = ("src", "include", "platform", "deploy", "CMakeLists.txt")
 LEFT_OUT = ("build", "target", ".git", "journal", "out")
+LOG_ALL = '"log": { "requests": true, "sample_one_of": 1, "failures_per_second": 5000 }'
+# Ends of a run's output that a fault tells, in characters.
+TOLD = 300
 
 
 class InputFault(Exception):
@@ -33,6 +42,7 @@
     seed: int
     worth: float
     broken: bool
+    first_try: float  # worth counted from the callers' first attempts
 
 
 def bench_program():
@@ -43,6 +53,34 @@
     return path
 
 
+def jobs():
+    """Days at once: PATHCLEAT_JOBS, or half of the processors."""
+    told = os.environ.get("PATHCLEAT_JOBS", str(JOBS))
+    if not told.isdecimal() or int(told) < 1:
+        raise InputFault(f"PATHCLEAT_JOBS: '{told}' is no number of days, 1 or more")
+    return int(told)
+
+
+def code_hash(root):
+    """Hash of what a play's figures depend on."""
+    code = hashlib.sha256()
+    for name in CODE:
+        path = root / name
+        for file in sorted(path.rglob("*")) if path.is_dir() else [path]:
+            if file.is_file():
+                code.update(str(file.relative_to(root)).encode() + file.read_bytes())
+    return code.hexdigest()
+
+
+def claim(folder, root):
+    """Makes a directory for kept plays; one of other code is a fault."""
+    folder.mkdir(parents=True, exist_ok=True)
+    mark, code = folder / "code", code_hash(root)
+    if mark.exists() and mark.read_text().strip() != code:
+        raise InputFault(f"{folder}: holds plays of other code")
+    mark.write_text(code + "\n")
+
+
 def trouble_days(site):
     """Names of a site's standard days with trouble."""
     import tomllib  # Python 3.11
@@ -70,45 +108,100 @@
     return target
 
 
+def log_every_request(text):
+    """Settings that log all requests, as an account of a whole day needs."""
+    return text.replace('"gigabyte_costs"', f'{LOG_ALL},\n  "gigabyte_costs"', 1)
+
+
+def settings_of(copy):
+    """Path of a copy's settings."""
+    return copy / "deploy" / "settings.jsonc"
+
+
 def switch_off(copy, mechanism):
-    """Switches one mechanism off in a copy's settings, or none for ""."""
-    path = copy / "deploy" / "settings.jsonc"
-    text = (ROOT / "deploy" / "settings.jsonc").read_text(encoding="utf-8")
+    """Switches one mechanism off in a copy's settings, or none for ""; all
+    requests are logged."""
+    text = log_every_request(settings_of(ROOT).read_text(encoding="utf-8"))
     if mechanism:
         policy = f'"policy": {{ "off": ["{mechanism}"] }},\n  "gigabyte_costs"'
         text = text.replace('"gigabyte_costs"', policy, 1)
-    path.write_text(text, encoding="utf-8")
-
-
-def play(copy, site, day, seed, why):
-    """Plays a day once, without processor time, and reads its report."""
-    with tempfile.NamedTemporaryFile(suffix=".json") as report:
-        command = [bench_program(), "run", str(site), day, "--no-cpu"]
-        command += ["--seed", str(seed)] if seed else []
-        command += ["--report", report.name, "--why", why]
-        ended = subprocess.run(command, cwd=copy, capture_output=True, text=True)
-        try:
-            with open(report.name, encoding="utf-8") as file:
-                figures = json.load(file)
-        except ValueError as error:
-            raise InputFault(
-                f"{site} {day} seed {seed}: no report: {ended.stdout[-300:]}"
-            ) from error
-    broken = bool(figures["breaks"] or figures["fault"])
-    return Play(pathlib.Path(site).stem, day, seed, figures["G"], broken)
-
-
-def play_all(copy, site, seeds, why, days=None):
-    """Plays days of a site with each seed."""
-    wanted = [(d, s) for d in (days or trouble_days(site)) for s in seeds]
-    with concurrent.futures.ThreadPoolExecutor(JOBS) as pool:
-        return list(pool.map(lambda w: play(copy, site, w[0], w[1], why), wanted))
-
-
-def by_seed(plays):
-    """Mean worth over the days, for each seed."""
+    settings_of(copy).write_text(text, encoding="utf-8")
+
+
+def play_command(site, day, seed, why):
+    """The bench's command for a day, without processor time."""
+    command = [bench_program(), "run", str(site), day, "--no-cpu", "--why", why]
+    return command + (["--seed", str(seed)] if seed else [])
+
+
+def play(copy, site, day, seed, why, stem):
+    """Plays a day once and keeps STEM.json, its report, and STEM.log.gz.
+
+    What is there already isn't played again.
+    """
+    report = pathlib.Path(f"{stem}.json")
+    if report.exists():
+        return
+    unfinished = pathlib.Path(f"{stem}.unfinished")
+    command = play_command(site, day, seed, why)
+    command += ["--log", "all", "--report", str(unfinished)]
+    with subprocess.Popen(
+        command, cwd=copy, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+    ) as run, gzip.open(f"{stem}.log.gz", "wb", compresslevel=1) as log:
+        shutil.copyfileobj(run.stdout, log)
+    if not unfinished.exists():
+        with gzip.open(f"{stem}.log.gz", "rt", errors="replace") as log:
+            told = log.read()[-TOLD:]
+        raise InputFault(f"{site} {day} seed {seed}: no report: {told}")
+    unfinished.rename(report)
+
+
+def read_play(site, day, seed, stem):
+    """What a kept play's report and log say, by both rules."""
+    try:
+        report = lost_worth.read_report(f"{stem}.json")
+        requests = lost_worth.read_requests(f"{stem}.log.gz")
+        kinds = first_try.read_kinds(site)
+        anew = first_try.restate(report, requests, kinds, lost_worth.WINDOW_S)
+        broken = bool(report["breaks"] or report["fault"])
+    except (lost_worth.InputFault, first_try.SiteFault) as fault:
+        raise InputFault(str(fault)) from fault
+    except (KeyError, TypeError) as error:
+        raise InputFault(f"{stem}.json: {error!r}") from error
+    name = pathlib.Path(site).stem
+    return Play(name, day, seed, report["G"], broken, anew.report["G"])
+
+
+def play_all(copy, site, seeds, why, days=None, keep=None):
+    """Plays days of a site with each seed. Reports and logs are kept in KEEP,
+    a directory, or nowhere."""
+    with tempfile.TemporaryDirectory() as passing:
+        folder = pathlib.Path(keep or passing)
+        wanted = [
+            (site, d, s, folder / f"{pathlib.Path(site).stem}-{d}-{s}")
+            for d in (days or trouble_days(site))
+            for s in seeds
+        ]
+        with concurrent.futures.ThreadPoolExecutor(jobs()) as pool:
+            list(pool.map(lambda w: play(copy, *w[:3], why, w[3]), wanted))
+        with concurrent.futures.ProcessPoolExecutor(jobs()) as pool:
+            return list(pool.map(read_play, *zip(*wanted)))
+
+
+def worths(plays):
+    """The plays' worth by the earlier rule."""
+    return [p.worth for p in plays]
+
+
+def first_tries(plays):
+    """The plays' worth counted from the callers' first attempts."""
+    return [p.first_try for p in plays]
+
+
+def by_seed(plays, rule=worths):
+    """Mean worth over the days by a rule, for each seed."""
     seeds = sorted({p.seed for p in plays})
-    return [statistics.mean(p.worth for p in plays if p.seed == s) for s in seeds]
+    return [statistics.mean(rule([p for p in plays if p.seed == s])) for s in seeds]
 
 
 def keep_journal(copy, root):
--- /dev/null
+++ b/tools/bench_runs_test.py
@@ -0,0 +1,77 @@
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+"""Tests of what plays and keeps days; a script stands in the bench's place."""
+import os
+import pathlib
+import stat
+import sys
+import tempfile
+import unittest
+from unittest import mock
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import bench_runs  # noqa: E402
+
+
+class KeptPlaysTest(unittest.TestCase):
+    """What tools that play do with what they keep, and with bad input."""
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.path = pathlib.Path(self.folder.name)
+
+    def bench(self, text):
+        """A program in the bench's place."""
+        program = self.path / "bench"
+        program.write_text("#!/bin/sh\n" + text)
+        program.chmod(program.stat().st_mode | stat.S_IXUSR)
+        return mock.patch.dict(os.environ, {"PATHCLEAT_BENCH": str(program)})
+
+    def test_a_play_without_a_report_is_named(self):
+        with self.bench("echo it broke\n"):
+            with self.assertRaisesRegex(bench_runs.InputFault, "day-1 .*it broke"):
+                bench_runs.play(self.path, "s.toml", "day-1", 7, "w", self.path / "p")
+
+    def test_a_kept_report_that_cannot_be_read_is_named(self):
+        (self.path / "p.json").write_text("{")
+        with self.assertRaisesRegex(bench_runs.InputFault, "p.json"):
+            bench_runs.read_play("s.toml", "day-1", 7, self.path / "p")
+
+    def test_kept_plays_are_not_played_again(self):
+        (self.path / "p.json").write_text("{}")
+        with self.bench("exit 9\n"):
+            bench_runs.play(self.path, "s.toml", "day-1", 7, "w", self.path / "p")
+        self.assertFalse((self.path / "p.log.gz").exists())
+
+    def test_plays_of_other_code_are_a_fault(self):
+        source = self.path / "src" / "a.cpp"
+        source.parent.mkdir()
+        (self.path / "CMakeLists.txt").write_text("")
+        source.write_text("1")
+        keep = self.path / "keep"
+        bench_runs.claim(keep, self.path)
+        bench_runs.claim(keep, self.path)
+        source.write_text("2")
+        with self.assertRaisesRegex(bench_runs.InputFault, "other code"):
+            bench_runs.claim(keep, self.path)
+
+    def test_days_at_once_are_checked(self):
+        for told in ("0", "-1", "many", ""):
+            with mock.patch.dict(os.environ, {"PATHCLEAT_JOBS": told}):
+                with self.assertRaisesRegex(bench_runs.InputFault, "PATHCLEAT_JOBS"):
+                    bench_runs.jobs()
+        with mock.patch.dict(os.environ, {"PATHCLEAT_JOBS": "3"}):
+            self.assertEqual(bench_runs.jobs(), 3)
+
+    def test_every_request_is_logged_with_a_mechanism_off(self):
+        copy = self.path / "copy"
+        (copy / "deploy").mkdir(parents=True)
+        for mechanism in ("", "patience"):
+            bench_runs.switch_off(copy, mechanism)
+            text = bench_runs.settings_of(copy).read_text()
+            self.assertEqual(text.count(bench_runs.LOG_ALL), 1)
+            self.assertEqual(text.count('"off": ["patience"]'), int(bool(mechanism)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/vary_sites.py
+++ b/tools/vary_sites.py
@@ -6,7 +6,8 @@
 
 Varies site files by a seed (hosts, upstreams, slots, run times, keys, warmth,
 skew, prices, links, load, whether keys keep to a region), plays a day of each
-on this checkout and, with --base, on another one, and prints both figures.
+on this checkout and, with --base, on another one, and prints both figures: by the
+earlier rule, then counted from the callers' first attempts.
 """
 import argparse
 import pathlib
@@ -74,6 +75,55 @@
     return path
 
 
+def play_row(copies, varied, day):
+    """Means of both rules for each copy, and the days with a rule broken."""
+    plays = [
+        bench_runs.play_all(copy, varied, [0, 7], "varied deployment", [day])
+        for copy in copies
+    ]
+    figures = [
+        statistics.mean(rule(of_copy))
+        for of_copy in plays
+        for rule in (bench_runs.worths, bench_runs.first_tries)
+    ]
+    return figures, sum(p.broken for p in plays[-1])
+
+
+def cells(figures):
+    """Both rules side by side for each copy."""
+    told = [f"{value:.3f}" for value in figures]
+    return " | ".join(" / ".join(pair) for pair in zip(told[::2], told[1::2]))
+
+
+def built_copies(base):
+    """Copies that log every request: of the base, if any, and of this checkout."""
+    copies = [bench_runs.copy_of(base, "base")] if base else []
+    copies.append(bench_runs.copy_of(bench_runs.ROOT, "now"))
+    for copy in copies:
+        settings = bench_runs.settings_of(copy)
+        text = bench_runs.log_every_request(settings.read_text(encoding="utf-8"))
+        settings.write_text(text, encoding="utf-8")
+    return copies
+
+
+def print_table(copies, options, folder):
+    """Plays and prints row by row."""
+    print("| deployment | day | " + " | ".join(["before", "now"][-len(copies):])
+          + " | days with a rule broken |")
+    print("|---" * (len(copies) + 3) + "|")
+    rows = []
+    for i in range(options.count):
+        site = options.sites[i % len(options.sites)]
+        varied = write_site(site, i + 1, folder)
+        days = bench_runs.trouble_days(varied)
+        day = days[i // len(options.sites) % len(days)]
+        figures, broken = play_row(copies, varied, day)
+        rows.append(figures)
+        print(f"| {varied.stem} | {day} | {cells(figures)} | {broken} |", flush=True)
+    means = [statistics.mean(column) for column in zip(*rows)]
+    print(f"| mean | | {cells(means)} | |")
+
+
 def main():
     """Prints a row a deployment; returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__.split("\n")[0])
@@ -83,37 +133,12 @@
     options = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="pathcleat-sites-"))
     try:
-        copies = [bench_runs.copy_of(bench_runs.ROOT, "now")]
-        if options.base:
-            copies.insert(0, bench_runs.copy_of(options.base, "base"))
-        print("| deployment | day | " + " | ".join(["before", "now"][-len(copies):])
-              + " | days with a rule broken |")
-        print("|---" * (len(copies) + 3) + "|")
-        rows = []
-        for i in range(options.count):
-            site = options.sites[i % len(options.sites)]
-            varied = write_site(site, i + 1, folder)
-            days = bench_runs.trouble_days(varied)
-            day = days[i // len(options.sites) % len(days)]
-            plays = [
-                p
-                for copy in copies
-                for p in bench_runs.play_all(
-                    copy, varied, [0, 7], "varied deployment", [day]
-                )
-            ]
-            means = [
-                statistics.mean(p.worth for p in plays[k * 2 : k * 2 + 2])
-                for k in range(len(copies))
-            ]
-            rows.append(means)
-            broken = sum(p.broken for p in plays[-2:])
-            print(f"| {varied.stem} | {day} | "
-                  + " | ".join(f"{m:.3f}" for m in means) + f" | {broken} |", flush=True)
-        means = [statistics.mean(column) for column in zip(*rows)]
-        print("| mean | | " + " | ".join(f"{m:.3f}" for m in means) + " | |")
-        for copy in copies:
-            bench_runs.keep_journal(copy, bench_runs.ROOT)
+        copies = built_copies(options.base)
+        try:
+            print_table(copies, options, folder)
+        finally:
+            for copy in copies:
+                bench_runs.keep_journal(copy, bench_runs.ROOT)
     except (OSError, bench_runs.InputFault) as fault:
         return bench_runs.fail(f"vary_sites: {fault}")
     return 0
