Callers that leave: nothing more of their work is started

Cause: a caller's leaving was seen only by reading its connection. Behind bytes that were sent ahead and are not read it was not seen at all (the slot stayed taken until patience or the deadline); on a host that is behind, requests whose callers had closed were still sent, retried and claimed; a body that may not be repeated was passed on to its end; a submission cancelled while its connection opened left its key claimed, later told as unknown. A half-close cut the answer that was being written, and ended the connection without a word. Ruled out: more reading (no bound), epoll's own hang-up event (Asio does not ask for it), 102 as a probe of half-closed callers (a round trip on each leaving), cancelling submissions that an upstream has whole (DESIGN says why). Change: Exchange::CheckCaller polls the connection before the first step, after a key's claim, when a connection has opened and before a retry; a session that has stopped reading is asked every 100 ms; a half-passed body is cut by a reset; keys of what was not sent are released; half-closed callers get 503, 502 or, for a submission that runs on, its answer. pathcleat_callers_left_total{work}. No existing test was changed; the stand-in of an upstream counts slot-seconds, RawClient can half-close and reset. Not seen: an end behind more unread bytes than the system's buffers hold.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -58,6 +58,7 @@
   bool WentWrong(RunOutcome outcome, Duration latency) const;
   void CancelAttempt();
   void OnCallerLeft();
+  void EndForCallerLeft();
   void OnDeadline();
   Duration Left() const;
 
@@ -74,8 +75,9 @@
   Time deadline_;
   bool retried_ = false;
   bool may_have_run_ = false;
-  int attempts_ = 0;  ///< upstreams that the request has reached
-  int unsent_ = 0;    ///< upstreams that could not be reached
+  int attempts_ = 0;   ///< upstreams that the request has reached
+  int unsent_ = 0;     ///< upstreams that could not be reached
+  bool left_ = false;  ///< the caller has gone, or sends no more
   bool done_ = false;
 };
 
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -23,6 +23,17 @@
 
 namespace pathcleat {
 
+/// @brief What becomes of the work of a caller that leaves before its answer.
+/// @ingroup gateway
+enum class WorkLeft {
+  kNotStarted,  ///< no byte of it had been sent to an upstream
+  kCancelled,   ///< its upstream was told, by the end of the connection
+  kRunsOn,      ///< it may not be repeated and its upstream has it whole
+};
+
+/// @brief Name of what becomes of it, as in the metrics.
+const char* ToString(WorkLeft work);
+
 /// @brief Counts and latencies of answered requests by service and kind
 /// (Boost.Accumulators; quantiles by the extended P-square estimate).
 /// @ingroup gateway
@@ -33,6 +44,9 @@
   /// @brief A request was refused as not run.
   void OnRefused(const std::string& reason) { ++refusals_[reason]; }
 
+  /// @brief A caller left before its answer.
+  void OnCallerLeft(WorkLeft work) { ++callers_left_[work]; }
+
   /// @brief A request was sent where it was expected to wait so long.
   void OnSent(Duration wait) { waits_.Add(wait); }
 
@@ -61,10 +75,14 @@
   const std::map<std::string, std::uint64_t>& refusals() const {
     return refusals_;
   }
+  const std::map<WorkLeft, std::uint64_t>& callers_left() const {
+    return callers_left_;
+  }
   const Histogram& waits() const { return waits_; }
 
  private:
   std::map<std::string, std::uint64_t> refusals_;  ///< by reason
+  std::map<WorkLeft, std::uint64_t> callers_left_;
   Histogram waits_;
   std::map<std::string, KindMetrics> kinds_;
 };
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -45,6 +45,10 @@
                    Duration left,
                    const Pick* best);
 
+  /// @brief Gives what has been noted to the log and to "why" ahead of the
+  /// end, as that may be long in coming: the caller has left.
+  void TellSoFar();
+
   /// @brief The request is over.
   /// @param failed it did not go as it should.
   void Finish(bool failed);
@@ -53,6 +57,7 @@
   GatewayState& state_;
   std::string request_id_;
   std::vector<Event> events_;
+  std::size_t told_ = 0;  ///< how many of these the log has
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -21,6 +21,8 @@
   /// @brief Sends a request to the upstream that was picked.
   /// @param key the request's key, a hash.
   /// @param left time until the answer must be there.
+  /// @param opened called if a connection had to be opened first, before the
+  /// first byte is written; may cancel.
   /// @param callback called once, never inside this call, and not after
   /// Cancel; it keeps this object alive.
   void Start(const Pick& pick,
@@ -28,6 +30,7 @@
              const HttpRequest& request,
              const std::string& request_id,
              Duration left,
+             std::function<void()> opened,
              Callback callback);
 
   /// @brief Ends the exchange at the upstream; the callback is not called.
@@ -39,6 +42,9 @@
   /// @brief Whether it is under way and bytes of it may have left this host.
   bool MayHaveSent() const { return client_ && client_->MayHaveSent(); }
 
+  /// @brief Whether it is under way and this host has passed it on whole.
+  bool IsPassedOn() const { return client_ && client_->IsWritten(); }
+
   /// @brief Whether the upstream has answered others since it was sent.
   bool IsBusy() const;
 
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -85,12 +85,23 @@
   /// @brief Uses this local IP number when it connects.
   void BindTo(const std::string& local_address);
 
-  /// @brief Closes the connection at once; the callback is not called.
+  /// @brief Called if the next request opens a connection, before its first
+  /// byte is written; may cancel.
+  void OnOpened(std::function<void()> callback) {
+    on_opened_ = std::move(callback);
+  }
+
+  /// @brief Closes the connection at once; the callback is not called. What
+  /// of a request has not left this host yet never does.
   void Cancel();
 
   /// @brief Whether bytes of the request under way may have left this host.
   bool MayHaveSent() const { return connected_; }
 
+  /// @brief Whether the request under way has been handed over whole to the
+  /// connection.
+  bool IsWritten() const { return written_; }
+
   /// @brief Whether a next request can be sent on the open connection.
   bool IsReusable() const { return connected_ && !spent_ && !callback_; }
 
@@ -147,6 +158,7 @@
   std::string out_;
   bool head_ = false;
   Callback callback_;
+  std::function<void()> on_opened_;
   Matcher matcher_;
   CallTimeouts timeouts_;
   Time deadline_;
--- a/include/pathcleat/http/http_exchange.hpp
+++ b/include/pathcleat/http/http_exchange.hpp
@@ -37,6 +37,17 @@
   /// @brief Called once if the caller leaves before the answer is given.
   void OnAbandoned(std::function<void()> callback);
 
+  /// @brief Called once if the caller ends its side of the connection before
+  /// the answer is given: most have gone then, some wait for their answer, and
+  /// one that is given is still written. Without this the caller counts as
+  /// gone.
+  void OnCallerEnded(std::function<void()> callback);
+
+  /// @brief Asks the connection itself whether the caller has left, which it
+  /// may have done behind bytes that are not read yet. If so, OnCallerEnded
+  /// or OnAbandoned is called inside this call.
+  void CheckCaller();
+
   /// @brief Whether the caller is there and has no answer yet.
   bool IsOpen() const { return !response_ && !abandoned_; }
 
@@ -45,8 +56,12 @@
   const HttpResponse& response() const { return *response_; }
   void OnAnswered(std::function<void()> callback);
   void OnDropped(std::function<void()> callback);
+  void OnCheck(std::function<void()> callback);
   void Abandon();
 
+  /// @return whether somebody hears of it and will answer.
+  bool CallerEnded();
+
  private:
   HttpRequest request_;
   std::string caller_;
@@ -55,6 +70,8 @@
   bool abandoned_ = false;
   std::function<void()> on_answered_;
   std::function<void()> on_abandoned_;
+  std::function<void()> on_ended_;
+  std::function<void()> on_check_;
   std::function<void()> on_dropped_;
 };
 
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/core/time.hpp"
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/http/http_server.hpp"
 
@@ -20,7 +21,8 @@
 struct UpstreamLedger {
   int runs = 0;
   int most_in_flight = 0;
-  int turned_away = 0;  ///< requests told that they were not run
+  double slot_seconds = 0;  ///< of work, up to the last begin or end of one
+  int turned_away = 0;      ///< requests told that they were not run
   std::map<std::string, int> runs_by_id;   ///< by the caller's X-Run-Id
   std::map<std::string, int> runs_by_key;  ///< by Idempotency-Key
 };
@@ -90,6 +92,7 @@
   void End();
   void WatchDeadline(const ExchangePtr& exchange);
   void OnDeadline(const ExchangePtr& exchange);
+  void CountSlots();
   void Answer(const ExchangePtr& exchange);
   std::string LoadText() const;
 
@@ -102,6 +105,7 @@
   std::vector<ExchangePtr> queue_;
   SpoiltAnswer spoilt_ = SpoiltAnswer::kNone;
   int in_flight_ = 0;
+  Time counted_;  ///< up to when slot_seconds is told
   bool hold_ = false;
   bool turn_away_ = false;
 };
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -51,15 +51,22 @@
 }
 
 void Call::Start() {
-  exchange_->OnAbandoned([weak = weak_from_this()] {
+  const auto on_left = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->OnCallerLeft();
     }
-  });
+  };
+  exchange_->OnAbandoned(on_left);
+  exchange_->OnCallerEnded(on_left);
   Arm(deadline_timer_, Left(), &Call::OnDeadline);
   request_.service = state_.splits.Choose(*route_, UnitOfHash(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
   trace_.NoteTaken(*exchange_, request_, Left());
+  // On a host that is behind, callers give up before they are read.
+  exchange_->CheckCaller();
+  if (left_) {
+    return;
+  }
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
     ClaimKey();
   } else {
@@ -92,6 +99,7 @@
     Answer(decision.answer, decision.outcome);
     return;
   }
+  exchange_->CheckCaller();
   if (done_) {
     key_.Settle({}, RunOutcome::kNotRun);
     return;
@@ -173,10 +181,12 @@
   trace_.NoteSent(pick, attempts_ + unsent_ + 1, BootClock::now());
   state_.metrics.OnSent(pick.wait);
   request_.excluded.insert(upstream);
-  attempt_.Start(pick, request_.key, exchange_->request(), request_id_, left,
-                 [self = shared_from_this()](const CallResult& result) {
-                   self->OnResult(result);
-                 });
+  attempt_.Start(
+      pick, request_.key, exchange_->request(), request_id_, left,
+      [this] { exchange_->CheckCaller(); },
+      [self = shared_from_this()](const CallResult& result) {
+        self->OnResult(result);
+      });
   ArmPatience(PatienceFor(pick.expected, left));
 }
 
@@ -264,10 +274,15 @@
 }
 
 void Call::RetryOrGiveUp() {
+  exchange_->CheckCaller();
   if (done_) {
     key_.Settle({}, RunOutcome::kNotRun);
     return;
   }
+  if (left_) {
+    EndForCallerLeft();
+    return;
+  }
   const Pick next = ChooseNow();
   if (next.upstream && MayRetry()) {
     Retry(next);
@@ -310,32 +325,54 @@
               {NumberField(field::kStatus, response.status),
                {field::kOutcome, std::string(ToString(outcome))},
                MillisecondsField(field::kLatencyMs, latency)});
-  state_.metrics.Record(route_->name, outcome, latency);
+  if (!left_) {
+    state_.metrics.Record(route_->name, outcome, latency);
+  }
   trace_.Finish(WentWrong(outcome, latency));
   exchange_->Respond(std::move(response));
 }
 
 bool Call::WentWrong(RunOutcome outcome, Duration latency) const {
-  return outcome != RunOutcome::kAnswered || retried_ ||
+  return outcome != RunOutcome::kAnswered || retried_ || left_ ||
          latency > route_->target_latency * kSlowMultiple;
 }
 
 // Repeatable work is cancelled at the upstream, and what has not been sent is
-// taken back. Other work runs to its end, as nobody could tell afterwards how
-// far it had come.
+// taken back, also the rest of a body. Other work that an upstream has whole
+// runs to its end, as nobody could tell afterwards how far it had come.
 void Call::CancelAttempt() {
-  if (attempt_.IsUnderWay() &&
-      (route_->repeatable || !attempt_.MayHaveSent())) {
+  if (attempt_.IsUnderWay() && (route_->repeatable || !attempt_.IsPassedOn())) {
+    may_have_run_ = may_have_run_ || attempt_.MayHaveSent();
     attempt_.Cancel();
   }
 }
 
+// Nothing more is started. A caller that has only ended its side of the
+// connection is still answered, with what can be told truthfully.
 void Call::OnCallerLeft() {
-  done_ = true;
-  deadline_timer_.cancel();
+  if (done_ || left_) {
+    return;
+  }
+  left_ = true;
   trace_.Note(EventCode::kCallerLeft, {});
-  trace_.Finish(true);
+  const bool was_sent = attempt_.MayHaveSent();
   CancelAttempt();
+  if (attempt_.IsUnderWay()) {
+    state_.metrics.OnCallerLeft(WorkLeft::kRunsOn);
+    trace_.TellSoFar();
+    return;
+  }
+  state_.metrics.OnCallerLeft(was_sent ? WorkLeft::kCancelled
+                                       : WorkLeft::kNotStarted);
+  EndForCallerLeft();
+}
+
+void Call::EndForCallerLeft() {
+  if (may_have_run_) {
+    AnswerUnknown(http_status::kBadGateway, "the caller has left");
+  } else {
+    Refuse(kRetrySoon, "caller_left");
+  }
 }
 
 void Call::OnDeadline() {
--- a/src/pathcleat/gateway/metrics.cpp
+++ b/src/pathcleat/gateway/metrics.cpp
@@ -14,6 +14,18 @@
 
 }  // namespace
 
+const char* ToString(WorkLeft work) {
+  switch (work) {
+    case WorkLeft::kNotStarted:
+      return "not-started";
+    case WorkLeft::kCancelled:
+      return "cancelled";
+    case WorkLeft::kRunsOn:
+      return "runs-on";
+  }
+  return "";
+}
+
 Metrics::KindMetrics::KindMetrics()
     : latency(acc::extended_p_square_probabilities = kQuantiles) {}
 
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -96,6 +96,13 @@
   for (const auto& [reason, count] : state.metrics.refusals()) {
     page.Sample("pathcleat_refusals_total", {{"reason", reason}}, count);
   }
+  page.Family("pathcleat_callers_left_total", "counter",
+              "Callers that left before their answer, by what becomes of "
+              "their work.");
+  for (const auto& [work, count] : state.metrics.callers_left()) {
+    page.Sample("pathcleat_callers_left_total", {{"work", ToString(work)}},
+                count);
+  }
   page.Family("pathcleat_requests_under_way", "gauge", "Callers waiting now.");
   page.Sample("pathcleat_requests_under_way", {}, state.requests);
 }
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -66,8 +66,21 @@
   Note(EventCode::kRequestRefused, std::move(fields));
 }
 
+void RequestTrace::TellSoFar() {
+  state_.request_log.Finish(request_id_, true, events_, BootClock::now());
+  state_.traces.Keep(request_id_, events_);
+  told_ = events_.size();
+}
+
 void RequestTrace::Finish(bool failed) {
-  state_.request_log.Finish(request_id_, failed, events_, BootClock::now());
+  const Time now = BootClock::now();
+  if (told_ == 0) {
+    state_.request_log.Finish(request_id_, failed, events_, now);
+  } else {
+    const auto untold = events_.begin() + static_cast<std::ptrdiff_t>(told_);
+    state_.request_log.Finish(request_id_, failed, {untold, events_.end()},
+                              now);
+  }
   state_.traces.Keep(request_id_, std::move(events_));
   events_.clear();
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -18,6 +18,7 @@
                             const HttpRequest& request,
                             const std::string& request_id,
                             Duration left,
+                            std::function<void()> opened,
                             Callback callback) {
   const Time now = BootClock::now();
   UpstreamState& upstream = *pick.upstream;
@@ -32,6 +33,7 @@
     upstream.cold_share.TryTake(now);
   }
   client_ = state_.pool.Take(upstream.info, now);
+  client_->OnOpened(std::move(opened));
   client_->Send(
       ToUpstream(state_.headers, request, request_id, upstream.info.id, left),
       {std::min(kConnectTimeout, left), left},
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -93,7 +93,13 @@
 }
 
 void HttpClient::Cancel() {
+  if (callback_ && connected_ && !written_) {
+    // The rest of a body would still be sent from the system's buffers.
+    error_code ignored;
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
   callback_ = nullptr;
+  on_opened_ = nullptr;
   Close();
 }
 
@@ -131,6 +137,12 @@
     self->socket_.set_option(KeepAliveIdle(kProbeAfterSeconds), ignored);
     self->socket_.set_option(KeepAliveInterval(kProbeAfterSeconds), ignored);
     self->socket_.set_option(KeepAliveCount(kProbes), ignored);
+    if (const auto opened = std::exchange(self->on_opened_, nullptr)) {
+      opened();
+    }
+    if (self->closed_) {
+      return;
+    }
     self->connected_ = true;
     self->connect_time_ = BootClock::now() - began;
     self->Write();
@@ -332,6 +344,7 @@
   timer_.cancel();
   out_ = std::string();
   matcher_ = nullptr;
+  on_opened_ = nullptr;
   idle_since_ = BootClock::now();
   result.bytes = received_;
   if (received_ > 0) {
--- a/src/pathcleat/http/http_exchange.cpp
+++ b/src/pathcleat/http/http_exchange.cpp
@@ -9,6 +9,8 @@
   }
   response_ = std::move(response);
   on_abandoned_ = nullptr;
+  on_ended_ = nullptr;
+  on_check_ = nullptr;
   on_dropped_ = nullptr;
   if (const auto callback = std::exchange(on_answered_, nullptr)) {
     callback();
@@ -34,6 +36,29 @@
   on_abandoned_ = std::move(callback);
 }
 
+void Exchange::OnCallerEnded(std::function<void()> callback) {
+  on_ended_ = std::move(callback);
+}
+
+void Exchange::OnCheck(std::function<void()> callback) {
+  on_check_ = std::move(callback);
+}
+
+void Exchange::CheckCaller() {
+  // The check may end the exchange, and with it the callback.
+  if (const auto check = on_check_) {
+    check();
+  }
+}
+
+bool Exchange::CallerEnded() {
+  if (!IsOpen() || !on_ended_) {
+    return false;
+  }
+  std::exchange(on_ended_, nullptr)();
+  return true;
+}
+
 void Exchange::OnAnswered(std::function<void()> callback) {
   on_answered_ = std::move(callback);
 }
@@ -44,6 +69,8 @@
   }
   abandoned_ = true;
   on_answered_ = nullptr;
+  on_ended_ = nullptr;
+  on_check_ = nullptr;
   on_dropped_ = nullptr;
   if (const auto callback = std::exchange(on_abandoned_, nullptr)) {
     callback();
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "server_session.hpp"
 
+#include <poll.h>
+
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -17,6 +19,9 @@
 
 constexpr std::size_t kReadChunk = 8UL * 1024;
 constexpr Duration kLingerTime{2'000'000};
+// A caller that has left is known in time for its work to be cancelled within
+// the 0.5 s that the users' rules allow.
+constexpr std::chrono::milliseconds kWatchPeriod{100};
 
 int StatusOf(const error_code& error) {
   if (error == http::error::header_limit) {
@@ -48,7 +53,9 @@
 
 ServerSession::ServerSession(HttpServer& server,
                              boost::asio::ip::tcp::socket socket)
-    : server_(&server), socket_(std::move(socket)) {
+    : server_(&server),
+      socket_(std::move(socket)),
+      watch_timer_(socket_.get_executor()) {
   error_code error;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), error);
   const auto peer = socket_.remote_endpoint(error);
@@ -87,7 +94,7 @@
 }
 
 void ServerSession::Read() {
-  if (reading_ || closed_) {
+  if (reading_ || closed_ || (ended_ && !closing_)) {
     return;
   }
   reading_ = true;
@@ -104,7 +111,7 @@
     return;
   }
   if (error) {
-    Close();
+    OnReadEnd(error);
     return;
   }
   if (closing_) {
@@ -119,9 +126,59 @@
   // A caller that sends ahead without end is read again after its answer.
   if (buffer_.size() < server_->limits().header_bytes) {
     Read();
+  } else {
+    WatchCaller();
+  }
+}
+
+void ServerSession::OnReadEnd(const error_code& error) {
+  if (error == boost::asio::error::eof && !closing_) {
+    OnCallerEnded();
+  } else {
+    Close();
   }
 }
 
+// The end of what a caller sends looks the same whether it has gone or waits.
+// An answer that is being written is worth its end; whoever works on one is
+// told.
+void ServerSession::OnCallerEnded() {
+  if (ended_) {
+    return;
+  }
+  ended_ = true;
+  last_request_ = true;
+  const auto exchange = exchange_;
+  if (!writing_ && !(exchange && exchange->CallerEnded())) {
+    Close();
+  }
+}
+
+void ServerSession::CheckCaller() {
+  const auto self = shared_from_this();
+  pollfd polled{socket_.native_handle(), POLLRDHUP, 0};
+  if (closed_ || ::poll(&polled, 1, 0) <= 0) {
+    return;
+  }
+  if ((polled.revents & (POLLERR | POLLHUP)) != 0) {
+    Close();
+  } else {
+    OnCallerEnded();
+  }
+}
+
+// What is not read hides the end behind it.
+void ServerSession::WatchCaller() {
+  watch_timer_.expires_after(kWatchPeriod);
+  watch_timer_.async_wait([self = shared_from_this()](const error_code& error) {
+    if (error || self->closed_ || self->ended_ || !self->exchange_) {
+      return;
+    }
+    self->CheckCaller();
+    self->WatchCaller();
+  });
+}
+
 void ServerSession::Parse() {
   while (buffer_.size() > 0 && !exchange_ && !writing_ && !closing_ &&
          !closed_) {
@@ -186,6 +243,7 @@
                                          BootClock::now());
   exchange_->OnAnswered([this] { Answer(); });
   exchange_->OnDropped([this] { Close(); });
+  exchange_->OnCheck([this] { CheckCaller(); });
   const auto exchange = exchange_;
   server_->handler_(exchange);
 }
@@ -267,6 +325,7 @@
     return;
   }
   closed_ = true;
+  watch_timer_.cancel();
   error_code error;
   socket_.close(error);
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,7 +16,8 @@
 
 /// @brief The server's end of one connection. While a request waits for its
 /// answer the socket is still read, so that a caller's leaving is seen at
-/// once; what arrives meanwhile is kept as the next request.
+/// once; what arrives meanwhile is kept as the next request. Once that is as
+/// much as is kept, the socket is asked several times a second instead.
 /// @ingroup http
 class ServerSession : public std::enable_shared_from_this<ServerSession> {
  public:
@@ -37,6 +39,10 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   void Read();
+  void OnReadEnd(const boost::system::error_code& error);
+  void OnCallerEnded();
+  void CheckCaller();
+  void WatchCaller();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
   bool ParseStep();
@@ -51,6 +57,7 @@
 
   HttpServer* server_;
   boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer watch_timer_;
   std::string caller_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
@@ -61,6 +68,7 @@
   bool reading_ = false;
   bool writing_ = false;
   bool last_request_ = false;
+  bool ended_ = false;    ///< the caller sends no more, or has gone
   bool closing_ = false;  ///< half-closed; what arrives is dropped
   bool closed_ = false;
 };
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -138,6 +138,7 @@
   if (!key.empty()) {
     ++ledger_.runs_by_key[key];
   }
+  CountSlots();
   ++in_flight_;
   ledger_.most_in_flight = std::max(ledger_.most_in_flight, in_flight_);
   exchange->OnAbandoned([this] { End(); });
@@ -155,7 +156,15 @@
   });
 }
 
+void UpstreamStandIn::CountSlots() {
+  const Time now = BootClock::now();
+  ledger_.slot_seconds +=
+      in_flight_ * std::chrono::duration<double>(now - counted_).count();
+  counted_ = now;
+}
+
 void UpstreamStandIn::End() {
+  CountSlots();
   --in_flight_;
   while (!queue_.empty() && in_flight_ < options_.slots) {
     const ExchangePtr next = queue_.front();
--- a/src/pathcleat/testing/raw_client.hpp
+++ b/src/pathcleat/testing/raw_client.hpp
@@ -32,6 +32,19 @@
     boost::system::error_code error;
     shared_->socket.close(error);
   }
+  /// @brief Ends this side and goes on reading.
+  void HalfClose() {
+    boost::system::error_code error;
+    shared_->socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                             error);
+  }
+  /// @brief Cuts the connection by a reset.
+  void Reset() {
+    boost::system::error_code error;
+    shared_->socket.set_option(boost::asio::socket_base::linger(true, 0),
+                               error);
+    Close();
+  }
   bool IsClosed() const { return shared_->closed; }
   const std::string& received() const { return shared_->received; }
   bool Has(const std::string& text) const {
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -244,6 +244,14 @@
     return runs;
   }
 
+  double SlotSeconds() const {
+    double seconds = 0;
+    for (const auto& upstream : upstreams_) {
+      seconds += upstream->ledger().slot_seconds;
+    }
+    return seconds;
+  }
+
   int RunsOf(const std::string& run_id) const {
     int runs = 0;
     for (const auto& upstream : upstreams_) {
