A model of callers who come back when they are told to

Cause: nothing showed what becomes of requests that are refused and return: the routing model knows no returns, and the load generator gives up when it is refused. Change: RunReturnModel plays the shipped picker in virtual time with callers who return once at any host, heed a third of what they have left, and give up at their deadline; a burst, a domain's loss with a cold return, and urgent, cold and long work beside short, warm work. `pathcleat-lab returns` prints the table. The agenda of the routing model moves to a header of its own, unchanged.

--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -18,6 +18,7 @@
 #include "pathcleat/lab/deployment_config.hpp"
 #include "pathcleat/lab/load_audit.hpp"
 #include "pathcleat/lab/load_generator.hpp"
+#include "pathcleat/lab/return_model.hpp"
 #include "pathcleat/lab/routing_model.hpp"
 #include "pathcleat/lab/slope.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
@@ -39,6 +40,7 @@
   pathcleat-lab settings DEPLOYMENT FOLDER
   pathcleat-lab token DEPLOYMENT
   pathcleat-lab measure [--seeds=N]
+  pathcleat-lab returns [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
@@ -50,6 +52,7 @@
   settings   Write the settings file of each entry host into the folder.
   token      Print the operators' token that lies in the store.
   measure    Compare routing policies in the model.
+  returns    What becomes of requests that are told to come back, in the model.
   slopes     Measure what the capacity page is reckoned from.
 
 Options:
@@ -238,6 +241,12 @@
   return kDone;
 }
 
+int RunReturns(const Arguments& arguments) {
+  std::cout << MeasureReturns(
+      static_cast<int>(arguments.at("--seeds").asLong()));
+  return kDone;
+}
+
 int RunSlopes() {
   for (const auto& measure :
        {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes}) {
@@ -253,6 +262,9 @@
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
+  if (arguments.at("returns").asBool()) {
+    return RunReturns(arguments);
+  }
   BOOST_LEAF_AUTO(deployment,
                   ReadDeploymentFile(arguments.at("DEPLOYMENT").asString()));
   if (arguments.at("upstreams").asBool()) {
--- /dev/null
+++ b/src/pathcleat/lab/return_model.cpp
@@ -0,0 +1,326 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/lab/return_model.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+#include "model_queue.hpp"
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/routing/upstream_picker.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr const char* kService = "service";
+constexpr std::size_t kAnswerBytes = 400;
+// What a host tells when its picker names no time, as Call does.
+constexpr Duration kToldElse{250'000};
+constexpr int kMostAttempts = 2;
+
+std::string DomainName(int domain) {
+  return "domain-" + std::to_string(domain);
+}
+
+// One caller's request, over all its tries.
+struct Asked {
+  const ReturnKind* kind = nullptr;
+  const Route* route = nullptr;
+  ReturnCounts* counts = nullptr;  ///< null: not counted
+  std::uint64_t key = 0;
+  Time began;
+  int returns = 0;  ///< times that it has come back
+
+  Time Deadline() const { return began + kind->deadline; }
+};
+using AskedPtr = std::shared_ptr<Asked>;
+
+struct ReturnHost {
+  ReturnHost(const std::map<std::string, std::string>& regions,
+             const PickerSettings& settings)
+      : table(regions), picker(settings, table) {}
+
+  UpstreamTable table;
+  UpstreamPicker picker;
+};
+
+class ReturnModel {
+ public:
+  explicit ReturnModel(const ReturnPlan& plan)
+      : plan_(plan), random_(plan.seed) {
+    for (const ReturnKind& kind : plan_.kinds) {
+      Route route;
+      route.name = kind.name;
+      route.repeatable = true;
+      route.sticky = true;
+      route.priority = kind.priority;
+      route.target_latency = kind.target_latency;
+      route.timeout = kind.deadline;
+      route.max_attempts = kMostAttempts;
+      routes_.push_back(route);
+      counts_[kind.name];
+      weights_.push_back(kind.weight);
+    }
+    MakeFleet();
+  }
+
+  std::map<std::string, ReturnCounts> Run() {
+    ScheduleArrival();
+    const Time at = start_ + plan_.trouble.at;
+    if (plan_.trouble.domain_lost) {
+      agenda_.At(at, [this] { LoseDomain(); });
+      agenda_.At(at + plan_.trouble.length, [this] { ReturnDomain(); });
+    }
+    agenda_.Run();
+    return counts_;
+  }
+
+ private:
+  void MakeFleet() {
+    std::map<std::string, std::string> regions;
+    for (int d = 0; d < plan_.domains; ++d) {
+      regions[DomainName(d)] = "region";
+    }
+    for (int d = 0; d < plan_.domains; ++d) {
+      for (int h = 0; h < plan_.hosts_in_domain; ++h) {
+        PickerSettings settings;
+        settings.domain = DomainName(d);
+        settings.region = "region";
+        hosts_.push_back(std::make_unique<ReturnHost>(regions, settings));
+      }
+      for (int i = 0; i < plan_.upstreams_in_domain; ++i) {
+        UpstreamInfo info;
+        info.id = DomainName(d) + "-" + std::to_string(i);
+        info.service = kService;
+        info.domain = DomainName(d);
+        info.slots = plan_.slots;
+        list_.push_back(info);
+        upstreams_[info.id] = std::make_unique<ModelQueue>(
+            agenda_, random_,
+            ModelQueue::Shape{plan_.slots, plan_.queue,
+                              static_cast<std::size_t>(plan_.keys_remembered)});
+      }
+    }
+    for (const auto& host : hosts_) {
+      for (const UpstreamInfo& info : list_) {
+        host->table.Put(info, agenda_.now());
+      }
+    }
+  }
+
+  void LoseDomain() {
+    for (const UpstreamInfo& info : list_) {
+      if (info.domain == DomainName(0)) {
+        upstreams_[info.id]->Crash();
+        for (const auto& host : hosts_) {
+          host->table.Remove(info.id);
+        }
+      }
+    }
+  }
+
+  // They come back under new names, as upstreams that start do.
+  void ReturnDomain() {
+    const ReturnTrouble& trouble = plan_.trouble;
+    for (UpstreamInfo info : list_) {
+      if (info.domain != DomainName(0)) {
+        continue;
+      }
+      ModelQueue* queue = upstreams_[info.id].get();
+      info.id += "-again";
+      again_[info.id] = queue;
+      info.cold_for =
+          trouble.cold_per_second > 0 ? trouble.cold_for : Duration::zero();
+      for (const auto& host : hosts_) {
+        host->table.Put(info, agenda_.now());
+        ShareCold(*host, info.id);
+      }
+    }
+  }
+
+  void ShareCold(ReturnHost& host, const std::string& id) {
+    for (const UpstreamPtr& upstream : host.table.Of(kService)) {
+      if (upstream->info.id == id) {
+        upstream->cold_share.SetRate(
+            plan_.trouble.cold_per_second / static_cast<double>(hosts_.size()),
+            agenda_.now());
+      }
+    }
+  }
+
+  double LoadNow() const {
+    const Duration since = agenda_.now() - start_ - plan_.trouble.at;
+    const bool troubled =
+        since >= Duration::zero() && since < plan_.trouble.length;
+    return troubled ? plan_.trouble.load : 1;
+  }
+
+  void ScheduleArrival() {
+    std::exponential_distribution<double> gap(plan_.per_second * LoadNow());
+    constexpr double kMicros = 1e6;
+    agenda_.After(Duration(static_cast<Duration::rep>(gap(random_) * kMicros)),
+                  [this] {
+                    if (agenda_.now() - start_ < plan_.length) {
+                      Arrive();
+                      ScheduleArrival();
+                    }
+                  });
+  }
+
+  void Arrive() {
+    std::discrete_distribution<std::size_t> draw(weights_.begin(),
+                                                 weights_.end());
+    const std::size_t index = draw(random_);
+    const ReturnKind& kind = plan_.kinds[index];
+    std::uniform_int_distribution<int> draw_key(0, std::max(1, kind.keys) - 1);
+    auto asked = std::make_shared<Asked>();
+    asked->kind = &kind;
+    asked->route = &routes_[index];
+    asked->began = agenda_.now();
+    const std::uint64_t key =
+        kind.keys > 0 ? static_cast<std::uint64_t>(draw_key(random_))
+                      : ++lone_keys_;
+    asked->key = MixHashes(StableHash(kind.name), key);
+    if (agenda_.now() - start_ >= plan_.warm_up) {
+      asked->counts = &counts_[kind.name];
+      ++asked->counts->offered;
+    }
+    Try(asked);
+  }
+
+  void Try(const AskedPtr& asked) {
+    std::uniform_int_distribution<std::size_t> draw(0, hosts_.size() - 1);
+    ReturnHost& host = *hosts_[draw(random_)];
+    PickRequest request;
+    request.route = asked->route;
+    request.service = kService;
+    request.key = asked->key;
+    request.sticky = true;
+    request.caller_deadline = asked->Deadline() - agenda_.now();
+    Attempt(host, asked, request);
+  }
+
+  void Attempt(ReturnHost& host, const AskedPtr& asked, PickRequest request) {
+    request.time_left = asked->Deadline() - agenda_.now();
+    const Pick pick = host.picker.Choose(request, agenda_.now());
+    if (!pick.upstream) {
+      Refuse(asked, pick.retry_after);
+      return;
+    }
+    Send(host, asked, request, pick);
+  }
+
+  void Send(ReturnHost& host,
+            const AskedPtr& asked,
+            PickRequest request,
+            const Pick& pick) {
+    const Time sent = agenda_.now();
+    const Duration one_way = plan_.round_trip / 2;
+    host.picker.OnConnected(*pick.upstream, plan_.round_trip);
+    pick.upstream->load.OnSent();
+    pick.upstream->keys.Touch(asked->key);
+    if (pick.upstream->IsCold(sent)) {
+      pick.upstream->cold_share.TryTake(sent);
+    }
+    request.excluded.insert(pick.upstream->info.id);
+    ModelQueue* queue = QueueOf(pick.upstream->info.id);
+    ModelWork work;
+    work.key = asked->key;
+    work.run = asked->kind->run;
+    work.warm_share = asked->kind->warm_share;
+    work.deadline = asked->Deadline();
+    work.done = [=, this, &host](ModelEnd end) {
+      const LoadReport report = queue->Report();
+      agenda_.After(one_way, [=, this, &host] {
+        pick.upstream->load.OnReport(report, agenda_.now());
+        pick.upstream->load.OnEnded();
+        if (end != ModelEnd::kRan) {
+          TryElsewhere(host, asked, request);
+          return;
+        }
+        host.picker.OnAnswer(
+            *pick.upstream, request, pick,
+            {agenda_.now() - sent, kAnswerBytes, report.waiting > 0},
+            agenda_.now());
+        Finish(asked);
+      });
+    };
+    agenda_.After(one_way, [queue, work] { queue->Offer(work); });
+  }
+
+  void TryElsewhere(ReturnHost& host,
+                    const AskedPtr& asked,
+                    const PickRequest& request) {
+    if (agenda_.now() >= asked->Deadline()) {
+      Fail(asked);
+      return;
+    }
+    if (request.excluded.size() < kMostAttempts) {
+      Attempt(host, asked, request);
+      return;
+    }
+    Refuse(asked, Duration::zero());
+  }
+
+  void Refuse(const AskedPtr& asked, Duration told) {
+    if (asked->counts != nullptr) {
+      (asked->returns == 0 ? asked->counts->told_to_return
+                           : asked->counts->refused_again) += 1;
+    }
+    if (asked->returns >= plan_.returns) {
+      return;
+    }
+    const Duration left = asked->Deadline() - agenda_.now();
+    const Duration heeded(static_cast<Duration::rep>(
+        static_cast<double>(left.count()) * plan_.heeded_share));
+    ++asked->returns;
+    agenda_.After(std::min(told > Duration::zero() ? told : kToldElse, heeded),
+                  [this, asked] { Try(asked); });
+  }
+
+  void Fail(const AskedPtr& asked) {
+    if (asked->counts != nullptr) {
+      ++asked->counts->failed;
+    }
+  }
+
+  void Finish(const AskedPtr& asked) {
+    ReturnCounts* counts = asked->counts;
+    if (counts == nullptr) {
+      return;
+    }
+    if (agenda_.now() > asked->Deadline()) {
+      Fail(asked);
+      return;
+    }
+    const Duration took = agenda_.now() - asked->began;
+    (took <= asked->kind->target_latency ? counts->in_time : counts->late) += 1;
+    counts->served_at_first_return += asked->returns == 1 ? 1 : 0;
+  }
+
+  ModelQueue* QueueOf(const std::string& id) {
+    const auto again = again_.find(id);
+    return again == again_.end() ? upstreams_[id].get() : again->second;
+  }
+
+  ReturnPlan plan_;
+  std::mt19937_64 random_;
+  Agenda agenda_;
+  Time start_ = agenda_.now();
+  std::vector<Route> routes_;
+  std::vector<double> weights_;
+  std::vector<UpstreamInfo> list_;
+  std::map<std::string, std::unique_ptr<ModelQueue>> upstreams_;
+  std::map<std::string, ModelQueue*> again_;
+  std::vector<std::unique_ptr<ReturnHost>> hosts_;
+  std::map<std::string, ReturnCounts> counts_;
+  std::uint64_t lone_keys_ = 0;
+};
+
+}  // namespace
+
+std::map<std::string, ReturnCounts> RunReturnModel(const ReturnPlan& plan) {
+  return ReturnModel(plan).Run();
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/lab/return_model_test.cpp
@@ -0,0 +1,38 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// What becomes of requests that are told to come back, in virtual time.
+
+#include "pathcleat/lab/return_model.hpp"
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+Test(return_model, each_request_ends_once) {
+  ReturnPlan plan;
+  plan.per_second = 400;
+  plan.trouble.load = 1.7;
+  const ReturnCounts counts = RunReturnModel(plan)["work"];
+  cr_assert_gt(counts.offered, 4'000);
+  cr_assert_eq(counts.offered, counts.in_time + counts.late +
+                                   counts.refused_again + counts.failed);
+}
+
+Test(return_model, a_seed_repeats) {
+  const ReturnCounts one = RunReturnModel(UrgentAndShort())["urgent"];
+  const ReturnCounts other = RunReturnModel(UrgentAndShort())["urgent"];
+  cr_assert_eq(one.in_time, other.in_time);
+  cr_assert_eq(one.told_to_return, other.told_to_return);
+}
+
+// The model at a load that its upstreams bear.
+Test(return_model, without_overload_nearly_all_are_in_time) {
+  ReturnPlan plan;
+  plan.per_second = 200;
+  const ReturnCounts counts = RunReturnModel(plan)["work"];
+  cr_assert_gt(counts.EarnedShare(), 0.95);
+  cr_assert_gt(counts.ServedShare(), 0.99);
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/lab/routing_model.cpp
+++ b/src/pathcleat/lab/routing_model.cpp
@@ -6,9 +6,9 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 
+#include "agenda.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/lab/load_generator.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
@@ -23,40 +23,6 @@
   return "region-" + std::to_string(region);
 }
 
-// Steps in order of their virtual time.
-class Agenda {
- public:
-  Time now() const { return now_; }
-
-  void At(Time time, std::function<void()> step) {
-    steps_.push({time, next_++, std::move(step)});
-  }
-  void After(Duration wait, std::function<void()> step) {
-    At(now_ + wait, std::move(step));
-  }
-  void Run() {
-    while (!steps_.empty()) {
-      const Step step = steps_.top();
-      steps_.pop();
-      now_ = step.time;
-      step.run();
-    }
-  }
-
- private:
-  struct Step {
-    Time time;
-    std::uint64_t number;
-    std::function<void()> run;
-    bool operator<(const Step& other) const {
-      return time != other.time ? time > other.time : number > other.number;
-    }
-  };
-  std::priority_queue<Step> steps_;
-  Time now_{Duration(1'000'000)};
-  std::uint64_t next_ = 0;
-};
-
 struct ModelRequest {
   int region = 0;
   std::uint64_t key = 0;
