First tries are told from returns by the usual deadline, not the longest

Cause: a request counted as a first try if it had 97% of the longest deadline ever sent on its route. One caller that sends an absurd deadline made all later first tries look like returns, so that admission was off until a restart. Ruled out: a bound on deadlines (the route's time-out is shorter than the usual deadline, so that returns could not be told any more); forgetting the longest over time (a year's deadline takes thousands of requests to fade). Change: UsualDeadline keeps the value that recurs; odd ones and those of returns differ from each other and cancel out. It also says how long ago the first try was. Tests: a_caller_with_an_absurd_deadline_changes_nothing and the property odd_deadlines_and_returns_do_not_move_it, seen to fail with `value_ = max(value_, deadline)` in OnRequest; the property also with kVotesFor = 1. In first_try_that_would_be_late_is_told_to_come_back the return is now one that has less than the first try before it had; it used to send one longer deadline after the first try, which is what no longer makes a return.

--- a/include/pathcleat/routing/request_profile.hpp
+++ b/include/pathcleat/routing/request_profile.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/routing/usual_deadline.hpp"
 #include "pathcleat/routing/warmth.hpp"
 
 namespace pathcleat {
@@ -12,9 +13,9 @@
   RequestProfile(Duration target_latency, bool learns_warmth)
       : warmth(target_latency, learns_warmth) {}
 
-  Warmth warmth;                 ///< run times, and where they are short
-  double answer_bytes = 1'000;   ///< moving average
-  Duration longest_deadline{0};  ///< that a caller has sent
+  Warmth warmth;                ///< run times, and where they are short
+  double answer_bytes = 1'000;  ///< moving average
+  UsualDeadline deadline;       ///< that callers send with first tries
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -236,13 +236,14 @@
 }
 
 // Callers send the time that they have left: a request which comes back
-// after a refusal has less than the longest known.
+// after a refusal has less than is usual.
 bool UpstreamPicker::IsFirstTry(const PickRequest& request) {
-  Duration& longest = ProfileOf(*request.route).longest_deadline;
-  longest = std::max(longest, request.caller_deadline);
-  constexpr double kNearlyWhole = 0.97;
-  return request.excluded.empty() &&
-         Seconds(request.caller_deadline) >= Seconds(longest) * kNearlyWhole;
+  if (!request.excluded.empty()) {
+    return false;
+  }
+  UsualDeadline& usual = ProfileOf(*request.route).deadline;
+  usual.OnRequest(request.caller_deadline);
+  return usual.SinceFirstTry(request.caller_deadline) == Duration::zero();
 }
 
 // A request that would be late for its waiting alone takes a slot from one
--- a/src/pathcleat/routing/upstream_picker_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_test.cpp
@@ -123,17 +123,34 @@
       upstream->load.OnSent();
     }
   }
-  const Pick refused = world.Choose(7);
+  PickRequest first = world.Request(7);
+  first.caller_deadline = Duration(3'000'000);
+  const Pick refused = world.picker().Choose(first, kStart);
   cr_assert(refused.failure == PickFailure::kOverloaded);
   cr_assert_geq(refused.retry_after.count(), 100'000);
   // One that has come back is not sent away again while there is time.
-  PickRequest again = world.Request(7);
-  again.caller_deadline = Duration(3'000'000);
-  world.picker().Choose(again, kStart);
   cr_assert(world.picker().Choose(world.Request(7), kStart).upstream !=
             nullptr);
 }
 
+// Checked to fail with the longest deadline seen in place of the usual one:
+// all that came after was taken for returns.
+Test(upstream_picker, a_caller_with_an_absurd_deadline_changes_nothing) {
+  PickerWorld world(1);
+  PickRequest absurd = world.Request(7);
+  absurd.caller_deadline = std::chrono::hours(24 * 365);
+  for (int i = 0; i < 20; ++i) {
+    world.Choose(7);
+  }
+  world.picker().Choose(absurd, kStart);
+  for (const UpstreamPtr& upstream : world.table().All()) {
+    for (int i = 0; i < 9; ++i) {
+      upstream->load.OnSent();
+    }
+  }
+  cr_assert(world.Choose(7).failure == PickFailure::kOverloaded);
+}
+
 // Checked to fail without the test of a standing queue: then what has come
 // back keeps the queue up for ever.
 Test(upstream_picker, what_has_come_back_is_refused_while_the_queue_stands) {
--- /dev/null
+++ b/src/pathcleat/routing/usual_deadline_test.cpp
@@ -0,0 +1,53 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/usual_deadline.hpp"
+
+#include <vector>
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr Duration kUsual{2'500'000};
+
+Test(usual_deadline, time_since_the_first_try_is_what_a_return_lacks) {
+  UsualDeadline deadline;
+  deadline.OnRequest(kUsual);
+  cr_assert_eq(deadline.SinceFirstTry(kUsual).count(), 0);
+  cr_assert_eq(deadline.SinceFirstTry(Duration(2'450'000)).count(), 0);
+  cr_assert_eq(deadline.SinceFirstTry(Duration(1'500'000)).count(), 1'000'000);
+  cr_assert_eq(deadline.SinceFirstTry(std::chrono::hours(9)).count(), 0);
+}
+
+// Checked to fail with the longest deadline taken for the usual one, and with
+// kVotesFor = 1.
+Test(usual_deadline, odd_deadlines_and_returns_do_not_move_it) {
+  cr_assert(Holds("one first try in four keeps the usual deadline", [] {
+    const auto others = *rc::gen::container<std::vector<int>>(
+        99, rc::gen::inRange(1, 1'000'000'000));
+    UsualDeadline deadline;
+    deadline.OnRequest(kUsual);
+    for (std::size_t i = 0; i < others.size(); ++i) {
+      if (i % 3 == 0) {
+        deadline.OnRequest(kUsual);
+      }
+      deadline.OnRequest(Duration(others[i]));
+    }
+    RC_ASSERT(deadline.value() == kUsual);
+  }));
+}
+
+Test(usual_deadline, follows_a_change) {
+  UsualDeadline deadline;
+  for (int i = 0; i < 1'000; ++i) {
+    deadline.OnRequest(kUsual);
+  }
+  constexpr Duration kShorter{1'200'000};
+  for (int i = 0; i < 100; ++i) {
+    deadline.OnRequest(kShorter);
+  }
+  cr_assert(deadline.value() == kShorter);
+}
+
+}  // namespace
+}  // namespace pathcleat
