Deadlines of 0, below 0, absurd or missing have a stated answer

Cause: a deadline near the largest number overflowed when it became microseconds, so that a caller with endless patience was told that its time was over; for a deadline of 0 or less a keyed request still claimed its key in the store before it was refused; "2500ms" was read as 2500.

--- a/include/pathcleat/gateway/upstream_protocol.hpp
+++ b/include/pathcleat/gateway/upstream_protocol.hpp
@@ -12,7 +12,9 @@
 
 namespace pathcleat {
 
-/// @brief The time that a caller says it will wait, if it says one.
+/// @brief The time that a caller says it will wait, if it says one. Zero if it
+/// waits no longer (0 or less), a day if it names more than that; what is no
+/// number is as good as missing.
 /// @ingroup gateway
 std::optional<Duration> CallerDeadline(const HeaderNames& names,
                                        const HttpRequest& request);
--- a/src/pathcleat/gateway/key_guard.cpp
+++ b/src/pathcleat/gateway/key_guard.cpp
@@ -47,6 +47,10 @@
     callback(NotRun("the key cannot be claimed: no store"));
     return;
   }
+  if (left <= Duration::zero()) {
+    callback(NotRun("the caller waits no longer"));
+    return;
+  }
   KeyRequest claim;
   claim.row_name = KeyRowName(service, key);
   claim.fingerprint = Fingerprint(request);
--- a/src/pathcleat/gateway/upstream_protocol.cpp
+++ b/src/pathcleat/gateway/upstream_protocol.cpp
@@ -1,11 +1,13 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/upstream_protocol.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
 #include <cstdio>
 #include <string_view>
+#include <system_error>
 
 #include "pathcleat/http/http_status.hpp"
 
@@ -22,21 +24,40 @@
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
-}  // namespace
+// Nobody waits longer; beyond it a sum of times could overflow.
+constexpr std::chrono::milliseconds kLongestDeadline = std::chrono::hours(24);
 
-std::optional<Duration> CallerDeadline(const HeaderNames& names,
-                                       const HttpRequest& request) {
-  const auto text = FindHeader(request.headers, names.deadline_ms);
-  if (!text) {
-    return std::nullopt;
-  }
+bool IsFraction(std::string_view text) {
+  return !text.empty() && text.front() == '.' &&
+         std::all_of(text.begin() + 1, text.end(),
+                     [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::optional<Duration> ParseDeadline(std::string_view text) {
   std::int64_t value = 0;
   const auto parsed =
-      std::from_chars(text->data(), text->data() + text->size(), value);
-  if (parsed.ec != std::errc()) {
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  const bool too_large = parsed.ec == std::errc::result_out_of_range;
+  if (parsed.ec != std::errc() && !too_large) {
     return std::nullopt;
   }
-  return std::chrono::milliseconds(value);
+  const std::string_view rest(parsed.ptr, text.data() + text.size());
+  if (!rest.empty() && !IsFraction(rest)) {
+    return std::nullopt;
+  }
+  if (text.front() == '-') {
+    return Duration::zero();
+  }
+  const std::int64_t most = kLongestDeadline.count();
+  return std::chrono::milliseconds(too_large ? most : std::min(value, most));
+}
+
+}  // namespace
+
+std::optional<Duration> CallerDeadline(const HeaderNames& names,
+                                       const HttpRequest& request) {
+  const auto text = FindHeader(request.headers, names.deadline_ms);
+  return text ? ParseDeadline(*text) : std::nullopt;
 }
 
 HttpRequest ToUpstream(const HeaderNames& names,
--- /dev/null
+++ b/src/pathcleat/gateway/upstream_protocol_test.cpp
@@ -0,0 +1,47 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
+#include <string>
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+std::optional<Duration> DeadlineOf(const std::string& text) {
+  const HeaderNames names;
+  const HttpRequest request{"GET", "/", {{names.deadline_ms, text}}, ""};
+  return CallerDeadline(names, request);
+}
+
+// Checked to fail, by an overflow, without kLongestDeadline.
+Test(upstream_protocol, deadlines_are_read_or_bounded) {
+  constexpr Duration kDay = std::chrono::hours(24);
+  cr_assert(DeadlineOf("2500") == Duration(2'500'000));
+  cr_assert(DeadlineOf("2500.75") == Duration(2'500'000));
+  cr_assert(DeadlineOf("0") == Duration(0));
+  cr_assert(DeadlineOf("-1") == Duration(0));
+  cr_assert(DeadlineOf("-99999999999999999999") == Duration(0));
+  cr_assert(DeadlineOf("9223372036854775807") == kDay);
+  cr_assert(DeadlineOf("99999999999999999999") == kDay);
+}
+
+Test(upstream_protocol, what_is_no_number_is_as_good_as_missing) {
+  for (const char* text : {"", " ", "soon", "2500ms", "2500 1", "0x10", "."}) {
+    cr_assert(!DeadlineOf(text).has_value(), "taken for a number: %s", text);
+  }
+  cr_assert(!CallerDeadline(HeaderNames(), {"GET", "/", {}, ""}).has_value());
+}
+
+Test(upstream_protocol, no_number_gives_a_time_below_zero_or_above_a_day) {
+  cr_assert(Holds("0 <= deadline <= a day", [] {
+    const auto value = *rc::gen::arbitrary<std::int64_t>();
+    const auto deadline = DeadlineOf(std::to_string(value));
+    RC_ASSERT(deadline.has_value());
+    RC_ASSERT(*deadline >= Duration(0));
+    RC_ASSERT(*deadline <= std::chrono::hours(24));
+  }));
+}
+
+}  // namespace
+}  // namespace pathcleat
