Relays are the hosts of a failure domain with the widest links

Cause: hosts that watch the store for their domain were chosen by hash alone. Ruled out: one relay more a domain (calls to the store are paid for). Tests: relay_choice/ hosts_with_the_widest_links (seen to fail with the comparison of links out of IsAheadOf), settings/link_that_is_missing_or_absurd. Existing relay tests are unchanged but for the fleet's tables being built in a function of their own.

--- a/include/pathcleat/fleet/host_info.hpp
+++ b/include/pathcleat/fleet/host_info.hpp
@@ -16,11 +16,12 @@
   std::string caller_address;  ///< IP number and port
   std::string peer_address;    ///< IP number and port, UDP
   bool leaving = false;
+  double link_mbps = 0;  ///< what its link carries, Mbit/s
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(name, incarnation, domain, region, caller_address, peer_address,
-            leaving);
+            leaving, link_mbps);
   }
 };
 
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -66,6 +66,10 @@
   std::string peer_address;  ///< IP number for messages between hosts
   std::uint16_t peer_port = 0;
   std::string store_address;
+  /// What this host's link carries, Mbit/s. The default stands where the
+  /// setting is missing or no link's: that of a thin host, which then relays
+  /// for others only if none is wider.
+  double link_mbps = 10;
   FleetBounds bounds;
   CarryingCosts costs;
   RequestLogSettings request_log;
--- a/src/pathcleat/fleet/relay_choice_test.cpp
+++ b/src/pathcleat/fleet/relay_choice_test.cpp
@@ -28,12 +28,19 @@
     for (int d = 0; d < domain_count; ++d) {
       for (int i = 0; i < per_domain; ++i) {
         infos.push_back(HostAt(d, i));
-        tables.push_back(std::make_unique<HostTable>(infos.back(), kSilence));
       }
     }
+    RebuildTables();
     access.assign(infos.size(), StoreAccess::kFollowing);
   }
 
+  void RebuildTables() {
+    tables.clear();
+    for (const HostInfo& info : infos) {
+      tables.push_back(std::make_unique<HostTable>(info, kSilence));
+    }
+  }
+
   void TellAll(const std::set<std::size_t>& dead = {}) {
     for (const auto& table : tables) {
       for (std::size_t i = 0; i < infos.size(); ++i) {
@@ -96,6 +103,32 @@
   }
 }
 
+// Ranked by hash alone, all relays of a fleet were hosts on 10 Mbit/s, beside
+// others with twenty times that (issue 22). Checked to fail with the links'
+// comparison out of IsAheadOf.
+Test(relay_choice, hosts_with_the_widest_links_watch_for_their_domain) {
+  Fleet fleet(4, 8);
+  constexpr std::size_t kPerDomain = 8;
+  const auto is_wide = [](std::size_t host) { return host % kPerDomain < 2; };
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    fleet.infos[i].link_mbps = is_wide(i) ? 200 : 10;
+  }
+  fleet.RebuildTables();
+  fleet.access.assign(fleet.infos.size(), StoreAccess::kWatching);
+  fleet.TellAll();
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    const bool watches = fleet.ChoiceOf(i).kind == RelayKind::kStore;
+    cr_assert_eq(watches, is_wide(i), "host %zu", i);
+    fleet.access[i] =
+        watches ? StoreAccess::kWatching : StoreAccess::kFollowing;
+  }
+  fleet.TellAll();
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    const RelayChoice choice = fleet.ChoiceOf(i);
+    cr_assert(is_wide(i) || choice.kind == RelayKind::kPeer);
+  }
+}
+
 Test(relay_choice, every_host_of_a_small_fleet_watches_the_store) {
   Fleet fleet(4, 2);
   fleet.access.assign(fleet.infos.size(), StoreAccess::kWatching);
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -26,6 +26,7 @@
   self.domain = settings.domain;
   self.region = settings.region;
   self.caller_address = settings.listen.callers;
+  self.link_mbps = settings.link_mbps;
   self.peer_address =
       settings.peer_address + ":" + std::to_string(settings.peer_port);
   return self;
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -66,6 +66,14 @@
   return bounds;
 }
 
+// A value that no link has is taken for a missing one.
+double LinkOr(JsonReader& reader, double fallback) {
+  constexpr Bounds kAnyNumber{-1e300, 1e300};
+  constexpr Bounds kLinks{0.1, 1e6};
+  const double link = reader.NumberOr("link_mbps", kAnyNumber, fallback);
+  return link >= kLinks.low && link <= kLinks.high ? link : fallback;
+}
+
 CarryingCosts ReadCosts(JsonReader& reader) {
   CarryingCosts costs;
   costs.between_domains = reader.NumberOr("between_domains", kCount, 0);
@@ -123,6 +131,7 @@
     out.store_address = r.Text("address");
     CheckAddress(r, "address", out.store_address);
   });
+  out.link_mbps = LinkOr(reader, out.link_mbps);
   reader.Nested("bounds",
                 [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
   reader.Nested("gigabyte_costs",
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -184,5 +184,22 @@
   cr_assert_neq(wrong.faults[0].text.find("learned_warmth"), std::string::npos);
 }
 
+double LinkAfter(const std::string& setting) {
+  const ExampleCopy copy("race_results");
+  copy.Replace(kHostFile, "\"links\":", setting + "\"links\":");
+  const LoadedEntrySettings loaded = LoadEntrySettings(copy.HostFile(kHost));
+  cr_assert(loaded.faults.empty());
+  return loaded.settings.link_mbps;
+}
+
+Test(settings, link_that_is_missing_or_absurd_counts_as_a_thin_one) {
+  const double usual = EntrySettings().link_mbps;
+  cr_assert_float_eq(LinkAfter("\"link_mbps\": 200.5, "), 200.5, 0.01);
+  cr_assert_float_eq(LinkAfter(""), usual, 0.01);
+  cr_assert_float_eq(LinkAfter("\"link_mbps\": 0, "), usual, 0.01);
+  cr_assert_float_eq(LinkAfter("\"link_mbps\": -3, "), usual, 0.01);
+  cr_assert_float_eq(LinkAfter("\"link_mbps\": 1e30, "), usual, 0.01);
+}
+
 }  // namespace
 }  // namespace pathcleat
