HttpClient: a limit on silence for each connection, and what was not acknowledged

A connection that falls silent without a reset was found by TCP's limits, the same 3 s on every link and told like any other break. An owner could not ask for a shorter limit, tell silence from a reset, or tell a request that never arrived from one that its peer is at work on.

Ruled out: heartbeats within HTTP (neither the store nor an upstream has any, and each call costs). Change: SetSilenceLimit (kSilenceLimit, 3 s, unless set), HasUnacknowledged (TCP's own count), opened_at and heard_at; what TCP's probes end is marked silent, and said so in plain words. PassThrough, a stand-in for a way that stops passing on, by a socket filter that drops all before TCP sees it (kNetwork) or by not reading on (kPeer).

Tests: http_client/wait_on_a_connection_that_fell_silent and idle_connection_that_fell_silent (seen to fail with keep_alive(false) in OnConnected), request_sent_into_silence_is_not_acknowledged (seen to fail with HasUnacknowledged never true).

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -45,6 +45,12 @@
 /// @ingroup http
 inline constexpr Duration kNoLimit = Duration::max();
 
+/// @brief Limit on the time without an acknowledgement by a peer's machine,
+/// unless a connection has its own: TCP's first three retransmissions (after
+/// 0.2, 0.6 and 1.4 s) and a link's queue of a second fit into it.
+/// @ingroup http
+inline constexpr Duration kSilenceLimit{3'000'000};
+
 /// @brief Time limits of one request. A large answer over a thin link takes
 /// long and is worth waiting for while it arrives (`total`); one that stopped
 /// is not (`progress`).
@@ -85,6 +91,12 @@
   /// @brief Uses this local IP number when it connects.
   void BindTo(const std::string& local_address);
 
+  /// @brief For how long the peer's machine may leave bytes or probes
+  /// without an acknowledgement before the connection is given up. To be set
+  /// before the first request; an idle connection is found a second later at
+  /// most.
+  void SetSilenceLimit(Duration limit) { silence_limit_ = limit; }
+
   /// @brief Called if the next request opens a connection, before its first
   /// byte is written; may cancel.
   void OnOpened(std::function<void()> callback) {
@@ -105,6 +117,16 @@
   /// @brief Whether a next request can be sent on the open connection.
   bool IsReusable() const { return connected_ && !spent_ && !callback_; }
 
+  /// @brief Whether bytes sent still await the acknowledgement of the peer's
+  /// machine: a peer that is busy acknowledges, a silent connection does not.
+  bool HasUnacknowledged();
+
+  /// @brief When the connection was opened.
+  Time opened_at() const { return opened_at_; }
+
+  /// @brief When the last byte came; the opening, if none has.
+  Time heard_at() const { return heard_at_; }
+
   /// @brief Since when the connection has been idle.
   Time idle_since() const { return idle_since_; }
 
@@ -130,6 +152,7 @@
       boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Connect(Duration timeout);
+  void OnConnected(Time began);
   void OnNoConnection();
   void Write();
   void OnWritten(bool whole);
@@ -162,6 +185,9 @@
   Matcher matcher_;
   CallTimeouts timeouts_;
   Time deadline_;
+  Duration silence_limit_ = kSilenceLimit;
+  Time opened_at_;
+  Time heard_at_;
   Time quiet_since_;  ///< last byte received, or the request's last one sent
   std::optional<Duration> connect_time_;
   boost::beast::flat_buffer buffer_;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -2,12 +2,15 @@
 #include "pathcleat/http/http_client.hpp"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <charconv>
+#include <chrono>
 #include <utility>
 
 #include "pathcleat/http/http_codec.hpp"
@@ -20,13 +23,19 @@
 
 constexpr std::size_t kReadChunk = 8UL * 1024;
 constexpr int kMostStrangers = 2;
-constexpr unsigned kUnackedTimeoutMs = 3'000;
 constexpr int kFirstFinalStatus = 200;
+constexpr const char* kSilentText = "the connection is silent";
 
 // A peer that is cut off says nothing: probes find it out where nothing is
-// written, as in a long watch.
+// written, as in a long watch. A second is the shortest that TCP knows.
 constexpr int kProbeAfterSeconds = 1;
-constexpr int kProbes = 2;
+
+// Probes without an acknowledgement that fit into the limit.
+int ProbesWithin(Duration limit) {
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(limit).count() -
+                       kProbeAfterSeconds;
+  return std::max(1, static_cast<int>(seconds));
+}
 
 template <int Name>
 using TcpOption =
@@ -120,33 +129,49 @@
     socket_.bind({local, 0}, ignored);
   }
   const Time began = BootClock::now();
-  socket_.async_connect(endpoint_, [self = shared_from_this(),
-                                    began](const error_code& error) {
-    if (self->closed_ || !self->callback_) {
-      return;
-    }
-    if (error) {
-      self->Fail(CallOutcome::kNotSent, error.message());
-      return;
-    }
-    error_code ignored;
-    self->socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
-    self->socket_.set_option(UserTimeout(kUnackedTimeoutMs), ignored);
-    self->socket_.set_option(boost::asio::socket_base::keep_alive(true),
-                             ignored);
-    self->socket_.set_option(KeepAliveIdle(kProbeAfterSeconds), ignored);
-    self->socket_.set_option(KeepAliveInterval(kProbeAfterSeconds), ignored);
-    self->socket_.set_option(KeepAliveCount(kProbes), ignored);
-    if (const auto opened = std::exchange(self->on_opened_, nullptr)) {
-      opened();
-    }
-    if (self->closed_) {
-      return;
-    }
-    self->connected_ = true;
-    self->connect_time_ = BootClock::now() - began;
-    self->Write();
-  });
+  socket_.async_connect(
+      endpoint_, [self = shared_from_this(), began](const error_code& error) {
+        if (self->closed_ || !self->callback_) {
+          return;
+        }
+        if (error) {
+          self->Fail(CallOutcome::kNotSent, error.message());
+          return;
+        }
+        self->OnConnected(began);
+      });
+}
+
+void HttpClient::OnConnected(Time began) {
+  const auto limit =
+      std::chrono::duration_cast<std::chrono::milliseconds>(silence_limit_);
+  error_code ignored;
+  socket_.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  socket_.set_option(UserTimeout(static_cast<int>(limit.count())), ignored);
+  socket_.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  socket_.set_option(KeepAliveIdle(kProbeAfterSeconds), ignored);
+  socket_.set_option(KeepAliveInterval(kProbeAfterSeconds), ignored);
+  socket_.set_option(KeepAliveCount(ProbesWithin(silence_limit_)), ignored);
+  if (const auto opened = std::exchange(on_opened_, nullptr)) {
+    opened();
+  }
+  if (closed_) {
+    return;
+  }
+  connected_ = true;
+  opened_at_ = BootClock::now();
+  connect_time_ = opened_at_ - began;
+  heard_at_ = opened_at_;
+  Write();
+}
+
+bool HttpClient::HasUnacknowledged() {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  return connected_ &&
+         ::getsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
+                      &size) == 0 &&
+         info.tcpi_unacked > 0;
 }
 
 void HttpClient::Write() {
@@ -190,6 +215,7 @@
     return;
   }
   buffer_.commit(bytes);
+  heard_at_ = BootClock::now();
   if (!callback_) {
     // Bytes on an idle connection belong to no request.
     Close();
@@ -204,7 +230,7 @@
 }
 
 void HttpClient::NoteHeard() {
-  quiet_since_ = BootClock::now();
+  quiet_since_ = heard_at_;
   if (!std::exchange(heard_, true)) {
     ArmLimit();
   }
@@ -274,6 +300,10 @@
       return;
     }
   }
+  if (silent_) {
+    Fail(CallOutcome::kBroken, kSilentText);
+    return;
+  }
   Fail(CallOutcome::kBroken, parser_->got_some()
                                  ? "the answer ended early"
                                  : "the connection ended with no answer");
@@ -309,8 +339,7 @@
     return;
   }
   silent_ = true;
-  Fail(CallOutcome::kTimedOut,
-       heard_ ? "the answer stopped" : "the connection is silent");
+  Fail(CallOutcome::kTimedOut, heard_ ? "the answer stopped" : kSilentText);
 }
 
 void HttpClient::OnNoConnection() {
--- a/src/pathcleat/http/http_client_test.cpp
+++ b/src/pathcleat/http/http_client_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "event_loop.hpp"
+#include "pass_through.hpp"
 #include "scripted_server.hpp"
 
 namespace pathcleat {
@@ -113,5 +114,69 @@
   cr_assert(world.result->outcome == CallOutcome::kAnswered);
 }
 
+// A client whose connection can fall silent; its limit, and TCP's shortest
+// pause before a probe, are far below the total time.
+struct SilentWorld {
+  boost::asio::io_context loop{1};
+  ScriptedServer server{loop, OwnAddress()};
+  PassThrough way{loop, OwnAddress(), server.endpoint()};
+  HttpClientPtr client =
+      std::make_shared<HttpClient>(loop, way.endpoint(), HttpLimits());
+  std::optional<CallResult> result;
+
+  SilentWorld() { client->SetSilenceLimit(kShort); }
+  void Ask() {
+    result.reset();
+    client->Send({"GET", "/", {{"Host", "test"}}, ""}, {kFarOff, kFarOff},
+                 [this](const CallResult& ended) { result = ended; });
+  }
+  bool Await(const std::function<bool()>& condition) {
+    return WaitUntil(loop, condition);
+  }
+};
+
+// A wait in which nothing is written: only probes can tell. Checked to fail
+// (not silent, after the total time) with keep_alive taken out of OnConnected.
+Test(http_client, wait_on_a_connection_that_fell_silent_is_given_up) {
+  SilentWorld world;
+  world.Ask();
+  cr_assert(world.Await([&] { return world.server.Has("\r\n\r\n"); }));
+  world.way.Silence(Hush::kNetwork);
+  cr_assert(world.Await([&] { return world.result.has_value(); }));
+  cr_assert(world.result->outcome == CallOutcome::kBroken);
+  cr_assert(world.result->silent);
+}
+
+// Checked to fail in the same way.
+Test(http_client, idle_connection_that_fell_silent_is_given_up) {
+  SilentWorld world;
+  world.Ask();
+  cr_assert(world.Await([&] { return world.server.Has("\r\n\r\n"); }));
+  world.server.Send(AnswerOf(1));
+  cr_assert(world.Await([&] { return world.result.has_value(); }));
+  cr_assert(world.client->IsReusable());
+  cr_assert_not(world.client->HasUnacknowledged());
+  world.way.Silence(Hush::kNetwork);
+  cr_assert(world.Await([&] { return !world.client->IsReusable(); }));
+  cr_assert(world.client->silent());
+}
+
+// What was sent into silence is told from what a peer is at work on.
+// Checked to fail with HasUnacknowledged returning false.
+Test(http_client, request_sent_into_silence_is_not_acknowledged) {
+  SilentWorld world;
+  world.Ask();
+  cr_assert(world.Await([&] { return world.server.Has("\r\n\r\n"); }));
+  cr_assert(world.Await([&] { return !world.client->HasUnacknowledged(); }));
+  world.server.Send(AnswerOf(1));
+  cr_assert(world.Await([&] { return world.result.has_value(); }));
+  world.way.Silence(Hush::kNetwork);
+  world.Ask();
+  cr_assert(world.client->reused());
+  cr_assert(world.Await([&] { return world.client->HasUnacknowledged(); }));
+  cr_assert(world.Await([&] { return world.result.has_value(); }));
+  cr_assert(world.result->silent);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/testing/pass_through.hpp
@@ -0,0 +1,162 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pathcleat {
+
+/// @brief How connections fall silent.
+enum class Hush {
+  kNetwork,  ///< nothing gets through, not even acknowledgements
+  kPeer,     ///< acknowledged, but nothing is passed on any more
+};
+
+/// @brief Passes TCP connections on to another address. Those that are open
+/// can be made silent for good, without a close or a reset; new ones work.
+class PassThrough {
+ public:
+  PassThrough(boost::asio::io_context& loop,
+              const std::string& address,
+              boost::asio::ip::tcp::endpoint target)
+      : loop_(loop),
+        target_(std::move(target)),
+        acceptor_(loop, {boost::asio::ip::make_address(address), 0}) {
+    Accept();
+  }
+  ~PassThrough() {
+    for (const auto& link : links_) {
+      link->Close();
+    }
+  }
+  PassThrough(const PassThrough&) = delete;
+  PassThrough& operator=(const PassThrough&) = delete;
+
+  boost::asio::ip::tcp::endpoint endpoint() const {
+    return acceptor_.local_endpoint();
+  }
+  std::string address() const {
+    return endpoint().address().to_string() + ":" +
+           std::to_string(endpoint().port());
+  }
+
+  /// @brief Connections taken so far.
+  int accepted() const { return accepted_; }
+
+  /// @brief Those of them that still pass bytes on.
+  int passing() const {
+    int passing = 0;
+    for (const auto& link : links_) {
+      passing += link->silent || link->closed ? 0 : 1;
+    }
+    return passing;
+  }
+
+  void Silence(Hush how) {
+    for (const auto& link : links_) {
+      link->silent = true;
+      if (how == Hush::kNetwork) {
+        DropAll(link->caller);
+        DropAll(link->target);
+      }
+    }
+  }
+
+ private:
+  using Socket = boost::asio::ip::tcp::socket;
+
+  struct Link {
+    Link(Socket from, boost::asio::io_context& loop)
+        : caller(std::move(from)), target(loop) {}
+    void Close() {
+      closed = true;
+      boost::system::error_code error;
+      caller.close(error);
+      target.close(error);
+    }
+    Socket caller;
+    Socket target;
+    std::array<char, 16384> to_target{};
+    std::array<char, 16384> to_caller{};
+    bool silent = false;
+    bool closed = false;
+  };
+  using LinkPtr = std::shared_ptr<Link>;
+
+  // The kernel drops what arrives for the socket before TCP sees it.
+  static void DropAll(Socket& socket) {
+    sock_filter none{BPF_RET | BPF_K, 0, 0, 0};
+    const sock_fprog program{1, &none};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                 sizeof program);
+  }
+
+  void Accept() {
+    acceptor_.async_accept(
+        [this](const boost::system::error_code& error, Socket socket) {
+          if (!error) {
+            ++accepted_;
+            Open(std::make_shared<Link>(std::move(socket), loop_));
+            Accept();
+          }
+        });
+  }
+
+  void Open(const LinkPtr& link) {
+    links_.push_back(link);
+    link->target.async_connect(
+        target_, [link](const boost::system::error_code& error) {
+          if (error) {
+            link->Close();
+            return;
+          }
+          Pump(link, link->caller, link->target, link->to_target);
+          Pump(link, link->target, link->caller, link->to_caller);
+        });
+  }
+
+  static void Pump(const LinkPtr& link,
+                   Socket& from,
+                   Socket& to,
+                   std::array<char, 16384>& buffer) {
+    from.async_read_some(
+        boost::asio::buffer(buffer),
+        [link, &from, &to, &buffer](const boost::system::error_code& error,
+                                    std::size_t bytes) {
+          if (link->silent) {
+            return;
+          }
+          if (error) {
+            link->Close();
+            return;
+          }
+          boost::asio::async_write(
+              to, boost::asio::buffer(buffer, bytes),
+              [link, &from, &to, &buffer](
+                  const boost::system::error_code& failed, std::size_t) {
+                if (!failed && !link->silent) {
+                  Pump(link, from, to, buffer);
+                }
+              });
+        });
+  }
+
+  boost::asio::io_context& loop_;
+  boost::asio::ip::tcp::endpoint target_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<LinkPtr> links_;
+  int accepted_ = 0;
+};
+
+}  // namespace pathcleat
