Ablation: a table of what has been played so far

Tests: tools/bench_runs_test.py, AblationTest, three tests. With in_pairs returning both lists whole test_changes_are_of_the_same_days fails; with the second rule left out of row_of test_both_rules_stand_side_by_side does.

--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -10,7 +10,9 @@
 highest seed: first by the earlier rule, then counted from the callers' first
 attempts (tools/first_try.py). Runs on a copy of this checkout; its journal
 entries come back. What --keep holds already isn't played again, so a table that
-was broken off goes on. PATHCLEAT_JOBS: days at once.
+was broken off goes on. --no-play prints the table of what --keep holds alone;
+days are compared in pairs, and a cell says how many there were if not all.
+PATHCLEAT_JOBS: days at once.
 """
 import argparse
 import pathlib
@@ -27,31 +29,43 @@
     return re.findall(r'Named\{Mechanism::\w+, "(\w+)"\}', source.read_text())
 
 
-def measure(copy, name, sites, seeds, keep):
+def measure(copy, name, options, seeds):
     """Plays of each site, with a mechanism off or none ("")."""
-    bench_runs.switch_off(copy, name)
+    if copy:
+        bench_runs.switch_off(copy, name)
     plays = {}
-    for site in sites:
+    for site in options.sites:
         why = f"ablation: {name or 'nothing'} off"
         folder = None
-        if keep:
-            folder = keep / (name or "nothing")
+        if options.keep:
+            folder = options.keep / (name or "nothing")
             folder.mkdir(parents=True, exist_ok=True)
         plays[site] = bench_runs.play_all(copy, site, seeds, why, keep=folder)
     return plays
 
 
+def in_pairs(with_all, without):
+    """Plays of the same day and seed, as two lists."""
+    off = {(p.day, p.seed): p for p in without}
+    both = [p for p in with_all if (p.day, p.seed) in off]
+    return both, [off[p.day, p.seed] for p in both]
+
+
 def change(with_all, without, rule):
     """Change by switching off: median of the seeds and its spread."""
-    pairs = zip(bench_runs.by_seed(with_all, rule), bench_runs.by_seed(without, rule))
+    both, off = in_pairs(with_all, without)
+    if not both:
+        return "not played"
+    pairs = zip(bench_runs.by_seed(both, rule), bench_runs.by_seed(off, rule))
     changes = sorted(after - before for before, after in pairs)
     middle = statistics.median(changes)
-    return f"{middle:+.3f} ({changes[0]:+.3f} to {changes[-1]:+.3f})"
+    part = "" if len(both) == len(with_all) else f", {len(both)} of {len(with_all)}"
+    return f"{middle:+.3f} ({changes[0]:+.3f} to {changes[-1]:+.3f}{part})"
 
 
 def mean(plays, rule):
     """Mean worth of a site."""
-    return f"{statistics.mean(rule(plays)):.3f}"
+    return f"{statistics.mean(rule(plays)):.3f}" if plays else "not played"
 
 
 def row_of(name, plays, cell):
@@ -67,10 +81,10 @@
     stems = [site.stem for site in options.sites]
     print("| off | " + " | ".join(stems) + " | days with a rule broken |")
     print("|---" * (len(stems) + 2) + "|")
-    whole = measure(copy, "", options.sites, seeds, options.keep)
+    whole = measure(copy, "", options, seeds)
     print(row_of("nothing", whole, lambda s, rule: mean(whole[s], rule)), flush=True)
     for name in names:
-        off = measure(copy, name, options.sites, seeds, options.keep)
+        off = measure(copy, name, options, seeds)
         cell = lambda s, rule: change(whole[s], off[s], rule)
         print(row_of(name, off, cell), flush=True)
 
@@ -82,14 +96,20 @@
     parser.add_argument("--seeds", type=int, default=3)
     parser.add_argument("--only", default="")
     parser.add_argument("--keep", type=pathlib.Path)
+    parser.add_argument("--no-play", action="store_true")
     options = parser.parse_args()
     known = mechanism_names()
     names = options.only.split(",") if options.only else known
     unknown = [name for name in names if name not in known]
     if unknown:
         return bench_runs.fail(f"--only: {unknown[0]} is none of {', '.join(known)}")
+    if options.no_play and not options.keep:
+        return bench_runs.fail("--no-play: needs --keep DIRECTORY")
     seeds = [11 * (i + 1) for i in range(options.seeds)]
     try:
+        if options.no_play:
+            print_table(None, names, options, seeds)
+            return 0
         if options.keep:
             bench_runs.claim(options.keep, bench_runs.ROOT)
         copy = bench_runs.copy_of(bench_runs.ROOT, "ablation")
--- a/tools/bench_runs.py
+++ b/tools/bench_runs.py
@@ -174,7 +174,7 @@
 
 def play_all(copy, site, seeds, why, days=None, keep=None):
     """Plays days of a site with each seed. Reports and logs are kept in KEEP,
-    a directory, or nowhere."""
+    a directory, or nowhere. Without a copy it reads what is kept."""
     with tempfile.TemporaryDirectory() as passing:
         folder = pathlib.Path(keep or passing)
         wanted = [
@@ -182,10 +182,12 @@
             for d in (days or trouble_days(site))
             for s in seeds
         ]
-        with concurrent.futures.ThreadPoolExecutor(jobs()) as pool:
-            list(pool.map(lambda w: play(copy, *w[:3], why, w[3]), wanted))
+        if copy:
+            with concurrent.futures.ThreadPoolExecutor(jobs()) as pool:
+                list(pool.map(lambda w: play(copy, *w[:3], why, w[3]), wanted))
+        kept = [w for w in wanted if pathlib.Path(f"{w[3]}.json").exists()]
         with concurrent.futures.ProcessPoolExecutor(jobs()) as pool:
-            return list(pool.map(read_play, *zip(*wanted)))
+            return list(pool.map(read_play, *zip(*kept)))
 
 
 def worths(plays):
--- a/tools/bench_runs_test.py
+++ b/tools/bench_runs_test.py
@@ -9,6 +9,7 @@
 from unittest import mock
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import ablate  # noqa: E402
 import bench_runs  # noqa: E402
 
 
@@ -73,5 +74,35 @@
             self.assertEqual(text.count('"off": ["patience"]'), int(bool(mechanism)))
 
 
+def play_of(day, seed, worth):
+    """A day that was played."""
+    return bench_runs.Play("s", day, seed, worth, False, worth - 0.1)
+
+
+class AblationTest(unittest.TestCase):
+    """What the table says of days that were played, and of those that weren't."""
+
+    whole = [play_of("a", 1, 0.8), play_of("b", 1, 0.4),
+             play_of("a", 2, 0.6), play_of("b", 2, 0.2)]
+
+    def test_changes_are_of_the_same_days(self):
+        off = [play_of("a", 1, 0.7), play_of("a", 2, 0.6)]
+        told = ablate.change(self.whole, off, bench_runs.worths)
+        self.assertEqual(told, "-0.050 (-0.100 to +0.000, 2 of 4)")
+
+    def test_both_rules_stand_side_by_side(self):
+        off = [play_of(p.day, p.seed, p.worth + 0.05) for p in self.whole]
+        off[0].first_try -= 0.2
+        plays = {"s": off}
+        cell = lambda s, rule: ablate.change(self.whole, plays[s], rule)
+        self.assertEqual(
+            ablate.row_of("patience", plays, cell),
+            "| patience | +0.050 (+0.050 to +0.050) / +0.000 (-0.050 to +0.050) | 0 |")
+
+    def test_what_was_not_played_is_said(self):
+        self.assertEqual(ablate.change(self.whole, [], bench_runs.worths), "not played")
+        self.assertEqual(ablate.mean([], bench_runs.worths), "not played")
+
+
 if __name__ == "__main__":
     unittest.main()
