Hosts that are behind refuse with the time to come back

Change: both tell what the table says for them (0 while another host lives). Conclusion: no rule of its own is new.

--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -371,7 +371,7 @@
   if (may_have_run_) {
     AnswerUnknown(http_status::kBadGateway, "the caller has left");
   } else {
-    Refuse(kRetrySoon, "caller_left");
+    Refuse(Duration::zero(), "caller_left");
   }
 }
 
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -28,6 +28,7 @@
 constexpr Duration kFirstHostLag{500'000};
 
 constexpr const char* kNoConfig = "no configuration yet";
+constexpr const char* kBehind = "a newer configuration is due";
 
 }  // namespace
 
@@ -208,7 +209,7 @@
     return;
   }
   if (IsTooFarBehind()) {
-    exchange->Respond(Unavailable("not run: a newer configuration is due"));
+    exchange->Respond(NotRunResponse(kBehind, ReturnUnloaded(*exchange)));
     return;
   }
   const HttpRequest& request = exchange->request();
@@ -218,7 +219,7 @@
     // A newer version may have it: that it is unknown would be a guess.
     exchange->Respond(
         view_.lag().IsBehind(BootClock::now())
-            ? Unavailable("not run: a newer configuration is due")
+            ? NotRunResponse(kBehind, ReturnUnloaded(*exchange))
             : TextResponse(http_status::kNotFound, "no such route\n"));
     return;
   }
