A host that is behind asks a near one with a wide link

Cause: a host behind asked whoever was heard first to know more. Ruled out: a bound on the bytes a host sends at a time, as followers' relays are wide now and what is asked for is small; it is left. Change: of all living hosts that know more the nearest is asked, of these one with the widest link, equals in turns. Tests: informed_choice/ near_host_with_a_wide_link (seen to fail without the distance and without the link in the rank), equals_are_asked_in_turns (without the salt).

--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -63,6 +63,10 @@
   void AskIfBehind(SourceTopic topic,
                    const HostInfo& peer,
                    std::uint64_t changed);
+  void AskBeside(SourceTopic topic, const FeedPeer& peer);
+  void TakeBeside(SourceTopic topic,
+                  const std::string& peer,
+                  const FeedAnswer& answer);
   void OnOrders(const SourceUpdate& update);
   void AdoptConfig(const RoutingConfig& config, const Transfer& transfer);
   void OnDrains(const SourceUpdate& update);
--- /dev/null
+++ b/src/pathcleat/fleet/informed_choice.cpp
@@ -0,0 +1,46 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/fleet/informed_choice.hpp"
+
+#include <tuple>
+
+#include "pathcleat/core/hash.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Smaller is better: how far, how thin, and a draw.
+using Rank = std::tuple<int, double, std::uint64_t>;
+
+int DistanceOf(const HostInfo& self, const HostInfo& host) {
+  if (host.domain == self.domain) {
+    return 0;
+  }
+  return host.region == self.region ? 1 : 2;
+}
+
+}  // namespace
+
+const KnownHost* ChooseInformed(
+    const HostTable& hosts,
+    const std::function<bool(const HostVersions&)>& knows,
+    std::uint64_t salt,
+    Time now) {
+  const std::uint64_t seed = MixHashes(salt, StableHash(hosts.self().name));
+  const auto rank_of = [&](const KnownHost& host) {
+    return Rank{DistanceOf(hosts.self(), host.info), -host.info.link_mbps,
+                MixHashes(seed, StableHash(host.info.name))};
+  };
+  const KnownHost* best = nullptr;
+  for (const KnownHost* host : hosts.Others()) {
+    if (host->info.leaving || !hosts.IsAlive(*host, now) ||
+        !knows(host->versions)) {
+      continue;
+    }
+    if (best == nullptr || rank_of(*host) < rank_of(*best)) {
+      best = host;
+    }
+  }
+  return best;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -6,6 +6,9 @@
 #include <set>
 #include <utility>
 
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/fleet/informed_choice.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -24,6 +27,10 @@
   return static_cast<std::uint32_t>(std::min(kMost, ToMilliseconds(age)));
 }
 
+std::uint64_t ChangedIn(const HostVersions& versions, SourceTopic topic) {
+  return topic == SourceTopic::kOrders ? versions.orders : versions.upstreams;
+}
+
 int DomainsOf(const EntrySettings& settings) {
   return static_cast<int>(settings.region_of_domain.size());
 }
@@ -110,23 +117,44 @@
   if (!watcher.IsBehind(changed, now) || asking_[topic]) {
     return;
   }
-  asking_[topic] = true;
+  // Who was heard knows more; the host to ask need not be the same.
+  const KnownHost* informed = ChooseInformed(
+      state_.hosts,
+      [topic, known = watcher.changed()](const HostVersions& versions) {
+        return ChangedIn(versions, topic) > known;
+      },
+      StableHash(peer.name), now);
+  if (informed != nullptr) {
+    AskBeside(topic, {informed->info.name, informed->info.peer_address});
+  }
+}
+
+void FleetView::AskBeside(SourceTopic topic, const FeedPeer& peer) {
+  const SourceWatcher& watcher = WatcherOf(topic);
   const std::uint64_t after = watcher.IsLoaded() ? watcher.version() : 0;
+  asking_[topic] = true;
   peers_.Ask(
-      {peer.name, peer.peer_address}, {topic, after, Duration(0)},
+      peer, {topic, after, Duration(0)},
       [this, topic, name = peer.name](const std::optional<FeedAnswer>& answer) {
         asking_[topic] = false;
-        if (answer && WatcherOf(topic).Adopt(
-                          AnswerOf(answer->snapshot, answer->transfer))) {
-          state_.events.Record(
-              EventCode::kTakenFromPeer, name,
-              std::string(topic == SourceTopic::kOrders ? "orders"
-                                                        : "upstreams") +
-                  " up to version " + std::to_string(answer->snapshot.version));
+        if (answer) {
+          TakeBeside(topic, name, *answer);
         }
       });
 }
 
+void FleetView::TakeBeside(SourceTopic topic,
+                           const std::string& peer,
+                           const FeedAnswer& answer) {
+  if (!WatcherOf(topic).Adopt(AnswerOf(answer.snapshot, answer.transfer))) {
+    return;
+  }
+  const char* what = topic == SourceTopic::kOrders ? "orders" : "upstreams";
+  state_.events.Record(EventCode::kTakenFromPeer, peer,
+                       std::string(what) + " up to version " +
+                           std::to_string(answer.snapshot.version));
+}
+
 std::uint64_t FleetView::Newest(SourceTopic topic) const {
   return WatcherOf(topic).changed();
 }
