Peer questions: a returned pointer that can be moved

Cause: the linter (performance-no-automatic-move) found that the question which PeerFeed::Ask returns was a constant and so copied. Change: it is not. No behaviour changes; ruled out: switching the check off.

--- a/src/pathcleat/gateway/peer_feed.cpp
+++ b/src/pathcleat/gateway/peer_feed.cpp
@@ -193,7 +193,7 @@
   HttpLimits limits;
   limits.body_bytes = kLargestSnapshot;
   const auto client = std::make_shared<HttpClient>(loop_, *endpoint, limits);
-  const auto question =
+  PeerQuestionPtr question =
       std::make_shared<const PeerQuestion>(PeerQuestion{peer, request, client});
   traffic_.OnAsked();
   client->Send(
