Refusals are true: a send counts as a run until it is known to be none

Cause: whether a request may have run was a flag that each way of ending an attempt had to set; with it unset where a silent upstream is left, all test programs passed, and a lookup that had run would have been told "not run". Change: RunRecord counts sends and takes off those known not to have run (no byte left, or the upstream says so), so that a forgotten note promises too little and never too much. The deadline cancels before it answers, by the same record.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -9,6 +9,7 @@
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/key_guard.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
+#include "pathcleat/gateway/run_record.hpp"
 #include "pathcleat/gateway/upstream_attempt.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
@@ -75,7 +76,7 @@
   PickRequest request_;
   Time deadline_;
   bool retried_ = false;
-  bool may_have_run_ = false;
+  RunRecord runs_;
   int attempts_ = 0;   ///< upstreams that the request has reached
   int unsent_ = 0;     ///< upstreams that could not be reached
   bool left_ = false;  ///< the caller has gone, or sends no more
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -50,6 +50,19 @@
   kLost,         ///< runs, then closes without an answer
 };
 
+/// @brief What a stand-in does with one request, and when.
+/// @ingroup lab
+struct UpstreamAct {
+  enum class Kind {
+    kAnswer,    ///< runs it and answers
+    kBreak,     ///< runs it and closes without an answer
+    kTurnAway,  ///< lets it wait and says that it has not run it
+    kSilent,    ///< runs it and says nothing
+  };
+  Kind kind = Kind::kAnswer;
+  std::chrono::milliseconds delay{0};  ///< from the request's arrival
+};
+
 /// @brief Small stand-in for an upstream instance: has slots and a short
 /// queue, turns away what is too much or meant for another instance, answers
 /// with what it was asked, honours cancellation, tells its load and keeps a
@@ -77,6 +90,10 @@
   /// @brief Says that it has not run any request from now on.
   void TurnAway(bool turn_away) { turn_away_ = turn_away; }
 
+  /// @brief Asked what to do with each request from now on.
+  using Director = std::function<UpstreamAct()>;
+  void Direct(Director director) { director_ = std::move(director); }
+
   const UpstreamLedger& ledger() const { return ledger_; }
   int in_flight() const { return in_flight_; }
 
@@ -88,6 +105,8 @@
   bool IsForAnother(const ExchangePtr& exchange) const;
   void RefuseNotRun(const ExchangePtr& exchange, int status);
   void Run(const ExchangePtr& exchange);
+  void Act(const ExchangePtr& exchange, const UpstreamAct& act);
+  void EndAct(const ExchangePtr& exchange, UpstreamAct::Kind kind);
   void Begin(const ExchangePtr& exchange);
   void End();
   void WatchDeadline(const ExchangePtr& exchange);
@@ -103,6 +122,7 @@
   UpstreamLedger ledger_;
   std::vector<ExchangePtr> held_;
   std::vector<ExchangePtr> queue_;
+  Director director_;
   SpoiltAnswer spoilt_ = SpoiltAnswer::kNone;
   int in_flight_ = 0;
   Time counted_;  ///< up to when slot_seconds is told
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -158,7 +158,6 @@
                     "no answer for far longer than expected",
                     BootClock::now() - attempt_.sent());
   ++attempts_;
-  may_have_run_ = true;
   attempt_.NoteNoAnswer();
   CancelAttempt();
   Retry(next);
@@ -181,6 +180,7 @@
   trace_.NoteSent(pick, attempts_ + unsent_ + 1, BootClock::now());
   state_.metrics.OnSent(pick.wait);
   request_.excluded.insert(upstream);
+  runs_.OnSent();
   attempt_.Start(
       pick, request_.key, exchange_->request(), request_id_, left,
       [this] { exchange_->CheckCaller(); },
@@ -204,6 +204,7 @@
       return;
     case CallOutcome::kNotSent:
       ++unsent_;
+      runs_.OnKnownNotRun();
       state_.OnAttemptFailed(upstream);
       RetryOrGiveUp();
       return;
@@ -221,6 +222,7 @@
   const Time now = BootClock::now();
   UpstreamState& upstream = *pick.upstream;
   if (IsNotRun(state_.headers, result.response)) {
+    runs_.OnKnownNotRun();
     if (result.response.status == http_status::kMisdirected) {
       // Another upstream has the address now; the list will say so.
       state_.OnAttemptFailed(upstream);
@@ -251,7 +253,6 @@
 }
 
 void Call::OnFailure(const CallResult& result) {
-  may_have_run_ = true;
   if (done_) {
     key_.Settle({}, RunOutcome::kUnknown);
     return;
@@ -288,7 +289,7 @@
     Retry(next);
     return;
   }
-  if (!may_have_run_) {
+  if (!runs_.MayHaveRun()) {
     Refuse(ReturnAfter(next), "no_upstream");
     return;
   }
@@ -342,7 +343,9 @@
 // runs to its end, as nobody could tell afterwards how far it had come.
 void Call::CancelAttempt() {
   if (attempt_.IsUnderWay() && (route_->repeatable || !attempt_.IsPassedOn())) {
-    may_have_run_ = may_have_run_ || attempt_.MayHaveSent();
+    if (!attempt_.MayHaveSent()) {
+      runs_.OnKnownNotRun();
+    }
     attempt_.Cancel();
   }
 }
@@ -368,7 +371,7 @@
 }
 
 void Call::EndForCallerLeft() {
-  if (may_have_run_) {
+  if (runs_.MayHaveRun()) {
     AnswerUnknown(http_status::kBadGateway, "the caller has left");
   } else {
     Refuse(Duration::zero(), "caller_left");
@@ -379,16 +382,15 @@
   if (done_) {
     return;
   }
-  const bool sent = attempt_.MayHaveSent();
   if (attempt_.IsUnderWay()) {
     attempt_.NoteNoAnswer();
   }
-  if (sent || may_have_run_) {
+  CancelAttempt();
+  if (runs_.MayHaveRun()) {
     AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
   } else {
     Refuse(ReturnAfter(ChooseNow()), "time_over");
   }
-  CancelAttempt();
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -28,7 +28,7 @@
 
 // Promise: "not run" is true. A request that may be repeated and broke off at
 // every upstream has run, so it is not told otherwise. Checked to fail with
-// may_have_run_ set to false in OnFailure.
+// runs_.OnKnownNotRun called in OnFailure.
 Test(promise, broken_lookup_that_no_upstream_answers_is_unknown) {
   TestWorld world;
   world.StartAll();
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -69,6 +69,10 @@
     RefuseNotRun(exchange, kMisdirected);
     return;
   }
+  if (director_) {
+    Act(exchange, director_());
+    return;
+  }
   const bool full = in_flight_ >= options_.slots &&
                     static_cast<int>(queue_.size()) >= options_.queue;
   if (turn_away_ || full) {
@@ -81,6 +85,37 @@
   Run(exchange);
 }
 
+void UpstreamStandIn::Act(const ExchangePtr& exchange, const UpstreamAct& act) {
+  if (act.kind != UpstreamAct::Kind::kTurnAway) {
+    const bool held = std::exchange(hold_, true);
+    Begin(exchange);
+    hold_ = held;
+  }
+  if (act.kind == UpstreamAct::Kind::kSilent) {
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(loop_, act.delay);
+  timer->async_wait([this, timer, exchange,
+                     kind = act.kind](const boost::system::error_code&) {
+    if (exchange->IsOpen()) {
+      EndAct(exchange, kind);
+    }
+  });
+}
+
+void UpstreamStandIn::EndAct(const ExchangePtr& exchange,
+                             UpstreamAct::Kind kind) {
+  std::erase(held_, exchange);
+  if (kind == UpstreamAct::Kind::kTurnAway) {
+    RefuseNotRun(exchange, http_status::kUnavailable);
+  } else if (kind == UpstreamAct::Kind::kBreak) {
+    exchange->Drop();
+    End();
+  } else {
+    Answer(exchange);
+  }
+}
+
 void UpstreamStandIn::WatchDeadline(const ExchangePtr& exchange) {
   const auto told = CallerDeadline(options_.headers, exchange->request());
   if (!told) {
