A stopping host begins only what it sees to its end

Cause: a host that was told to stop took work until 1.5 s before its grace time ended and ended 0.5 s before it, whatever the work needed; it told upstreams the caller's whole time. What then waited or ran there lost its connection. The same cause behind it: the process did not wait for a key's answer to be kept, and the times of a stop under way moved with settings read anew. Change: StopPlan fixes the times when the stop begins. Work that would not be done 1 s before the grace time is over is refused at once as not run (host_stops, come back elsewhere at once), before a key is claimed; what is begun, retries too, is told that shorter time, so that its upstream turns it back from the queue or ends it and says so; what is still unanswered 0.5 s before the end is answered with what is known (OpenRequests), and nothing sooner; the process ends 0.25 s before it and waits for keys to be settled. Seen to fail with: WorkEnd taken out of Call::Left (answers_what_waits, refuses), OnHostEnds not called (answers_what_its_upstream_never_does), may_begin or MayClaim taken out (refuses_what_it_would_not_see), keys.pending() taken out (waits_for_the_answer_of_a_key), begun_ not tested, WorkEnd the deadline alone, kExpectedMultiple 1, kLastAnswersMargin 1.2 s, MayBegin always true (stop_plan). No existing test changed.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -8,6 +8,7 @@
 
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/key_guard.hpp"
+#include "pathcleat/gateway/open_requests.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
 #include "pathcleat/gateway/run_record.hpp"
 #include "pathcleat/gateway/upstream_attempt.hpp"
@@ -22,18 +23,23 @@
 /// said so. It is told "not run" (503) under the same condition alone. With
 /// an Idempotency-Key it claims the key in the store before it is sent.
 /// @ingroup gateway
-class Call : public std::enable_shared_from_this<Call> {
+class Call final : public std::enable_shared_from_this<Call>,
+                   public OpenRequest {
  public:
   Call(GatewayState& state,
        ExchangePtr exchange,
        std::shared_ptr<const Route> route);
-  ~Call() { --state_.requests; }
+  ~Call() override { --state_.requests; }
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
 
   void Start();
 
+  /// @brief Tells the caller what is known, as the process ends.
+  void OnHostEnds() override;
+
  private:
+  bool MayClaim() const;
   void ClaimKey();
   void OnKey(const KeyDecision& decision);
   void Attempt();
@@ -55,6 +61,7 @@
   void Refuse(Duration retry_after,
               const std::string& reason,
               const Pick* best = nullptr);
+  void RefuseForStop();
   void AnswerUnknown(int status, const std::string& reason);
   void Answer(HttpResponse response, RunOutcome outcome);
   bool WentWrong(RunOutcome outcome, Duration latency) const;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -94,7 +94,6 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> stopped_;
-  Time stop_began_;
   Time shifts_advanced_;
 };
 
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -13,7 +13,9 @@
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/gateway/key_ledger.hpp"
 #include "pathcleat/gateway/metrics.hpp"
+#include "pathcleat/gateway/open_requests.hpp"
 #include "pathcleat/gateway/request_log.hpp"
+#include "pathcleat/gateway/stop_plan.hpp"
 #include "pathcleat/gateway/trace_store.hpp"
 #include "pathcleat/gateway/upstream_pool.hpp"
 #include "pathcleat/routing/route_table.hpp"
@@ -64,7 +66,9 @@
   Metrics metrics;
   PeerTraffic peer_traffic;
   std::map<std::string, RetryBudget> retries;  ///< by service
-  int requests = 0;                            ///< callers' requests under way
+  OpenRequests open_requests;
+  StopPlan stop;
+  int requests = 0;  ///< callers' requests under way
   std::uint64_t next_request = 1;
   bool leaving = false;
   bool store_reached = false;
--- /dev/null
+++ b/include/pathcleat/gateway/open_requests.hpp
@@ -0,0 +1,53 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <boost/intrusive/list.hpp>
+#include <boost/intrusive/list_hook.hpp>
+
+namespace pathcleat {
+
+/// @brief A caller's request under way, as its host sees it. It leaves the
+/// list that it is in when it is destroyed.
+/// @ingroup gateway
+class OpenRequest
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+ public:
+  /// @brief The host's process ends: the caller must be told now what is
+  /// known.
+  virtual void OnHostEnds() = 0;
+
+  OpenRequest() = default;
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
+  virtual ~OpenRequest() = default;
+};
+
+/// @brief The callers' requests under way at a host.
+/// @ingroup gateway
+class OpenRequests {
+ public:
+  void Add(OpenRequest& request) { requests_.push_back(request); }
+
+  /// @brief Tells each request that the host ends. Requests may leave
+  /// meanwhile.
+  void OnHostEnds() {
+    List told;
+    told.swap(requests_);
+    while (!told.empty()) {
+      OpenRequest& request = told.front();
+      told.pop_front();
+      requests_.push_back(request);
+      request.OnHostEnds();
+    }
+  }
+
+ private:
+  using List =
+      boost::intrusive::list<OpenRequest,
+                             boost::intrusive::constant_time_size<false>>;
+
+  List requests_;
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -9,6 +9,13 @@
 
 namespace pathcleat {
 
+/// @brief Time limits of one request at one upstream, from its sending.
+/// @ingroup gateway
+struct AttemptTimes {
+  Duration told{0};    ///< that the upstream may work
+  Duration waited{0};  ///< until the answer must be there
+};
+
 /// @brief One request at one upstream: what is sent, what this host then
 /// knows of the upstream, and how it ends. Used again for the next upstream.
 /// @ingroup gateway
@@ -20,7 +27,6 @@
 
   /// @brief Sends a request to the upstream that was picked.
   /// @param key the request's key, a hash.
-  /// @param left time until the answer must be there.
   /// @param opened called if a connection had to be opened first, before the
   /// first byte is written; may cancel.
   /// @param callback called once, never inside this call, and not after
@@ -29,7 +35,7 @@
              std::uint64_t key,
              const HttpRequest& request,
              const std::string& request_id,
-             Duration left,
+             const AttemptTimes& times,
              std::function<void()> opened,
              Callback callback);
 
--- a/include/pathcleat/routing/pick.hpp
+++ b/include/pathcleat/routing/pick.hpp
@@ -39,6 +39,7 @@
   kTooLate,     ///< none would answer within the time left
   kOverloaded,  ///< it would wait so long that it is late: come back
   kShiftCap,    ///< to leave the region would pass a shift's cap
+  kHostStops,   ///< this host ends too soon: another one takes it
 };
 
 /// @brief Stable lower-case name of a failure, as logs and metrics tell it.
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -35,6 +35,7 @@
       key_(state),
       trace_(state) {
   ++state_.requests;
+  state_.open_requests.Add(*this);
   const HttpHeaders& headers = exchange_->request().headers;
   const std::uint64_t incarnation = state_.hosts.self().incarnation;
   request_id_ =
@@ -46,10 +47,6 @@
   deadline_ = exchange_->received() + allowed;
 }
 
-Duration Call::Left() const {
-  return deadline_ - BootClock::now();
-}
-
 void Call::Start() {
   const auto on_left = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -58,7 +55,7 @@
   };
   exchange_->OnAbandoned(on_left);
   exchange_->OnCallerEnded(on_left);
-  Arm(deadline_timer_, Left(), &Call::OnDeadline);
+  Arm(deadline_timer_, deadline_ - BootClock::now(), &Call::OnDeadline);
   request_.service = state_.splits.Choose(*route_, UnitOfHash(request_.key));
   state_.RetriesOf(request_.service).OnFirstAttempt();
   trace_.NoteTaken(*exchange_, request_, Left());
@@ -88,6 +85,10 @@
 }
 
 void Call::ClaimKey() {
+  if (!MayClaim()) {
+    RefuseForStop();
+    return;
+  }
   key_.Claim(request_.service, exchange_->request(), Left(),
              [self = shared_from_this()](const KeyDecision& decision) {
                self->OnKey(decision);
@@ -107,11 +108,6 @@
   Attempt();
 }
 
-Pick Call::ChooseNow() {
-  request_.time_left = Left();
-  return state_.picker.Choose(request_, BootClock::now());
-}
-
 Duration Call::ReturnAfter(const Pick& next) {
   return next.upstream
              ? state_.picker.ReturnAfter(request_, next, BootClock::now())
@@ -182,7 +178,8 @@
   request_.excluded.insert(upstream);
   runs_.OnSent();
   attempt_.Start(
-      pick, request_.key, exchange_->request(), request_id_, left,
+      pick, request_.key, exchange_->request(), request_id_,
+      {left, deadline_ - BootClock::now()},
       [this] { exchange_->CheckCaller(); },
       [self = shared_from_this()](const CallResult& result) {
         self->OnResult(result);
--- /dev/null
+++ b/src/pathcleat/gateway/call_stop.cpp
@@ -0,0 +1,64 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// What a call does otherwise while its host is being stopped.
+
+#include "pathcleat/gateway/call.hpp"
+#include "pathcleat/http/http_status.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Other hosts take the request at once: there is nothing to wait for, and a
+// caller that waits loses that time of its target.
+constexpr Duration kRetryElsewhere{10'000};
+
+}  // namespace
+
+// Time that an upstream may be given.
+Duration Call::Left() const {
+  return state_.stop.WorkEnd(deadline_) - BootClock::now();
+}
+
+// A claim is a write that must be undone if the work is not begun, so it is
+// made only if there is time for all that the target allows.
+bool Call::MayClaim() const {
+  return !state_.stop.Shortens(deadline_) || Left() >= route_->target_latency;
+}
+
+Pick Call::ChooseNow() {
+  request_.time_left = Left();
+  const Time now = BootClock::now();
+  Pick pick = state_.picker.Choose(request_, now);
+  const StopPlan& stop = state_.stop;
+  const bool too_late =
+      pick.failure == PickFailure::kTooLate && stop.Shortens(deadline_);
+  const WorkTimes times{pick.expected, route_->target_latency};
+  const bool may_begin = !pick.upstream || stop.MayBegin(times, deadline_, now);
+  if (too_late || !may_begin) {
+    pick.upstream = nullptr;
+    pick.failure = PickFailure::kHostStops;
+    pick.retry_after = kRetryElsewhere;
+  }
+  return pick;
+}
+
+void Call::RefuseForStop() {
+  Refuse(kRetryElsewhere, ReasonOf(PickFailure::kHostStops));
+}
+
+// An upstream at work has had all the time there is. What its caller is told
+// is true also if the work goes on.
+void Call::OnHostEnds() {
+  const auto self = shared_from_this();
+  if (done_) {
+    return;
+  }
+  CancelAttempt();
+  if (runs_.MayHaveRun()) {
+    AnswerUnknown(http_status::kGatewayTimeout,
+                  "the host ends before the answer");
+  } else {
+    RefuseForStop();
+  }
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -1,7 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/gateway.hpp"
 
-#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -18,10 +17,6 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{250};
 constexpr std::size_t kMostLocated = 16;
-// Before the grace time ends, accepting stops this long, and the process
-// ends that long.
-constexpr Duration kFinishMargin{1'500'000};
-constexpr Duration kEndMargin{500'000};
 constexpr std::chrono::milliseconds kQuietCheckPeriod{20};
 // The first host has a version within this time of its acknowledgement: a
 // watch gathers changes for 0.25 s, and 359 KB take 0.3 s at 10 Mbit/s.
@@ -257,14 +252,14 @@
   }
   state_.leaving = true;
   stopped_ = std::move(done);
-  stop_began_ = BootClock::now();
+  const Time now = BootClock::now();
+  state_.stop.Begin(now, state_.settings.bounds.stop_grace);
   state_.hosts.SetLeaving();
   peers_.Tell();
   view_.Leave();
   callers_.CloseAfterAnswers();
   state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
-  stop_timer_.expires_after(
-      std::max(Duration(0), state_.settings.bounds.stop_grace - kFinishMargin));
+  stop_timer_.expires_after(state_.stop.accepts_until() - now);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       FinishStop();
@@ -279,9 +274,13 @@
 }
 
 void Gateway::AwaitQuiet() {
-  const Duration since = BootClock::now() - stop_began_;
-  const bool over = since > state_.settings.bounds.stop_grace - kEndMargin;
-  if (over || (state_.requests == 0 && callers_.connections() == 0)) {
+  const Time now = BootClock::now();
+  if (now >= state_.stop.last_answers()) {
+    state_.open_requests.OnHostEnds();
+  }
+  const bool quiet = state_.requests == 0 && callers_.connections() == 0 &&
+                     state_.keys.pending() == 0;
+  if (quiet || now >= state_.stop.ends()) {
     state_.events.Record(
         EventCode::kHostStopped, state_.settings.host,
         std::to_string(state_.requests) + " requests left unanswered");
--- /dev/null
+++ b/src/pathcleat/gateway/stop_plan_test.cpp
@@ -0,0 +1,85 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/stop_plan.hpp"
+
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr Duration kGrace{6'000'000};
+constexpr Time kBegan{Duration(1'000'000'000)};
+constexpr Duration kTarget{800'000};
+
+StopPlan Begun(Duration grace = kGrace) {
+  StopPlan plan;
+  plan.Begin(kBegan, grace);
+  return plan;
+}
+
+Test(stop_plan, bounds_nothing_before_the_stop) {
+  const StopPlan plan;
+  const Time deadline = kBegan + Duration(60'000'000);
+  cr_assert_not(plan.Shortens(deadline));
+  cr_assert(plan.WorkEnd(deadline) == deadline);
+  cr_assert(plan.MayBegin({Duration(30'000'000), kTarget}, deadline, kBegan));
+}
+
+Test(stop_plan, request_whose_own_time_ends_before_is_left_alone) {
+  const StopPlan plan = Begun();
+  const Time deadline = kBegan + Duration(2'000'000);
+  cr_assert(plan.WorkEnd(deadline) == deadline);
+  cr_assert(plan.MayBegin({Duration(1'900'000), kTarget}, deadline, kBegan));
+}
+
+// As in the incident: a request comes 4.38 s after the stop's begin, and its
+// upstream needs more than 1 s. Checked to fail with kExpectedMultiple 1.
+Test(stop_plan, long_work_is_not_begun_late) {
+  const StopPlan plan = Begun();
+  const Time now = kBegan + Duration(4'380'000);
+  const Time deadline = now + Duration(5'000'000);
+  cr_assert_not(plan.MayBegin({Duration(1'000'000), kTarget}, deadline, now));
+  cr_assert_not(plan.MayBegin({Duration(200'000), kTarget}, deadline, now));
+  cr_assert(plan.MayBegin({Duration(20'000), kTarget}, deadline, now));
+}
+
+// Checked to fail with begun_ not tested in Begin.
+Test(stop_plan, second_signal_moves_nothing) {
+  StopPlan plan = Begun();
+  const Time ends = plan.ends();
+  plan.Begin(kBegan + Duration(3'000'000), kGrace);
+  cr_assert(plan.ends() == ends);
+}
+
+// Checked to fail with WorkEnd giving the deadline alone, with MayBegin always
+// true, and with kLastAnswersMargin over kWorkMargin.
+Test(stop_plan, what_is_begun_ends_before_the_last_answers) {
+  cr_assert(Holds(
+      "any grace, deadline, moment and expected time",
+      [] {
+        const auto some = [](int most) {
+          return Duration(*rc::gen::inRange(0, most));
+        };
+        const Duration grace = some(20'000'000);
+        const StopPlan plan = Begun(grace);
+        const Time now = kBegan + some(20'000'000);
+        const Time deadline = now + some(20'000'000);
+        const WorkTimes times{some(5'000'000), some(2'000'000)};
+        const Time work_end = plan.WorkEnd(deadline);
+        RC_ASSERT(work_end <= deadline);
+        RC_ASSERT(plan.accepts_until() <= plan.last_answers());
+        RC_ASSERT(plan.last_answers() <= plan.ends());
+        RC_ASSERT(plan.ends() <= kBegan + grace);
+        RC_ASSERT(work_end <= std::max(deadline, plan.last_answers()));
+        if (plan.Shortens(deadline)) {
+          RC_ASSERT(work_end <= plan.last_answers());
+        }
+        if (plan.MayBegin(times, deadline, now) && work_end < deadline) {
+          RC_ASSERT(now + times.expected <= work_end);
+        }
+        RC_ASSERT(deadline <= plan.last_answers() || plan.Shortens(deadline));
+      },
+      2'000));
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -17,7 +17,7 @@
                             std::uint64_t key,
                             const HttpRequest& request,
                             const std::string& request_id,
-                            Duration left,
+                            const AttemptTimes& times,
                             std::function<void()> opened,
                             Callback callback) {
   const Time now = BootClock::now();
@@ -35,8 +35,9 @@
   client_ = state_.pool.Take(upstream.info, now);
   client_->OnOpened(std::move(opened));
   client_->Send(
-      ToUpstream(state_.headers, request, request_id, upstream.info.id, left),
-      {std::min(kConnectTimeout, left), left},
+      ToUpstream(state_.headers, request, request_id, upstream.info.id,
+                 times.told),
+      {std::min(kConnectTimeout, times.told), times.waited},
       [this, callback = std::move(callback)](const CallResult& result) {
         OnResult(result, callback);
       },
--- a/src/pathcleat/lab/planned_stop_test.cpp
+++ b/src/pathcleat/lab/planned_stop_test.cpp
@@ -102,7 +102,8 @@
 
 // Promise: a stopping host begins only what it sees to its end. A request
 // that is taken after the stop began and still waits at its upstream when the
-// host must end is told, in time, that it was not run.
+// host must end is told, in time, that it was not run. Checked to fail (504)
+// with Call::Left giving the time to the deadline alone.
 Test(promise, planned_stop_answers_what_waits_at_an_upstream) {
   TestWorld world(BusyUpstreamPlan());
   WarmUp(world);
@@ -120,5 +121,127 @@
   cr_assert_eq(world.RunsOf("late"), 0);
 }
 
+std::string PostText(const std::string& run_id, const std::string& key) {
+  return "POST /s/write/entry HTTP/1.1\r\nHost: test.example\r\nX-Run-Id: " +
+         run_id + "\r\nIdempotency-Key: " + key +
+         "\r\nContent-Length: 1\r\n\r\nb";
+}
+
+// Promise: no request that a host has read ends without an answer, whatever
+// its upstream does. Checked to fail (nothing received) with OnHostEnds not
+// called in Gateway::AwaitQuiet.
+Test(promise, planned_stop_answers_what_its_upstream_never_does) {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {1};
+  plan.timeout = Duration(60'000'000);
+  TestWorld world(plan);
+  world.StartAll();
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+  RawClient get(world.loop(), world.address(), world.CallerPort(0));
+  RawClient post(world.loop(), world.address(), world.CallerPort(0));
+  RawClient late(world.loop(), world.address(), world.CallerPort(0));
+  get.Send(GetText("get"));
+  post.Send(PostText("post", "key"));
+  cr_assert(world.Await([&] { return world.InFlight() == 2; }));
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  late.Send(GetText("late"));
+  cr_assert(world.Await([&] { return stopped; }));
+  for (const RawClient* client : {&get, &post, &late}) {
+    cr_assert(client->Has("HTTP/1.1 504"));
+    cr_assert(client->Has("Pathcleat-Outcome: unknown"));
+  }
+  for (const char* id : {"get", "post", "late"}) {
+    cr_assert_eq(world.RunsOf(id), 1);
+  }
+}
+
+// Promise: what a stopping host would not see to its end is refused at once,
+// untouched: no upstream, and for a keyed request no store, hears of it.
+// Checked to fail without may_begin in Call::ChooseNow, and without
+// MayClaim in Call::ClaimKey (it is claimed).
+Test(promise, planned_stop_refuses_what_it_would_not_see_to_its_end) {
+  TestWorldPlan plan;
+  plan.timeout = Duration(60'000'000);
+  plan.stop_grace = Duration(1'200'000);
+  TestWorld world(plan);
+  // Two hosts that have heard each other have written all that hosts write.
+  world.StartAll();
+  const std::uint64_t writes = world.platform().writes();
+  const std::string get_text = GetText("get");
+  const std::string post_text = PostText("post", "key");
+  // Half read when the stop begins: idle connections end then.
+  RawClient get(world.loop(), world.address(), world.CallerPort(0));
+  RawClient post(world.loop(), world.address(), world.CallerPort(0));
+  get.Send(get_text.substr(0, get_text.size() / 2));
+  post.Send(post_text.substr(0, post_text.size() / 2));
+  world.Settle();
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  get.Send(get_text.substr(get_text.size() / 2));
+  post.Send(post_text.substr(post_text.size() / 2));
+  cr_assert(world.Await([&] {
+    return stopped || (get.Has("HTTP/1.1") && post.Has("HTTP/1.1"));
+  }));
+  cr_assert_not(stopped);
+  cr_assert(get.Has("not run: host_stops"));
+  cr_assert(post.Has("not run: host_stops"));
+  for (const RawClient* client : {&get, &post}) {
+    cr_assert(client->Has("HTTP/1.1 503"));
+    cr_assert(client->Has("Connection: close"));
+    cr_assert(client->Has("Retry-After: 0.010"));
+  }
+  cr_assert(world.Await([&] { return stopped; }));
+  cr_assert_eq(world.TotalRuns(), 0);
+  cr_assert_eq(world.platform().writes(), writes);
+}
+
+// What is kept of a keyed request outlives the host: the process ends only
+// when the store has it. Checked to fail without keys.pending() in
+// Gateway::AwaitQuiet.
+Test(promise, planned_stop_waits_for_the_answer_of_a_key_to_be_kept) {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {1};
+  plan.timeout = Duration(60'000'000);
+  // The host takes callers no more from the stop's begin on.
+  plan.stop_grace = Duration(1'500'000);
+  TestWorld world(plan);
+  world.StartAll();
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+  RawClient client(world.loop(), world.address(), world.CallerPort(0));
+  client.Send(PostText("post", "key"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  platform::StandInFaults slow;
+  slow.delay = std::chrono::milliseconds(200);
+  world.platform().SetFaults(slow);
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  world.Settle();
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.AnswerRun("post"); });
+  cr_assert(world.Await([&] { return client.Has("end post"); }));
+  client.Close();
+  cr_assert(world.Await([&] { return stopped; }));
+  cr_assert_eq(world.host(0).state().keys.pending(), 0);
+}
+
+// What is sent ahead of a last answer is never begun: its caller sees the
+// connection end after that answer.
+Test(promise, planned_stop_runs_nothing_behind_a_last_answer) {
+  TestWorld world(BusyUpstreamPlan());
+  WarmUp(world);
+  RawClient client(world.loop(), world.address(), world.CallerPort(0));
+  client.Send(GetText("first"));
+  cr_assert(world.Await([&] { return world.InFlight() == 1; }));
+  bool stopped = false;
+  world.host(0).Stop([&stopped] { stopped = true; });
+  client.Send(GetText("second"));
+  world.Settle();
+  world.upstream(0).AnswerRun("first");
+  cr_assert(world.Await([&] { return client.IsClosed(); }));
+  cr_assert(client.Has("end first"));
+  cr_assert(client.Has("Connection: close"));
+  cr_assert_eq(world.RunsOf("second"), 0);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/routing/pick.cpp
+++ b/src/pathcleat/routing/pick.cpp
@@ -15,6 +15,8 @@
       return "overloaded";
     case PickFailure::kShiftCap:
       return "shift_cap";
+    case PickFailure::kHostStops:
+      return "host_stops";
   }
   return "none";
 }
