--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -7,9 +7,9 @@
 
 Plays the sites' standard days with trouble, with every mechanism on, then with
 each one off by itself, and prints the change of the mean worth, lowest to
-highest seed: first by the earlier rule, then counted from the callers' first
-attempts (tools/first_try.py). Runs on a copy of this checkout; its journal
-entries come back. What --keep holds already isn't played again, so a table that
+highest seed, or day if there is one seed: first by the earlier rule, then
+counted from the callers' first attempts (tools/first_try.py). Runs on a copy of
+this checkout; its journal entries come back. What --keep holds already isn't played again, so a table that
 was broken off goes on. --no-play prints the table of what --keep holds alone;
 days are compared in pairs, and a cell says how many there were if not all.
 PATHCLEAT_JOBS: days at once.
@@ -52,15 +52,20 @@
 
 
 def change(with_all, without, rule):
-    """Change by switching off: median of the seeds and its spread."""
+    """Change by switching off: median of the seeds and its spread, which is
+    that of the days where there is one seed."""
     both, off = in_pairs(with_all, without)
     if not both:
         return "not played"
     pairs = zip(bench_runs.by_seed(both, rule), bench_runs.by_seed(off, rule))
     changes = sorted(after - before for before, after in pairs)
-    middle = statistics.median(changes)
+    middle, told = statistics.median(changes), ""
+    if len(changes) == 1:
+        pairs = zip(rule(both), rule(off))
+        changes = sorted(after - before for before, after in pairs)
+        told = "days "
     part = "" if len(both) == len(with_all) else f", {len(both)} of {len(with_all)}"
-    return f"{middle:+.3f} ({changes[0]:+.3f} to {changes[-1]:+.3f}{part})"
+    return f"{middle:+.3f} ({told}{changes[0]:+.3f} to {changes[-1]:+.3f}{part})"
 
 
 def mean(plays, rule):
--- a/tools/bench_runs_test.py
+++ b/tools/bench_runs_test.py
@@ -90,6 +90,11 @@
         told = ablate.change(self.whole, off, bench_runs.worths)
         self.assertEqual(told, "-0.050 (-0.100 to +0.000, 2 of 4)")
 
+    def test_one_seed_shows_the_spread_of_its_days(self):
+        off = [play_of("a", 1, 0.7), play_of("b", 1, 0.6)]
+        told = ablate.change(self.whole[:2], off, bench_runs.worths)
+        self.assertEqual(told, "+0.050 (days -0.100 to +0.200)")
+
     def test_both_rules_stand_side_by_side(self):
         off = [play_of(p.day, p.seed, p.worth + 0.05) for p in self.whole]
         off[0].first_try -= 0.2
