A stopping host begins submissions only with time to spare

Cause: what a stopping host begins is ended by its upstream 1 s before the grace time is over. Work that may be repeated is then done elsewhere; a submission ended so is lost for its caller, though a refusal costs it a round trip. Ruled out: refusing all submissions from the stop's begin on (many hosts stop at once in a roll, and a caller that comes back finds another one stopping). Change: work that may not be repeated is begun only if four times what is expected fits; the target bounds only what may be repeated. Test: stop_plan/work_that_may_not_be_repeated_needs_more_time, seen to fail with Needed the same for all work. The seven tests of planned stops pass.

--- a/include/pathcleat/gateway/stop_plan.hpp
+++ b/include/pathcleat/gateway/stop_plan.hpp
@@ -8,8 +8,9 @@
 /// @brief How long a request's work may take.
 /// @ingroup gateway
 struct WorkTimes {
-  Duration expected{0};  ///< until its answer
-  Duration target{0};    ///< until which an answer has its full worth
+  Duration expected{0};    ///< until its answer
+  Duration target{0};      ///< until which an answer has its full worth
+  bool repeatable = true;  ///< what is ended early can be done again elsewhere
 };
 
 /// @brief When a host that is being stopped takes callers, lets upstreams
--- a/src/pathcleat/gateway/call_stop.cpp
+++ b/src/pathcleat/gateway/call_stop.cpp
@@ -31,7 +31,8 @@
   const StopPlan& stop = state_.stop;
   const bool too_late =
       pick.failure == PickFailure::kTooLate && stop.Shortens(deadline_);
-  const WorkTimes times{pick.expected, route_->target_latency};
+  const WorkTimes times{pick.expected, route_->target_latency,
+                        route_->repeatable};
   const bool may_begin = !pick.upstream || stop.MayBegin(times, deadline_, now);
   if (too_late || !may_begin) {
     pick.upstream = nullptr;
--- a/src/pathcleat/gateway/stop_plan.cpp
+++ b/src/pathcleat/gateway/stop_plan.cpp
@@ -20,11 +20,14 @@
 // counts as silent (patience.hpp).
 constexpr int kExpectedMultiple = 4;
 
-// The time that work surely has, if it is as useful as its target says: first
-// guesses of run times are shares of the target and need no multiple.
+// The time that work needs to end surely. What can be repeated elsewhere needs
+// no more than its target: first guesses of run times are shares of that. Work
+// that cannot would be lost for its caller if its upstream ended it early.
 Duration Needed(const WorkTimes& times) {
-  return std::max(times.expected,
-                  std::min(times.expected * kExpectedMultiple, times.target));
+  const Duration surely = times.expected * kExpectedMultiple;
+  return times.repeatable
+             ? std::max(times.expected, std::min(surely, times.target))
+             : surely;
 }
 
 }  // namespace
--- a/src/pathcleat/gateway/stop_plan_test.cpp
+++ b/src/pathcleat/gateway/stop_plan_test.cpp
@@ -42,6 +42,17 @@
   cr_assert(plan.MayBegin({Duration(20'000), kTarget}, deadline, now));
 }
 
+// A submission that its upstream ends early is lost for its caller; refused,
+// it is run elsewhere. Checked to fail with Needed the same for all work.
+Test(stop_plan, work_that_may_not_be_repeated_needs_more_time) {
+  const StopPlan plan = Begun();
+  const Time now = kBegan + Duration(3'500'000);
+  const Time deadline = now + Duration(8'000'000);
+  const Duration expected{600'000};
+  cr_assert(plan.MayBegin({expected, kTarget, true}, deadline, now));
+  cr_assert_not(plan.MayBegin({expected, kTarget, false}, deadline, now));
+}
+
 // Checked to fail with begun_ not tested in Begin.
 Test(stop_plan, second_signal_moves_nothing) {
   StopPlan plan = Begun();
