Work that is broken off is counted by cause

Cause: nobody could tell how often this host ends an exchange whose upstream is at work, or why. Looked through for such places: patience, callers that left, the deadline, silent connections, answers that are none or another request's; a planned stop's last half second (PC1003 tells). Ruled out by the new test: upstreams removed from the list, evacuation, a new configuration without the route, a peer that leaves; they close idle connections alone. Not changed: patience, the only one of these that ends work long before its time. Asking a second upstream beside the first was weighed: one of both is broken off either way, so it saves none; not tried. Tests (suite broken_off, four), seen to fail: without OnBrokenOff in UpstreamAttempt::Cancel (silent upstream, deadline); with ended_here always set; with UpstreamPool::Drop made to cancel connections in use (changes).

--- /dev/null
+++ b/include/pathcleat/gateway/break_cause.hpp
@@ -0,0 +1,20 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+namespace pathcleat {
+
+/// @brief Why this host ended an exchange at an upstream that may have been
+/// at work on it.
+/// @ingroup gateway
+enum class BreakCause {
+  kPatience,    ///< silent for far longer than expected, another one asked
+  kCallerLeft,  ///< the caller left, and the work may be repeated
+  kDeadline,    ///< the caller's deadline or the route's time-out
+  kSilentLink,  ///< neither bytes nor acknowledgements came
+  kBadAnswer,   ///< what came was no answer, or another request's
+};
+
+/// @brief Name of the cause, as in the metrics.
+const char* ToString(BreakCause cause);
+
+}  // namespace pathcleat
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -65,7 +65,7 @@
   void AnswerUnknown(int status, const std::string& reason);
   void Answer(HttpResponse response, RunOutcome outcome);
   bool WentWrong(RunOutcome outcome, Duration latency) const;
-  void CancelAttempt();
+  void CancelAttempt(BreakCause cause);
   void OnCallerLeft();
   void EndForCallerLeft();
   void OnDeadline();
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -20,6 +20,7 @@
 #include "pathcleat/core/histogram.hpp"
 #include "pathcleat/core/run_outcome.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/gateway/break_cause.hpp"
 
 namespace pathcleat {
 
@@ -47,6 +48,9 @@
   /// @brief A caller left before its answer.
   void OnCallerLeft(WorkLeft work) { ++callers_left_[work]; }
 
+  /// @brief This host ended an exchange that its upstream may be at work on.
+  void OnBrokenOff(BreakCause cause) { ++broken_off_[cause]; }
+
   /// @brief A request was sent where it was expected to wait so long.
   void OnSent(Duration wait) { waits_.Add(wait); }
 
@@ -78,11 +82,15 @@
   const std::map<WorkLeft, std::uint64_t>& callers_left() const {
     return callers_left_;
   }
+  const std::map<BreakCause, std::uint64_t>& broken_off() const {
+    return broken_off_;
+  }
   const Histogram& waits() const { return waits_; }
 
  private:
   std::map<std::string, std::uint64_t> refusals_;  ///< by reason
   std::map<WorkLeft, std::uint64_t> callers_left_;
+  std::map<BreakCause, std::uint64_t> broken_off_;
   Histogram waits_;
   std::map<std::string, KindMetrics> kinds_;
 };
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -40,7 +40,7 @@
              Callback callback);
 
   /// @brief Ends the exchange at the upstream; the callback is not called.
-  void Cancel();
+  void Cancel(BreakCause cause);
 
   /// @brief Whether an upstream has been sent to and has not answered yet.
   bool IsUnderWay() const { return client_ != nullptr; }
@@ -64,6 +64,7 @@
   Time sent() const { return sent_; }
 
  private:
+  void CountBreak(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
 
   GatewayState& state_;
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -39,6 +39,7 @@
   /// Given up by a limit on silence or by TCP's probes: the peer neither sent
   /// nor closed. Not set where the total time ran out.
   bool silent = false;
+  bool ended_here = false;  ///< this end closed, and not the peer
 };
 
 /// @brief Stands for no limit beside the total time.
@@ -208,6 +209,7 @@
   bool heard_ = false;  ///< bytes have come since the request was sent
   bool silent_ = false;
   bool reading_ = false;
+  bool peer_ended_ = false;
   bool spent_ = false;  ///< must not carry another request
   bool reused_ = false;
   bool closed_ = false;
--- a/include/pathcleat/http/http_codec.hpp
+++ b/include/pathcleat/http/http_codec.hpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/string_body.hpp>
 #include <string>
 
+#include "pathcleat/core/time.hpp"
 #include "pathcleat/http/http_message.hpp"
 
 namespace pathcleat {
@@ -30,4 +31,9 @@
                               bool keep_alive,
                               bool head);
 
+/// @brief How long the peer says that it keeps an idle connection: the
+/// "timeout" of its Keep-Alive field, in whole seconds; zero: unsaid.
+/// @ingroup http
+Duration KeepAliveOf(const HttpResponse& response);
+
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/break_cause.cpp
@@ -0,0 +1,22 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/break_cause.hpp"
+
+namespace pathcleat {
+
+const char* ToString(BreakCause cause) {
+  switch (cause) {
+    case BreakCause::kPatience:
+      return "patience";
+    case BreakCause::kCallerLeft:
+      return "caller-left";
+    case BreakCause::kDeadline:
+      return "deadline";
+    case BreakCause::kSilentLink:
+      return "silent-link";
+    case BreakCause::kBadAnswer:
+      return "bad-answer";
+  }
+  return "";
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -155,7 +155,7 @@
                     BootClock::now() - attempt_.sent());
   ++attempts_;
   attempt_.NoteNoAnswer();
-  CancelAttempt();
+  CancelAttempt(BreakCause::kPatience);
   Retry(next);
 }
 
@@ -338,12 +338,12 @@
 // Repeatable work is cancelled at the upstream, and what has not been sent is
 // taken back, also the rest of a body. Other work that an upstream has whole
 // runs to its end, as nobody could tell afterwards how far it had come.
-void Call::CancelAttempt() {
+void Call::CancelAttempt(BreakCause cause) {
   if (attempt_.IsUnderWay() && (route_->repeatable || !attempt_.IsPassedOn())) {
     if (!attempt_.MayHaveSent()) {
       runs_.OnKnownNotRun();
     }
-    attempt_.Cancel();
+    attempt_.Cancel(cause);
   }
 }
 
@@ -356,7 +356,7 @@
   left_ = true;
   trace_.Note(EventCode::kCallerLeft, {});
   const bool was_sent = attempt_.MayHaveSent();
-  CancelAttempt();
+  CancelAttempt(BreakCause::kCallerLeft);
   if (attempt_.IsUnderWay()) {
     state_.metrics.OnCallerLeft(WorkLeft::kRunsOn);
     trace_.TellSoFar();
@@ -382,7 +382,7 @@
   if (attempt_.IsUnderWay()) {
     attempt_.NoteNoAnswer();
   }
-  CancelAttempt();
+  CancelAttempt(BreakCause::kDeadline);
   if (runs_.MayHaveRun()) {
     AnswerUnknown(http_status::kGatewayTimeout, "no answer in time");
   } else {
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -103,6 +103,13 @@
     page.Sample("pathcleat_callers_left_total", {{"work", ToString(work)}},
                 count);
   }
+  page.Family("pathcleat_broken_off_total", "counter",
+              "Exchanges that this host ended while their upstream may have "
+              "been at work, by cause.");
+  for (const auto& [cause, count] : state.metrics.broken_off()) {
+    page.Sample("pathcleat_broken_off_total", {{"cause", ToString(cause)}},
+                count);
+  }
   page.Family("pathcleat_requests_under_way", "gauge", "Callers waiting now.");
   page.Sample("pathcleat_requests_under_way", {}, state.requests);
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -55,6 +55,7 @@
       upstream.load.OnReport(*report, BootClock::now());
     }
   }
+  CountBreak(result);
   state_.OnAttemptEnded(upstream);
   if (const auto opened = client->connect_time()) {
     state_.picker.OnConnected(upstream, *opened);
@@ -65,7 +66,20 @@
   callback(result);
 }
 
-void UpstreamAttempt::Cancel() {
+void UpstreamAttempt::CountBreak(const CallResult& result) {
+  if (result.silent) {
+    state_.metrics.OnBrokenOff(BreakCause::kSilentLink);
+  } else if (result.outcome == CallOutcome::kTimedOut) {
+    state_.metrics.OnBrokenOff(BreakCause::kDeadline);
+  } else if (result.outcome == CallOutcome::kBroken && result.ended_here) {
+    state_.metrics.OnBrokenOff(BreakCause::kBadAnswer);
+  }
+}
+
+void UpstreamAttempt::Cancel(BreakCause cause) {
+  if (MayHaveSent()) {
+    state_.metrics.OnBrokenOff(cause);
+  }
   std::exchange(client_, nullptr)->Cancel();
   state_.OnAttemptEnded(*pick_.upstream);
 }
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -9,7 +9,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
-#include <charconv>
 #include <chrono>
 #include <utility>
 
@@ -45,23 +44,6 @@
 using KeepAliveCount = TcpOption<TCP_KEEPCNT>;
 using UserTimeout = TcpOption<TCP_USER_TIMEOUT>;
 
-// The "timeout" parameter of a Keep-Alive field, in whole seconds.
-Duration KeepAliveOf(const HttpResponse& response) {
-  const auto field = FindHeader(response.headers, "Keep-Alive");
-  if (!field) {
-    return Duration::zero();
-  }
-  constexpr std::string_view kName = "timeout=";
-  const auto at = field->find(kName);
-  if (at == std::string::npos) {
-    return Duration::zero();
-  }
-  int seconds = 0;
-  const char* begin = field->data() + at + kName.size();
-  std::from_chars(begin, field->data() + field->size(), seconds);
-  return std::chrono::seconds(seconds);
-}
-
 }  // namespace
 
 HttpClient::HttpClient(boost::asio::io_context& loop,
@@ -286,6 +268,7 @@
 
 void HttpClient::OnEnd(const error_code& error) {
   silent_ = error == boost::asio::error::timed_out;
+  peer_ended_ = !silent_;
   if (!callback_) {
     Close();
     return;
@@ -365,6 +348,7 @@
   result.outcome = outcome;
   result.detail = std::move(detail);
   result.silent = silent_;
+  result.ended_here = !peer_ended_;
   Finish(std::move(result));
 }
 
--- a/src/pathcleat/http/http_codec.cpp
+++ b/src/pathcleat/http/http_codec.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <string_view>
 #include <utility>
 
@@ -112,4 +113,20 @@
   return bytes;
 }
 
+Duration KeepAliveOf(const HttpResponse& response) {
+  const auto field = FindHeader(response.headers, "Keep-Alive");
+  if (!field) {
+    return Duration::zero();
+  }
+  constexpr std::string_view kName = "timeout=";
+  const auto at = field->find(kName);
+  if (at == std::string::npos) {
+    return Duration::zero();
+  }
+  int seconds = 0;
+  const char* begin = field->data() + at + kName.size();
+  std::from_chars(begin, field->data() + field->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
 }  // namespace pathcleat
