The end of a planned stop tells what was refused and given up

Cause: host-stopped told only what was left unanswered, so that a stop's cost could not be read from the log; an exchange given up at the end had no cause in the metric that came beside it.

--- a/include/pathcleat/gateway/break_cause.hpp
+++ b/include/pathcleat/gateway/break_cause.hpp
@@ -12,6 +12,7 @@
   kDeadline,    ///< the caller's deadline or the route's time-out
   kSilentLink,  ///< neither bytes nor acknowledgements came
   kBadAnswer,   ///< what came was no answer, or another request's
+  kHostStops,   ///< a planned stop is over
 };
 
 /// @brief Name of the cause, as in the metrics.
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -73,6 +73,7 @@
   void Tick();
   void FinishStop();
   void AwaitQuiet();
+  void RecordStopped();
   void OnSecrets();
   void OnCommands();
   void AdvanceShifts(Time now);
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -82,6 +82,10 @@
   const std::map<WorkLeft, std::uint64_t>& callers_left() const {
     return callers_left_;
   }
+  /// @brief A request was answered with what is known as the host ends.
+  void OnGivenUpAtEnd() { ++given_up_at_end_; }
+  std::uint64_t given_up_at_end() const { return given_up_at_end_; }
+
   const std::map<BreakCause, std::uint64_t>& broken_off() const {
     return broken_off_;
   }
@@ -91,6 +95,7 @@
   std::map<std::string, std::uint64_t> refusals_;  ///< by reason
   std::map<WorkLeft, std::uint64_t> callers_left_;
   std::map<BreakCause, std::uint64_t> broken_off_;
+  std::uint64_t given_up_at_end_ = 0;
   Histogram waits_;
   std::map<std::string, KindMetrics> kinds_;
 };
--- a/src/pathcleat/gateway/break_cause.cpp
+++ b/src/pathcleat/gateway/break_cause.cpp
@@ -15,6 +15,8 @@
       return "silent-link";
     case BreakCause::kBadAnswer:
       return "bad-answer";
+    case BreakCause::kHostStops:
+      return "host-stops";
   }
   return "";
 }
--- a/src/pathcleat/gateway/call_stop.cpp
+++ b/src/pathcleat/gateway/call_stop.cpp
@@ -53,7 +53,8 @@
   if (done_) {
     return;
   }
-  CancelAttempt();
+  state_.metrics.OnGivenUpAtEnd();
+  CancelAttempt(BreakCause::kHostStops);
   if (runs_.MayHaveRun()) {
     AnswerUnknown(http_status::kGatewayTimeout,
                   "the host ends before the answer");
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -273,6 +273,17 @@
   AwaitQuiet();
 }
 
+void Gateway::RecordStopped() {
+  const auto& refusals = state_.metrics.refusals();
+  const auto refused = refusals.find(ReasonOf(PickFailure::kHostStops));
+  state_.events.Record(
+      EventCode::kHostStopped, state_.settings.host,
+      std::to_string(state_.requests) + " requests left unanswered",
+      {NumberField(field::kRefused,
+                   refused == refusals.end() ? 0 : refused->second),
+       NumberField(field::kGivenUp, state_.metrics.given_up_at_end())});
+}
+
 void Gateway::AwaitQuiet() {
   const Time now = BootClock::now();
   if (now >= state_.stop.last_answers()) {
@@ -281,9 +292,7 @@
   const bool quiet = state_.requests == 0 && callers_.connections() == 0 &&
                      state_.keys.pending() == 0;
   if (quiet || now >= state_.stop.ends()) {
-    state_.events.Record(
-        EventCode::kHostStopped, state_.settings.host,
-        std::to_string(state_.requests) + " requests left unanswered");
+    RecordStopped();
     stopped_();
     return;
   }
