Urgent first: a share of fewer than 20 requests holds nobody back

Cause: with 4 offered of late a kind's share is off by a tenth or more, so that less urgent requests yielded to chance. Change: kLeastOffered 20.

--- a/src/pathcleat/routing/urgency_ledger.cpp
+++ b/src/pathcleat/routing/urgency_ledger.cpp
@@ -10,8 +10,8 @@
 // Longer than callers stay away (0.4 to 1 s), so that a return counts beside
 // its first try; short enough to follow a burst of 3 s.
 constexpr double kFadeSeconds = 2;
-// With fewer offered, a share says nothing.
-constexpr double kLeastOffered = 4;
+// With fewer offered, a share says little: its spread is a tenth or more.
+constexpr double kLeastOffered = 20;
 // Less than this is as good as nothing.
 constexpr double kFaded = 0.1;
 // Kinds within this of each other are even: a share of some tens of requests
