Kinds of request within 4 in 100 of each other count as even

Cause: urgent first held back less urgent kinds for differences that a host cannot know; the users allow 5 in 100.

--- a/src/pathcleat/routing/urgency_ledger.cpp
+++ b/src/pathcleat/routing/urgency_ledger.cpp
@@ -16,7 +16,7 @@
 constexpr double kFaded = 0.1;
 // Kinds within this of each other are even: a share of some tens of requests
 // is no better known. The users' pages allow 5 in 100.
-constexpr double kEven = 0.02;
+constexpr double kEven = 0.04;
 
 }  // namespace
 
