--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -49,8 +49,7 @@
 HttpClient::HttpClient(boost::asio::io_context& loop,
                        boost::asio::ip::tcp::endpoint endpoint,
                        const HttpLimits& limits)
-    : loop_(loop),
-      endpoint_(std::move(endpoint)),
+    : endpoint_(std::move(endpoint)),
       limits_(limits),
       socket_(loop),
       timer_(loop) {}
