Upstreams: what went into silence is told from what is worked on

When the open connections to an upstream fell silent while new ones worked, a request that had gone into one was taken for one at a busy upstream as soon as others were answered, and waited for until TCP's limit of 3 s; a second attempt went over the next silent connection; a submission under way made the upstream look silent as a whole, so that others were refused.

Ruled out: a shorter limit of TCP to upstreams (a run that a short cut delays would be lost), and leaving a busy upstream on time alone (it throws away what has begun, see busy_upstream_keeps_what_it_has_begun). Change: at the end of patience TCP tells whether the request is acknowledged by the upstream's machine. If not (kLeastSilence, 0.4 s), it went into silence: what may be repeated goes elsewhere, or to the same upstream, over a new connection; what may not waits, is unknown and holds nothing else back. What was kept to that upstream and not heard since is closed, with two upstreams so within 3 s to all, and one silence counts once against an upstream. New connections are opened as requests come. The log says "the connection is silent". Metric: pathcleat_silent_connections_total{link="upstream"}.

Tests: silence/kept_connections_to_upstreams_are_left_for_new_ones, request_sent_into_silence_is_not_taken_for_a_busy_upstream and submission_sent_into_silence_is_unknown_and_holds_nothing_back (all seen to fail with FindSilent never true: 1.5 s, 3.4 s and 1.5 s into the test); upstream_pool/* (seen to fail with CloseUnheard closing nothing, the second also with IsOtherSilent false). That the second attempt takes a new connection (UpstreamAttempt::Start) was not seen to fail in a test: the first one's finding closes what matters in it.

--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -54,6 +54,15 @@
   /// @brief Whether the upstream has answered others since it was sent.
   bool IsBusy() const;
 
+  /// @brief Whether its connection has fallen silent: not even the machine of
+  /// the upstream has acknowledged it. Once found, later requests are not held
+  /// back for this one's sake and go over new connections.
+  bool FindSilent();
+
+  /// @brief The upstream did not answer wholly. It is not blamed for
+  /// connections that are known to have fallen silent.
+  void NoteFailed();
+
   /// @brief The upstream has kept the request for too long, and answered
   /// nothing else meanwhile: later ones go elsewhere. One that answers others
   /// is only busy.
@@ -66,11 +75,15 @@
  private:
   void CountBreak(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
+  void NoteSilent(const HttpClient& client);
+  void NoteEnded();
 
   GatewayState& state_;
   HttpClientPtr client_;  ///< of the attempt under way
   Pick pick_;
   Time sent_;
+  bool silent_ = false;  ///< the connection of this attempt, as far as known
+  bool counts_ = true;   ///< against the upstream, if it fails
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/upstream_pool.hpp
+++ b/include/pathcleat/gateway/upstream_pool.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
@@ -11,6 +12,12 @@
 
 namespace pathcleat {
 
+/// @brief A request that is late and of which bytes have waited for so long
+/// for an acknowledgement went into silence: twice TCP's shortest pause before
+/// a retransmission.
+/// @ingroup gateway
+inline constexpr Duration kLeastSilence{400'000};
+
 /// @brief Kept connections to the upstreams, by upstream. The last one used
 /// is used first, so that those not needed grow old and are closed.
 /// @ingroup gateway
@@ -21,20 +28,42 @@
   /// @brief A connection for one request: a kept one or one not yet open.
   HttpClientPtr Take(const UpstreamInfo& upstream, Time now);
 
+  /// @brief A connection not yet open, though others are kept.
+  HttpClientPtr Open(const UpstreamInfo& upstream);
+
   /// @brief Gives a connection back after its answer.
   void Return(const std::string& upstream_id, const HttpClientPtr& client);
 
   /// @brief Closes the kept connections of an upstream.
   void Drop(const std::string& upstream_id);
 
+  /// @brief A connection to an upstream was found silent. What is kept to it
+  /// and was not heard lately is closed; with two upstreams so at about the
+  /// same time, what is kept to all.
+  /// @return whether it was opened since the upstream's last silence: others
+  /// tell nothing new of the upstream.
+  bool OnSilent(const std::string& upstream_id,
+                const HttpClient& client,
+                Time now);
+
+  /// @brief Connections found silent so far.
+  std::uint64_t silent() const { return silent_; }
+
   /// @brief Closes what has been idle for too long.
   void CloseIdle(Time now);
 
  private:
+  using Kept = std::vector<HttpClientPtr>;
+
   static bool IsFresh(const HttpClient& client, Time now);
+  static void CloseUnheard(Kept& kept, Time now);
+  bool IsOtherSilent(const std::string& upstream_id, Time now) const;
+  void Discard(const HttpClientPtr& client);
 
   boost::asio::io_context& loop_;
-  std::map<std::string, std::vector<HttpClientPtr>> idle_;
+  std::map<std::string, Kept> idle_;
+  std::map<std::string, Time> silences_;  ///< the last one, by upstream
+  std::uint64_t silent_ = 0;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -79,7 +79,7 @@
   int slots() const { return options_.slots; }
 
   /// @brief Requests are kept until Answer; for tests that order answers.
-  void HoldAnswers() { hold_ = true; }
+  void HoldAnswers(bool hold = true) { hold_ = hold; }
   std::size_t HeldAnswers() const { return held_.size(); }
   void AnswerHeld(std::size_t index);
   void AnswerRun(const std::string& run_id);
--- a/include/pathcleat/routing/upstream_health.hpp
+++ b/include/pathcleat/routing/upstream_health.hpp
@@ -21,6 +21,9 @@
   /// @brief A request sent to it has ended, in whatever way.
   void OnEnded() { --under_way_; }
 
+  /// @brief A request that was taken as ended is counted again.
+  void OnTakenBack() { ++under_way_; }
+
   /// @brief It gave an answer of any kind.
   void OnHeard(Time now) {
     quiet_since_ = now;
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -127,11 +127,9 @@
 // than expected, if another one would have it and time is left. Else it waits
 // on: a work that is under way may still be answered.
 void Call::ArmPatience(Duration patience) {
-  if (!route_->repeatable ||
-      !state_.settings.policy.IsOn(Mechanism::kPatience)) {
-    return;
+  if (state_.settings.policy.IsOn(Mechanism::kPatience)) {
+    Arm(patience_timer_, patience, &Call::OnPatienceOver);
   }
-  Arm(patience_timer_, patience, &Call::OnPatienceOver);
 }
 
 // A host that is being stopped leaves work where it is.
@@ -141,17 +139,23 @@
 }
 
 void Call::OnPatienceOver() {
-  if (!MayGoElsewhere()) {
+  const bool silent = attempt_.FindSilent();
+  if (!route_->repeatable || !MayGoElsewhere()) {
     return;
   }
   // One that answers others is busy: what it has begun would be thrown away.
-  const Pick next = attempt_.IsBusy() ? Pick() : ChooseNow();
+  Pick next = attempt_.IsBusy() && !silent ? Pick() : ChooseNow();
+  if (!next.upstream && silent) {
+    request_.excluded.erase(attempt_.pick().upstream->info.id);
+    next = ChooseNow();
+  }
   if (!next.upstream || !state_.RetriesOf(request_.service).TryRetry()) {
     ArmPatience(kPatienceRecheck);
     return;
   }
   trace_.NoteFailed(attempt_.pick().upstream->info.id,
-                    "no answer for far longer than expected",
+                    silent ? "the connection is silent"
+                           : "no answer for far longer than expected",
                     BootClock::now() - attempt_.sent());
   ++attempts_;
   attempt_.NoteNoAnswer();
@@ -208,7 +212,7 @@
     case CallOutcome::kBroken:
     case CallOutcome::kTimedOut:
       ++attempts_;
-      state_.OnAttemptFailed(upstream);
+      attempt_.NoteFailed();
       OnFailure(result);
       return;
   }
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -174,9 +174,13 @@
                stats.latency);
 }
 
-void AddSilence(Page& page, const MetricsInputs& inputs) {
+void AddSilence(Page& page,
+                const GatewayState& state,
+                const MetricsInputs& inputs) {
   page.Family("pathcleat_silent_connections_total", "counter",
               "Connections given up: open, but nothing came, by kind of link.");
+  page.Sample("pathcleat_silent_connections_total", {{"link", "upstream"}},
+              state.pool.silent());
   if (inputs.store_calls != nullptr) {
     page.Sample("pathcleat_silent_connections_total", {{"link", "store"}},
                 inputs.store_calls->silent_connections);
@@ -279,7 +283,7 @@
   if (inputs.store_calls != nullptr) {
     AddStore(page, *inputs.store_calls);
   }
-  AddSilence(page, inputs);
+  AddSilence(page, state, inputs);
   AddProcess(page, state, inputs.log_dropped);
   return page.Text();
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -24,6 +24,8 @@
   UpstreamState& upstream = *pick.upstream;
   pick_ = pick;
   sent_ = now;
+  const bool was_silent = std::exchange(silent_, false);
+  counts_ = true;
   upstream.load.OnSent();
   // Upstreams are quick at a key from the start of its first run on.
   upstream.keys.Touch(key);
@@ -32,7 +34,9 @@
   if (upstream.IsCold(now)) {
     upstream.cold_share.TryTake(now);
   }
-  client_ = state_.pool.Take(upstream.info, now);
+  // What went into silence once goes over a connection that is new.
+  client_ = was_silent ? state_.pool.Open(upstream.info)
+                       : state_.pool.Take(upstream.info, now);
   client_->OnOpened(std::move(opened));
   client_->Send(
       ToUpstream(state_.headers, request, request_id, upstream.info.id,
@@ -56,7 +60,11 @@
     }
   }
   CountBreak(result);
-  state_.OnAttemptEnded(upstream);
+  if (result.silent && !silent_) {
+    NoteSilent(*client);
+  }
+  NoteEnded();
+  silent_ = silent_ || result.silent;
   if (const auto opened = client->connect_time()) {
     state_.picker.OnConnected(upstream, *opened);
   }
@@ -81,6 +89,32 @@
     state_.metrics.OnBrokenOff(cause);
   }
   std::exchange(client_, nullptr)->Cancel();
+  NoteEnded();
+}
+
+bool UpstreamAttempt::FindSilent() {
+  if (silent_ || !client_) {
+    return silent_;
+  }
+  silent_ =
+      BootClock::now() - sent_ >= kLeastSilence && client_->HasUnacknowledged();
+  if (silent_) {
+    NoteSilent(*client_);
+    // It holds nothing back any more: the upstream itself may well answer.
+    pick_.upstream->health.OnEnded();
+  }
+  return silent_;
+}
+
+void UpstreamAttempt::NoteSilent(const HttpClient& client) {
+  counts_ =
+      state_.pool.OnSilent(pick_.upstream->info.id, client, BootClock::now());
+}
+
+void UpstreamAttempt::NoteEnded() {
+  if (silent_) {
+    pick_.upstream->health.OnTakenBack();
+  }
   state_.OnAttemptEnded(*pick_.upstream);
 }
 
@@ -88,13 +122,19 @@
   return pick_.upstream->health.HasAnsweredSince(sent_);
 }
 
+void UpstreamAttempt::NoteFailed() {
+  if (counts_) {
+    state_.OnAttemptFailed(*pick_.upstream);
+  }
+}
+
 void UpstreamAttempt::NoteNoAnswer() {
   if (IsBusy()) {
     return;
   }
   const Time now = BootClock::now();
   state_.picker.OnNoAnswer(*pick_.upstream, pick_, now - sent_, now);
-  state_.OnAttemptFailed(*pick_.upstream);
+  NoteFailed();
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/upstream_pool.cpp
+++ b/src/pathcleat/gateway/upstream_pool.cpp
@@ -13,6 +13,10 @@
 constexpr Duration kLongestIdle{4'000'000};
 // An upstream's stated time, less this, is relied on.
 constexpr Duration kKeepAliveMargin{1'500'000};
+// Connections from before a silence are all gone after this time: TCP finds
+// the idle ones and those under way (kSilenceLimit, and a second for the first
+// probe).
+constexpr Duration kLongestSilence = kSilenceLimit * 2;
 constexpr std::uint64_t kLargestAnswer = 64ULL * 1024 * 1024;
 
 HttpLimits AnswerLimits() {
@@ -40,8 +44,12 @@
     if (IsFresh(*client, now)) {
       return client;
     }
-    client->Cancel();
+    Discard(client);
   }
+  return Open(upstream);
+}
+
+HttpClientPtr UpstreamPool::Open(const UpstreamInfo& upstream) {
   const auto endpoint = ParseTcpEndpoint(upstream.address);
   return std::make_shared<HttpClient>(
       loop_, endpoint.value_or(boost::asio::ip::tcp::endpoint()),
@@ -66,12 +74,60 @@
   idle_.erase(found);
 }
 
+void UpstreamPool::Discard(const HttpClientPtr& client) {
+  silent_ += client->silent() ? 1 : 0;
+  client->Cancel();
+}
+
+bool UpstreamPool::OnSilent(const std::string& upstream_id,
+                            const HttpClient& client,
+                            Time now) {
+  ++silent_;
+  const auto last = silences_.find(upstream_id);
+  if (last != silences_.end() && client.opened_at() <= last->second) {
+    return false;
+  }
+  silences_[upstream_id] = now;
+  if (!IsOtherSilent(upstream_id, now)) {
+    CloseUnheard(idle_[upstream_id], now);
+    return true;
+  }
+  for (auto& [upstream, kept] : idle_) {
+    CloseUnheard(kept, now);
+  }
+  return true;
+}
+
+bool UpstreamPool::IsOtherSilent(const std::string& upstream_id,
+                                 Time now) const {
+  return std::any_of(silences_.begin(), silences_.end(),
+                     [&upstream_id, now](const auto& silence) {
+                       return silence.first != upstream_id &&
+                              now - silence.second < kSilenceLimit;
+                     });
+}
+
+// What was silent has been so for this time at least: what has been heard
+// since is trusted.
+void UpstreamPool::CloseUnheard(Kept& kept, Time now) {
+  std::erase_if(kept, [now](const HttpClientPtr& client) {
+    const bool unheard = now - client->heard_at() >= kLeastSilence;
+    if (unheard) {
+      client->Cancel();
+    }
+    return unheard;
+  });
+}
+
 void UpstreamPool::CloseIdle(Time now) {
+  std::erase_if(silences_, [now](const auto& silence) {
+    return now - silence.second >= kLongestSilence;
+  });
   for (auto entry = idle_.begin(); entry != idle_.end();) {
-    std::erase_if(entry->second, [now](const HttpClientPtr& client) {
+    std::erase_if(entry->second, [this, now](const HttpClientPtr& client) {
       const bool stale = !IsFresh(*client, now);
       if (stale) {
-        client->Cancel();
+        Discard(client);
       }
       return stale;
     });
--- /dev/null
+++ b/src/pathcleat/gateway/upstream_pool_test.cpp
@@ -0,0 +1,101 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/upstream_pool.hpp"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "event_loop.hpp"
+#include "pathcleat/http/http_message.hpp"
+#include "pathcleat/http/http_server.hpp"
+
+namespace pathcleat {
+namespace {
+
+struct PoolWorld {
+  boost::asio::io_context loop{1};
+  HttpServer server{loop, [](const ExchangePtr& exchange) {
+                      exchange->Respond(TextResponse(200, "done\n"));
+                    }};
+  std::string address;
+  UpstreamPool pool{loop};
+
+  PoolWorld() {
+    const std::string ip = OwnAddress();
+    TryOr(
+        [&]() -> Result<void> {
+          BOOST_LEAF_AUTO(port, server.Listen(ip, 0));
+          address = ip + ":" + std::to_string(port);
+          return {};
+        },
+        [](const Error&) {});
+    cr_assert_not(address.empty());
+  }
+
+  UpstreamInfo Upstream(const std::string& id) const {
+    UpstreamInfo upstream;
+    upstream.id = id;
+    upstream.address = address;
+    return upstream;
+  }
+
+  HttpClientPtr Opened(const std::string& id) {
+    const HttpClientPtr client = pool.Open(Upstream(id));
+    bool done = false;
+    client->Send({"GET", "/", {{"Host", "test"}}, ""}, {},
+                 [&done](const CallResult&) { done = true; });
+    cr_assert(WaitUntil(loop, [&done] { return done; }));
+    cr_assert(client->IsReusable());
+    return client;
+  }
+
+  void Keep(const std::string& id) { pool.Return(id, Opened(id)); }
+
+  bool Keeps(const std::string& id) {
+    const HttpClientPtr client = pool.Take(Upstream(id), BootClock::now());
+    const bool kept = client->IsReusable();
+    pool.Return(id, client);
+    return kept;
+  }
+
+  void AwaitUnheard(const HttpClientPtr& client) {
+    cr_assert(WaitUntil(loop, [&client] {
+      return BootClock::now() - client->heard_at() > kLeastSilence;
+    }));
+  }
+};
+
+// What was kept before a silence is not trusted, what was heard since is.
+// Checked to fail with CloseUnheard closing nothing.
+Test(upstream_pool, connections_from_before_a_silence_are_not_used) {
+  PoolWorld world;
+  const HttpClientPtr silent = world.Opened("u");
+  world.Keep("u");
+  world.Keep("u");
+  world.AwaitUnheard(world.pool.Take(world.Upstream("u"), BootClock::now()));
+  cr_assert(world.Keeps("u"));
+  cr_assert(world.pool.OnSilent("u", *silent, BootClock::now()));
+  cr_assert_not(world.Keeps("u"));
+  world.Keep("u");
+  // The others that are found tell nothing new.
+  cr_assert_not(world.pool.OnSilent("u", *silent, BootClock::now()));
+  cr_assert(world.Keeps("u"));
+  cr_assert_eq(world.pool.silent(), 2U);
+}
+
+// Checked to fail with IsOtherSilent returning false.
+Test(upstream_pool, silence_of_two_upstreams_is_taken_for_all) {
+  PoolWorld world;
+  const HttpClientPtr first = world.Opened("a");
+  const HttpClientPtr second = world.Opened("b");
+  const HttpClientPtr last = world.Opened("c");
+  world.pool.Return("c", last);
+  world.AwaitUnheard(last);
+  world.pool.OnSilent("a", *first, BootClock::now());
+  cr_assert(world.Keeps("c"));
+  world.pool.OnSilent("b", *second, BootClock::now());
+  cr_assert_not(world.Keeps("c"));
+}
+
+}  // namespace
+}  // namespace pathcleat
--- a/src/pathcleat/lab/silence_test.cpp
+++ b/src/pathcleat/lab/silence_test.cpp
@@ -112,5 +112,150 @@
       static_cast<int>(silent.Calls(0, StoreOutcome::kUnknown) - before));
 }
 
+// One host, which reaches each upstream by a way of its own.
+struct UpstreamWorld {
+  TestWorld world;
+  std::vector<std::unique_ptr<PassThrough>> ways;
+  std::vector<std::unique_ptr<RawClient>> callers;
+
+  explicit UpstreamWorld(int upstreams) : world(PlanFor(upstreams)) {
+    for (std::size_t i = 0; i < world.upstreams(); ++i) {
+      UpstreamInfo info = world.upstream_info(i);
+      ways.push_back(std::make_unique<PassThrough>(
+          world.loop(), world.address(), *ParseTcpEndpoint(info.address)));
+      info.address = ways.back()->address();
+      world.platform().PutUpstream(info);
+    }
+    world.StartAll();
+  }
+
+  static TestWorldPlan PlanFor(int upstreams) {
+    TestWorldPlan plan;
+    plan.hosts_in_domain = {1};
+    plan.upstreams_in_domain = upstreams;
+    plan.slots = 8;
+    plan.timeout = Duration(20'000'000);
+    return plan;
+  }
+
+  RawClient& Caller(const std::string& text) {
+    callers.push_back(std::make_unique<RawClient>(world.loop(), world.address(),
+                                                  world.CallerPort(0)));
+    callers.back()->Send(text);
+    return *callers.back();
+  }
+
+  static std::string GetText(const std::string& id) {
+    return "GET /s/read/item HTTP/1.1\r\nHost: test.example\r\nX-Run-Id: " +
+           id + "\r\n\r\n";
+  }
+
+  static std::string PostText(const std::string& id) {
+    return "POST /s/write/entry HTTP/1.1\r\nHost: test.example\r\nX-Run-Id: " +
+           id + "\r\nContent-Length: 1\r\n\r\nb";
+  }
+
+  // Leaves so many connections kept, over all upstreams.
+  void Keep(int connections) {
+    world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+    for (int i = 0; i < connections; ++i) {
+      Caller(PostText("keep" + std::to_string(i)));
+    }
+    cr_assert(world.Await([&] { return world.InFlight() == connections; }));
+    for (int i = 0; i < connections; ++i) {
+      const std::string id = "keep" + std::to_string(i);
+      world.ForEachUpstream([&id](UpstreamStandIn& u) { u.AnswerRun(id); });
+      cr_assert(world.Await([&] { return callers.at(i)->Has("end " + id); }));
+    }
+    world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(false); });
+  }
+
+  void SilenceAll() {
+    for (const auto& way : ways) {
+      way->Silence(Hush::kNetwork);
+    }
+  }
+
+  int Opened() const {
+    int opened = 0;
+    for (const auto& way : ways) {
+      opened += way->accepted();
+    }
+    return opened;
+  }
+
+  int Retried() {
+    int retried = 0;
+    for (const Event& event : world.host(0).state().events.Snapshot()) {
+      retried += event.code == EventCode::kRequestRetried ? 1 : 0;
+    }
+    return retried;
+  }
+};
+
+// All kept connections to all upstreams fall silent at one moment. Each
+// upstream's is met once at most, what may be repeated is answered over new
+// ones, and these are opened as requests come and not in advance. Checked to
+// fail with FindSilent returning false.
+Test(silence, kept_connections_to_upstreams_are_left_for_new_ones) {
+  constexpr int kKept = 16;  // all slots of both
+  constexpr int kAfter = 12;
+  UpstreamWorld silent(2);
+  TestWorld& world = silent.world;
+  silent.Keep(kKept);
+  const int before = silent.Opened();
+  silent.SilenceAll();
+  for (int i = 0; i < kAfter; ++i) {
+    const std::string id = "after" + std::to_string(i);
+    cr_assert_eq(world.Get(0, id).response.status, http_status::kOk, "%s",
+                 id.c_str());
+    cr_assert_eq(world.RunsOf(id), 1);
+  }
+  cr_assert_leq(silent.Retried(), 2);
+  cr_assert_leq(silent.Opened() - before, kAfter);
+  cr_assert_not(
+      Has(world.Metrics(0).response.body,
+          "pathcleat_silent_connections_total{link=\"upstream\"} 0\n"));
+}
+
+// An upstream that answers others over new connections is alive, but what went
+// into silence will never be answered. Checked to fail (502 after TCP's limit)
+// with FindSilent returning false.
+Test(silence, request_sent_into_silence_is_not_taken_for_a_busy_upstream) {
+  UpstreamWorld silent(1);
+  TestWorld& world = silent.world;
+  silent.Keep(1);
+  silent.SilenceAll();
+  RawClient& caller = silent.Caller(UpstreamWorld::GetText("lost"));
+  cr_assert(world.Await([&] { return world.host(0).state().requests == 1; }));
+  for (int i = 0; !caller.Has("end lost") && !caller.Has("502"); ++i) {
+    cr_assert_eq(world.Get(0, "other" + std::to_string(i)).response.status,
+                 http_status::kOk);
+  }
+  cr_assert(caller.Has("end lost"));
+  cr_assert_eq(world.RunsOf("lost"), 1);
+}
+
+// What may not be repeated is unknown and never sent again, and holds nothing
+// else back. Checked to fail (503 for the others) with FindSilent returning
+// false.
+Test(silence, submission_sent_into_silence_is_unknown_and_holds_nothing_back) {
+  UpstreamWorld silent(1);
+  TestWorld& world = silent.world;
+  silent.Keep(1);
+  silent.SilenceAll();
+  RawClient& caller = silent.Caller(UpstreamWorld::PostText("lost"));
+  const Time sent = BootClock::now();
+  // Later than an upstream that answers nothing counts as silent itself.
+  constexpr Duration kBeyondPatience{1'500'000};
+  cr_assert(
+      world.Await([&] { return BootClock::now() - sent > kBeyondPatience; }));
+  cr_assert_eq(world.Get(0, "other").response.status, http_status::kOk);
+  cr_assert(world.Await([&] { return caller.Has("HTTP/1.1"); }));
+  cr_assert(caller.Has("HTTP/1.1 502"));
+  cr_assert(caller.Has("unknown"));
+  cr_assert_eq(world.RunsOf("lost"), 0);
+}
+
 }  // namespace
 }  // namespace pathcleat
