HttpServer: room for new callers, and word where there is none

A host full of half-sent requests or at its limit of descriptors took no caller: accept failed, was tried again every 50 ms, and its readiness check went on to pass.

Ruled out: a shorter time for reading requests (it ends slow callers where there is room). Change: at a bound, or when accepting fails, connections on which nobody waits for an answer end: those that linger, the longest half-sent (told 503, not run, with Retry-After), the longest idle, 16 at once. Requests under way are never ended; a caller beyond the bound is told 503. Callers have half of the descriptors less 300, as each request needs a second one. A host that cannot accept says that it is not ready.

Left: a burst is still taken one connection a turn of the loop.

Gateway's own lines (the bound from the limit, readiness by CanAccept) have no test of the whole path yet.

--- a/include/pathcleat/http/http_server.hpp
+++ b/include/pathcleat/http/http_server.hpp
@@ -50,6 +50,13 @@
   /// until their next answer, so that no request under way is cut.
   void CloseAfterAnswers() { close_after_answers_ = true; }
 
+  /// @brief At this many connections those of least worth are ended for new
+  /// ones: see MakeRoom. 0: as many as descriptors allow.
+  void SetMostConnections(std::size_t most) { most_ = most; }
+
+  /// @brief Whether new connections can be taken, as far as the last try told.
+  bool CanAccept() const { return can_accept_; }
+
   /// @brief Takes what waits in the backlog and accepts no more.
   void StopAccepting();
 
@@ -62,8 +69,14 @@
   friend class ServerSession;
 
   void Accept();
+  void OnAcceptFailed();
   void RetryAccept();
   void Open(boost::asio::ip::tcp::socket socket);
+
+  /// @brief Ends connections on which nobody waits for an answer: those that
+  /// linger, then the longest half-sent requests, then the longest idle.
+  /// @return whether any was ended.
+  bool MakeRoom();
   void Sweep();
 
   boost::asio::io_context& loop_;
@@ -74,6 +87,8 @@
   boost::asio::steady_timer sweep_timer_;
   boost::asio::steady_timer accept_timer_;
   std::unordered_set<std::shared_ptr<ServerSession>> sessions_;
+  std::size_t most_ = 0;
+  bool can_accept_ = true;
   bool close_after_answers_ = false;
   bool finishing_ = false;
 };
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -1,6 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/gateway.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -25,6 +28,23 @@
 constexpr const char* kNoConfig = "no configuration yet";
 constexpr const char* kBehind = "a newer configuration is due";
 
+// Descriptors that are never callers': files and the runtime's own (200 by the
+// users' pages), the store, other hosts, readiness, metrics, operators.
+constexpr rlim_t kDescriptorsKept = 300;
+constexpr rlim_t kFewestCallers = 64;
+
+// Each request under way holds a second connection, to its upstream.
+std::size_t MostCallers() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
+      limit.rlim_cur == RLIM_INFINITY) {
+    return 0;
+  }
+  const rlim_t left =
+      std::max(limit.rlim_cur, kDescriptorsKept) - kDescriptorsKept;
+  return std::max(left / 2, kFewestCallers);
+}
+
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& loop,
@@ -83,6 +103,7 @@
     state_.events.Record(EventCode::kCallerInputRejected, caller,
                          "status " + std::to_string(status));
   });
+  callers_.SetMostConnections(MostCallers());
   BOOST_LEAF_CHECK(ListenAt(callers_, settings.listen.callers));
   BOOST_LEAF_CHECK(ListenAt(readiness_, settings.listen.readiness));
   BOOST_LEAF_CHECK(ListenAt(locate_, settings.listen.locate));
@@ -101,7 +122,8 @@
 }
 
 bool Gateway::IsReady() const {
-  return !state_.leaving && view_.IsLoaded() && !IsTooFarBehind();
+  return !state_.leaving && view_.IsLoaded() && !IsTooFarBehind() &&
+         callers_.CanAccept();
 }
 
 // Past the bound a request must not be handled as only an older version would.
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/http/http_server.hpp"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -14,6 +15,8 @@
 
 constexpr std::chrono::milliseconds kSweepPeriod{500};
 constexpr std::chrono::milliseconds kAcceptRetryPause{50};
+// Connections ended at once to make room: ranking them all costs more.
+constexpr std::size_t kEndedAtOnce = 16;
 
 }  // namespace
 
@@ -64,15 +67,25 @@
       return;
     }
     if (error) {
-      RetryAccept();
+      OnAcceptFailed();
       return;
     }
+    can_accept_ = true;
     Open(std::move(socket));
     Accept();
   });
 }
 
-// Out of descriptors: tried again when some may have been freed.
+// Out of descriptors: room is made, or comes when answers are given.
+void HttpServer::OnAcceptFailed() {
+  if (MakeRoom()) {
+    Accept();
+    return;
+  }
+  can_accept_ = false;
+  RetryAccept();
+}
+
 void HttpServer::RetryAccept() {
   accept_timer_.expires_after(kAcceptRetryPause);
   accept_timer_.async_wait([this](const error_code& error) {
@@ -82,11 +95,35 @@
   });
 }
 
+bool HttpServer::MakeRoom() {
+  std::vector<std::pair<SessionWorth, std::shared_ptr<ServerSession>>> ranked;
+  for (const auto& session : sessions_) {
+    if (const auto worth = session->Worth()) {
+      ranked.emplace_back(*worth, session);
+    }
+  }
+  const std::size_t ended = std::min(ranked.size(), kEndedAtOnce);
+  std::partial_sort(
+      ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(ended),
+      ranked.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (std::size_t i = 0; i < ended; ++i) {
+    ranked[i].second->GiveWay();
+  }
+  return ended > 0;
+}
+
 void HttpServer::Open(tcp::socket socket) {
+  const bool full = most_ > 0 && sessions_.size() >= most_;
+  const bool shed = full && !MakeRoom();
   const auto session =
       std::make_shared<ServerSession>(*this, std::move(socket));
   sessions_.insert(session);
-  session->Start();
+  if (shed) {
+    session->GiveWay();
+  } else {
+    session->Start();
+  }
 }
 
 void HttpServer::Sweep() {
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -3,6 +3,7 @@
 
 #include <poll.h>
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -17,6 +18,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
+// Half-sent requests and idle connections make room at once where there are
+// any; what is under way takes seconds at most.
+constexpr const char* kComeBackSeconds = "1";
 constexpr std::size_t kReadChunk = 8UL * 1024;
 constexpr Duration kLingerTime{2'000'000};
 // A caller that has left is known in time for its work to be cancelled within
@@ -320,6 +324,42 @@
   }
 }
 
+std::optional<SessionWorth> ServerSession::Worth() {
+  if (closing_) {
+    return SessionWorth{SessionWorth::Kind::kLingering, phase_began_};
+  }
+  error_code error;
+  if (closed_ || exchange_ || writing_ || socket_.available(error) > 0) {
+    return std::nullopt;
+  }
+  const bool half_sent = parser_->got_some() || buffer_.size() > 0;
+  return SessionWorth{
+      half_sent ? SessionWorth::Kind::kHalfSent : SessionWorth::Kind::kIdle,
+      phase_began_};
+}
+
+// Sent as far as the connection takes it at once. What has come is read, as
+// the answer would else be overtaken by a reset.
+void ServerSession::GiveWay() {
+  const bool idle = !closing_ && reading_ && !parser_->got_some();
+  if (!closing_ && !idle) {
+    HttpResponse response = TextResponse(http_status::kUnavailable,
+                                         "not run: too many connections\n");
+    response.headers.push_back({"Retry-After", kComeBackSeconds});
+    const std::string text = SerializeResponse(response, false, false);
+    error_code error;
+    std::array<char, kReadChunk> unread{};
+    socket_.non_blocking(true, error);
+    socket_.read_some(boost::asio::buffer(unread), error);
+    socket_.write_some(boost::asio::buffer(text), error);
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
+    if (server_ != nullptr && server_->rejected_) {
+      server_->rejected_(http_status::kUnavailable, caller_);
+    }
+  }
+  Close();
+}
+
 void ServerSession::Close() {
   if (closed_) {
     return;
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -6,6 +6,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <compare>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +15,15 @@
 
 namespace pathcleat {
 
+/// @brief What a connection without a request under way is worth, the least
+/// first: its kind, then since when it has been so.
+struct SessionWorth {
+  enum class Kind { kLingering, kHalfSent, kIdle };
+  Kind kind = Kind::kIdle;
+  Time since;
+  auto operator<=>(const SessionWorth&) const = default;
+};
+
 /// @brief The server's end of one connection. While a request waits for its
 /// answer the socket is still read, so that a caller's leaving is seen at
 /// once; what arrives meanwhile is kept as the next request. Once that is as
@@ -31,6 +41,14 @@
   /// @brief Ends what has taken too long. Called several times a second.
   void CheckTime(Time now);
 
+  /// @brief What it is worth; nothing while its caller waits for an answer or
+  /// sends.
+  std::optional<SessionWorth> Worth();
+
+  /// @brief Ends it at once for others: a request that is half sent, or not
+  /// read, is told that it was not run.
+  void GiveWay();
+
   /// @brief The server is going away: no callbacks any more.
   void Detach();
 
