A stop answers what has arrived and is not read yet

Cause: at the end of accepting, ServerSession::Finish took a connection for idle if nothing of a request was read. A busy host has requests that lie in the socket or in the backlog, or whose read has ended and is not handled: they were read, dropped, and their callers saw the connection end with no answer. Ruled out: closing later (what lies unread then is lost in the same way). Change: what can be read counts, and a read that has ended is handled first. Seen to fail, nothing received: http_server/request_that_waits_to_be_accepted with CloseIfIdle called by Finish at once, request_that_waits_to_be_read with unread out of CloseIfIdle. Conclusion: another place of the stop where a request ended without an answer.

--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -4,6 +4,7 @@
 #include <poll.h>
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
@@ -80,11 +81,20 @@
   Close();
 }
 
+// What a caller has sent, also if this host has not come to read it yet, is
+// read and answered. A read that has ended is handled first.
 void ServerSession::Finish() {
   last_request_ = true;
-  const bool idle =
-      !exchange_ && !writing_ && !parser_->got_some() && buffer_.size() == 0;
-  if (idle) {
+  boost::asio::post(socket_.get_executor(),
+                    [self = shared_from_this()] { self->CloseIfIdle(); });
+}
+
+void ServerSession::CloseIfIdle() {
+  error_code error;
+  const bool unread = !closed_ && socket_.available(error) > 0;
+  const bool idle = !exchange_ && !writing_ && !parser_->got_some() &&
+                    buffer_.size() == 0 && !unread;
+  if (idle && !closing_ && !closed_) {
     BeginClose();
   }
 }
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -56,6 +56,7 @@
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
+  void CloseIfIdle();
   void Read();
   void OnReadEnd(const boost::system::error_code& error);
   void OnCallerEnded();
