A reading of the whole is not begun anew because others know more

Cause: after history was lost a host reads its topic whole. Ruled out: a longer bound (a slower link needs a longer one still); readings have limits of their own, on their first byte and on their progress. Change: OnPeerVersion leaves a reading under way alone; a host beside is asked as before. Seen to fail: source_watcher/whole_reading_is_not_begun_anew with reading_ out of OnPeerVersion.

--- a/src/pathcleat/gateway/source_watcher.cpp
+++ b/src/pathcleat/gateway/source_watcher.cpp
@@ -40,6 +40,7 @@
       timer_(loop) {}
 
 void SourceWatcher::Start() {
+  reading_ = true;
   page_ = {};
   Read("");
 }
@@ -76,6 +77,7 @@
 }
 
 void SourceWatcher::Watch() {
+  reading_ = false;
   source_.Watch(topic_, version_, kWatchTime, Current(&SourceWatcher::OnWatch));
 }
 
@@ -133,7 +135,9 @@
     behind_since_ = now;
     return;
   }
-  if (now - TrustedSince() > kDeadWatchAfter && failures_ == 0) {
+  // A reading ends by its own limits: begun anew, it would never get done on
+  // a link that needs longer for the whole.
+  if (!reading_ && failures_ == 0 && now - TrustedSince() > kDeadWatchAfter) {
     begun_anew_ = now;
     source_.StopWatch(topic_);
     ++generation_;
--- a/src/pathcleat/gateway/source_watcher_test.cpp
+++ b/src/pathcleat/gateway/source_watcher_test.cpp
@@ -102,6 +102,26 @@
   cr_assert_eq(world.source.reads.size(), 2U);
 }
 
+// A whole reading that took longer than a watch may be silent was dropped for
+// a watch, which told again that history is lost: the whole was sent again and
+// again, and never taken. Checked to fail with reading_ out of OnPeerVersion.
+Test(source_watcher, whole_reading_is_not_begun_anew_when_peers_know_more) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  SourceAnswer gone;
+  gone.outcome = StoreOutcome::kHistoryGone;
+  world.source.watches.back()(gone);
+  const Time now{Duration(1'000'000)};
+  world.watcher.OnPeerVersion(8, now);
+  world.watcher.OnPeerVersion(8, now + Duration(2'000'000));
+  cr_assert_eq(world.source.watches.size(), 1U);
+  // Others are still asked beside it.
+  cr_assert(world.watcher.IsBehind(8, now + Duration(2'000'000)));
+  world.source.reads.back()(WatcherWorld::Done(8));
+  cr_assert_eq(world.updates.size(), 2U);
+  cr_assert_eq(world.source.watched_after, 8U);
+}
+
 // A watch begun before a peer told more would bring back what has since
 // gone. Checked to fail with the comparison in OnWatch taken out.
 Test(source_watcher, answer_older_than_what_a_peer_told_is_dropped) {
