A watch that another answer has overtaken is no failure of its relay

Cause: a watch tells the version known when it was asked. If another host told more meanwhile, the change that it brings is of an older version: it counted as a fault, the relay was left alone for 5 s, the store was asked, and the whole configuration was wanted, with each question from then on until a still newer version came (the flag stayed where the version told was in force by then). Ruled out: changes kept for any base (each question would hold its version). Change: an overtaken watch is told as no news and asked again with the version in force; an overtaken reading is none; the wish for the whole ends with it. Seen to fail: peer_feed/watch_that_another_answer_has_overtaken and reading_that_another_answer_has_overtaken with IsOvertaken false, whole_is_asked_for_until_it_is_told with wants_whole_ left as it is.

--- a/include/pathcleat/gateway/peer_feed.hpp
+++ b/include/pathcleat/gateway/peer_feed.hpp
@@ -11,6 +11,7 @@
 
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
+#include "pathcleat/gateway/config_part.hpp"
 #include "pathcleat/gateway/feed_tables.hpp"
 #include "pathcleat/gateway/fleet_snapshot.hpp"
 #include "pathcleat/http/http_client.hpp"
@@ -83,6 +84,8 @@
   void GiveUp(const PeerQuestion& question, const std::string& reason);
 
  private:
+  enum class PartUse : std::uint8_t { kComplete, kOvertaken, kUnusable };
+
   struct Waiting {
     ExchangePtr exchange;
     FeedRequest request;
@@ -99,7 +102,8 @@
                      const std::string& reason);
   std::optional<FleetSnapshot> Open(const FeedRequest& request,
                                     const std::string& body);
-  bool Complete(FleetSnapshot& snapshot);
+  PartUse Complete(FleetSnapshot& snapshot);
+  bool IsOvertaken(const ConfigPart& part) const;
   void Sweep();
 
   boost::asio::io_context& loop_;
--- a/src/pathcleat/gateway/peer_feed.cpp
+++ b/src/pathcleat/gateway/peer_feed.cpp
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "pathcleat/core/seal.hpp"
-#include "pathcleat/gateway/config_part.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_status.hpp"
@@ -90,6 +89,13 @@
              : "not an answer of this fleet";
 }
 
+// Older than anything that is known: it changes nothing.
+FleetSnapshot NothingNew(SourceTopic topic) {
+  FleetSnapshot snapshot;
+  snapshot.topic = topic;
+  return snapshot;
+}
+
 void TurnAway(const ExchangePtr& exchange) {
   exchange->Respond(
       TextResponse(http_status::kUnavailable, "no news at first hand\n"));
@@ -246,32 +252,48 @@
     return std::nullopt;
   }
   auto snapshot = DecodeSnapshot(*message);
-  if (!snapshot || snapshot->topic != request.topic || !Complete(*snapshot)) {
+  if (!snapshot || snapshot->topic != request.topic) {
     return std::nullopt;
   }
-  return snapshot;
+  const PartUse use = Complete(*snapshot);
+  if (use == PartUse::kOvertaken && request.after > 0) {
+    return NothingNew(request.topic);
+  }
+  return use == PartUse::kComplete ? snapshot : std::nullopt;
 }
 
 // A change may be of another version than the one in force by now.
-bool PeerFeed::Complete(FleetSnapshot& snapshot) {
+PeerFeed::PartUse PeerFeed::Complete(FleetSnapshot& snapshot) {
   if (snapshot.config_part.empty()) {
-    return true;
+    return PartUse::kComplete;
   }
   auto part = DecodeConfigPart(snapshot.config_part);
   snapshot.config_part.clear();
   if (!part) {
-    return false;
+    return PartUse::kUnusable;
   }
   const RoutingConfig* known = tables_.Config();
   if (known != nullptr && part->config.version <= known->version) {
-    return true;
+    wants_whole_ = false;
+    return PartUse::kComplete;
+  }
+  if (IsOvertaken(*part)) {
+    return PartUse::kOvertaken;
   }
   auto config = CompleteConfig(std::move(*part), known);
   wants_whole_ = !config.has_value();
-  if (config) {
-    snapshot.config = std::move(*config);
+  if (!config) {
+    return PartUse::kUnusable;
   }
-  return config.has_value();
+  snapshot.config = std::move(*config);
+  return PartUse::kComplete;
+}
+
+// A watch may wait for 20 s, and another answer came into force meanwhile. Who
+// asks again tells the version in force by then, and is told what changes it.
+bool PeerFeed::IsOvertaken(const ConfigPart& part) const {
+  const RoutingConfig* known = tables_.Config();
+  return part.base > 0 && known != nullptr && known->version > part.base;
 }
 
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/peer_feed_test.cpp
@@ -0,0 +1,151 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/peer_feed.hpp"
+
+#include "event_loop.hpp"
+#include "pathcleat/gateway/config_history.hpp"
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr const char* kKey = "the hosts' key";
+constexpr std::uint16_t kPort = 20'000;
+constexpr Duration kWait{10'000'000};
+constexpr Duration kTimeout{1'000'000};
+
+// What a host knows, as the test says.
+class HandTables : public FeedTables {
+ public:
+  explicit HandTables(std::uint64_t version) { Take(version); }
+
+  // Each version changes the second of two routes.
+  void Take(std::uint64_t version) {
+    config_.version = version;
+    config_.routes.resize(2);
+    config_.routes.front().timeout = kTimeout;
+    config_.routes.back().timeout = Duration(version);
+    history_.Note(config_);
+  }
+
+  // As after a fault of memory: not what the version says.
+  void Spoil() { config_.routes.front().timeout = Duration(0); }
+
+  std::uint64_t Newest(SourceTopic) const override { return config_.version; }
+  const RoutingConfig* Config() const override { return &config_; }
+
+  FleetSnapshot Snapshot(const FeedRequest& request) override {
+    asked = request;
+    FleetSnapshot snapshot;
+    snapshot.version = config_.version;
+    snapshot.changed = config_.version;
+    if (config_.version > request.config) {
+      snapshot.config_part = history_.PartSince(config_, request.config);
+    }
+    return snapshot;
+  }
+
+  FeedRequest asked;  ///< last of all
+
+ private:
+  RoutingConfig config_;
+  ConfigHistory history_;
+};
+
+struct FeedWorld {
+  explicit FeedWorld(std::uint64_t version) : told(version), known(version) {
+    SilenceLog();
+    teller.SetKey(kKey);
+    follower.SetKey(kKey);
+    const bool open = TryOr(
+        [&]() -> Result<bool> {
+          BOOST_LEAF_CHECK(teller.Open(address, kPort));
+          return true;
+        },
+        [](const Error&) { return false; });
+    cr_assert(open);
+  }
+
+  void Ask(std::uint64_t after, Duration wait) {
+    answered = false;
+    follower.Ask({"teller", address + ":" + std::to_string(kPort)},
+                 {SourceTopic::kOrders, after, wait},
+                 [this](const std::optional<FeedAnswer>& given) {
+                   answered = true;
+                   answer = given;
+                 });
+  }
+
+  void AwaitAnswer() {
+    cr_assert(WaitUntil(loop, [this] { return answered; }));
+  }
+
+  boost::asio::io_context loop{1};
+  std::string address = OwnAddress();
+  EventLog events{"host", 100};
+  PeerTraffic traffic;
+  HandTables told;
+  HandTables known;
+  PeerFeed teller{loop, events, traffic, told};
+  PeerFeed follower{loop, events, traffic, known};
+  bool answered = false;
+  std::optional<FeedAnswer> answer;
+};
+
+// A watch waits for up to 20 s; meanwhile another host may tell more. The
+// change that it then brings is of the version known when it was asked: its
+// relay was left alone for 5 s, and the whole was asked for, of the store.
+// Checked to fail (no answer) with IsOvertaken giving false.
+Test(peer_feed, watch_that_another_answer_has_overtaken_is_no_failure) {
+  FeedWorld world(5);
+  world.Ask(5, kWait);
+  world.known.Take(7);
+  world.told.Take(7);
+  world.told.Take(9);
+  world.AwaitAnswer();
+  cr_assert(world.answer.has_value());
+  cr_assert_eq(world.answer->snapshot.version, 0U, "nothing was learnt");
+  world.Ask(7, kWait);
+  world.AwaitAnswer();
+  cr_assert_eq(world.told.asked.config, 7U, "a change is enough");
+  cr_assert(world.answer.has_value());
+  cr_assert_eq(world.answer->snapshot.config.version, 9U);
+}
+
+// An answer asked for at once is a whole reading: what it lacks would count
+// as gone, so one that was overtaken is none.
+Test(peer_feed, reading_that_another_answer_has_overtaken_is_no_answer) {
+  FeedWorld world(5);
+  world.Ask(0, Duration(0));
+  world.known.Take(7);
+  world.told.Take(7);
+  world.told.Take(9);
+  world.AwaitAnswer();
+  cr_assert_not(world.answer.has_value());
+  world.Ask(0, Duration(0));
+  world.AwaitAnswer();
+  cr_assert_eq(world.told.asked.config, 7U, "a change is enough");
+}
+
+// A change that does not fit asks for the whole once, and not with each
+// question from then on. Checked to fail with wants_whole_ left as it is
+// where the version told is in force by then.
+Test(peer_feed, whole_is_asked_for_until_it_is_told) {
+  FeedWorld world(5);
+  world.known.Spoil();
+  world.told.Take(9);
+  world.Ask(5, kWait);
+  world.AwaitAnswer();
+  cr_assert_not(world.answer.has_value());
+  // The store tells it meanwhile.
+  world.known.Take(9);
+  world.Ask(8, kWait);
+  world.AwaitAnswer();
+  cr_assert_eq(world.told.asked.config, 0U);
+  cr_assert(world.answer.has_value());
+  world.Ask(8, kWait);
+  world.AwaitAnswer();
+  cr_assert_eq(world.told.asked.config, 9U);
+}
+
+}  // namespace
+}  // namespace pathcleat
