Hosts that all lack a configuration do not name each other

Cause: a host without a configuration, or behind, told callers 0 s if any other host lived. At a fleet's start all live and none has one: callers went round at once, without end, which also holds up what would load it. Ruled out: the constant that was there before (nothing is known of a time). Change: 0 only if another host that takes callers has what is missing in force, as its heartbeats tell; else the last useful moment, as for a host alone. Seen to fail: refusals/hosts_that_all_lack_a_configuration with Alive() > 1 in Gateway::ReturnUnloaded.

--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -58,6 +58,10 @@
   /// @brief Hosts alive now, this one included.
   int Alive(Time now) const;
 
+  /// @brief Whether another host that takes callers has this configuration, or
+  /// a newer one, in force.
+  bool OtherHasConfig(std::uint64_t version, Time now) const;
+
   /// @brief Addresses that a caller should use: hosts of its failure domain;
   /// where those are fewer than wanted, its region's too; else any.
   std::vector<std::string> Locate(const std::string& region,
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -91,6 +91,15 @@
   return count;
 }
 
+bool HostTable::OtherHasConfig(std::uint64_t version, Time now) const {
+  return std::any_of(others_.begin(), others_.end(),
+                     [this, version, now](const auto& other) {
+                       const KnownHost& host = other.second;
+                       return !host.info.leaving && IsAlive(host, now) &&
+                              host.versions.config >= version;
+                     });
+}
+
 std::vector<HostInfo> HostTable::Serving(Time now) const {
   std::vector<HostInfo> serving;
   if (!self_.leaving) {
--- a/src/pathcleat/fleet/host_table_test.cpp
+++ b/src/pathcleat/fleet/host_table_test.cpp
@@ -55,6 +55,20 @@
   cr_assert_str_eq(found.front().c_str(), "self");
 }
 
+Test(host_table, configuration_counts_at_hosts_that_take_callers) {
+  HostTable table(HostAt("self", "n1", "north"), kSilence);
+  HostVersions versions;
+  versions.config = 4;
+  HostInfo other = HostAt("other", "n1", "north");
+  table.OnHeard(other, versions, kStart);
+  cr_assert(table.OtherHasConfig(4, kStart));
+  cr_assert_not(table.OtherHasConfig(5, kStart));
+  cr_assert_not(table.OtherHasConfig(4, kStart + kSilence + Duration(1)));
+  other.leaving = true;
+  table.OnHeard(other, versions, kStart);
+  cr_assert_not(table.OtherHasConfig(4, kStart));
+}
+
 Test(host_table, older_incarnation_is_not_believed) {
   HostTable table(HostAt("self", "n1", "north"), kSilence);
   HostInfo restarted = HostAt("other", "n1", "north");
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -208,11 +208,14 @@
       http_status::kOk, RenderMetrics(state_, inputs, BootClock::now())));
 }
 
-// Another host can serve at once. Without one the store is waited for: when it
-// answers is not known, so the later the better. A caller that names no
-// deadline asks anew which hosts to use after the locate answer's time.
+// Another host can serve at once, if it has what is missing here: all hosts of
+// a fleet may lack it, at its start or after a partition. Then the store is
+// waited for: when it answers is not known, so the later the better. A caller
+// that names no deadline asks anew which hosts to use after the locate answer's
+// time.
 Duration Gateway::ReturnUnloaded(const Exchange& exchange) const {
-  if (state_.hosts.Alive(BootClock::now()) > 1) {
+  const std::uint64_t missing = view_.IsLoaded() ? state_.routes.version() : 0;
+  if (state_.hosts.OtherHasConfig(missing + 1, BootClock::now())) {
     return Duration::zero();
   }
   const Duration left = CallerDeadline(state_.headers, exchange.request())
--- a/src/pathcleat/lab/refusal_test.cpp
+++ b/src/pathcleat/lab/refusal_test.cpp
@@ -60,6 +60,29 @@
   cr_assert(!FindHeader(world.Ready(0).response.headers, "Retry-After"));
 }
 
+// All hosts of a fleet start while there is no configuration: each named the
+// others, and callers went round at once, without end. Checked to fail with
+// Alive() > 1 in Gateway::ReturnUnloaded.
+Test(refusals, hosts_that_all_lack_a_configuration_do_not_name_each_other) {
+  TestWorld world;
+  world.platform().PutRaw("op", "config", "none yet");
+  world.StartHost(0);
+  world.StartHost(1);
+  cr_assert(world.Await([&] {
+    return world.host(0).state().hosts.Alive(BootClock::now()) == 2;
+  }));
+  const std::string host =
+      world.address() + ":" + std::to_string(world.CallerPort(0));
+  constexpr int kDeadlineMs = 600;
+  const auto told = [&](const std::string& run_id) {
+    const CallResult result =
+        world.Ask(host, Waiting(world.GetRequest(run_id), kDeadlineMs));
+    cr_assert_eq(result.response.status, http_status::kUnavailable);
+    return RetryAfterMs(result);
+  };
+  cr_assert_eq(told("early"), kDeadlineMs / kHeededPart);
+}
+
 // Checked to fail with the constant of 1 s in KeyGuard: callers cut it.
 Test(refusals, keyed_work_without_a_store_returns_while_it_can_be_served) {
   TestWorld world;
