--- a/src/pathcleat/gateway/peer_feed_test.cpp
+++ b/src/pathcleat/gateway/peer_feed_test.cpp
@@ -3,9 +3,11 @@
 
 #include "event_loop.hpp"
 #include "pass_through.hpp"
+#include "pathcleat/core/seal.hpp"
 #include "pathcleat/gateway/config_history.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "property.hpp"
+#include "scripted_server.hpp"
 
 namespace pathcleat {
 namespace {
@@ -160,7 +162,7 @@
 }
 
 // A watch over a connection that fell silent ends by itself, and a new one
-// works. Checked to fail (after 11 s of waiting) with SetSilenceLimit out of
+// works. Checked to fail (after 3.4 s) with SetSilenceLimit out of
 // Ask.
 Test(peer_feed, watch_that_fell_silent_is_given_up) {
   FeedWorld world(5);
@@ -183,5 +185,31 @@
   cr_assert(world.answer.has_value());
 }
 
+// An answer that comes slowly over a thin link is worth waiting for: given up
+// after 1 s in total, it was asked for anew and never taken. Checked to fail
+// with first_byte in place of the sum in TimeoutsOf.
+Test(peer_feed, answer_that_keeps_arriving_is_taken) {
+  FeedWorld world(5);
+  world.told.Take(6);
+  ScriptedServer thin(world.loop, world.address);
+  const std::string to = thin.endpoint().address().to_string() + ":" +
+                         std::to_string(thin.endpoint().port());
+  world.AskAt(to, 5, Duration(0));
+  cr_assert(WaitUntil(world.loop, [&] { return thin.Has("GET /"); }));
+  FeedRequest request;
+  request.config = 5;
+  const std::string body =
+      Seal(EncodeSnapshot(world.told.Snapshot(request)), kKey);
+  thin.Send("HTTP/1.1 200 OK\r\nContent-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n");
+  const Time began = BootClock::now();
+  thin.Drip(body, std::chrono::milliseconds(1'300 / body.size() + 1));
+  world.AwaitAnswer();
+  constexpr Duration kOnceTheTotal{1'000'000};
+  cr_assert_gt((BootClock::now() - began).count(), kOnceTheTotal.count());
+  cr_assert(world.answer.has_value());
+  cr_assert_eq(world.answer->snapshot.config.version, 6U);
+}
+
 }  // namespace
 }  // namespace pathcleat
