An upstream that was not heard of counts as busy as others of its region

A log of all requests shows why: from 10 s on answers take 4 s where 1.6 s were expected, and three in four sends expected no wait at all. Hosts send to each upstream once in five seconds; a report is forgotten within six, and what is not heard of counted as idle. So nothing was refused, all queues stood, and requests with 1 s of time left never came through. Ruled out: keys cold in each region. Change: the average of others' load over a service's upstreams of a region fades in where an upstream's own reports are older than 1 s (AverageLoad; switch average_load). Not kept: the usual load fading to the average at once; the promise urgent_work_is_served_first_at_150_percent then fails. Tests: upstream_load/upstream_not_heard_of_counts_as_busy_as_others fails without ShareAverage.

--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -18,6 +18,7 @@
   kKeyPlacement,   ///< a key stays with a few upstreams
   kAdmission,      ///< what would be late for its waiting is told to come back
   kUsualLoad,      ///< the usual load by others is remembered
+  kAverageLoad,    ///< an upstream not heard of counts as busy as others
   kPatience,       ///< repeatable work leaves a silent upstream
   kCarryingCost,   ///< bytes between regions count in the choice
   kSlowness,       ///< an upstream's speed is learned
--- a/include/pathcleat/routing/upstream_load.hpp
+++ b/include/pathcleat/routing/upstream_load.hpp
@@ -1,7 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <memory>
+#include <optional>
+#include <utility>
+
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/routing/average_load.hpp"
 
 namespace pathcleat {
 
@@ -23,6 +28,12 @@
   /// grown old; without it, no load is assumed.
   void RememberUsual(bool remember) { remember_usual_ = remember; }
 
+  /// @brief Takes a part in an average over upstreams, which is assumed where
+  /// this one's reports have grown old.
+  void ShareAverage(std::shared_ptr<AverageLoad> average) {
+    average_ = std::move(average);
+  }
+
   void OnSent() { ++own_; }
   void OnEnded() { --own_; }
 
@@ -36,12 +47,14 @@
 
  private:
   double AgeMicros(Time now) const;
+  double UsualAt(Time now) const;
 
   bool remember_usual_ = true;
   int own_ = 0;
-  double usual_ = 0;   ///< requests of others, on average of late
-  double others_ = 0;  ///< at reported_
-  Time reported_;
+  double usual_ = 0;              ///< requests of others, on average of late
+  double others_ = 0;             ///< at reported_
+  std::optional<Time> reported_;  ///< the last report
+  std::shared_ptr<AverageLoad> average_;  ///< may be null: no load
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -7,6 +7,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/core/mechanism.hpp"
@@ -56,10 +57,15 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  std::shared_ptr<AverageLoad> AverageLoadOf(const UpstreamState& upstream);
+
   std::map<std::string, std::string> region_of_domain_;
   PolicySwitches policy_;
   std::map<std::string, UpstreamPtr> by_id_;
   std::map<std::string, std::vector<UpstreamPtr>, std::less<>> by_service_;
+  /// By service and region.
+  std::map<std::pair<std::string, std::string>, std::shared_ptr<AverageLoad>>
+      average_loads_;
   std::set<std::string> drained_;  ///< failure domains
   std::set<std::string> drained_upstreams_;
   std::set<std::string> drained_regions_;
--- a/src/pathcleat/core/mechanism.cpp
+++ b/src/pathcleat/core/mechanism.cpp
@@ -17,6 +17,7 @@
     Named{Mechanism::kKeyPlacement, "key_placement"},
     Named{Mechanism::kAdmission, "admission"},
     Named{Mechanism::kUsualLoad, "usual_load"},
+    Named{Mechanism::kAverageLoad, "average_load"},
     Named{Mechanism::kPatience, "patience"},
     Named{Mechanism::kCarryingCost, "carrying_cost"},
     Named{Mechanism::kSlowness, "slowness"},
--- a/src/pathcleat/routing/upstream_load.cpp
+++ b/src/pathcleat/routing/upstream_load.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace pathcleat {
 namespace {
@@ -26,23 +27,39 @@
   const double others = std::max(0, report.running + report.waiting - here);
   const double before = Expected(now) - own_;
   const double age = AgeMicros(now);
-  usual_ *= std::exp(-age / kForgetMicros);
+  usual_ = UsualAt(now);
   const double told = std::min(age, kLongestReportMicros);
   if (remember_usual_) {
     usual_ += (others - usual_) * (1 - std::exp(-told / kLearnMicros));
   }
   others_ = before + (others - before) * kReportWeight;
   reported_ = now;
+  if (average_) {
+    average_->OnReport(others, now);
+  }
 }
 
 double UpstreamLoad::Expected(Time now) const {
   const double age = AgeMicros(now);
-  const double usual = usual_ * std::exp(-age / kForgetMicros);
+  const double usual = UsualAt(now);
   return own_ + usual + (others_ - usual) * std::exp(-age / kFadeMicros);
 }
 
+// An upstream that was heard of lately speaks for itself.
+double UpstreamLoad::UsualAt(Time now) const {
+  const double age = AgeMicros(now);
+  const double own = usual_ * std::exp(-age / kForgetMicros);
+  if (!average_) {
+    return own;
+  }
+  const double silent = std::max(0.0, age - kLongestReportMicros);
+  return own + average_->Value(now) * (1 - std::exp(-silent / kForgetMicros));
+}
+
 double UpstreamLoad::AgeMicros(Time now) const {
-  return std::max(0.0, static_cast<double>((now - reported_).count()));
+  return reported_
+             ? std::max(0.0, static_cast<double>((now - *reported_).count()))
+             : std::numeric_limits<double>::infinity();
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_load_test.cpp
+++ b/src/pathcleat/routing/upstream_load_test.cpp
@@ -1,6 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/routing/upstream_load.hpp"
 
+#include <memory>
+#include <vector>
+
 #include "property.hpp"
 
 namespace pathcleat {
@@ -37,6 +40,39 @@
   cr_assert_lt(load.Expected(now + 40 * kSecond), 0.1);
 }
 
+// A fleet of hundreds: this host hears of each upstream once in a minute, and
+// all of them have standing queues. Seen to fail without ShareAverage: what was
+// not heard of looked idle, so nothing was refused and all of it waited.
+Test(upstream_load, upstream_not_heard_of_counts_as_busy_as_others) {
+  const auto average = std::make_shared<AverageLoad>();
+  std::vector<UpstreamLoad> heard(30);
+  Time now = kStart;
+  for (UpstreamLoad& load : heard) {
+    load.ShareAverage(average);
+    load.OnReport({9, 18, 9}, now);
+    now += kSecond / 5;
+  }
+  UpstreamLoad unheard;
+  unheard.ShareAverage(average);
+  cr_assert_gt(unheard.Expected(now), 20.0);
+  // The load has gone: it is not believed for long.
+  cr_assert_lt(unheard.Expected(now + 20 * kSecond), 1.0);
+  // An upstream's own report counts for more while it is new.
+  unheard.OnReport({1, 0, 9}, now);
+  unheard.OnReport({1, 0, 9}, now);
+  cr_assert_lt(unheard.Expected(now), 8.0);
+}
+
+Test(upstream_load, single_report_says_little_of_other_upstreams) {
+  const auto average = std::make_shared<AverageLoad>();
+  UpstreamLoad heard;
+  heard.ShareAverage(average);
+  UpstreamLoad unheard;
+  unheard.ShareAverage(average);
+  heard.OnReport({9, 9, 9}, kStart);
+  cr_assert_lt(unheard.Expected(kStart), 9.001);
+}
+
 Test(upstream_load, estimate_stays_between_none_and_the_most_reported) {
   cr_assert(Holds("any reports", [] {
     UpstreamLoad load;
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -37,12 +37,24 @@
   upstream->info = entry;
   upstream->lapse_ends.reset();
   upstream->region = region_of_domain_[entry.domain];
+  if (policy_.IsOn(Mechanism::kAverageLoad)) {
+    upstream->load.ShareAverage(AverageLoadOf(*upstream));
+  }
   if (entry.cold_for > Duration::zero()) {
     upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
     upstream->keys.Clear();
   }
 }
 
+std::shared_ptr<AverageLoad> UpstreamTable::AverageLoadOf(
+    const UpstreamState& upstream) {
+  auto& average = average_loads_[{upstream.info.service, upstream.region}];
+  if (!average) {
+    average = std::make_shared<AverageLoad>();
+  }
+  return average;
+}
+
 void UpstreamTable::Remove(const std::string& id) {
   const auto found = by_id_.find(id);
   if (found == by_id_.end()) {
