Failure domains tell each other of their hosts in reports

Change: full heartbeats within a failure domain alone. In each domain the two hosts that rank first (wide links, then hash) tell one host of each other domain, another one each round, who was heard and how long ago, in groups that have come equally far; it passes that on to its own domain. New hosts are introduced in full. A host that is only listed, or was heard within 4 s, counts where limits are shared, so that no view takes more than its share. Datagrams carry their form in the first byte; unknown ones are counted. Weighed: SWIM probes (a probe a round and host, but who lives spreads by gossip in a time that grows with the fleet, and limits are shared by counts that must not be low); fewer heartbeats to all (grows with the square); one reporter (a gap of a second at its death).

--- /dev/null
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -0,0 +1,71 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "pathcleat/core/hybrid_clock.hpp"
+#include "pathcleat/fleet/host_info.hpp"
+#include "pathcleat/fleet/host_versions.hpp"
+
+namespace pathcleat {
+
+/// @brief Names one incarnation of a host in few bytes.
+/// @ingroup fleet
+std::uint64_t IncarnationId(const HostInfo& host);
+
+/// @brief That a host was heard.
+/// @ingroup fleet
+struct MemberSign {
+  std::uint64_t id = 0;      ///< IncarnationId
+  std::uint16_t age_ms = 0;  ///< since its last heartbeat
+  bool leaving = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, age_ms, leaving);
+  }
+};
+
+/// @brief Hosts that have come equally far. The age of their configuration is
+/// that of the one that has had it longest.
+/// @ingroup fleet
+struct MemberGroup {
+  HostVersions versions;
+  std::vector<MemberSign> members;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(versions, members);
+  }
+};
+
+/// @brief What one failure domain tells another of its hosts: who was heard
+/// and how long ago. A host that is not named is not said to be gone: it falls
+/// silent when nobody names it any more.
+/// @ingroup fleet
+struct DomainReport {
+  std::string domain;  ///< whose hosts these are
+  HybridTime time;
+  bool pass_on = false;  ///< the receiver is to tell its own domain
+  std::vector<MemberGroup> groups;
+  std::vector<HostInfo> introduced;  ///< a few hosts in full
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(domain, time, pass_on, groups, introduced);
+  }
+};
+
+/// @brief A report's bytes (cereal, portable binary).
+/// @ingroup fleet
+std::string EncodeReport(const DomainReport& report);
+
+/// @brief Reads a report; nothing if the bytes are none.
+/// @ingroup fleet
+std::optional<DomainReport> DecodeReport(std::string_view bytes);
+
+}  // namespace pathcleat
--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/fleet/domain_report.hpp"
 #include "pathcleat/fleet/host_info.hpp"
 #include "pathcleat/fleet/host_versions.hpp"
 
@@ -16,7 +18,8 @@
 /// @ingroup fleet
 struct KnownHost {
   HostInfo info;
-  Time heard;  ///< its last sign of life
+  Time heard;  ///< its last sign of life, or when a row named it
+  Time since;  ///< first sign of life of this incarnation
   bool reported_alive = false;
   bool ever_heard = false;  ///< false: known from the store's row alone
   HostVersions versions;
@@ -40,20 +43,40 @@
   /// @return whether it was dead or unknown before.
   bool OnHeard(const HostInfo& host, const HostVersions& versions, Time now);
 
+  /// @brief Another failure domain names one of its hosts in full. That alone
+  /// is no sign of life.
+  void OnIntroduced(const HostInfo& host, Time now);
+
+  /// @brief Another failure domain tells of a host that it has heard. One that
+  /// was not introduced is passed over.
+  /// @return the host if it was dead or unheard before; else null.
+  const KnownHost* OnReported(const MemberSign& member,
+                              const HostVersions& versions,
+                              Time now);
+
   bool IsAlive(const KnownHost& host, Time now) const;
 
+  /// @brief Whether a host counts where limits are shared among all hosts:
+  /// longer than it counts as alive, and also if only a row names it, as a host
+  /// that has just started has not heard all others yet. Who counts too few
+  /// takes more than its share.
+  static bool Shares(const KnownHost& host, Time now);
+
   /// @brief Names of the hosts that have fallen silent since the last call.
   std::vector<std::string> NewlySilent(Time now);
 
   /// @brief All other hosts that are known.
   std::vector<const KnownHost*> Others() const;
 
-  /// @brief Hosts alive now in a region, this one included; never less
-  /// than one, as the sharing of limits among them divides by it.
-  int AliveIn(const std::string& region, Time now) const;
+  /// @brief Hosts that share a region's limits, this one included; never less
+  /// than one, as the sharing divides by it.
+  int SharersIn(const std::string& region, Time now) const;
+
+  /// @brief Hosts that share, by region, this one included.
+  std::map<std::string, int> SharersByRegion(Time now) const;
 
-  /// @brief Hosts alive now, this one included, by region.
-  std::map<std::string, int> AliveByRegion(Time now) const;
+  /// @brief Hosts that share, this one included.
+  int Sharers(Time now) const;
 
   /// @brief Hosts alive now, this one included.
   int Alive(Time now) const;
@@ -70,11 +93,13 @@
                                   Time now) const;
 
  private:
+  void Keep(const KnownHost& host);
   std::vector<HostInfo> Serving(Time now) const;
 
   HostInfo self_;
   Duration silence_;
   std::map<std::string, KnownHost> others_;
+  std::map<std::uint64_t, std::string> names_;  ///< by IncarnationId
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -11,56 +11,68 @@
 
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/fleet/domain_report.hpp"
+#include "pathcleat/fleet/domain_reporter.hpp"
 #include "pathcleat/fleet/heartbeat.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
 
 namespace pathcleat {
 
-/// @brief Sends this host's heartbeats to the others and takes theirs.
+/// @brief Sends this host's heartbeats to the others of its failure domain,
+/// takes theirs, and exchanges reports with the other domains.
 /// @ingroup fleet
 class PeerLink {
  public:
   /// @param traffic where the bytes are counted.
   /// @param versions tells how far this host has come.
-  /// @param on_versions told how far others have come.
+  /// @param on_versions told how far others have come, each time that they
+  /// are heard or reported, with the name of the host or failure domain.
   PeerLink(
       boost::asio::io_context& loop,
       HostTable& hosts,
       EventLog& events,
       PeerTraffic& traffic,
       std::function<HostVersions()> versions,
-      std::function<void(const HostInfo&, const HostVersions&)> on_versions);
+      std::function<void(const std::string&, const HostVersions&)> on_versions);
 
   Result<void> Open(const std::string& address, std::uint16_t port);
 
   /// @brief The key that seals messages. Without it none is sent or taken.
   void SetKey(const std::string& key) { key_ = key; }
 
-  /// @brief Sends to everybody now, asking for a reply: after a start.
+  /// @brief Sends to the own domain now, asking for a reply, and to a host of
+  /// each other domain: after a start.
   void Announce();
 
-  /// @brief Sends to everybody now: after a change that they should know.
+  /// @brief Sends to the own domain now: after a change that it should know.
+  /// Other domains are told by the next report.
   void Tell();
 
  private:
   void Tick();
   void Receive();
   void OnDatagram(std::size_t size);
-  void SendTo(const std::string& address, bool wants_reply);
-  void SendToAll(bool wants_reply);
+  void OnHeartbeat(const Heartbeat& heartbeat);
+  void OnReport(const DomainReport& report);
+  void PassOn(DomainReport report);
+  void Beat(bool wants_reply);
+  void SendReports();
+  void SendHeartbeat(const std::string& address, bool wants_reply);
+  void SendReport(const std::string& address, const std::string& sealed);
+  void Send(const std::string& address, const std::string& sealed);
 
   HostTable& hosts_;
+  DomainReporter reporter_;
   EventLog& events_;
   PeerTraffic& traffic_;
   std::function<HostVersions()> versions_;
-  std::function<void(const HostInfo&, const HostVersions&)> on_versions_;
+  std::function<void(const std::string&, const HostVersions&)> on_versions_;
   std::string key_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::asio::ip::udp::endpoint sender_;
-  std::array<char, 2048> buffer_{};
-  std::uint64_t ticks_ = 0;
+  std::array<char, 8192> buffer_{};
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/fleet/peer_traffic.hpp
+++ b/include/pathcleat/fleet/peer_traffic.hpp
@@ -9,12 +9,18 @@
 
 /// @brief What hosts send each other.
 /// @ingroup fleet
-enum class PeerMessage : std::uint8_t { kHeartbeat, kOrders, kUpstreams };
+enum class PeerMessage : std::uint8_t {
+  kHeartbeat,
+  kReport,  ///< of a failure domain
+  kOrders,
+  kUpstreams,
+};
 
 /// @brief All kinds, in the order of their numbers.
 /// @ingroup fleet
 constexpr std::array kPeerMessages = {
-    PeerMessage::kHeartbeat, PeerMessage::kOrders, PeerMessage::kUpstreams};
+    PeerMessage::kHeartbeat, PeerMessage::kReport, PeerMessage::kOrders,
+    PeerMessage::kUpstreams};
 
 /// @brief A kind's name on the page of figures.
 /// @ingroup fleet
@@ -44,6 +50,10 @@
   void OnSilent() { ++silent_; }
   std::uint64_t silent() const { return silent_; }
 
+  /// @brief A host of this fleet sent a datagram of a form not known here.
+  void OnUnknownForm() { ++unknown_forms_; }
+  std::uint64_t unknown_forms() const { return unknown_forms_; }
+
   std::uint64_t sent(PeerMessage kind) const {
     return sent_.at(static_cast<std::size_t>(kind));
   }
@@ -65,6 +75,7 @@
   int asked_ = 0;
   std::uint64_t given_up_ = 0;
   std::uint64_t silent_ = 0;
+  std::uint64_t unknown_forms_ = 0;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -40,8 +40,10 @@
   /// @brief How far this host has come, for its heartbeats.
   HostVersions Versions() const;
 
-  /// @brief Another host has told how far it has come.
-  void OnPeerVersions(const HostInfo& peer, const HostVersions& versions);
+  /// @brief Another host, or a report of a failure domain, has told how far
+  /// hosts have come.
+  /// @param from name of the host or domain.
+  void OnPeerVersions(const std::string& from, const HostVersions& versions);
 
   /// @brief How far the configuration here is behind that of other hosts.
   const ConfigLag& lag() const { return lag_; }
@@ -61,7 +63,7 @@
   void AddOrders(FleetSnapshot& snapshot, std::uint64_t known);
   void AddUpstreams(FleetSnapshot& snapshot, std::uint64_t after) const;
   void AskIfBehind(SourceTopic topic,
-                   const HostInfo& peer,
+                   const std::string& from,
                    std::uint64_t changed);
   void AskBeside(SourceTopic topic, const FeedPeer& peer);
   void TakeBeside(SourceTopic topic,
--- /dev/null
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -0,0 +1,176 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/fleet/domain_reporter.hpp"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+#include "pathcleat/core/hash.hpp"
+#include "pathcleat/fleet/host_rank.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr int kReporters = 2;
+// A reporter that missed two heartbeats (0.5 s apart) is stood in for: other
+// domains hear of this one again before its hosts count as silent there, 2.5 s
+// after they were heard last.
+constexpr Duration kReporterSilence{1'100'000};
+// So many hosts fit a datagram of 1,472 bytes, at 11 bytes each, with three
+// introductions of 150 bytes and four groups of 45; more groups are rare, and
+// cost a second packet.
+constexpr std::size_t kMostMembers = 48;
+constexpr std::size_t kMostIntroduced = 3;
+// A new host is introduced in each round for this long: six times by each
+// reporter, so that a lost datagram or two do not hide it.
+constexpr Duration kNewFor{3'000'000};
+// Beside new ones one host is introduced every so many rounds, by turns, to
+// those who have missed it: a domain of 33 hosts once in 33 s.
+constexpr std::uint64_t kIntroductionRounds = 4;
+
+// What two hosts must share to be named in one group.
+using GroupKey = std::tuple<std::uint64_t,
+                            std::uint64_t,
+                            std::uint64_t,
+                            std::uint64_t,
+                            StoreAccess>;
+
+GroupKey KeyOf(const HostVersions& versions) {
+  return {versions.config, versions.commands, versions.orders,
+          versions.upstreams, versions.store};
+}
+
+std::uint32_t Milliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+// Puts hosts into reports and, there, into groups.
+class ReportPacker {
+ public:
+  explicit ReportPacker(DomainReport head) : head_(std::move(head)) {}
+
+  void Add(const MemberSign& member, const HostVersions& versions) {
+    if (reports_.empty() || named_ == kMostMembers) {
+      Begin();
+    }
+    ++named_;
+    const auto [place, added] =
+        groups_.try_emplace(KeyOf(versions), reports_.back().groups.size());
+    if (added) {
+      reports_.back().groups.push_back({versions, {}});
+    }
+    MemberGroup& group = reports_.back().groups[place->second];
+    group.versions.config_age_ms =
+        std::max(group.versions.config_age_ms, versions.config_age_ms);
+    group.members.push_back(member);
+  }
+
+  std::vector<DomainReport> Take() { return std::move(reports_); }
+
+ private:
+  void Begin() {
+    reports_.push_back(head_);
+    groups_.clear();
+    named_ = 0;
+  }
+
+  DomainReport head_;
+  std::vector<DomainReport> reports_;
+  std::map<GroupKey, std::size_t> groups_;  ///< places in the last report
+  std::size_t named_ = 0;                   ///< hosts in the last report
+};
+
+}  // namespace
+
+bool DomainReporter::IsReporter(Time now) const {
+  const HostInfo& self = hosts_.self();
+  int ahead = 0;
+  for (const KnownHost* host : hosts_.Others()) {
+    const bool counts = host->info.domain == self.domain && host->ever_heard &&
+                        !host->info.leaving &&
+                        now - host->heard <= kReporterSilence;
+    ahead += counts && RanksAhead(host->info, self) ? 1 : 0;
+  }
+  return ahead < kReporters;
+}
+
+// New hosts, and now and then another one, by turns.
+std::vector<HostInfo> DomainReporter::Introduced(Time now) {
+  std::vector<HostInfo> introduced;
+  std::vector<HostInfo> known;
+  const auto place = [&](const HostInfo& host, Time since) {
+    const bool is_new =
+        now - since <= kNewFor && introduced.size() < kMostIntroduced;
+    (is_new ? introduced : known).push_back(host);
+  };
+  place(hosts_.self(), started_);
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain == hosts_.self().domain &&
+        hosts_.IsAlive(*host, now)) {
+      place(host->info, host->since);
+    }
+  }
+  if (round_ % kIntroductionRounds == 0 && !known.empty() &&
+      introduced.size() < kMostIntroduced) {
+    introduced.push_back(known[next_introduced_++ % known.size()]);
+  }
+  return introduced;
+}
+
+std::vector<DomainReport> DomainReporter::Reports(const HostVersions& versions,
+                                                  Time now) {
+  ++round_;
+  DomainReport head;
+  head.domain = hosts_.self().domain;
+  head.pass_on = true;
+  ReportPacker packer(head);
+  packer.Add({IncarnationId(hosts_.self()), 0, hosts_.self().leaving},
+             versions);
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain != head.domain || !hosts_.IsAlive(*host, now)) {
+      continue;
+    }
+    const std::uint32_t age = Milliseconds(now - host->heard);
+    HostVersions aged = host->versions;
+    aged.config_age_ms += age;
+    packer.Add({IncarnationId(host->info), static_cast<std::uint16_t>(age),
+                host->info.leaving},
+               aged);
+  }
+  std::vector<DomainReport> reports = packer.Take();
+  reports.front().introduced = Introduced(now);
+  return reports;
+}
+
+std::vector<std::string> DomainReporter::Receivers(Time now) {
+  const std::uint64_t salt = MixHashes(StableHash(hosts_.self().name), round_);
+  struct Best {
+    const KnownHost* host;
+    bool alive;
+    std::uint64_t draw;
+  };
+  std::map<std::string, Best> best;
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain == hosts_.self().domain) {
+      continue;
+    }
+    const bool alive = hosts_.IsAlive(*host, now) && !host->info.leaving;
+    const Best candidate{host, alive,
+                         MixHashes(salt, StableHash(host->info.name))};
+    const auto [place, added] = best.try_emplace(host->info.domain, candidate);
+    // Where none is alive by what is known, any may be back.
+    if (!added && std::tie(candidate.alive, candidate.draw) >
+                      std::tie(place->second.alive, place->second.draw)) {
+      place->second = candidate;
+    }
+  }
+  std::vector<std::string> addresses;
+  addresses.reserve(best.size());
+  for (const auto& [domain, chosen] : best) {
+    addresses.push_back(chosen.host->info.peer_address);
+  }
+  return addresses;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -9,19 +9,35 @@
 
 // A caller that knows one host alone loses it with that host.
 constexpr std::size_t kFewestHosts = 2;
+// A host counts where limits are shared for so long after it was heard, or
+// named by a row. That is 1.5 s more than until it is silent: where half of all
+// hosts die at once, reports of the others come late by a round or two, and a
+// host taken for dead too early gives its share away while it uses it. Hosts
+// that start at one moment have introduced each other within 3 s.
+constexpr Duration kShareTime{4'000'000};
 
 }  // namespace
 
 HostTable::HostTable(HostInfo self, Duration silence)
     : self_(std::move(self)), silence_(silence) {}
 
+void HostTable::Keep(const KnownHost& host) {
+  KnownHost& kept = others_[host.info.name];
+  if (!kept.info.name.empty()) {
+    names_.erase(IncarnationId(kept.info));
+  }
+  names_[IncarnationId(host.info)] = host.info.name;
+  kept = host;
+}
+
 void HostTable::OnListed(const HostInfo& host, Time now) {
   if (host.name == self_.name) {
     return;
   }
-  auto [known, added] = others_.try_emplace(host.name);
-  if (added || known->second.info.incarnation < host.incarnation) {
-    known->second = {host, now, false, false, {}};
+  const auto known = others_.find(host.name);
+  if (known == others_.end() ||
+      known->second.info.incarnation < host.incarnation) {
+    Keep({host, now, now, false, false, {}});
   }
 }
 
@@ -31,17 +47,57 @@
   if (host.name == self_.name) {
     return false;
   }
-  auto [known, added] = others_.try_emplace(host.name);
-  const bool was_alive = !added && IsAlive(known->second, now);
+  const auto known = others_.find(host.name);
+  const bool was_alive = known != others_.end() && IsAlive(known->second, now);
   // Incarnations follow the time of day, which may have been set back: one
   // that has fallen silent is believed to be gone, whatever its number.
   if (was_alive && host.incarnation < known->second.info.incarnation) {
     return false;
   }
-  known->second = {host, now, true, true, versions};
+  const bool same =
+      was_alive && host.incarnation == known->second.info.incarnation;
+  Keep({host, now, same ? known->second.since : now, true, true, versions});
   return !was_alive;
 }
 
+void HostTable::OnIntroduced(const HostInfo& host, Time now) {
+  const auto known = others_.find(host.name);
+  if (known != others_.end() && !IsAlive(known->second, now) &&
+      known->second.info.incarnation > host.incarnation) {
+    Keep({host, now, now, false, known->second.reported_alive, {}});
+    return;
+  }
+  OnListed(host, now);
+}
+
+const KnownHost* HostTable::OnReported(const MemberSign& member,
+                                       const HostVersions& versions,
+                                       Time now) {
+  const auto name = names_.find(member.id);
+  if (name == names_.end()) {
+    return nullptr;
+  }
+  KnownHost& host = others_.at(name->second);
+  const Time heard = now - std::chrono::milliseconds(member.age_ms);
+  const bool was_alive = IsAlive(host, now);
+  // What was heard of the host itself, or by a shorter way, is newer.
+  if (host.ever_heard && heard <= host.heard) {
+    return nullptr;
+  }
+  host.since = was_alive ? host.since : now;
+  host.heard = heard;
+  host.ever_heard = true;
+  host.info.leaving = member.leaving;
+  host.versions = versions;
+  const bool is_back = !was_alive && IsAlive(host, now);
+  host.reported_alive = host.reported_alive || is_back;
+  return is_back ? &host : nullptr;
+}
+
+bool HostTable::Shares(const KnownHost& host, Time now) {
+  return now - host.heard <= kShareTime;
+}
+
 bool HostTable::IsAlive(const KnownHost& host, Time now) const {
   return host.ever_heard && now - host.heard <= silence_;
 }
@@ -65,22 +121,30 @@
   return others;
 }
 
-int HostTable::AliveIn(const std::string& region, Time now) const {
+int HostTable::SharersIn(const std::string& region, Time now) const {
   int count = self_.region == region ? 1 : 0;
   for (const auto& [name, host] : others_) {
-    count += host.info.region == region && IsAlive(host, now) ? 1 : 0;
+    count += host.info.region == region && Shares(host, now) ? 1 : 0;
   }
   return std::max(1, count);
 }
 
-std::map<std::string, int> HostTable::AliveByRegion(Time now) const {
-  std::map<std::string, int> alive{{self_.region, 1}};
+std::map<std::string, int> HostTable::SharersByRegion(Time now) const {
+  std::map<std::string, int> sharers{{self_.region, 1}};
   for (const auto& [name, host] : others_) {
-    if (IsAlive(host, now)) {
-      ++alive[host.info.region];
+    if (Shares(host, now)) {
+      ++sharers[host.info.region];
     }
   }
-  return alive;
+  return sharers;
+}
+
+int HostTable::Sharers(Time now) const {
+  int count = 1;
+  for (const auto& [name, host] : others_) {
+    count += Shares(host, now) ? 1 : 0;
+  }
+  return count;
 }
 
 int HostTable::Alive(Time now) const {
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -2,10 +2,12 @@
 #include "pathcleat/fleet/peer_link.hpp"
 
 #include <boost/asio/buffer.hpp>
+#include <string_view>
 #include <utility>
+#include <vector>
 
-#include "pathcleat/core/seal.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/fleet/peer_datagram.hpp"
 #include "pathcleat/http/endpoint.hpp"
 
 namespace pathcleat {
@@ -15,8 +17,6 @@
 using boost::system::error_code;
 
 constexpr std::chrono::milliseconds kHeartbeatPeriod{500};
-// Hosts of other regions are told every so many periods.
-constexpr std::uint64_t kFarPeriods = 2;
 
 }  // namespace
 
@@ -26,8 +26,9 @@
     EventLog& events,
     PeerTraffic& traffic,
     std::function<HostVersions()> versions,
-    std::function<void(const HostInfo&, const HostVersions&)> on_versions)
+    std::function<void(const std::string&, const HostVersions&)> on_versions)
     : hosts_(hosts),
+      reporter_(hosts, BootClock::now()),
       events_(events),
       traffic_(traffic),
       versions_(std::move(versions)),
@@ -58,19 +59,20 @@
 }
 
 void PeerLink::Announce() {
-  SendToAll(true);
+  Beat(true);
+  for (const std::string& address : reporter_.Receivers(BootClock::now())) {
+    SendHeartbeat(address, true);
+  }
 }
 
 void PeerLink::Tell() {
-  SendToAll(false);
+  Beat(false);
 }
 
 void PeerLink::Tick() {
-  const bool far_too = ticks_++ % kFarPeriods == 0;
-  for (const KnownHost* host : hosts_.Others()) {
-    if (far_too || host->info.region == hosts_.self().region) {
-      SendTo(host->info.peer_address, false);
-    }
+  Beat(false);
+  if (reporter_.IsReporter(BootClock::now())) {
+    SendReports();
   }
   timer_.expires_after(kHeartbeatPeriod);
   timer_.async_wait([this](const error_code& error) {
@@ -80,27 +82,55 @@
   });
 }
 
-void PeerLink::SendToAll(bool wants_reply) {
+void PeerLink::Beat(bool wants_reply) {
   for (const KnownHost* host : hosts_.Others()) {
-    SendTo(host->info.peer_address, wants_reply);
+    if (host->info.domain == hosts_.self().domain) {
+      SendHeartbeat(host->info.peer_address, wants_reply);
+    }
   }
 }
 
-void PeerLink::SendTo(const std::string& address, bool wants_reply) {
-  const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint || key_.empty()) {
-    return;
+void PeerLink::SendReports() {
+  const Time now = BootClock::now();
+  std::vector<std::string> sealed;
+  for (DomainReport& report : reporter_.Reports(versions_(), now)) {
+    report.time = events_.clock().Tick(WallMicros());
+    sealed.push_back(
+        SealDatagram(DatagramKind::kReport, EncodeReport(report), key_));
   }
+  for (const std::string& address : reporter_.Receivers(now)) {
+    for (const std::string& bytes : sealed) {
+      SendReport(address, bytes);
+    }
+  }
+}
+
+void PeerLink::SendHeartbeat(const std::string& address, bool wants_reply) {
   Heartbeat heartbeat;
   heartbeat.host = hosts_.self();
   heartbeat.time = events_.clock().Tick(WallMicros());
   heartbeat.versions = versions_();
   heartbeat.wants_reply = wants_reply;
-  const std::string bytes = Seal(EncodeHeartbeat(heartbeat), key_);
-  traffic_.OnSent(PeerMessage::kHeartbeat, bytes.size());
+  const std::string sealed =
+      SealDatagram(DatagramKind::kHeartbeat, EncodeHeartbeat(heartbeat), key_);
+  traffic_.OnSent(PeerMessage::kHeartbeat, sealed.size());
+  Send(address, sealed);
+}
+
+void PeerLink::SendReport(const std::string& address,
+                          const std::string& sealed) {
+  traffic_.OnSent(PeerMessage::kReport, sealed.size());
+  Send(address, sealed);
+}
+
+void PeerLink::Send(const std::string& address, const std::string& sealed) {
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint || key_.empty()) {
+    return;
+  }
   // A datagram that cannot be sent now is lost, as others are on the way.
   error_code lost;
-  socket_.send_to(boost::asio::buffer(bytes),
+  socket_.send_to(boost::asio::buffer(sealed),
                   udp::endpoint(endpoint->address(), endpoint->port()), 0,
                   lost);
 }
@@ -123,23 +153,79 @@
   if (key_.empty()) {
     return;
   }
-  const auto message = Unseal(std::string_view(buffer_.data(), size), key_);
-  const auto heartbeat =
-      message ? DecodeHeartbeat(*message) : std::optional<Heartbeat>();
-  if (!heartbeat) {
-    events_.Record(EventCode::kPeerRejected, sender_.address().to_string(),
-                   "a datagram that is no heartbeat of this fleet");
+  const std::string_view bytes(buffer_.data(), size);
+  const auto datagram = OpenDatagram(bytes, key_);
+  if (datagram && datagram->kind == DatagramKind::kHeartbeat) {
+    if (const auto heartbeat = DecodeHeartbeat(datagram->message)) {
+      traffic_.OnReceived(PeerMessage::kHeartbeat, size);
+      OnHeartbeat(*heartbeat);
+      return;
+    }
+  } else if (datagram && datagram->kind == DatagramKind::kReport) {
+    if (const auto report = DecodeReport(datagram->message)) {
+      traffic_.OnReceived(PeerMessage::kReport, size);
+      OnReport(*report);
+      return;
+    }
+  } else if (datagram) {
+    // Hosts of another version may run beside this one.
+    traffic_.OnUnknownForm();
     return;
   }
-  traffic_.OnReceived(PeerMessage::kHeartbeat, size);
-  events_.clock().Observe(heartbeat->time, WallMicros());
-  if (hosts_.OnHeard(heartbeat->host, heartbeat->versions, BootClock::now())) {
-    events_.Record(EventCode::kPeerHeard, heartbeat->host.name,
-                   "heartbeats arrive from " + heartbeat->host.domain);
+  events_.Record(EventCode::kPeerRejected, sender_.address().to_string(),
+                 "a datagram that is no message of this fleet");
+}
+
+void PeerLink::OnHeartbeat(const Heartbeat& heartbeat) {
+  events_.clock().Observe(heartbeat.time, WallMicros());
+  if (hosts_.OnHeard(heartbeat.host, heartbeat.versions, BootClock::now())) {
+    events_.Record(EventCode::kPeerHeard, heartbeat.host.name,
+                   "heartbeats arrive from " + heartbeat.host.domain);
+  }
+  on_versions_(heartbeat.host.name, heartbeat.versions);
+  if (heartbeat.wants_reply) {
+    SendHeartbeat(heartbeat.host.peer_address, false);
   }
-  on_versions_(heartbeat->host, heartbeat->versions);
-  if (heartbeat->wants_reply) {
-    SendTo(heartbeat->host.peer_address, false);
+}
+
+void PeerLink::OnReport(const DomainReport& report) {
+  if (report.domain == hosts_.self().domain) {
+    return;
+  }
+  const Time now = BootClock::now();
+  events_.clock().Observe(report.time, WallMicros());
+  for (const HostInfo& host : report.introduced) {
+    if (host.domain == report.domain) {
+      hosts_.OnIntroduced(host, now);
+    }
+  }
+  for (const MemberGroup& group : report.groups) {
+    for (const MemberSign& member : group.members) {
+      if (const KnownHost* host =
+              hosts_.OnReported(member, group.versions, now)) {
+        events_.Record(EventCode::kPeerHeard, host->info.name,
+                       "reported by " + report.domain);
+      }
+    }
+  }
+  for (const MemberGroup& group : report.groups) {
+    on_versions_(report.domain, group.versions);
+  }
+  if (report.pass_on) {
+    PassOn(report);
+  }
+}
+
+void PeerLink::PassOn(DomainReport report) {
+  report.pass_on = false;
+  const std::string sealed =
+      SealDatagram(DatagramKind::kReport, EncodeReport(report), key_);
+  const Time now = BootClock::now();
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain == hosts_.self().domain &&
+        hosts_.IsAlive(*host, now)) {
+      SendReport(host->info.peer_address, sealed);
+    }
   }
 }
 
--- a/src/pathcleat/fleet/peer_traffic.cpp
+++ b/src/pathcleat/fleet/peer_traffic.cpp
@@ -7,6 +7,8 @@
   switch (kind) {
     case PeerMessage::kHeartbeat:
       return "heartbeat";
+    case PeerMessage::kReport:
+      return "report";
     case PeerMessage::kOrders:
       return "orders";
     case PeerMessage::kUpstreams:
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/fleet/host_rank.hpp"
 
 namespace pathcleat {
 namespace {
@@ -35,14 +36,6 @@
   return host.region == self.region ? Distance::kRegion : Distance::kFar;
 }
 
-// The widest links first: a relay sends what it learns to many.
-bool IsAheadOf(const HostInfo& a, const HostInfo& b) {
-  if (a.link_mbps != b.link_mbps) {
-    return a.link_mbps > b.link_mbps;
-  }
-  return StableHash(a.name) < StableHash(b.name);
-}
-
 // Whether a host ranks among those of its domain that watch the store.
 // Hosts that the store does not answer are passed over, if so wanted.
 bool RanksFirst(const HostTable& hosts,
@@ -53,7 +46,7 @@
   const auto count = [&](const HostInfo& host, bool failing) {
     const bool counts = host.domain == ranked.domain && !host.leaving &&
                         !(rule.past_failing && failing);
-    ahead += counts && IsAheadOf(host, ranked) ? 1 : 0;
+    ahead += counts && RanksAhead(host, ranked) ? 1 : 0;
   };
   count(hosts.self(), rule.self_failing);
   for (const KnownHost* host : hosts.Others()) {
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -99,17 +99,17 @@
   return topic == SourceTopic::kOrders ? orders_ : upstream_list_;
 }
 
-void FleetView::OnPeerVersions(const HostInfo& peer,
+void FleetView::OnPeerVersions(const std::string& from,
                                const HostVersions& versions) {
   lag_.OnTold(versions.config,
               std::chrono::milliseconds(versions.config_age_ms),
               BootClock::now());
-  AskIfBehind(SourceTopic::kOrders, peer, versions.orders);
-  AskIfBehind(SourceTopic::kUpstreams, peer, versions.upstreams);
+  AskIfBehind(SourceTopic::kOrders, from, versions.orders);
+  AskIfBehind(SourceTopic::kUpstreams, from, versions.upstreams);
 }
 
 void FleetView::AskIfBehind(SourceTopic topic,
-                            const HostInfo& peer,
+                            const std::string& from,
                             std::uint64_t changed) {
   const Time now = BootClock::now();
   SourceWatcher& watcher = WatcherOf(topic);
@@ -123,7 +123,7 @@
       [topic, known = watcher.changed()](const HostVersions& versions) {
         return ChangedIn(versions, topic) > known;
       },
-      StableHash(peer.name), now);
+      StableHash(from), now);
   if (informed != nullptr) {
     AskBeside(topic, {informed->info.name, informed->info.peer_address});
   }
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -62,9 +62,9 @@
           state_.events,
           state_.peer_traffic,
           [this] { return Versions(); },
-          [this](const HostInfo& peer, const HostVersions& versions) {
+          [this](const std::string& from, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
-            view_.OnPeerVersions(peer, versions);
+            view_.OnPeerVersions(from, versions);
           }),
       view_(
           state_,
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -72,7 +72,7 @@
       request_log(events, settings.request_log) {}
 
 double GatewayState::RetryBurst(Time now) const {
-  return settings.bounds.retry_slack * kSlackShare / hosts.Alive(now);
+  return settings.bounds.retry_slack * kSlackShare / hosts.Sharers(now);
 }
 
 RetryBudget& GatewayState::RetriesOf(const std::string& service) {
@@ -102,8 +102,8 @@
 }
 
 void GatewayState::ShareBounds(Time now) {
-  picker.links().SetSharers(hosts.AliveIn(settings.region, now));
-  picker.SetHosts(hosts.AliveByRegion(now));
+  picker.links().SetSharers(hosts.SharersIn(settings.region, now));
+  picker.SetHosts(hosts.SharersByRegion(now));
   for (auto& [service, budget] : retries) {
     budget.SetBurst(RetryBurst(now));
   }
@@ -122,7 +122,7 @@
     };
     std::vector<ColdSender> others;
     for (const KnownHost* host : hosts.Others()) {
-      if (hosts.IsAlive(*host, now)) {
+      if (HostTable::Shares(*host, now)) {
         others.push_back(sender(host->info));
       }
     }
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -235,6 +235,10 @@
     page.Sample("pathcleat_peer_bytes_received_total",
                 {{"kind", ToString(kind)}}, traffic.received(kind));
   }
+  page.Family("pathcleat_peer_unknown_forms_total", "counter",
+              "Datagrams of this fleet in a form that is not known here.");
+  page.Sample("pathcleat_peer_unknown_forms_total", {},
+              traffic.unknown_forms());
   page.Family("pathcleat_peer_questions_under_way", "gauge",
               "Other hosts asked that have not answered yet.");
   page.Sample("pathcleat_peer_questions_under_way", {}, traffic.asked());
--- a/src/pathcleat/lab/config_behind_test.cpp
+++ b/src/pathcleat/lab/config_behind_test.cpp
@@ -5,8 +5,8 @@
 
 #include <boost/asio/ip/udp.hpp>
 
-#include "pathcleat/core/seal.hpp"
 #include "pathcleat/fleet/heartbeat.hpp"
+#include "pathcleat/fleet/peer_datagram.hpp"
 
 namespace pathcleat {
 namespace {
@@ -35,7 +35,8 @@
     heartbeat.versions.config_age_ms =
         static_cast<std::uint32_t>(ToMilliseconds(age));
     const std::string bytes =
-        Seal(EncodeHeartbeat(heartbeat), told.secrets().peer_key());
+        SealDatagram(DatagramKind::kHeartbeat, EncodeHeartbeat(heartbeat),
+                     told.secrets().peer_key());
     const auto to = ParseTcpEndpoint(self.peer_address);
     socket_.send_to(boost::asio::buffer(bytes),
                     udp::endpoint(to->address(), to->port()));
