A start reads the project's rows in one call

Change: commands, secrets and hosts lie one behind the other (the secrets' row is now fleet-secrets) and are read by one scan (FleetRows, before HostRegistry): four calls.

--- a/include/pathcleat/gateway/command_log.hpp
+++ b/include/pathcleat/gateway/command_log.hpp
@@ -1,11 +1,10 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,13 +31,16 @@
 class CommandLog {
  public:
   /// @param on_change called when newer commands are in force.
-  CommandLog(boost::asio::io_context& loop,
-             TableStore& store,
+  CommandLog(TableStore& store,
              EventLog& events,
              std::function<void()> on_change);
 
-  /// @brief Reads what there is; goes on until the store has answered.
-  void Start();
+  /// @brief A row that was read at the start.
+  /// @return whether it is one of the commands' rows.
+  bool Take(const TableRow& row);
+
+  /// @brief All rows have been read: the commands among them come into force.
+  void OnRowsRead();
 
   /// @brief A peer has this version in force.
   void OnPeerVersion(std::uint64_t version);
@@ -58,6 +60,7 @@
   using CommandPtr = std::shared_ptr<Command>;
   using Done = std::function<void(StoreOutcome)>;
 
+  std::optional<ConfigChange> ChangeIn(const TableRow& row);
   void Scan(Done done);
   void ScanNext();
   void OnScan(const TableScan& scan);
@@ -71,7 +74,7 @@
   TableStore& store_;
   EventLog& events_;
   std::function<void()> on_change_;
-  boost::asio::steady_timer timer_;
+  std::vector<ConfigChange> read_;  ///< rows of the start, not in force yet
   ConfigLog log_;
   std::vector<Done> waiters_;
   bool known_ = false;
--- a/include/pathcleat/gateway/fleet_secrets.hpp
+++ b/include/pathcleat/gateway/fleet_secrets.hpp
@@ -20,8 +20,16 @@
                TableStore& store,
                std::function<void()> on_known);
 
+  /// @brief Reads the row by itself: for who needs nothing else.
   void Start() { Read(); }
 
+  /// @brief A row that was read at the start.
+  /// @return whether it is the secrets' row.
+  bool Take(const TableRow& row);
+
+  /// @brief All rows have been read: without secrets among them, some are made.
+  void OnRowsRead();
+
   /// @brief Seals messages between hosts; empty until it is known.
   const std::string& peer_key() const { return peer_key_; }
 
@@ -30,6 +38,7 @@
 
  private:
   void Read();
+  void Adopt(const std::string& value);
   void Create();
   void Retry();
 
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -10,10 +10,10 @@
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/fleet/peer_link.hpp"
 #include "pathcleat/gateway/command_log.hpp"
+#include "pathcleat/gateway/fleet_rows.hpp"
 #include "pathcleat/gateway/fleet_secrets.hpp"
 #include "pathcleat/gateway/fleet_view.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
-#include "pathcleat/gateway/host_registry.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
 #include "pathcleat/http/http_server.hpp"
 #include "pathcleat/store/store_call_stats.hpp"
@@ -74,6 +74,8 @@
   void FinishStop();
   void AwaitQuiet();
   void RecordStopped();
+  void OnRow(const TableRow& row);
+  void OnRowsRead();
   void OnSecrets();
   void OnCommands();
   void AdvanceShifts(Time now);
@@ -84,7 +86,7 @@
   CommandLog commands_;
   PeerLink peers_;
   FleetView view_;
-  HostRegistry registry_;
+  FleetRows rows_;
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer locate_;
--- a/src/pathcleat/fleet/domain_reporter_test.cpp
+++ b/src/pathcleat/fleet/domain_reporter_test.cpp
@@ -286,7 +286,7 @@
       30));
 }
 
-// Checked to fail with heartbeats to all hosts in place of reports.
+// Checked to fail with Receivers naming all hosts of a domain.
 Test(domain_reporter, talk_between_domains_grows_with_the_domains_alone) {
   const auto talk = [](int domains, int per_domain) {
     Fleet fleet(domains, per_domain);
--- a/src/pathcleat/gateway/command_log.cpp
+++ b/src/pathcleat/gateway/command_log.cpp
@@ -19,7 +19,6 @@
 constexpr int kRowsAtOnce = 64;
 constexpr int kReadBackTries = 3;
 constexpr std::size_t kKeptChanges = 64;
-constexpr std::chrono::milliseconds kRetryPause{1'000};
 
 std::string RowName(std::uint64_t version) {
   std::array<char, 32> digits{};
@@ -35,28 +34,36 @@
   std::function<void(CommandResult)> callback;
 };
 
-CommandLog::CommandLog(boost::asio::io_context& loop,
-                       TableStore& store,
+CommandLog::CommandLog(TableStore& store,
                        EventLog& events,
                        std::function<void()> on_change)
     : store_(store),
       events_(events),
       on_change_(std::move(on_change)),
-      timer_(loop),
       log_(kKeptChanges) {}
 
-void CommandLog::Start() {
-  Scan([this](StoreOutcome outcome) {
-    if (outcome == StoreOutcome::kDone) {
-      return;
-    }
-    timer_.expires_after(kRetryPause);
-    timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error) {
-        Start();
-      }
-    });
-  });
+bool CommandLog::Take(const TableRow& row) {
+  if (!row.key.starts_with(kPrefix)) {
+    return false;
+  }
+  if (auto change = ChangeIn(row)) {
+    read_.push_back(std::move(*change));
+  }
+  return true;
+}
+
+void CommandLog::OnRowsRead() {
+  known_ = true;
+  Apply(std::exchange(read_, {}));
+}
+
+std::optional<ConfigChange> CommandLog::ChangeIn(const TableRow& row) {
+  auto change = DecodeBinary<ConfigChange>(row.value);
+  if (!change) {
+    events_.Record(EventCode::kSettingsFault, row.key,
+                   "a row that is no command; what was before stays");
+  }
+  return change;
 }
 
 void CommandLog::OnPeerVersion(std::uint64_t version) {
@@ -84,11 +91,8 @@
   }
   std::vector<ConfigChange> changes;
   for (const TableRow& row : scan.rows) {
-    if (auto change = DecodeBinary<ConfigChange>(row.value)) {
+    if (auto change = ChangeIn(row)) {
       changes.push_back(std::move(*change));
-    } else {
-      events_.Record(EventCode::kSettingsFault, row.key,
-                     "a row that is no command; what was before stays");
     }
   }
   const std::uint64_t before = log_.version();
--- a/src/pathcleat/gateway/fleet_secrets.cpp
+++ b/src/pathcleat/gateway/fleet_secrets.cpp
@@ -9,8 +9,9 @@
 namespace pathcleat {
 namespace {
 
-// Two secrets of equal length, one after the other.
-constexpr const char* kRow = "secrets";
+// Two secrets of equal length, one after the other. Between the commands' rows
+// and the hosts' rows, so that a start reads all of them in one call.
+constexpr const char* kRow = "fleet-secrets";
 constexpr std::chrono::milliseconds kRetryPause{700};
 
 }  // namespace
@@ -30,13 +31,31 @@
       Create();
       return;
     }
-    const std::size_t half = read.row.value.size() / 2;
-    peer_key_ = read.row.value.substr(0, half);
-    operator_token_ = read.row.value.substr(half);
-    on_known_();
+    Adopt(read.row.value);
   });
 }
 
+void FleetSecrets::Adopt(const std::string& value) {
+  const std::size_t half = value.size() / 2;
+  peer_key_ = value.substr(0, half);
+  operator_token_ = value.substr(half);
+  on_known_();
+}
+
+bool FleetSecrets::Take(const TableRow& row) {
+  if (row.key != kRow) {
+    return false;
+  }
+  Adopt(row.value);
+  return true;
+}
+
+void FleetSecrets::OnRowsRead() {
+  if (peer_key_.empty()) {
+    Create();
+  }
+}
+
 // Of several hosts that find no row one wins; whatever the outcome, the row
 // is read again.
 void FleetSecrets::Create() {
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -55,7 +55,7 @@
                  FleetSource& source)
     : state_(loop, settings, headers, store, WallMicros()),
       secrets_(loop, store, [this] { OnSecrets(); }),
-      commands_(loop, store, state_.events, [this] { OnCommands(); }),
+      commands_(store, state_.events, [this] { OnCommands(); }),
       peers_(
           loop,
           state_.hosts,
@@ -73,7 +73,12 @@
             callers_.SetLimits(config.caller_limits);
           },
           [this] { peers_.Tell(); }),
-      registry_(loop, store, state_.hosts, [this] { peers_.Announce(); }),
+      rows_(
+          loop,
+          store,
+          state_.hosts,
+          [this](const TableRow& row) { OnRow(row); },
+          [this] { OnRowsRead(); }),
       callers_(loop, [this](const ExchangePtr& e) { HandleCaller(e); }),
       readiness_(loop, [this](const ExchangePtr& e) { HandleReadiness(e); }),
       locate_(loop, [this](const ExchangePtr& e) { HandleLocate(e); }),
@@ -113,9 +118,7 @@
   BOOST_LEAF_CHECK(peers_.Open(settings.peer_address, settings.peer_port));
   BOOST_LEAF_CHECK(view_.Open(settings.peer_address, settings.peer_port));
   view_.Start();
-  secrets_.Start();
-  commands_.Start();
-  registry_.Start();
+  rows_.Start();
   Tick();
   state_.events.Record(EventCode::kHostStarted, settings.host,
                        "callers at " + settings.listen.callers);
@@ -140,6 +143,18 @@
   return versions;
 }
 
+void Gateway::OnRow(const TableRow& row) {
+  if (!secrets_.Take(row)) {
+    commands_.Take(row);
+  }
+}
+
+void Gateway::OnRowsRead() {
+  secrets_.OnRowsRead();
+  commands_.OnRowsRead();
+  peers_.Announce();
+}
+
 void Gateway::OnSecrets() {
   peers_.SetKey(secrets_.peer_key());
   view_.SetKey(secrets_.peer_key());
