Changes of the list of upstreams are gathered for 0.4 s

Change: the pause after a change is 0.4 s for the list and stays 0.25 s for orders; a host that is behind with the list asks others after 0.6 s and not 0.4, and begins its watch anew after 0.85 s and not 0.7, so that a relay's pause looks like no failure.

--- a/include/pathcleat/gateway/source_watcher.hpp
+++ b/include/pathcleat/gateway/source_watcher.hpp
@@ -33,6 +33,7 @@
  public:
   using Handler = std::function<void(const SourceUpdate&)>;
   using Observer = std::function<void(bool reached)>;
+  struct Pace;
 
   SourceWatcher(boost::asio::io_context& loop,
                 FleetSource& source,
@@ -82,6 +83,7 @@
 
   FleetSource& source_;
   SourceTopic topic_;
+  const Pace& pace_;
   Handler handler_;
   Observer observer_;
   boost::asio::steady_timer timer_;
--- a/src/pathcleat/gateway/source_watcher.cpp
+++ b/src/pathcleat/gateway/source_watcher.cpp
@@ -8,15 +8,29 @@
 namespace {
 
 constexpr Duration kWatchTime{20'000'000};
-// A watch that has not told for so long what others know is dead.
-constexpr Duration kDeadWatchAfter{700'000};
-// Behind for so long, a host asks the others.
-constexpr Duration kAskPeersAfter{400'000};
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr int kMostDoublings = 3;
+
+}  // namespace
+
 // After a change the next one is not waited for at once: changes come in
 // series, and each answer of the store is paid for.
-constexpr std::chrono::milliseconds kGatherTime{250};
+struct SourceWatcher::Pace {
+  Duration gather;      ///< the pause after a change
+  Duration ask_after;   ///< behind for so long, a host asks the others
+  Duration dead_after;  ///< a watch that tells nothing of what others know
+};
+
+namespace {
+
+// Others may know of a change while a relay pauses, and it is then passed on:
+// both bounds lie beyond the pause by what two hops take at 10 Mbit/s.
+// Upstreams that join or leave serve on for seconds, and come and go in long
+// series: with hundreds of them all day. Orders are due within 2 s.
+constexpr SourceWatcher::Pace kOrdersPace{Duration(250'000), Duration(400'000),
+                                          Duration(700'000)};
+constexpr SourceWatcher::Pace kUpstreamsPace{
+    Duration(400'000), Duration(600'000), Duration(850'000)};
 
 // The pages of one reading count as one transfer.
 void AddTransfer(Transfer& sum, const Transfer& page) {
@@ -35,6 +49,7 @@
                              Observer observer)
     : source_(source),
       topic_(topic),
+      pace_(topic == SourceTopic::kOrders ? kOrdersPace : kUpstreamsPace),
       handler_(std::move(handler)),
       observer_(std::move(observer)),
       timer_(loop) {}
@@ -98,7 +113,7 @@
     Handle(answer, answer.whole);
   }
   if (news && !answer.relayed) {
-    PauseFor(kGatherTime, [this] { Watch(); });
+    PauseFor(pace_.gather, [this] { Watch(); });
     return;
   }
   Watch();
@@ -137,7 +152,7 @@
   }
   // A reading ends by its own limits: begun anew, it would never get done on
   // a link that needs longer for the whole.
-  if (!reading_ && failures_ == 0 && now - TrustedSince() > kDeadWatchAfter) {
+  if (!reading_ && failures_ == 0 && now - TrustedSince() > pace_.dead_after) {
     begun_anew_ = now;
     source_.StopWatch(topic_);
     ++generation_;
@@ -155,7 +170,7 @@
 bool SourceWatcher::IsBehind(std::uint64_t peer_version, Time now) const {
   const Time heard = source_.WatchHeard(topic_).value_or(Time());
   const bool late =
-      behind_since_ && now - std::max(*behind_since_, heard) > kAskPeersAfter;
+      behind_since_ && now - std::max(*behind_since_, heard) > pace_.ask_after;
   return peer_version > version_ && (late || !reached_);
 }
 
