Tests that a ready host takes connections

Cause: two cases of readiness had no test: a burst right after the start, and a host that cannot accept (the planned stop has one: planned_stop_cuts_nothing_in_flight takes a late caller). Change: ready/host_that_has_just_started_answers_a_burst, ready/host_without_descriptors_is_not_ready; NoDescriptors moves from the server's test to testing/, unchanged. Seen to fail: host_without_descriptors_is_not_ready with CanAccept out of Gateway::IsReady. The burst's test was not seen to fail: no mechanism of its own stands behind it.

--- a/src/pathcleat/http/http_server_test.cpp
+++ b/src/pathcleat/http/http_server_test.cpp
@@ -2,14 +2,13 @@
 #include "pathcleat/http/http_server.hpp"
 
 #include <criterion/criterion.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "event_loop.hpp"
+#include "no_descriptors.hpp"
 #include "pathcleat/http/http_message.hpp"
 #include "raw_client.hpp"
 
@@ -72,34 +71,6 @@
   }
 };
 
-// Takes all descriptors that are left, up to a low limit.
-class NoDescriptors {
- public:
-  NoDescriptors() {
-    rlimit limit{};
-    getrlimit(RLIMIT_NOFILE, &limit);
-    constexpr rlim_t kLow = 256;
-    limit.rlim_cur = std::min(limit.rlim_cur, kLow);
-    setrlimit(RLIMIT_NOFILE, &limit);
-    for (int fd = ::dup(0); fd >= 0; fd = ::dup(0)) {
-      taken_.push_back(fd);
-    }
-  }
-  ~NoDescriptors() { GiveBack(taken_.size()); }
-  NoDescriptors(const NoDescriptors&) = delete;
-  NoDescriptors& operator=(const NoDescriptors&) = delete;
-
-  void GiveBack(std::size_t count) {
-    for (; count > 0; --count) {
-      ::close(taken_.back());
-      taken_.pop_back();
-    }
-  }
-
- private:
-  std::vector<int> taken_;
-};
-
 // Checked to fail (the longest is not ended) with GiveWay not called in
 // MakeRoom, and (the new caller is told 503) with MakeRoom returning false.
 Test(http_server, half_sent_requests_give_way_to_new_callers) {
