Demo: hosts' logs go to files, and only what it runs is built

Cause: 371 of the 490 lines on a newcomer's screen were hosts' JSON logs, which lie on standard output since the log writer came, and all test programs were built first, without a line. Change: logs go to a directory that the demo names and keeps; pathcleat and pathcleat-lab alone are built, with ninja's progress.

--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -11,7 +11,8 @@
 example=${1:-race_results}
 build=${PATHCLEAT_BUILD:-$root/build}
 "$root/tools/install_packages.sh"
-PATHCLEAT_BUILD=$build "$root/tools/build.sh" -DPATHCLEAT_TESTS=ON | tail -1
+cmake -S "$root" -B "$build" -G Ninja -DPATHCLEAT_TESTS=ON >/dev/null
+ninja -C "$build" pathcleat pathcleat-lab
 source "$root/tools/demo_lib.sh"
 
 start_all
@@ -82,3 +83,4 @@
 "$pathcleat" timeline --token-file="$work/operator.token" $(all_operators) |
   grep -v '"severity":"info"' | tail -40 || true
 say "broken promises over the whole run: see the last line of each load"
+echo "the hosts' logs: $logs"
--- a/tools/demo_lib.sh
+++ b/tools/demo_lib.sh
@@ -3,6 +3,7 @@
 pathcleat=$build/pathcleat
 lab=$build/pathcleat-lab
 work=$(mktemp -d)
+logs=$(mktemp -d)  # kept, for 'pathcleat why' and 'pathcleat timeline --logs'
 deployment=$work/deployment.jsonc
 control=8599
 declare -A pid_of
@@ -49,7 +50,8 @@
   awk '/VmRSS/ {print $2 " KB"}' "/proc/${pid_of[${hosts[$1]}]}/status"
 }
 start_host() {
-  "$pathcleat" entry "$work/hosts/${hosts[$1]}.jsonc" 2>>"$work/${hosts[$1]}.log" &
+  "$pathcleat" entry "$work/hosts/${hosts[$1]}.jsonc" \
+    >>"$logs/${hosts[$1]}.log" 2>&1 &
   pid_of[${hosts[$1]}]=$!
 }
 start_platform() {
