Hosts that start at one moment introduce each other within a second

Cause: my reports introduced the first three new hosts of a domain, the same in each round, and then one in two seconds. A host reads the rows of those that wrote theirs before it; what starts with it at one moment it learns by introductions alone. Change: new hosts take turns, up to 21 a round in datagrams of their own, before the members, for 3 s. Tests: domain_reporter/hosts_that_start_at_one_moment_know_each_other_soon failed first. Two tests measured while hosts were new, where introductions now take datagrams of their own; they run on until nobody is, and assert the same.

--- a/include/pathcleat/fleet/domain_reporter.hpp
+++ b/include/pathcleat/fleet/domain_reporter.hpp
@@ -42,11 +42,15 @@
 
  private:
   std::vector<HostInfo> Introduced(Time now);
+  std::vector<DomainReport> Introduce(const DomainReport& head,
+                                      DomainReport& beside,
+                                      Time now);
 
   const HostTable& hosts_;
   Time started_;
   std::uint64_t round_ = 0;
-  std::size_t next_introduced_ = 0;
+  std::size_t next_fresh_ = 0;  ///< turns of those that are new
+  std::size_t next_known_ = 0;  ///< and of the others
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -20,9 +20,15 @@
 // introductions of 150 bytes and four groups of 45; more groups are rare, and
 // cost a second packet.
 constexpr std::size_t kMostMembers = 48;
-constexpr std::size_t kMostIntroduced = 3;
-// A new host is introduced in each round for this long: six times by each
-// reporter, so that a lost datagram or two do not hide it.
+constexpr std::size_t kIntroducedBeside = 3;
+// In a datagram without members.
+constexpr std::size_t kIntroducedAlone = 6;
+// In one round. A domain of 33 hosts that start at one moment, each of which
+// has read the rows of few others, is introduced within a second by two
+// reporters.
+constexpr std::size_t kMostIntroduced = 21;
+// A new host is introduced for this long, so that a lost datagram or two do
+// not hide it.
 constexpr Duration kNewFor{3'000'000};
 // Beside new ones one host is introduced every so many rounds, by turns, to
 // those who have missed it: a domain of 33 hosts once in 33 s.
@@ -95,14 +101,12 @@
   return ahead < kReporters;
 }
 
-// New hosts, and now and then another one, by turns.
+// New hosts, and now and then another one, both by turns.
 std::vector<HostInfo> DomainReporter::Introduced(Time now) {
-  std::vector<HostInfo> introduced;
+  std::vector<HostInfo> fresh;
   std::vector<HostInfo> known;
   const auto place = [&](const HostInfo& host, Time since) {
-    const bool is_new =
-        now - since <= kNewFor && introduced.size() < kMostIntroduced;
-    (is_new ? introduced : known).push_back(host);
+    (now - since <= kNewFor ? fresh : known).push_back(host);
   };
   place(hosts_.self(), started_);
   for (const KnownHost* host : hosts_.Others()) {
@@ -111,13 +115,35 @@
       place(host->info, host->since);
     }
   }
-  if (round_ % kIntroductionRounds == 0 && !known.empty() &&
-      introduced.size() < kMostIntroduced) {
-    introduced.push_back(known[next_introduced_++ % known.size()]);
+  std::vector<HostInfo> introduced;
+  const std::size_t count = std::min(fresh.size(), kMostIntroduced);
+  for (std::size_t i = 0; i < count; ++i) {
+    introduced.push_back(fresh[next_fresh_++ % fresh.size()]);
+  }
+  if (round_ % kIntroductionRounds == 0 && !known.empty()) {
+    introduced.push_back(known[next_known_++ % known.size()]);
   }
   return introduced;
 }
 
+// Introductions come first: a host that is not known is passed over.
+std::vector<DomainReport> DomainReporter::Introduce(const DomainReport& head,
+                                                    DomainReport& beside,
+                                                    Time now) {
+  std::vector<DomainReport> alone;
+  for (HostInfo& host : Introduced(now)) {
+    if (beside.introduced.size() < kIntroducedBeside) {
+      beside.introduced.push_back(std::move(host));
+      continue;
+    }
+    if (alone.empty() || alone.back().introduced.size() == kIntroducedAlone) {
+      alone.push_back(head);
+    }
+    alone.back().introduced.push_back(std::move(host));
+  }
+  return alone;
+}
+
 std::vector<DomainReport> DomainReporter::Reports(const HostVersions& versions,
                                                   Time now) {
   ++round_;
@@ -138,8 +164,9 @@
                 host->info.leaving},
                aged);
   }
-  std::vector<DomainReport> reports = packer.Take();
-  reports.front().introduced = Introduced(now);
+  std::vector<DomainReport> named = packer.Take();
+  std::vector<DomainReport> reports = Introduce(head, named.front(), now);
+  reports.insert(reports.end(), named.begin(), named.end());
   return reports;
 }
 
