A start reads the fleet's rows also where its own is not written

Cause: found by reading: since secrets, commands and hosts are read by one scan behind the write of the own row, a lost answer to that write or a store that turns writes away kept a host without the secrets, so that it heard nobody and took the shares of all. Change: the rows are read whatever becomes of the write; where it is not known to be done, both are repeated after 1 s. Tests: fleet_rows/rows_are_read_also_where_the_own_one_is_not_written failed first (nothing read); fleet_rows/rows_are_told_apart.

--- a/include/pathcleat/gateway/fleet_rows.hpp
+++ b/include/pathcleat/gateway/fleet_rows.hpp
@@ -13,7 +13,8 @@
 /// @brief The project's own rows of the store at a start: makes this host known
 /// there and reads the other hosts, the secrets and the commands, all in two
 /// calls. The own row is written before the others are read, so that of two
-/// hosts that start together at least one finds the other.
+/// hosts that start together at least one finds the other; where that write is
+/// not known to be done, both are repeated.
 /// @ingroup gateway
 class FleetRows {
  public:
@@ -39,6 +40,7 @@
   std::function<void(const TableRow&)> on_row_;
   std::function<void()> on_read_;
   boost::asio::steady_timer timer_;
+  bool written_ = false;  ///< the own row
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/fleet_rows.cpp
+++ b/src/pathcleat/gateway/fleet_rows.cpp
@@ -37,11 +37,8 @@
   const HostInfo& self = hosts_.self();
   store_.Overwrite(kHostPrefix + self.name, EncodeBinary(self),
                    [this](const TableWrite& write) {
-                     if (write.outcome == StoreOutcome::kDone) {
-                       Read(kFirstRow);
-                     } else {
-                       Retry([this] { WriteOwn(); });
-                     }
+                     written_ = write.outcome == StoreOutcome::kDone;
+                     Read(kFirstRow);
                    });
 }
 
@@ -71,6 +68,9 @@
     return;
   }
   on_read_();
+  if (!written_) {
+    Retry([this] { WriteOwn(); });
+  }
 }
 
 void FleetRows::Retry(std::function<void()> step) {
