--- /dev/null
+++ b/include/pathcleat/accounts/quota_control.hpp
@@ -0,0 +1,85 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "pathcleat/accounts/account_meter.hpp"
+#include "pathcleat/accounts/fleet_usage.hpp"
+
+namespace pathcleat {
+
+/// @brief Whether a request is within its account's limit, with what decided.
+/// @ingroup accounts
+struct QuotaDecision {
+  bool allowed = true;
+  double limit_per_second = 0;
+  double fleet_demand = 0;  ///< requests a second, as known here
+  double share = 1;         ///< this host's part of the limit
+  Duration next_in{0};      ///< until this host may take one more
+  Duration spacing{0};      ///< between two that it takes, in the long run
+};
+
+/// @brief The hosts of the fleet, as they matter to limits.
+/// @ingroup accounts
+struct LimitSharers {
+  int known = 1;            ///< this one included
+  int unheard = 0;          ///< of them, not heard since this host started
+  bool hears_most = false;  ///< most of those that are known
+};
+
+/// @brief Keeps the limits of all accounts at this host, and tells the others
+/// what it takes of them. Not thread-safe.
+/// @ingroup accounts
+class QuotaControl final : public UsageTeller {
+ public:
+  /// @param seed another one at each host and start.
+  QuotaControl(const std::string& domain,
+               const std::string& host,
+               std::uint64_t seed);
+
+  void SetBounds(const QuotaBounds& bounds) { bounds_ = bounds; }
+
+  /// @brief Takes the limits of a newer configuration over.
+  void Adopt(const std::vector<Account>& accounts);
+
+  /// @brief Who shares the limits. Call a few times a second.
+  void SetHosts(const LimitSharers& sharers, Time now);
+
+  /// @brief A host has ended by a planned stop.
+  void OnHostEnded(const std::string& host) { fleet_.Forget(host); }
+
+  /// @brief Takes a request of an account.
+  QuotaDecision Take(const Account& account, Time now);
+
+  /// @brief A request that was taken was refused later, and has not run.
+  void GiveBack(const Account& account, Time now);
+
+  /// @brief What decides on an account now; takes nothing.
+  QuotaDecision Explain(const Account& account, Time now) const;
+
+  UsageReport OwnUsage(Time now) override;
+  UsageReport DomainUsage(Time now) override;
+  std::vector<UsageReport> KnownUsage() const override;
+  void OnUsage(const UsageReport& report, Time now) override;
+
+ private:
+  bool HasSilent(Time now) const;
+  FleetState StateOf(std::uint64_t account, Time now) const;
+  QuotaDecision DecisionOf(const AccountMeter& meter,
+                           const FleetState& state,
+                           Time now) const;
+
+  std::string domain_;
+  std::string host_;
+  std::uint64_t seed_;
+  QuotaBounds bounds_;
+  FleetUsage fleet_;
+  LimitSharers sharers_;
+  std::unordered_map<std::uint64_t, AccountMeter> meters_;  ///< by AccountId
+  std::unordered_map<std::uint64_t, AccountUse> told_;  ///< by this host, last
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -24,6 +24,7 @@
   kRequestRetried = 1103,
   kCallerLeft = 1105,
   kCallerInputRejected = 1106,
+  kKeyRefused = 1107,
   kRequestTaken = 1110,
   kRequestSent = 1111,
   kAttemptFailed = 1112,
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -24,6 +24,7 @@
 /// @brief Names of fields. The same thing has the same name in every event.
 /// @ingroup core
 namespace field {
+constexpr const char* kAccount = "account";
 constexpr const char* kAgeMs = "age_ms";
 constexpr const char* kAttempt = "attempt";
 constexpr const char* kBytes = "bytes";
@@ -38,11 +39,13 @@
 constexpr const char* kDroppedStates = "dropped_states";
 constexpr const char* kElapsedMs = "elapsed_ms";
 constexpr const char* kExpectedMs = "expected_ms";
+constexpr const char* kFleetDemand = "fleet_demand_per_second";
 constexpr const char* kFrom = "from";
 constexpr const char* kGivenUp = "given_up";
 constexpr const char* kKey = "affinity_key";
 constexpr const char* kLatencyMs = "latency_ms";
 constexpr const char* kLeftMs = "left_ms";
+constexpr const char* kLimitPerSecond = "limit_per_second";
 constexpr const char* kListAgeMs = "list_age_ms";
 constexpr const char* kListVersion = "list_version";
 constexpr const char* kOutcome = "outcome";
@@ -53,6 +56,7 @@
 constexpr const char* kRetryAfterMs = "retry_after_ms";
 constexpr const char* kRoute = "route";
 constexpr const char* kService = "service";
+constexpr const char* kShare = "share";
 constexpr const char* kStatus = "status";
 constexpr const char* kTargetMs = "target_ms";
 constexpr const char* kTransferMs = "transfer_ms";
--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -65,6 +65,9 @@
   /// @brief Names of the hosts that have fallen silent since the last call.
   std::vector<std::string> NewlySilent(Time now);
 
+  /// @brief Whether the last that was heard of a host is its planned stop.
+  bool IsLeaving(const std::string& name) const;
+
   /// @brief All other hosts that are known.
   std::vector<const KnownHost*> Others() const;
 
--- a/include/pathcleat/fleet/peer_datagram.hpp
+++ b/include/pathcleat/fleet/peer_datagram.hpp
@@ -11,7 +11,11 @@
 /// @brief What a datagram between hosts holds, and in which form: a changed
 /// form gets a new number. The first byte under the seal.
 /// @ingroup fleet
-enum class DatagramKind : std::uint8_t { kHeartbeat = 0x11, kReport = 0x12 };
+enum class DatagramKind : std::uint8_t {
+  kHeartbeat = 0x11,
+  kReport = 0x12,
+  kUsage = 0x13,  ///< of client accounts' limits
+};
 
 /// @brief A datagram whose seal is this fleet's.
 /// @ingroup fleet
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <string>
 
+#include "pathcleat/accounts/usage_report.hpp"
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/domain_report.hpp"
@@ -25,6 +26,7 @@
 class PeerLink {
  public:
   /// @param traffic where the bytes are counted.
+  /// @param usage what is told of client accounts beside.
   /// @param versions tells how far this host has come.
   /// @param on_versions told how far others have come, each time that they
   /// are heard or reported, with the name of the host or failure domain.
@@ -33,6 +35,7 @@
       HostTable& hosts,
       EventLog& events,
       PeerTraffic& traffic,
+      UsageTeller& usage,
       std::function<HostVersions()> versions,
       std::function<void(const std::string&, const HostVersions&)> on_versions);
 
@@ -60,15 +63,23 @@
   void SendReports();
   void SendHeartbeat(const std::string& address, bool wants_reply);
   void SendReport(const std::string& address, const std::string& sealed);
+  void OnUsage(const UsageReport& report);
+  void SendOwnUsage(Time now);
+  void SendDomainUsage(Time now);
+  void SendKnownUsage(const std::string& address);
+  std::string SealUsage(UsageReport report);
+  void SendUsage(const std::string& address, const std::string& sealed);
   void Send(const std::string& address, const std::string& sealed);
 
   HostTable& hosts_;
   DomainReporter reporter_;
   EventLog& events_;
   PeerTraffic& traffic_;
+  UsageTeller& usage_;
   std::function<HostVersions()> versions_;
   std::function<void(const std::string&, const HostVersions&)> on_versions_;
   std::string key_;
+  bool told_usage_ = false;  ///< the last report on accounts named some
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::asio::ip::udp::endpoint sender_;
--- a/include/pathcleat/fleet/peer_traffic.hpp
+++ b/include/pathcleat/fleet/peer_traffic.hpp
@@ -12,6 +12,7 @@
 enum class PeerMessage : std::uint8_t {
   kHeartbeat,
   kReport,  ///< of a failure domain
+  kUsage,   ///< of client accounts' limits
   kOrders,
   kUpstreams,
 };
@@ -19,8 +20,8 @@
 /// @brief All kinds, in the order of their numbers.
 /// @ingroup fleet
 constexpr std::array kPeerMessages = {
-    PeerMessage::kHeartbeat, PeerMessage::kReport, PeerMessage::kOrders,
-    PeerMessage::kUpstreams};
+    PeerMessage::kHeartbeat, PeerMessage::kReport, PeerMessage::kUsage,
+    PeerMessage::kOrders, PeerMessage::kUpstreams};
 
 /// @brief A kind's name on the page of figures.
 /// @ingroup fleet
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -28,7 +28,8 @@
  public:
   Call(GatewayState& state,
        ExchangePtr exchange,
-       std::shared_ptr<const Route> route);
+       std::shared_ptr<const Route> route,
+       std::shared_ptr<const Account> account);
   ~Call() override { --state_.requests; }
   Call(const Call&) = delete;
   Call& operator=(const Call&) = delete;
@@ -39,6 +40,8 @@
   void OnHostEnds() override;
 
  private:
+  bool TakeQuota();
+  void GiveQuotaBack();
   bool MayClaim() const;
   void ClaimKey();
   void OnKey(const KeyDecision& decision);
@@ -74,6 +77,7 @@
   GatewayState& state_;
   ExchangePtr exchange_;
   std::shared_ptr<const Route> route_;
+  std::shared_ptr<const Account> account_;  ///< null: the caller is of none
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer patience_timer_;  ///< of the attempt under way
   UpstreamAttempt attempt_;                   ///< under way, or the last one
@@ -88,6 +92,7 @@
   int unsent_ = 0;     ///< upstreams that could not be reached
   bool left_ = false;  ///< the caller has gone, or sends no more
   bool done_ = false;
+  bool counts_ = false;  ///< in its account's limit
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/config_history.hpp
+++ b/include/pathcleat/gateway/config_history.hpp
@@ -12,7 +12,8 @@
 
 /// @brief The newest configuration as this host passes it on: to each host
 /// what changes the version that it knows, encoded once for all of them. Of
-/// older versions only the marks of their routes are kept. Not thread-safe.
+/// older versions only the marks of their routes and accounts are kept. Not
+/// thread-safe.
 /// @ingroup gateway
 class ConfigHistory {
  public:
@@ -29,7 +30,8 @@
  private:
   struct Version {
     std::uint64_t number;
-    RouteMarks marks;
+    ListMarks routes;
+    ListMarks accounts;
   };
 
   const Version* Find(std::uint64_t number) const;
--- a/include/pathcleat/gateway/config_part.hpp
+++ b/include/pathcleat/gateway/config_part.hpp
@@ -7,19 +7,27 @@
 #include <string_view>
 #include <vector>
 
-#include "pathcleat/routing/route_delta.hpp"
+#include "pathcleat/routing/list_delta.hpp"
 #include "pathcleat/routing/routing_config.hpp"
 
 namespace pathcleat {
 
+/// @brief What leads from the base's list to the new one.
+/// @ingroup gateway
+template <class Entry>
+struct ListChange {
+  std::vector<ListStep<Entry>> steps;
+  std::uint64_t digest = 0;  ///< of the new list's marks
+};
+
 /// @brief A configuration as one host passes it on to another: whole, or as
-/// what changes the routes of an older version.
+/// what changes the routes and accounts of an older version.
 /// @ingroup gateway
 struct ConfigPart {
-  RoutingConfig config;          ///< without routes if there is a base
-  std::uint64_t base = 0;        ///< version that the steps begin at; 0: whole
-  std::vector<RouteStep> steps;  ///< from the base's routes to the new ones
-  std::uint64_t digest = 0;      ///< of the new routes
+  RoutingConfig config;    ///< without routes and accounts if there is a base
+  std::uint64_t base = 0;  ///< version that the steps begin at; 0: whole
+  ListChange<Route> routes;
+  ListChange<Account> accounts;
 };
 
 /// @brief The configuration that a part tells.
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <utility>
 
+#include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/fleet/peer_link.hpp"
 #include "pathcleat/gateway/command_log.hpp"
@@ -34,11 +35,13 @@
  public:
   /// @param store where hosts find each other.
   /// @param source where configuration and upstreams come from.
+  /// @param digester of client accounts' keys; it gets its secret from here.
   Gateway(boost::asio::io_context& loop,
           const EntrySettings& settings,
           const HeaderNames& headers,
           TableStore& store,
-          FleetSource& source);
+          FleetSource& source,
+          KeyDigester& digester);
 
   /// @brief What the metrics page shows of the process around this host.
   void SetProbes(GatewayProbes probes) { probes_ = std::move(probes); }
@@ -67,6 +70,9 @@
   bool IsTooFarBehind() const;
   void HandleCaller(const ExchangePtr& exchange);
   Duration ReturnUnloaded(const Exchange& exchange) const;
+  void RefuseKey(const ExchangePtr& exchange,
+                 const Route& route,
+                 KeyFault fault);
   void HandleReadiness(const ExchangePtr& exchange);
   void HandleLocate(const ExchangePtr& exchange);
   void HandleMetrics(const ExchangePtr& exchange);
@@ -82,6 +88,7 @@
   Result<void> ListenAt(HttpServer& server, const std::string& address);
 
   GatewayState state_;
+  KeyDigester& digester_;
   FleetSecrets secrets_;
   CommandLog commands_;
   PeerLink peers_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 
+#include "pathcleat/accounts/account_table.hpp"
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
@@ -14,6 +15,7 @@
 #include "pathcleat/gateway/key_ledger.hpp"
 #include "pathcleat/gateway/metrics.hpp"
 #include "pathcleat/gateway/open_requests.hpp"
+#include "pathcleat/gateway/quota_gate.hpp"
 #include "pathcleat/gateway/request_log.hpp"
 #include "pathcleat/gateway/stop_plan.hpp"
 #include "pathcleat/gateway/trace_store.hpp"
@@ -35,6 +37,7 @@
                const EntrySettings& entry_settings,
                const HeaderNames& header_names,
                TableStore& store,
+               const KeyDigester& key_digester,
                std::uint64_t incarnation);
 
   /// @brief The retries that this host may make at a service.
@@ -50,11 +53,15 @@
   void ShareBounds(Time now);
 
   boost::asio::io_context& loop;
+  const Time started = BootClock::now();
   EntrySettings settings;
   const HeaderNames headers;
   EventLog events;
   HostTable hosts;
   RouteTable routes;
+  const KeyDigester& digester;
+  AccountTable accounts;
+  QuotaGate quotas;
   UpstreamTable upstreams;
   UpstreamPicker picker;
   SplitBalancer splits;
@@ -77,6 +84,9 @@
   Time list_since;                 ///< when it last changed here
 
  private:
+  /// @brief How many hosts share the limits of client accounts.
+  void ShareQuotas(Time now);
+
   /// @brief This host's share of what each cold upstream bears.
   void ShareCold(Time now);
   double RetryBurst(Time now) const;
--- a/include/pathcleat/gateway/header_names.hpp
+++ b/include/pathcleat/gateway/header_names.hpp
@@ -15,6 +15,7 @@
   std::string affinity_key = "X-Affinity-Key";
   std::string expect_upstream = "X-Expect-Upstream";
   std::string upstream_id = "X-Upstream-Id";
+  std::string account = "X-Account";     ///< name of the caller's account
   std::string load = "X-Upstream-Load";  ///< running,waiting,slots
   std::string not_run = "X-Not-Run";
   std::string cold_ms = "X-Cold-Ms";
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
@@ -28,6 +29,16 @@
                  const PickRequest& picked,
                  Duration left);
 
+  /// @brief Its key was not accepted. The key itself is told nowhere.
+  void NoteKeyRefused(const Exchange& exchange,
+                      const Route& route,
+                      KeyFault fault);
+
+  /// @brief It is beyond its account's limit.
+  void NoteOverLimit(const Account& account,
+                     const QuotaDecision& decision,
+                     Duration retry_after);
+
   /// @brief It is sent to the upstream that was picked.
   /// @param attempt from 1 up.
   void NoteSent(const Pick& pick, int attempt, Time now);
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_client.hpp"
 
 namespace pathcleat {
@@ -34,7 +35,7 @@
   void Start(const Pick& pick,
              std::uint64_t key,
              const HttpRequest& request,
-             const std::string& request_id,
+             const RequestOrigin& origin,
              const AttemptTimes& times,
              std::function<void()> opened,
              Callback callback);
--- a/include/pathcleat/gateway/upstream_protocol.hpp
+++ b/include/pathcleat/gateway/upstream_protocol.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 
+#include "pathcleat/accounts/account.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/http/http_client.hpp"
@@ -19,13 +20,22 @@
 std::optional<Duration> CallerDeadline(const HeaderNames& names,
                                        const HttpRequest& request);
 
+/// @brief Whose a request is, as upstreams are told.
+/// @ingroup gateway
+struct RequestOrigin {
+  std::string request_id;
+  const Account* account = nullptr;  ///< null: the caller is of none
+  bool hides_key = false;            ///< callers' keys are of client accounts
+};
+
 /// @brief The request as an upstream gets it: end-to-end fields, the request
-/// id, the time left in milliseconds (never a time of day) and the upstream
-/// meant.
+/// id, the account's name, the time left in milliseconds (never a time of day)
+/// and the upstream meant. What the caller says of its account is not passed
+/// on, nor is its key.
 /// @ingroup gateway
 HttpRequest ToUpstream(const HeaderNames& names,
                        const HttpRequest& request,
-                       const std::string& request_id,
+                       const RequestOrigin& origin,
                        const std::string& upstream_id,
                        Duration left);
 
@@ -52,4 +62,13 @@
 /// @ingroup gateway
 HttpResponse NotRunResponse(const std::string& reason, Duration retry_after);
 
+/// @brief Why requests beyond their account's limit are refused, as logs and
+/// metrics tell it.
+/// @ingroup gateway
+inline constexpr const char* kOverLimit = "account_limit";
+
+/// @brief The refusal of a request beyond its account's limit.
+/// @ingroup gateway
+HttpResponse OverLimitResponse(Duration retry_after);
+
 }  // namespace pathcleat
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -23,8 +23,10 @@
   int most_in_flight = 0;
   double slot_seconds = 0;  ///< of work, up to the last begin or end of one
   int turned_away = 0;      ///< requests told that they were not run
-  std::map<std::string, int> runs_by_id;   ///< by the caller's X-Run-Id
-  std::map<std::string, int> runs_by_key;  ///< by Idempotency-Key
+  std::map<std::string, int> runs_by_id;       ///< by the caller's X-Run-Id
+  std::map<std::string, int> runs_by_key;      ///< by Idempotency-Key
+  std::map<std::string, int> runs_by_account;  ///< by the account told
+  int keys_seen = 0;  ///< requests with an Authorization field
 };
 
 /// @brief Options of an upstream stand-in.
--- a/include/pathcleat/routing/pick.hpp
+++ b/include/pathcleat/routing/pick.hpp
@@ -5,9 +5,12 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <vector>
 
+#include "pathcleat/accounts/account.hpp"
 #include "pathcleat/routing/route.hpp"
 #include "pathcleat/routing/upstream_table.hpp"
+#include "pathcleat/routing/urgency_ledger.hpp"
 #include "pathcleat/routing/warmth.hpp"
 
 namespace pathcleat {
@@ -16,6 +19,7 @@
 /// @ingroup routing
 struct PickRequest {
   const Route* route = nullptr;
+  const Account* account = nullptr;  ///< null: the caller is of none
   std::string service;
   std::uint64_t key = 0;  ///< hash of its affinity key, or of its id
   bool sticky = false;    ///< whether key tells where it is served quickly
@@ -24,11 +28,31 @@
   std::set<std::string> excluded;  ///< ids already tried
   double caller_position = 0;      ///< of the caller in shifts, in [0, 1)
 
+  Urgency urgency() const {
+    const auto of_account = account ? account->priority : std::nullopt;
+    return {of_account.value_or(route->priority), route->priority};
+  }
+
+  /// @brief Whether it may run, or its answer be, in a region: what the route
+  /// allows and its account as well.
+  bool MayRunIn(const std::string& region) const {
+    return IsAmong(route->home_regions, region) &&
+           (account == nullptr || IsAmong(account->home_regions, region));
+  }
+
   /// @brief Until its caller gives up; a route may hold it for less.
   Duration CallerLeft() const {
     const Duration allowed = std::min(route->timeout, caller_deadline);
     return caller_deadline - (allowed - time_left);
   }
+
+ private:
+  // No regions named: all of them.
+  static bool IsAmong(const std::vector<std::string>& regions,
+                      const std::string& region) {
+    return regions.empty() ||
+           std::find(regions.begin(), regions.end(), region) != regions.end();
+  }
 };
 
 /// @brief Why there is no upstream for a request.
--- a/include/pathcleat/routing/route.hpp
+++ b/include/pathcleat/routing/route.hpp
@@ -25,7 +25,9 @@
   std::vector<RouteSplit> splits;
   bool repeatable = false;  ///< may run more than once
   bool large_answers = false;
-  bool sticky = false;   ///< requests of one affinity key go together
+  bool sticky = false;  ///< requests of one affinity key go together
+  /// Callers must hold a key of a client account, where there are accounts.
+  bool needs_key = true;
   int priority = 0;      ///< 0 is the most urgent
   int max_attempts = 1;  ///< most upstreams that one request may go to
   Duration timeout{5'000'000};
@@ -33,4 +35,9 @@
   std::vector<std::string> home_regions;  ///< empty: any region
 };
 
+/// @brief Hash of all fields of a route. Equal routes have equal marks on
+/// every host.
+/// @ingroup routing
+std::uint64_t MarkOf(const Route& route);
+
 }  // namespace pathcleat
--- a/include/pathcleat/routing/route_table.hpp
+++ b/include/pathcleat/routing/route_table.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pathcleat/accounts/account_table.hpp"
 #include "pathcleat/routing/routing_config.hpp"
 
 namespace pathcleat {
@@ -24,6 +25,12 @@
   std::uint64_t version() const { return config_ ? config_->version : 0; }
   const RoutingConfig& config() const { return *config_; }
 
+  /// @brief The accounts of the version in force, which the pointer keeps
+  /// alive.
+  AccountTable::Accounts accounts() const {
+    return {config_, &config_->accounts};
+  }
+
   /// @brief The route of the host with the longest prefix that begins the
   /// path; null if there is none. The pointer keeps its version alive.
   /// @param host value of the Host field; a port in it is ignored.
--- a/include/pathcleat/routing/routing_config.hpp
+++ b/include/pathcleat/routing/routing_config.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/accounts/account.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/http/http_limits.hpp"
 #include "pathcleat/routing/route.hpp"
@@ -20,12 +21,13 @@
   double cold_per_second = 0;  ///< requests a cold upstream bears; 0: no bound
 };
 
-/// @brief One version of the routes and services, whole.
+/// @brief One version of the routes, services and client accounts, whole.
 /// @ingroup routing
 struct RoutingConfig {
   std::uint64_t version = 0;  ///< rises; 0: none is known yet
   std::vector<Route> routes;
   std::vector<ServiceInfo> services;
+  std::vector<Account> accounts;  ///< none: callers need no keys
   HttpLimits caller_limits;
 };
 
--- a/include/pathcleat/routing/urgency_ledger.hpp
+++ b/include/pathcleat/routing/urgency_ledger.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <compare>
 #include <map>
 #include <string>
 
@@ -8,6 +9,15 @@
 
 namespace pathcleat {
 
+/// @brief Which of two requests goes first; the lower one.
+/// @ingroup routing
+struct Urgency {
+  int of_caller = 0;  ///< its account's priority, where it has one
+  int of_route = 0;   ///< decides among callers that are alike
+
+  auto operator<=>(const Urgency&) const = default;
+};
+
 /// @brief What share of each kind of request of a service this host has sent
 /// on of late, so that no kind is served less often than a less urgent one.
 /// Not thread-safe.
@@ -15,8 +25,7 @@
 class UrgencyLedger {
  public:
   /// @brief A first try of a kind came.
-  /// @param priority 0 is the most urgent.
-  void OnOffered(const std::string& kind, int priority, Time now);
+  void OnOffered(const std::string& kind, const Urgency& urgency, Time now);
 
   /// @brief A request of the kind was sent on.
   void OnSent(const std::string& kind, Time now);
@@ -26,7 +35,7 @@
 
  private:
   struct Counts {
-    int priority = 0;
+    Urgency urgency;
     double offered = 0;  ///< weighted by age, at counted
     double sent = 0;
     Time counted;
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/accounts/quota_bounds.hpp"
 #include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/settings/settings_fault.hpp"
@@ -33,6 +34,7 @@
   /// From a configuration's acknowledgement to where no host may go by an
   /// older one.
   Duration config_apply{3'000'000};
+  QuotaBounds quota;  ///< how far client accounts' limits may be passed
 };
 
 /// @brief Cost of carrying a gigabyte, in worths of one answer.
--- /dev/null
+++ b/src/pathcleat/accounts/account_meter.cpp
@@ -0,0 +1,233 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/account_meter.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "pathcleat/core/hash.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Of what a window may hold beyond the limit so much is used up by shares that
+// hosts reckon a moment apart; the rest is for requests on their way when a
+// rush begins.
+constexpr double kSlackUsed = 0.3;
+// Of an account's limit so much is shared evenly, and the rest by demand, so
+// that a host where the account is new has something. More is wasted where all
+// callers come to few hosts: at 1.0 two hosts of 67 got half of the limit.
+constexpr double kEvenPart = 0.15;
+// A rush: beyond the limit by more than the noise of few requests a second.
+constexpr double kRushFactor = 1.2;
+constexpr double kRushNoise = 2.0;
+// Far enough below the limit to be shared no more.
+constexpr double kQuietFactor = 0.9;
+constexpr Duration kQuietTime{300'000};
+// Of the fleet's level that a share is worth sharing at.
+constexpr double kLowLevel = 0.3;
+// What a host that has just started takes for left: others may have used it up.
+constexpr double kFirstLevel = 0.4;
+// While nothing is shared a host may hold so many times its share, and so many
+// requests more, where the account is new or small.
+constexpr double kLooseShares = 0.7;
+constexpr double kLooseRequests = 4;
+constexpr double kLooseRate = 1.3;
+// Of that it has so much at first.
+constexpr double kFirstPart = 0.25;
+// A rush at one host: more than this much of what it told, and beyond noise.
+constexpr double kLocalRushFactor = 1.7;
+constexpr double kLocalRushNoise = 2;
+constexpr double kLocalRushLeast = 3.5;
+// From a request to where every host reckons with it: a round of heartbeats, a
+// round of reports, and the average itself.
+constexpr double kToldAfterSeconds = 1.2;
+// The level is used up, or made up for, in this time: twice as long as it takes
+// to hear of what the others take, so that hosts do not swing together.
+constexpr double kLevelSeconds = 2.5;
+// Hosts that passed the limit take a little all the same.
+constexpr double kLeastRate = 0.05;
+// What a host may save up of its share.
+constexpr double kSavedSeconds = 0.5;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+Duration FromSeconds(double seconds) {
+  constexpr double kMicros = 1e6;
+  constexpr double kLongest = 3'600;
+  return Duration(static_cast<Duration::rep>(
+      std::min(std::max(0.0, seconds), kLongest) * kMicros));
+}
+
+}  // namespace
+
+AccountMeter::AccountMeter(const AccountLimit& limit,
+                           const QuotaBounds& bounds,
+                           std::uint64_t seed)
+    : limit_(limit), bounds_(bounds), random_(seed) {}
+
+// What may be taken at once, by all hosts, on top of the rate.
+double AccountMeter::Depth() const {
+  const double window = limit_.per_second * Seconds(bounds_.window);
+  return limit_.burst +
+         kSlackUsed *
+             (bounds_.overage * (window + limit_.burst) + bounds_.slack);
+}
+
+void AccountMeter::SetLimit(const AccountLimit& limit) {
+  limit_ = limit;
+  level_ = std::min(level_, Depth());
+}
+
+double AccountMeter::ShareOf(const FleetState& fleet) const {
+  const double hosts = std::max(1, fleet.hosts);
+  const double weights = fleet.others.weight + told_;
+  if (weights <= 0) {
+    return 1 / hosts;
+  }
+  const double even = kEvenPart * weights / hosts;
+  const double heard = 1 - fleet.unheard / hosts;
+  return heard * (told_ + even) / (weights * (1 + kEvenPart));
+}
+
+double AccountMeter::Capacity(double share) const {
+  if (shared_) {
+    return share * limit_.per_second * kSavedSeconds + 1;
+  }
+  return std::max(kLooseShares * share * Depth(), kLooseRequests);
+}
+
+double AccountMeter::DemandOfAll(const FleetState& fleet, Time now) const {
+  return fleet.others.demand + demand_.PerSecond(now);
+}
+
+// What all hosts together may take a second now: near the limit the rate, and
+// what is left of the level beside, or less where it was passed.
+// What silent hosts take now is not known, so nothing is left beside then.
+double AccountMeter::RateOfAll(const FleetState& fleet) const {
+  if (!shared_) {
+    return limit_.per_second * kLooseRate;
+  }
+  const double left = level_ - unseen_;
+  const double beside =
+      (fleet.has_silent ? std::min(0.0, left) : left) / kLevelSeconds;
+  return std::max(limit_.per_second * kLeastRate, limit_.per_second + beside);
+}
+
+bool AccountMeter::IsRush(const FleetState& fleet, Time now) const {
+  const double rush = limit_.per_second * kRushFactor +
+                      kRushNoise * std::sqrt(limit_.per_second);
+  return DemandOfAll(fleet, now) > rush || level_ < kLowLevel * Depth();
+}
+
+// Much more comes here than was told. Others may see the same, and will only be
+// heard of later.
+bool AccountMeter::IsLocalRush(Time now) const {
+  return demand_.PerSecond(now) > told_ * kLocalRushFactor +
+                                      kLocalRushNoise * std::sqrt(told_) +
+                                      kLocalRushLeast / (1 + told_);
+}
+
+// Requests a second beyond the limit, if the others see what this host sees.
+double AccountMeter::BeyondLimit(const FleetState& fleet, Time now) const {
+  const double own = demand_.PerSecond(now);
+  const double growth = told_ < 1 ? 1 : std::max(1.0, own / told_);
+  return std::max(0.0, fleet.others.demand * growth + own - limit_.per_second);
+}
+
+// Spreads hosts evenly over the part of a request that each may take.
+double AccountMeter::NextFraction() {
+  random_ = MixHashes(random_, random_ + 1);
+  return UnitOfHash(random_);
+}
+
+void AccountMeter::Share(const FleetState& fleet, Time now) {
+  unseen_ = std::min(Depth(), kToldAfterSeconds * BeyondLimit(fleet, now));
+  shared_ = true;
+  quiet_since_ = now;
+  tokens_ = std::min(tokens_, NextFraction());
+}
+
+void AccountMeter::Advance(const FleetState& fleet, Time now) {
+  const double share = ShareOf(fleet);
+  if (!started_) {
+    started_ = true;
+    last_ = now;
+    level_ = kFirstLevel * Depth();
+    tokens_ = kFirstPart * Capacity(share);
+  }
+  const double elapsed = std::max(0.0, Seconds(now - last_));
+  last_ = std::max(last_, now);
+  level_ =
+      std::clamp(level_ + (limit_.per_second - fleet.others.admitted) * elapsed,
+                 -Depth(), Depth());
+  unseen_ *= std::exp(-elapsed / kToldAfterSeconds);
+  tokens_ =
+      std::min(Capacity(share), tokens_ + share * RateOfAll(fleet) * elapsed);
+  if (DemandOfAll(fleet, now) > kQuietFactor * limit_.per_second) {
+    quiet_since_ = now;
+  }
+  if (!shared_ && IsRush(fleet, now)) {
+    Share(fleet, now);
+  } else if (shared_ && now - quiet_since_ > kQuietTime && level_ > 0) {
+    shared_ = false;
+    tokens_ = std::max(tokens_, kFirstPart * Capacity(share));
+  }
+}
+
+bool AccountMeter::TryTake(const FleetState& fleet, Time now) {
+  demand_.Add(1, now);
+  Advance(fleet, now);
+  if (!shared_ && tokens_ < 1) {
+    if (fleet.has_silent || IsLocalRush(now)) {
+      Share(fleet, now);
+    } else {
+      tokens_ = 1;
+    }
+  }
+  if (tokens_ < 1) {
+    return false;
+  }
+  tokens_ -= 1;
+  level_ -= 1;
+  admitted_.Add(1, now);
+  return true;
+}
+
+void AccountMeter::GiveBack(Time now) {
+  tokens_ += 1;
+  level_ += 1;
+  admitted_.Add(-1, now);
+}
+
+Duration AccountMeter::NextIn(const FleetState& fleet, Time now) const {
+  const double missing = 1 - tokens_;
+  const double rate = ShareOf(fleet) * RateOfAll(fleet);
+  return missing <= 0 ? Duration::zero()
+                      : FromSeconds(missing / rate) - (now - last_);
+}
+
+Duration AccountMeter::Spacing(const FleetState& fleet) const {
+  return FromSeconds(1 / (ShareOf(fleet) * limit_.per_second));
+}
+
+// What was told just before a host fell silent may not have reached it, and
+// rose there as well: the lowest of the time in which it was thought alive.
+AccountUse AccountMeter::Tell(bool has_silent, Time now) {
+  const double demand = demand_.PerSecond(now);
+  if (has_silent) {
+    told_ = std::min(demand, *std::min_element(recent_.begin(), recent_.end()));
+  } else {
+    told_ = demand;
+    recent_[next_recent_++ % recent_.size()] = demand;
+  }
+  return {demand, told_, admitted_.PerSecond(now)};
+}
+
+bool AccountMeter::IsIdle(Time now) const {
+  constexpr double kNothing = 1e-3;
+  return !shared_ && demand_.PerSecond(now) < kNothing;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/account_table.cpp
@@ -0,0 +1,43 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/account_table.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+
+void AccountTable::Adopt(Accounts accounts) {
+  accounts_ = std::move(accounts);
+  by_key_.clear();
+  by_key_.shrink_to_fit();
+  for (std::uint32_t i = 0; i < accounts_->size(); ++i) {
+    for (const KeyDigest& key : (*accounts_)[i].keys) {
+      by_key_.emplace_back(key, i);
+    }
+  }
+  std::sort(by_key_.begin(), by_key_.end());
+}
+
+std::shared_ptr<const Account> AccountTable::Find(const KeyDigest& key) const {
+  const auto found = std::lower_bound(
+      by_key_.begin(), by_key_.end(), key,
+      [](const auto& entry, const KeyDigest& k) { return entry.first < k; });
+  if (found == by_key_.end() || found->first != key) {
+    return nullptr;
+  }
+  return {accounts_, &(*accounts_)[found->second]};
+}
+
+const Account* AccountTable::FindNamed(std::string_view name) const {
+  const auto& all = All();
+  const auto found = std::find_if(
+      all.begin(), all.end(),
+      [name](const Account& account) { return account.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+const std::vector<Account>& AccountTable::All() const {
+  static const std::vector<Account> kNone;
+  return accounts_ ? *accounts_ : kNone;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/account_test.cpp
@@ -0,0 +1,75 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/account.hpp"
+
+#include <algorithm>
+#include <limits>
+
+#include "pathcleat/accounts/account_table.hpp"
+#include "property.hpp"
+
+namespace pathcleat {
+namespace {
+
+Account Named(const std::string& name, std::uint8_t key) {
+  Account account;
+  account.name = name;
+  account.keys = {KeyDigest{key}};
+  return account;
+}
+
+Test(account, what_is_ambiguous_is_refused) {
+  cr_assert_not(FaultIn({Named("a", 1), Named("b", 2)}).has_value());
+  cr_assert(FaultIn({Named("", 1)}).has_value(), "no name");
+  cr_assert(FaultIn({Named("a", 1), Named("a", 2)}).has_value(), "one name");
+  cr_assert(FaultIn({Named("a", 1), Named("b", 1)}).has_value(), "one key");
+  for (const double number : {-1.0, 1e12, std::nan("")}) {
+    Account account = Named("a", 1);
+    account.limit.per_second = number;
+    cr_assert(FaultIn({account}).has_value(), "a rate of %f", number);
+    account.limit = {1, number};
+    cr_assert(FaultIn({account}).has_value(), "a burst of %f", number);
+  }
+}
+
+Test(account, burst_without_rate_and_account_without_keys_are_no_fault) {
+  Account account;
+  account.name = "a";
+  account.limit.burst = 5;
+  cr_assert_not(FaultIn({account}).has_value());
+  cr_assert_not(account.limit.IsSet());
+}
+
+// A host that took an account for unchanged would go on by the old one.
+Test(account, accounts_that_differ_in_any_field_have_other_marks) {
+  const Account plain = Named("a", 1);
+  std::vector<Account> accounts(8, plain);
+  accounts[1].name = "b";
+  accounts[2].keys = {KeyDigest{2}};
+  accounts[3].keys.clear();
+  accounts[4].priority = 0;
+  accounts[5].limit.per_second = 1;
+  accounts[6].limit.burst = 1;
+  accounts[7].home_regions = {"north"};
+  std::vector<std::uint64_t> marks;
+  for (const Account& account : accounts) {
+    marks.push_back(MarkOf(account));
+  }
+  std::sort(marks.begin(), marks.end());
+  cr_assert(std::adjacent_find(marks.begin(), marks.end()) == marks.end());
+}
+
+// A request under way keeps the account that it came with.
+Test(account_table, accounts_found_outlive_their_version) {
+  AccountTable table;
+  cr_assert_not(table.IsInForce());
+  table.Adopt(std::make_shared<std::vector<Account>>(
+      std::vector<Account>{Named("a", 1)}));
+  const auto found = table.Find(KeyDigest{1});
+  table.Adopt(std::make_shared<std::vector<Account>>());
+  cr_assert_eq(found->name, "a");
+  cr_assert_null(table.Find(KeyDigest{1}).get());
+  cr_assert_not(table.IsInForce());
+}
+
+}  // namespace
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/caller_identity.cpp
@@ -0,0 +1,78 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/caller_identity.hpp"
+
+#include <algorithm>
+#include <boost/beast/core/string.hpp>
+#include <optional>
+#include <string_view>
+
+namespace pathcleat {
+namespace {
+
+constexpr std::string_view kField = "Authorization";
+constexpr std::string_view kScheme = "Bearer ";
+// Keys of today have 20 characters; a token of another kind may have hundreds.
+constexpr std::size_t kLongestKey = 1'024;
+
+bool IsPlain(char character) {
+  return character > ' ' && character <= '~';
+}
+
+std::optional<std::string_view> KeyIn(std::string_view value) {
+  if (!boost::beast::iequals(value.substr(0, kScheme.size()), kScheme)) {
+    return std::nullopt;
+  }
+  const std::string_view key = value.substr(kScheme.size());
+  const bool plain = std::all_of(key.begin(), key.end(), IsPlain);
+  if (key.empty() || key.size() > kLongestKey || !plain) {
+    return std::nullopt;
+  }
+  return key;
+}
+
+}  // namespace
+
+const char* ReasonOf(KeyFault fault) {
+  switch (fault) {
+    case KeyFault::kNone:
+      return "none";
+    case KeyFault::kMissing:
+      return "key_missing";
+    case KeyFault::kRepeated:
+      return "key_repeated";
+    case KeyFault::kMalformed:
+      return "key_malformed";
+    case KeyFault::kUnknown:
+      return "key_unknown";
+  }
+  return "none";
+}
+
+CallerIdentity IdentifyCaller(const HttpHeaders& headers,
+                              const AccountTable& accounts,
+                              const KeyDigester& digester) {
+  const HttpHeader* field = nullptr;
+  for (const HttpHeader& header : headers) {
+    if (!boost::beast::iequals(header.name, kField)) {
+      continue;
+    }
+    if (field != nullptr) {
+      return {nullptr, KeyFault::kRepeated};
+    }
+    field = &header;
+  }
+  if (field == nullptr) {
+    return {nullptr, KeyFault::kMissing};
+  }
+  const auto key = KeyIn(field->value);
+  if (!key) {
+    return {nullptr, KeyFault::kMalformed};
+  }
+  auto account = accounts.Find(digester.Digest(*key));
+  if (!account) {
+    return {nullptr, KeyFault::kUnknown};
+  }
+  return {std::move(account), KeyFault::kNone};
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/fleet_usage.cpp
@@ -0,0 +1,105 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/fleet_usage.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+namespace {
+
+// Reports come twice a second; as long as a host counts as alive unheard.
+constexpr Duration kSilence{2'500'000};
+// Longer than cuts of a few seconds, and than a killed process takes to come
+// back: within it a share that may be in use elsewhere is not used here.
+constexpr Duration kForgetAfter{10'000'000};
+// What rounding leaves of a sum whose parts are gone.
+constexpr double kNothing = 1e-3;
+
+}  // namespace
+
+void FleetUsage::Take(const UsageReport& report, Time now) {
+  const bool own = report.domain == own_domain_;
+  if (own && (report.host.empty() || report.host == own_host_)) {
+    return;
+  }
+  const SourceName name{report.domain, own ? report.host : std::string()};
+  Source& source = sources_[name];
+  if (!(source.report.time < report.time)) {
+    return;
+  }
+  Count(source.report, -1);
+  source = {report, now};
+  Count(report, 1);
+}
+
+void FleetUsage::Count(const UsageReport& report, double sign) {
+  for (const UsageEntry& entry : report.entries) {
+    AccountUse& sum = sums_[entry.account];
+    sum.demand += sign * entry.demand;
+    sum.weight += sign * entry.weight;
+    sum.admitted += sign * entry.admitted;
+    if (sum.demand < kNothing) {
+      sums_.erase(entry.account);
+    }
+  }
+}
+
+AccountUse FleetUsage::Of(std::uint64_t account) const {
+  const auto found = sums_.find(account);
+  return found == sums_.end() ? AccountUse() : found->second;
+}
+
+bool FleetUsage::HasSilent(Time now) const {
+  return std::any_of(sources_.begin(), sources_.end(), [now](const auto& s) {
+    return now - s.second.heard > kSilence && !s.second.report.entries.empty();
+  });
+}
+
+void FleetUsage::ForgetSilent(bool hears_most, Time now) {
+  if (!hears_most) {
+    return;
+  }
+  for (auto source = sources_.begin(); source != sources_.end();) {
+    if (now - source->second.heard > kForgetAfter) {
+      Count(source->second.report, -1);
+      source = sources_.erase(source);
+    } else {
+      ++source;
+    }
+  }
+}
+
+void FleetUsage::Forget(const std::string& host) {
+  const auto source = sources_.find({own_domain_, host});
+  if (source != sources_.end()) {
+    Count(source->second.report, -1);
+    sources_.erase(source);
+  }
+}
+
+std::unordered_map<std::uint64_t, AccountUse> FleetUsage::OfOwnDomain() const {
+  std::unordered_map<std::uint64_t, AccountUse> sums;
+  for (const auto& [name, source] : sources_) {
+    if (name.first != own_domain_) {
+      continue;
+    }
+    for (const UsageEntry& entry : source.report.entries) {
+      AccountUse& sum = sums[entry.account];
+      sum.demand += entry.demand;
+      sum.weight += entry.weight;
+      sum.admitted += entry.admitted;
+    }
+  }
+  return sums;
+}
+
+std::vector<UsageReport> FleetUsage::OfOtherDomains() const {
+  std::vector<UsageReport> reports;
+  for (const auto& [name, source] : sources_) {
+    if (name.first != own_domain_) {
+      reports.push_back(source.report);
+    }
+  }
+  return reports;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/key_digest.cpp
@@ -0,0 +1,70 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/key_digest.hpp"
+
+#include <sodium/crypto_generichash.h>
+#include <sodium/crypto_shorthash_siphash24.h>
+
+#include <algorithm>
+
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+// Keeps this use of the fleet's secret apart from others.
+constexpr std::string_view kPurpose = "client account keys";
+constexpr std::size_t kBytesShown = 4;
+
+const unsigned char* Bytes(std::string_view text) {
+  return reinterpret_cast<const unsigned char*>(text.data());
+}
+
+}  // namespace
+
+std::string ShortText(const KeyDigest& digest) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr unsigned kHalfByte = 4;
+  constexpr unsigned kLowHalf = 0xF;
+  std::string text;
+  for (std::size_t i = 0; i < kBytesShown; ++i) {
+    text += kDigits[digest.at(i) >> kHalfByte];
+    text += kDigits[digest.at(i) & kLowHalf];
+  }
+  return text;
+}
+
+void KeyDigester::SetSecret(std::string_view secret) {
+  static_assert(crypto_shorthash_siphashx24_KEYBYTES == sizeof(Secret));
+  if (secret_) {
+    return;
+  }
+  Secret derived{};
+  crypto_generichash(
+      derived.data(), derived.size(), Bytes(kPurpose), kPurpose.size(),
+      Bytes(secret),
+      std::min<std::size_t>(secret.size(), crypto_generichash_KEYBYTES_MAX));
+  secret_ = derived;
+  for (const auto& callback : std::exchange(waiting_, {})) {
+    callback();
+  }
+}
+
+void KeyDigester::WhenReady(std::function<void()> callback) {
+  if (secret_) {
+    callback();
+  } else {
+    waiting_.push_back(std::move(callback));
+  }
+}
+
+// SipHash is a keyed function whose results cannot be foretold without its
+// secret, and takes a tenth of the time of a general hash on so short a text.
+KeyDigest KeyDigester::Digest(std::string_view key) const {
+  static_assert(crypto_shorthash_siphashx24_BYTES == sizeof(KeyDigest));
+  KeyDigest digest{};
+  crypto_shorthash_siphashx24(digest.data(), Bytes(key), key.size(),
+                              secret_->data());
+  return digest;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/accounts/quota_control.cpp
@@ -0,0 +1,166 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/accounts/quota_control.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "pathcleat/core/hash.hpp"
+
+namespace pathcleat {
+namespace {
+
+// A host tells of an account only if the fleet would be above this part of its
+// limit were all hosts as busy with it: what hosts leave untold stays below it.
+constexpr double kToldFrom = 0.1;
+
+// The busiest accounts, as many as fit one report.
+std::vector<UsageEntry> Busiest(
+    const std::unordered_map<std::uint64_t, AccountUse>& uses) {
+  std::vector<UsageEntry> entries;
+  entries.reserve(uses.size());
+  for (const auto& [account, use] : uses) {
+    entries.push_back({account, static_cast<float>(use.demand),
+                       static_cast<float>(use.weight),
+                       static_cast<float>(use.admitted)});
+  }
+  if (entries.size() > kMostUsageEntries) {
+    const auto most =
+        entries.begin() + static_cast<std::ptrdiff_t>(kMostUsageEntries);
+    std::nth_element(entries.begin(), most, entries.end(),
+                     [](const UsageEntry& a, const UsageEntry& b) {
+                       return a.demand > b.demand;
+                     });
+    entries.erase(most, entries.end());
+  }
+  return entries;
+}
+
+}  // namespace
+
+QuotaControl::QuotaControl(const std::string& domain,
+                           const std::string& host,
+                           std::uint64_t seed)
+    : domain_(domain), host_(host), seed_(seed), fleet_(domain, host) {}
+
+void QuotaControl::Adopt(const std::vector<Account>& accounts) {
+  std::unordered_map<std::uint64_t, AccountLimit> limits;
+  for (const Account& account : accounts) {
+    if (account.limit.IsSet()) {
+      limits.emplace(AccountId(account), account.limit);
+    }
+  }
+  std::erase_if(meters_, [&limits](const auto& meter) {
+    return !limits.contains(meter.first);
+  });
+  for (auto& [account, meter] : meters_) {
+    if (meter.limit() != limits.at(account)) {
+      meter.SetLimit(limits.at(account));
+    }
+  }
+}
+
+void QuotaControl::SetHosts(const LimitSharers& sharers, Time now) {
+  sharers_ = sharers;
+  fleet_.ForgetSilent(sharers.hears_most, now);
+  std::erase_if(meters_,
+                [now](const auto& meter) { return meter.second.IsIdle(now); });
+}
+
+bool QuotaControl::HasSilent(Time now) const {
+  return sharers_.unheard > 0 || fleet_.HasSilent(now);
+}
+
+FleetState QuotaControl::StateOf(std::uint64_t account, Time now) const {
+  return {fleet_.Of(account), sharers_.known, sharers_.unheard, HasSilent(now)};
+}
+
+QuotaDecision QuotaControl::DecisionOf(const AccountMeter& meter,
+                                       const FleetState& state,
+                                       Time now) const {
+  QuotaDecision decision;
+  decision.limit_per_second = meter.limit().per_second;
+  decision.fleet_demand = state.others.demand + meter.Demand(now);
+  decision.share = meter.ShareOf(state);
+  decision.next_in = meter.NextIn(state, now);
+  decision.spacing = meter.Spacing(state);
+  return decision;
+}
+
+QuotaDecision QuotaControl::Take(const Account& account, Time now) {
+  if (!account.limit.IsSet()) {
+    return {};
+  }
+  const std::uint64_t id = AccountId(account);
+  AccountMeter& meter =
+      meters_.try_emplace(id, account.limit, bounds_, MixHashes(seed_, id))
+          .first->second;
+  const FleetState state = StateOf(id, now);
+  const bool allowed = meter.TryTake(state, now);
+  QuotaDecision decision;
+  if (!allowed) {
+    decision = DecisionOf(meter, state, now);
+  }
+  decision.allowed = allowed;
+  return decision;
+}
+
+void QuotaControl::GiveBack(const Account& account, Time now) {
+  const auto meter = meters_.find(AccountId(account));
+  if (meter != meters_.end()) {
+    meter->second.GiveBack(now);
+  }
+}
+
+QuotaDecision QuotaControl::Explain(const Account& account, Time now) const {
+  if (!account.limit.IsSet()) {
+    return {};
+  }
+  const std::uint64_t id = AccountId(account);
+  const FleetState state = StateOf(id, now);
+  const auto known = meters_.find(id);
+  return known == meters_.end()
+             ? DecisionOf(AccountMeter(account.limit, bounds_, seed_), state,
+                          now)
+             : DecisionOf(known->second, state, now);
+}
+
+UsageReport QuotaControl::OwnUsage(Time now) {
+  const bool has_silent = HasSilent(now);
+  told_.clear();
+  for (auto& [account, meter] : meters_) {
+    const AccountUse use = meter.Tell(has_silent, now);
+    if (use.demand * sharers_.known > kToldFrom * meter.limit().per_second) {
+      told_.emplace(account, use);
+    }
+  }
+  UsageReport report;
+  report.domain = domain_;
+  report.host = host_;
+  report.entries = Busiest(told_);
+  return report;
+}
+
+UsageReport QuotaControl::DomainUsage(Time /*now*/) {
+  std::unordered_map<std::uint64_t, AccountUse> sums = fleet_.OfOwnDomain();
+  for (const auto& [account, use] : told_) {
+    AccountUse& sum = sums[account];
+    sum.demand += use.demand;
+    sum.weight += use.weight;
+    sum.admitted += use.admitted;
+  }
+  UsageReport report;
+  report.domain = domain_;
+  report.pass_on = true;
+  report.entries = Busiest(sums);
+  return report;
+}
+
+std::vector<UsageReport> QuotaControl::KnownUsage() const {
+  return fleet_.OfOtherDomains();
+}
+
+void QuotaControl::OnUsage(const UsageReport& report, Time now) {
+  fleet_.Take(report, now);
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -126,9 +126,10 @@
   options.address = loaded.settings.store_address;
   options.stats = &store_calls;
   platform::PlatformTable table(loop, options);
-  platform::FleetFeed feed(loop, options);
+  KeyDigester digester;
+  platform::FleetFeed feed(loop, options, digester);
   Gateway gateway(loop, loaded.settings, platform::PlatformHeaderNames(), table,
-                  feed);
+                  feed, digester);
   gateway.SetProbes({[&log] { return log.dropped(); }, &store_calls});
   log.OnDropped([&gateway](const LogCounts& dropped) {
     gateway.state().events.Record(EventCode::kLogDropped, "log", "",
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -26,6 +26,7 @@
     EventInfo{kCallerLeft, "caller-left", kInfo, kFailure, "request"},
     EventInfo{kCallerInputRejected, "caller-input-rejected", kInfo, kFailure,
               "caller"},
+    EventInfo{kKeyRefused, "key-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestTaken, "request-taken", kInfo, kRequest, "request"},
     EventInfo{kRequestSent, "request-sent", kInfo, kRequest, "request"},
     EventInfo{kAttemptFailed, "attempt-failed", kInfo, kFailure, "request"},
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -113,6 +113,11 @@
   return silent;
 }
 
+bool HostTable::IsLeaving(const std::string& name) const {
+  const auto host = others_.find(name);
+  return host != others_.end() && host->second.info.leaving;
+}
+
 std::vector<const KnownHost*> HostTable::Others() const {
   std::vector<const KnownHost*> others;
   for (const auto& [name, host] : others_) {
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -25,12 +25,14 @@
     HostTable& hosts,
     EventLog& events,
     PeerTraffic& traffic,
+    UsageTeller& usage,
     std::function<HostVersions()> versions,
     std::function<void(const std::string&, const HostVersions&)> on_versions)
     : hosts_(hosts),
       reporter_(hosts, BootClock::now()),
       events_(events),
       traffic_(traffic),
+      usage_(usage),
       versions_(std::move(versions)),
       on_versions_(std::move(on_versions)),
       socket_(loop),
@@ -70,9 +72,12 @@
 }
 
 void PeerLink::Tick() {
+  const Time now = BootClock::now();
   Beat(false);
-  if (reporter_.IsReporter(BootClock::now())) {
+  SendOwnUsage(now);
+  if (reporter_.IsReporter(now)) {
     SendReports();
+    SendDomainUsage(now);
   }
   timer_.expires_after(kHeartbeatPeriod);
   timer_.async_wait([this](const error_code& error) {
@@ -167,6 +172,12 @@
       OnReport(*report);
       return;
     }
+  } else if (datagram && datagram->kind == DatagramKind::kUsage) {
+    if (const auto report = DecodeUsage(datagram->message)) {
+      traffic_.OnReceived(PeerMessage::kUsage, size);
+      OnUsage(*report);
+      return;
+    }
   } else if (datagram) {
     // Hosts of another version may run beside this one.
     traffic_.OnUnknownForm();
@@ -185,6 +196,7 @@
   on_versions_(heartbeat.host.name, heartbeat.versions);
   if (heartbeat.wants_reply) {
     SendHeartbeat(heartbeat.host.peer_address, false);
+    SendKnownUsage(heartbeat.host.peer_address);
   }
 }
 
@@ -216,6 +228,72 @@
   }
 }
 
+std::string PeerLink::SealUsage(UsageReport report) {
+  if (report.time == HybridTime{}) {
+    report.time = events_.clock().Tick(WallMicros());
+  }
+  return SealDatagram(DatagramKind::kUsage, EncodeUsage(report), key_);
+}
+
+void PeerLink::SendUsage(const std::string& address,
+                         const std::string& sealed) {
+  traffic_.OnSent(PeerMessage::kUsage, sealed.size());
+  Send(address, sealed);
+}
+
+// A report that names nothing is sent once, to take the last one back.
+void PeerLink::SendOwnUsage(Time now) {
+  const UsageReport report = usage_.OwnUsage(now);
+  const bool tells = !report.entries.empty();
+  if (!tells && !std::exchange(told_usage_, tells)) {
+    return;
+  }
+  told_usage_ = tells;
+  const std::string sealed = SealUsage(report);
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain == hosts_.self().domain) {
+      SendUsage(host->info.peer_address, sealed);
+    }
+  }
+}
+
+void PeerLink::SendDomainUsage(Time now) {
+  const UsageReport report = usage_.DomainUsage(now);
+  if (report.entries.empty()) {
+    return;
+  }
+  const std::string sealed = SealUsage(report);
+  for (const std::string& address : reporter_.Receivers(now)) {
+    SendUsage(address, sealed);
+  }
+}
+
+// A host that has just started would else know of other domains' usage a round
+// of reports later.
+void PeerLink::SendKnownUsage(const std::string& address) {
+  for (const UsageReport& report : usage_.KnownUsage()) {
+    SendUsage(address, SealUsage(report));
+  }
+}
+
+void PeerLink::OnUsage(const UsageReport& report) {
+  events_.clock().Observe(report.time, WallMicros());
+  usage_.OnUsage(report, BootClock::now());
+  if (!report.pass_on) {
+    return;
+  }
+  UsageReport passed = report;
+  passed.pass_on = false;
+  const std::string sealed = SealUsage(passed);
+  const Time now = BootClock::now();
+  for (const KnownHost* host : hosts_.Others()) {
+    if (host->info.domain == hosts_.self().domain &&
+        hosts_.IsAlive(*host, now)) {
+      SendUsage(host->info.peer_address, sealed);
+    }
+  }
+}
+
 void PeerLink::PassOn(DomainReport report) {
   report.pass_on = false;
   const std::string sealed =
--- a/src/pathcleat/fleet/peer_traffic.cpp
+++ b/src/pathcleat/fleet/peer_traffic.cpp
@@ -9,6 +9,8 @@
       return "heartbeat";
     case PeerMessage::kReport:
       return "report";
+    case PeerMessage::kUsage:
+      return "usage";
     case PeerMessage::kOrders:
       return "orders";
     case PeerMessage::kUpstreams:
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -27,10 +27,12 @@
 
 Call::Call(GatewayState& state,
            ExchangePtr exchange,
-           std::shared_ptr<const Route> route)
+           std::shared_ptr<const Route> route,
+           std::shared_ptr<const Account> account)
     : state_(state),
       exchange_(std::move(exchange)),
       route_(std::move(route)),
+      account_(std::move(account)),
       deadline_timer_(state.loop),
       patience_timer_(state.loop),
       attempt_(state),
@@ -45,6 +47,7 @@
           .value_or(ToString(RequestId{incarnation, state_.next_request++, 0}));
   trace_.SetRequest(request_id_);
   request_ = PickRequestOf(state_.headers, *exchange_, *route_, request_id_);
+  request_.account = account_.get();
   const Duration allowed = std::min(route_->timeout, request_.caller_deadline);
   deadline_ = exchange_->received() + allowed;
 }
@@ -63,7 +66,7 @@
   trace_.NoteTaken(*exchange_, request_, Left());
   // On a host that is behind, callers give up before they are read.
   exchange_->CheckCaller();
-  if (left_) {
+  if (left_ || !TakeQuota()) {
     return;
   }
   if (!route_->repeatable && KeyGuard::HasKey(exchange_->request())) {
@@ -86,6 +89,30 @@
       });
 }
 
+bool Call::TakeQuota() {
+  if (!account_) {
+    return true;
+  }
+  const Time now = BootClock::now();
+  const QuotaAnswer quota = state_.quotas.Take(*account_, request_.CallerLeft(),
+                                               route_->target_latency, now);
+  counts_ = quota.decision.allowed;
+  if (counts_) {
+    return true;
+  }
+  state_.metrics.OnRefused(kOverLimit);
+  trace_.NoteOverLimit(*account_, quota.decision, quota.retry_after);
+  Answer(OverLimitResponse(quota.retry_after), RunOutcome::kNotRun);
+  return false;
+}
+
+// What certainly has not run is no use of the account's limit.
+void Call::GiveQuotaBack() {
+  if (std::exchange(counts_, false)) {
+    state_.quotas.control().GiveBack(*account_, BootClock::now());
+  }
+}
+
 void Call::ClaimKey() {
   if (!MayClaim()) {
     RefuseForStop();
@@ -184,7 +211,8 @@
   request_.excluded.insert(upstream);
   runs_.OnSent();
   attempt_.Start(
-      pick, request_.key, exchange_->request(), request_id_,
+      pick, request_.key, exchange_->request(),
+      {request_id_, account_.get(), state_.accounts.IsInForce()},
       {left, deadline_ - BootClock::now()},
       [this] { exchange_->CheckCaller(); },
       [self = shared_from_this()](const CallResult& result) {
@@ -304,6 +332,7 @@
                   const Pick* best) {
   state_.metrics.OnRefused(reason);
   trace_.NoteRefused(reason, retry_after, *route_, Left(), best);
+  GiveQuotaBack();
   Answer(NotRunResponse(reason, retry_after), RunOutcome::kNotRun);
 }
 
--- a/src/pathcleat/gateway/config_history.cpp
+++ b/src/pathcleat/gateway/config_history.cpp
@@ -6,15 +6,23 @@
 namespace pathcleat {
 namespace {
 
-// 8 bytes a route and version: 0.2 MB for 1,400 routes. In the plays of issue
-// 22 four versions came within 3 s, so this covers a host 12 s behind.
+// 8 bytes a route or account and version: 0.2 MB for 1,400 routes. Where
+// versions come fastest, four in 3 s, this covers a host 12 s behind.
 constexpr std::size_t kVersionsKept = 16;
 
+template <class Entry>
+ListChange<Entry> ChangeOf(const ListMarks& old_marks,
+                           const std::vector<Entry>& entries,
+                           const ListMarks& marks) {
+  return {StepsBetween(old_marks, entries, marks), DigestOf(marks)};
+}
+
 }  // namespace
 
 void ConfigHistory::Note(const RoutingConfig& config) {
   encoded_.clear();
-  versions_.push_back({config.version, MarksOf(config.routes)});
+  versions_.push_back(
+      {config.version, MarksOf(config.routes), MarksOf(config.accounts)});
   if (versions_.size() > kVersionsKept) {
     versions_.pop_front();
   }
@@ -46,12 +54,13 @@
   part.config.caller_limits = config.caller_limits;
   if (base == nullptr) {
     part.config.routes = config.routes;
+    part.config.accounts = config.accounts;
     return part;
   }
-  const RouteMarks& marks = versions_.back().marks;
+  const Version& newest = versions_.back();
   part.base = base->number;
-  part.steps = StepsBetween(base->marks, config.routes, marks);
-  part.digest = DigestOf(marks);
+  part.routes = ChangeOf(base->routes, config.routes, newest.routes);
+  part.accounts = ChangeOf(base->accounts, config.accounts, newest.accounts);
   return part;
 }
 
--- a/src/pathcleat/gateway/config_part.cpp
+++ b/src/pathcleat/gateway/config_part.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/config_part.hpp"
 
+#include <cereal/types/array.hpp>
+#include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <chrono>
@@ -27,8 +29,8 @@
 template <class Archive>
 void serialize(Archive& archive, Route& route) {
   archive(route.name, route.host, route.path_prefix, route.splits,
-          route.repeatable, route.large_answers, route.sticky, route.priority,
-          route.max_attempts, route.home_regions);
+          route.repeatable, route.large_answers, route.sticky, route.needs_key,
+          route.priority, route.max_attempts, route.home_regions);
   TransferLength(archive, route.timeout);
   TransferLength(archive, route.target_latency);
 }
@@ -47,18 +49,35 @@
 }
 
 template <class Archive>
-void serialize(Archive& archive, RoutingConfig& config) {
-  archive(config.version, config.routes, config.services, config.caller_limits);
+void serialize(Archive& archive, AccountLimit& limit) {
+  archive(limit.per_second, limit.burst);
 }
 
 template <class Archive>
-void serialize(Archive& archive, RouteStep& step) {
+void serialize(Archive& archive, Account& account) {
+  archive(account.name, account.keys, account.priority, account.limit,
+          account.home_regions);
+}
+
+template <class Archive>
+void serialize(Archive& archive, RoutingConfig& config) {
+  archive(config.version, config.routes, config.services, config.accounts,
+          config.caller_limits);
+}
+
+template <class Archive, class Entry>
+void serialize(Archive& archive, ListStep<Entry>& step) {
   archive(step.first, step.count, step.added);
 }
 
+template <class Archive, class Entry>
+void serialize(Archive& archive, ListChange<Entry>& change) {
+  archive(change.steps, change.digest);
+}
+
 template <class Archive>
 void serialize(Archive& archive, ConfigPart& part) {
-  archive(part.config, part.base, part.steps, part.digest);
+  archive(part.config, part.base, part.routes, part.accounts);
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -70,11 +89,15 @@
   if (known == nullptr || known->version != part.base) {
     return std::nullopt;
   }
-  auto routes = ApplySteps(known->routes, part.steps, part.digest);
-  if (!routes) {
+  auto routes =
+      ApplySteps(known->routes, part.routes.steps, part.routes.digest);
+  auto accounts =
+      ApplySteps(known->accounts, part.accounts.steps, part.accounts.digest);
+  if (!routes || !accounts) {
     return std::nullopt;
   }
   part.config.routes = std::move(*routes);
+  part.config.accounts = std::move(*accounts);
   return std::move(part.config);
 }
 
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -213,6 +213,8 @@
   const std::uint64_t replaces = state_.routes.version();
   if (state_.routes.Adopt(config)) {
     config_history_.Note(state_.routes.config());
+    state_.accounts.Adopt(state_.routes.accounts());
+    state_.quotas.control().Adopt(state_.accounts.All());
     lag_.OnApplied(config.version);
     on_config_(config);
     state_.routes_since = BootClock::now();
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -7,8 +7,10 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/gateway/call.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
+#include "pathcleat/gateway/request_trace.hpp"
 #include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_status.hpp"
@@ -52,8 +54,10 @@
                  const EntrySettings& settings,
                  const HeaderNames& headers,
                  TableStore& store,
-                 FleetSource& source)
-    : state_(loop, settings, headers, store, WallMicros()),
+                 FleetSource& source,
+                 KeyDigester& digester)
+    : state_(loop, settings, headers, store, digester, WallMicros()),
+      digester_(digester),
       secrets_(loop, store, [this] { OnSecrets(); }),
       commands_(store, state_.events, [this] { OnCommands(); }),
       peers_(
@@ -61,6 +65,7 @@
           state_.hosts,
           state_.events,
           state_.peer_traffic,
+          state_.quotas.control(),
           [this] { return Versions(); },
           [this](const std::string& from, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
@@ -158,6 +163,7 @@
 void Gateway::OnSecrets() {
   peers_.SetKey(secrets_.peer_key());
   view_.SetKey(secrets_.peer_key());
+  digester_.SetSecret(secrets_.peer_key());
   peers_.Announce();
 }
 
@@ -259,13 +265,45 @@
             : TextResponse(http_status::kNotFound, "no such route\n"));
     return;
   }
-  std::make_shared<Call>(state_, exchange, std::move(route))->Start();
+  CallerIdentity caller;
+  if (state_.accounts.IsInForce()) {
+    caller = IdentifyCaller(request.headers, state_.accounts, state_.digester);
+    if (!caller.account && route->needs_key) {
+      RefuseKey(exchange, *route, caller.fault);
+      return;
+    }
+  }
+  std::make_shared<Call>(state_, exchange, std::move(route),
+                         std::move(caller.account))
+      ->Start();
+}
+
+// A newer version may have the key: that nobody holds it would be a guess.
+void Gateway::RefuseKey(const ExchangePtr& exchange,
+                        const Route& route,
+                        KeyFault fault) {
+  if (fault == KeyFault::kUnknown && view_.lag().IsBehind(BootClock::now())) {
+    exchange->Respond(NotRunResponse(kBehind, ReturnUnloaded(*exchange)));
+    return;
+  }
+  const HttpRequest& request = exchange->request();
+  state_.metrics.OnRefused(ReasonOf(fault));
+  RequestTrace trace(state_);
+  trace.SetRequest(
+      FindHeader(request.headers, state_.headers.request_id).value_or(""));
+  trace.NoteKeyRefused(*exchange, route, fault);
+  trace.Finish(true);
+  exchange->Respond(TextResponse(http_status::kUnauthorized,
+                                 std::string(ReasonOf(fault)) + "\n"));
 }
 
 void Gateway::Tick() {
   const Time now = BootClock::now();
   AdvanceShifts(now);
   for (const std::string& host : state_.hosts.NewlySilent(now)) {
+    if (state_.hosts.IsLeaving(host)) {
+      state_.quotas.control().OnHostEnded(host);
+    }
     state_.events.Record(EventCode::kPeerSilent, host,
                          "no heartbeats; callers are not sent there");
   }
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -18,6 +18,12 @@
 // hosts see each other come and go late.
 constexpr double kRetryShare = 0.7;
 constexpr double kSlackShare = 0.6;
+// Two thirds: where a fleet is cut apart, one part at most hears so many.
+constexpr double kMostOfFleet = 0.67;
+// A host that starts hears all others within 3 s. One that it has not heard by
+// then may be cut off from it, or be gone for good.
+constexpr Duration kHeardWithin{3'000'000};
+constexpr Duration kUnheardCountsFor{10'000'000};
 
 HostInfo SelfOf(const EntrySettings& settings, std::uint64_t incarnation) {
   HostInfo self;
@@ -57,12 +63,17 @@
                            const EntrySettings& entry_settings,
                            const HeaderNames& header_names,
                            TableStore& store,
+                           const KeyDigester& key_digester,
                            std::uint64_t incarnation)
     : loop(event_loop),
       settings(entry_settings),
       headers(header_names),
       events(settings.host, kEventsKept),
       hosts(SelfOf(settings, incarnation), kHostSilence),
+      digester(key_digester),
+      quotas(settings.domain,
+             settings.host,
+             MixHashes(StableHash(settings.host), incarnation)),
       upstreams(settings.region_of_domain, settings.policy),
       picker(PickerSettingsOf(settings), upstreams),
       pool(loop),
@@ -107,9 +118,27 @@
   for (auto& [service, budget] : retries) {
     budget.SetBurst(RetryBurst(now));
   }
+  ShareQuotas(now);
   ShareCold(now);
 }
 
+// A host that died may be one that was cut off: it counts as long as it is
+// known.
+void GatewayState::ShareQuotas(Time now) {
+  const auto others = hosts.Others();
+  LimitSharers sharers;
+  sharers.known = static_cast<int>(others.size()) + 1;
+  sharers.hears_most = hosts.Alive(now) >= sharers.known * kMostOfFleet;
+  const Duration running = now - started;
+  if (running > kHeardWithin && running < kUnheardCountsFor) {
+    sharers.unheard = static_cast<int>(
+        std::count_if(others.begin(), others.end(),
+                      [](const KnownHost* host) { return !host->ever_heard; }));
+  }
+  quotas.control().SetBounds(settings.bounds.quota);
+  quotas.control().SetHosts(sharers, now);
+}
+
 void GatewayState::ShareCold(Time now) {
   for (const UpstreamPtr& upstream : upstreams.All()) {
     const ServiceInfo* service = routes.FindService(upstream->info.service);
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -3,6 +3,8 @@
 
 #include <utility>
 
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
 namespace pathcleat {
 
 void RequestTrace::Note(EventCode code, EventFields fields) {
@@ -17,6 +19,7 @@
        {{field::kCaller, exchange.caller()},
         {field::kRoute, picked.route->name},
         {field::kService, picked.service},
+        {field::kAccount, picked.account ? picked.account->name : ""},
         {field::kRepeatable, picked.route->repeatable},
         {field::kKey, picked.sticky ? std::to_string(picked.key) : ""},
         MillisecondsField(field::kTargetMs, picked.route->target_latency),
@@ -26,6 +29,30 @@
                           BootClock::now() - state_.routes_since)});
 }
 
+void RequestTrace::NoteKeyRefused(const Exchange& exchange,
+                                  const Route& route,
+                                  KeyFault fault) {
+  Note(EventCode::kKeyRefused,
+       {{field::kReason, ReasonOf(fault)},
+        {field::kCaller, exchange.caller()},
+        {field::kRoute, route.name},
+        NumberField(field::kConfigVersion, state_.routes.version()),
+        MillisecondsField(field::kAgeMs,
+                          BootClock::now() - state_.routes_since)});
+}
+
+void RequestTrace::NoteOverLimit(const Account& account,
+                                 const QuotaDecision& decision,
+                                 Duration retry_after) {
+  Note(EventCode::kRequestRefused,
+       {{field::kReason, kOverLimit},
+        {field::kAccount, account.name},
+        {field::kLimitPerSecond, decision.limit_per_second},
+        {field::kFleetDemand, decision.fleet_demand},
+        {field::kShare, decision.share},
+        MillisecondsField(field::kRetryAfterMs, retry_after)});
+}
+
 void RequestTrace::NoteSent(const Pick& pick, int attempt, Time now) {
   Note(EventCode::kRequestSent,
        {{field::kUpstream, pick.upstream->info.id},
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -18,7 +18,7 @@
 void UpstreamAttempt::Start(const Pick& pick,
                             std::uint64_t key,
                             const HttpRequest& request,
-                            const std::string& request_id,
+                            const RequestOrigin& origin,
                             const AttemptTimes& times,
                             std::function<void()> opened,
                             Callback callback) {
@@ -41,13 +41,12 @@
                        : state_.pool.Take(upstream.info, now);
   client_->OnOpened(std::move(opened));
   client_->Send(
-      ToUpstream(state_.headers, request, request_id, upstream.info.id,
-                 times.told),
+      ToUpstream(state_.headers, request, origin, upstream.info.id, times.told),
       {std::min(kConnectTimeout, times.told), times.waited},
       [this, callback = std::move(callback)](const CallResult& result) {
         OnResult(result, callback);
       },
-      AnswersOf(state_.headers, request_id));
+      AnswersOf(state_.headers, origin.request_id));
 }
 
 void UpstreamAttempt::OnResult(const CallResult& result,
--- a/src/pathcleat/gateway/upstream_protocol.cpp
+++ b/src/pathcleat/gateway/upstream_protocol.cpp
@@ -24,6 +24,14 @@
   return {text.data(), static_cast<std::size_t>(size)};
 }
 
+HttpResponse RefusalResponse(int status,
+                             const std::string& reason,
+                             Duration retry_after) {
+  HttpResponse response = TextResponse(status, "not run: " + reason + "\n");
+  response.headers.push_back({"Retry-After", SecondsText(retry_after)});
+  return response;
+}
+
 // Nobody waits longer; beyond it a sum of times could overflow.
 constexpr std::chrono::milliseconds kLongestDeadline = std::chrono::hours(24);
 
@@ -62,23 +70,28 @@
 
 HttpRequest ToUpstream(const HeaderNames& names,
                        const HttpRequest& request,
-                       const std::string& request_id,
+                       const RequestOrigin& origin,
                        const std::string& upstream_id,
                        Duration left) {
   HttpRequest out = request;
   out.headers = EndToEndHeaders(out.headers);
-  std::erase_if(out.headers, [&names](const HttpHeader& header) {
+  std::erase_if(out.headers, [&names, &origin](const HttpHeader& header) {
     return iequals(header.name, names.deadline_ms) ||
            iequals(header.name, names.expect_upstream) ||
+           iequals(header.name, names.account) ||
+           (origin.hides_key && iequals(header.name, "Authorization")) ||
            iequals(header.name, "Expect");
   });
   if (!FindHeader(out.headers, names.request_id)) {
-    out.headers.push_back({names.request_id, request_id});
+    out.headers.push_back({names.request_id, origin.request_id});
   }
   const auto milliseconds =
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count();
   out.headers.push_back({names.deadline_ms, std::to_string(milliseconds)});
   out.headers.push_back({names.expect_upstream, upstream_id});
+  if (origin.account != nullptr) {
+    out.headers.push_back({names.account, origin.account->name});
+  }
   return out;
 }
 
@@ -125,10 +138,12 @@
 }
 
 HttpResponse NotRunResponse(const std::string& reason, Duration retry_after) {
-  HttpResponse response =
-      TextResponse(http_status::kUnavailable, "not run: " + reason + "\n");
-  response.headers.push_back({"Retry-After", SecondsText(retry_after)});
-  return response;
+  return RefusalResponse(http_status::kUnavailable, reason, retry_after);
+}
+
+HttpResponse OverLimitResponse(Duration retry_after) {
+  return RefusalResponse(http_status::kTooManyRequests, kOverLimit,
+                         retry_after);
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -173,6 +173,8 @@
   if (!key.empty()) {
     ++ledger_.runs_by_key[key];
   }
+  ++ledger_.runs_by_account[Field(exchange, options_.headers.account)];
+  ledger_.keys_seen += Field(exchange, "Authorization").empty() ? 0 : 1;
   CountSlots();
   ++in_flight_;
   ledger_.most_in_flight = std::max(ledger_.most_in_flight, in_flight_);
--- a/src/pathcleat/routing/admission_control.cpp
+++ b/src/pathcleat/routing/admission_control.cpp
@@ -20,6 +20,14 @@
   return own / std::max(own, upstream.load.Expected(now));
 }
 
+// Requests of one route are of several kinds where accounts differ in urgency.
+std::string KindOf(const PickRequest& request) {
+  const bool by_account = request.account && request.account->priority;
+  return by_account ? request.route->name + " " +
+                          std::to_string(*request.account->priority)
+                    : request.route->name;
+}
+
 // Until the end of the target latency, from the caller's first try on.
 Duration TargetLeft(const PickRequest& request, const RequestProfile& profile) {
   return request.route->target_latency -
@@ -71,16 +79,16 @@
   input.target_left = TargetLeft(request, profile);
   input.came_back = input.target_left < input.target;
   UrgencyLedger& urgency = urgency_[request.service];
+  const std::string kind = KindOf(request);
   if (!input.came_back) {
-    urgency.OnOffered(request.route->name, request.route->priority, now);
+    urgency.OnOffered(kind, request.urgency(), now);
   }
   // Where slots are free, nobody has to yield.
-  const bool yields =
-      input.wait > PlaceOf(input) && urgency.IsAhead(request.route->name, now);
+  const bool yields = input.wait > PlaceOf(input) && urgency.IsAhead(kind, now);
   if (yields || Admit(input) == Admission::kRefuse) {
     return false;
   }
-  urgency.OnSent(request.route->name, now);
+  urgency.OnSent(kind, now);
   return true;
 }
 
--- a/src/pathcleat/routing/route_delta_test.cpp
+++ b/src/pathcleat/routing/list_delta_test.cpp
@@ -1,8 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/route_delta.hpp"
+#include "pathcleat/routing/list_delta.hpp"
 
 #include <algorithm>
 
+#include "pathcleat/routing/route.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -23,20 +24,20 @@
   return routes;
 }
 
-std::size_t AddedIn(const std::vector<RouteStep>& steps) {
+std::size_t AddedIn(const std::vector<ListStep<Route>>& steps) {
   std::size_t added = 0;
-  for (const RouteStep& step : steps) {
+  for (const ListStep<Route>& step : steps) {
     added += step.added.size();
   }
   return added;
 }
 
 // Checked to fail with the order of a step's two parts turned round.
-Test(route_delta, steps_lead_from_any_list_to_any_other) {
+Test(list_delta, steps_lead_from_any_list_to_any_other) {
   cr_assert(Holds("the new list in its order", [] {
     const auto old_routes = AnyRoutes();
     const auto routes = AnyRoutes();
-    const RouteMarks marks = MarksOf(routes);
+    const ListMarks marks = MarksOf(routes);
     const auto steps = StepsBetween(MarksOf(old_routes), routes, marks);
     const auto made = ApplySteps(old_routes, steps, DigestOf(marks));
     RC_ASSERT(made.has_value());
@@ -44,12 +45,12 @@
   }));
 }
 
-Test(route_delta, only_what_differs_is_added) {
+Test(list_delta, only_what_differs_is_added) {
   std::vector<Route> routes(1'400);
   for (std::size_t i = 0; i < routes.size(); ++i) {
     routes[i].name = std::to_string(i);
   }
-  const RouteMarks old_marks = MarksOf(routes);
+  const ListMarks old_marks = MarksOf(routes);
   routes[700].home_regions = {"north"};
   const auto steps = StepsBetween(old_marks, routes, MarksOf(routes));
   cr_assert_eq(AddedIn(steps), 1U);
@@ -58,9 +59,9 @@
 
 // Each field counts: a host that took a route for unchanged would go on by
 // the old one.
-Test(route_delta, routes_that_differ_in_any_field_have_other_marks) {
+Test(list_delta, routes_that_differ_in_any_field_have_other_marks) {
   const Route plain{"n", "h", "/p/", {{"s", 1}}};
-  std::vector<Route> routes(13, plain);
+  std::vector<Route> routes(14, plain);
   routes[1].name = "o";
   routes[2].host = "i";
   routes[3].path_prefix = "/q/";
@@ -73,25 +74,26 @@
   routes[10].max_attempts = 2;
   routes[11].timeout += Duration(1);
   routes[12].target_latency += Duration(1);
+  routes[13].needs_key = false;
   routes.push_back(plain);
   routes.back().home_regions = {"north"};
-  RouteMarks marks = MarksOf(routes);
+  ListMarks marks = MarksOf(routes);
   std::sort(marks.begin(), marks.end());
   cr_assert(std::adjacent_find(marks.begin(), marks.end()) == marks.end());
 }
 
 // Checked to fail with the digest's comparison taken out.
-Test(route_delta, steps_of_another_list_are_refused) {
+Test(list_delta, steps_of_another_list_are_refused) {
   const std::vector<Route> old_routes(3);
   std::vector<Route> routes(3);
   routes[0].name = "new";
-  const RouteMarks marks = MarksOf(routes);
+  const ListMarks marks = MarksOf(routes);
   const auto steps = StepsBetween(MarksOf(old_routes), routes, marks);
   std::vector<Route> other(3);
   other[0].name = "other";
   cr_assert(ApplySteps(old_routes, steps, DigestOf(marks)).has_value());
   cr_assert_not(ApplySteps(other, steps, DigestOf(marks)).has_value());
-  cr_assert_not(ApplySteps({}, steps, DigestOf(marks)).has_value());
+  cr_assert_not(ApplySteps<Route>({}, steps, DigestOf(marks)).has_value());
 }
 
 }  // namespace
--- /dev/null
+++ b/src/pathcleat/routing/route.cpp
@@ -0,0 +1,33 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/route.hpp"
+
+#include "pathcleat/core/field_hash.hpp"
+
+namespace pathcleat {
+
+std::uint64_t MarkOf(const Route& route) {
+  FieldHash mark;
+  mark.Add(route.name);
+  mark.Add(route.host);
+  mark.Add(route.path_prefix);
+  mark.Add(route.splits.size());
+  for (const RouteSplit& split : route.splits) {
+    mark.Add(split.service);
+    mark.Add(split.weight);
+  }
+  mark.Add(route.repeatable);
+  mark.Add(route.large_answers);
+  mark.Add(route.sticky);
+  mark.Add(route.needs_key);
+  mark.Add(route.priority);
+  mark.Add(route.max_attempts);
+  mark.Add(route.timeout.count());
+  mark.Add(route.target_latency.count());
+  mark.Add(route.home_regions.size());
+  for (const std::string& region : route.home_regions) {
+    mark.Add(region);
+  }
+  return mark.hash();
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -41,12 +41,6 @@
   return Duration(static_cast<Duration::rep>(seconds * kMicros));
 }
 
-bool IsHome(const UpstreamState& upstream, const Route& route) {
-  const auto& homes = route.home_regions;
-  return homes.empty() ||
-         std::find(homes.begin(), homes.end(), upstream.region) != homes.end();
-}
-
 double WorthAt(double expected, double target) {
   const double on_time =
       1 / (1 + std::exp((expected - target) / (kSpread * target)));
@@ -94,7 +88,7 @@
                            links_.HasRoom(upstream->region);
     const bool bears =
         !upstream->IsCold(now) || upstream->cold_share.CanTake(now);
-    if (IsHome(*upstream, *request.route) && reachable && bears &&
+    if (request.MayRunIn(upstream->region) && reachable && bears &&
         table_.IsOpen(*upstream) && upstream->health.MayTry(now) &&
         !request.excluded.contains(upstream->info.id)) {
       Candidate candidate;
@@ -240,7 +234,7 @@
   }
   std::vector<UpstreamPtr> open;
   for (const UpstreamPtr& upstream : table_.Of(request.service)) {
-    if (IsHome(*upstream, *request.route) && table_.IsOpen(*upstream)) {
+    if (request.MayRunIn(upstream->region) && table_.IsOpen(*upstream)) {
       open.push_back(upstream);
     }
   }
--- a/src/pathcleat/routing/urgency_ledger.cpp
+++ b/src/pathcleat/routing/urgency_ledger.cpp
@@ -28,13 +28,15 @@
   counted = std::max(counted, now);
 }
 
-void UrgencyLedger::OnOffered(const std::string& kind, int priority, Time now) {
+void UrgencyLedger::OnOffered(const std::string& kind,
+                              const Urgency& urgency,
+                              Time now) {
   if (!kinds_.contains(kind)) {
     Forget(now);
   }
   Counts& counts = kinds_[kind];
   counts.FadeTo(now);
-  counts.priority = priority;
+  counts.urgency = urgency;
   counts.offered += 1;
 }
 
@@ -70,10 +72,10 @@
   if (own == kinds_.end()) {
     return false;
   }
-  const int priority = own->second.priority;
+  const Urgency urgency = own->second.urgency;
   const double share = Share(own->second, now);
   return std::any_of(kinds_.begin(), kinds_.end(), [&](const auto& other) {
-    return other.second.priority < priority &&
+    return other.second.urgency < urgency &&
            Share(other.second, now) < share - kEven;
   });
 }
--- a/src/pathcleat/routing/urgency_ledger_test.cpp
+++ b/src/pathcleat/routing/urgency_ledger_test.cpp
@@ -17,7 +17,7 @@
            int offered,
            int sent) {
   for (int i = 0; i < offered; ++i) {
-    ledger.OnOffered(kind, priority, kStart);
+    ledger.OnOffered(kind, {priority, priority}, kStart);
     if (i < sent) {
       ledger.OnSent(kind, kStart);
     }
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -63,6 +63,12 @@
       MillisecondsOr(reader, "stop_grace_ms", bounds.stop_grace);
   bounds.config_apply =
       MillisecondsOr(reader, "config_apply_ms", bounds.config_apply);
+  bounds.quota.window =
+      MillisecondsOr(reader, "quota_window_ms", bounds.quota.window);
+  bounds.quota.overage =
+      reader.NumberOr("quota_overage", kRatio, bounds.quota.overage);
+  bounds.quota.slack =
+      reader.NumberOr("quota_slack", kCount, bounds.quota.slack);
   return bounds;
 }
 
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -75,10 +75,12 @@
     }
     host.table =
         std::make_unique<platform::PlatformTable>(loop_, table_options);
-    host.feed = std::make_unique<platform::FleetFeed>(loop_, options);
-    host.gateway = std::make_unique<Gateway>(loop_, host.settings,
-                                             platform::PlatformHeaderNames(),
-                                             *host.table, *host.feed);
+    host.digester = std::make_unique<KeyDigester>();
+    host.feed =
+        std::make_unique<platform::FleetFeed>(loop_, options, *host.digester);
+    host.gateway = std::make_unique<Gateway>(
+        loop_, host.settings, platform::PlatformHeaderNames(), *host.table,
+        *host.feed, *host.digester);
     host.gateway->SetProbes({nullptr, &host.store_calls});
     const bool started = TryOr(
         [&]() -> Result<bool> {
@@ -291,6 +293,7 @@
     EntrySettings settings;
     StoreCallStats store_calls;
     std::unique_ptr<platform::PlatformTable> table;
+    std::unique_ptr<KeyDigester> digester;
     std::unique_ptr<platform::FleetFeed> feed;
     std::unique_ptr<Gateway> gateway;
   };
