Limits of accounts: repaid within the window, a part kept back, rushes told at once

Ruled out: smaller loose shares alone (0.9 to 0.7 of a share: no change in the model, as the passes of one host's own rush test come on top).

Change: what was passed is repaid in 1.2 s, 0.3 s of the rate is kept back, less of the allowed overage is used; a host whose share begins to bind tells the others within 0.25 s; the slack of few requests counts for small accounts.

--- a/include/pathcleat/accounts/quota_control.hpp
+++ b/include/pathcleat/accounts/quota_control.hpp
@@ -60,6 +60,10 @@
   /// @brief What decides on an account now; takes nothing.
   QuotaDecision Explain(const Account& account, Time now) const;
 
+  /// @brief Whether a limit came to be shared here since this host last told
+  /// the others: they should know before the next round.
+  bool HasNews() const { return has_news_; }
+
   UsageReport OwnUsage(Time now) override;
   UsageReport DomainUsage(Time now) override;
   std::vector<UsageReport> KnownUsage() const override;
@@ -78,6 +82,7 @@
   QuotaBounds bounds_;
   FleetUsage fleet_;
   LimitSharers sharers_;
+  bool has_news_ = false;
   std::unordered_map<std::uint64_t, AccountMeter> meters_;  ///< by AccountId
   std::unordered_map<std::uint64_t, AccountUse> told_;  ///< by this host, last
 };
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -52,6 +52,10 @@
   /// Other domains are told by the next report.
   void Tell();
 
+  /// @brief Tells now what this host takes of client accounts' limits, and, if
+  /// it reports for its domain, what the domain takes.
+  void TellUsage();
+
  private:
   void Tick();
   void Receive();
--- a/src/pathcleat/accounts/account_meter.cpp
+++ b/src/pathcleat/accounts/account_meter.cpp
@@ -9,24 +9,26 @@
 namespace pathcleat {
 namespace {
 
-// Of what a window may hold beyond the limit so much is used up by shares that
-// hosts reckon a moment apart; the rest is for requests on their way when a
-// rush begins.
-constexpr double kSlackUsed = 0.3;
+// Of what a window may hold beyond the limit, by its share and by its number of
+// requests, so much is used up by shares that hosts reckon a moment apart; the
+// rest is for requests on their way when a rush begins. Of few requests a
+// second, chance alone brings more at once than a limit has.
+constexpr double kOverageUsed = 0.1;
+constexpr double kSlackUsed = 0.5;
 // Of an account's limit so much is shared evenly, and the rest by demand, so
 // that a host where the account is new has something. More is wasted where all
 // callers come to few hosts: at 1.0 two hosts of 67 got half of the limit.
 constexpr double kEvenPart = 0.15;
 // A rush: beyond the limit by more than the noise of few requests a second.
-constexpr double kRushFactor = 1.2;
-constexpr double kRushNoise = 2.0;
+constexpr double kRushFactor = 1.1;
+constexpr double kRushNoise = 1.5;
 // Far enough below the limit to be shared no more.
 constexpr double kQuietFactor = 0.9;
 constexpr Duration kQuietTime{300'000};
 // Of the fleet's level that a share is worth sharing at.
-constexpr double kLowLevel = 0.3;
+constexpr double kLowLevel = 0.4;
 // What a host that has just started takes for left: others may have used it up.
-constexpr double kFirstLevel = 0.4;
+constexpr double kFirstLevel = 0.5;
 // While nothing is shared a host may hold so many times its share, and so many
 // requests more, where the account is new or small.
 constexpr double kLooseShares = 0.7;
@@ -41,9 +43,13 @@
 // From a request to where every host reckons with it: a round of heartbeats, a
 // round of reports, and the average itself.
 constexpr double kToldAfterSeconds = 1.2;
-// The level is used up, or made up for, in this time: twice as long as it takes
-// to hear of what the others take, so that hosts do not swing together.
+// What is left of the level is used in this time: twice as long as it takes to
+// hear of what the others take, so that hosts do not swing together.
 constexpr double kLevelSeconds = 2.5;
+// So much of the rate is kept back, for what the others take unseen.
+constexpr double kKeptBackSeconds = 0.3;
+// What was taken too much is made up for sooner, within the window.
+constexpr double kRepaidSeconds = 1.2;
 // Hosts that passed the limit take a little all the same.
 constexpr double kLeastRate = 0.05;
 // What a host may save up of its share.
@@ -71,8 +77,8 @@
 double AccountMeter::Depth() const {
   const double window = limit_.per_second * Seconds(bounds_.window);
   return limit_.burst +
-         kSlackUsed *
-             (bounds_.overage * (window + limit_.burst) + bounds_.slack);
+         kOverageUsed * bounds_.overage * (window + limit_.burst) +
+         kSlackUsed * bounds_.slack;
 }
 
 void AccountMeter::SetLimit(const AccountLimit& limit) {
@@ -109,9 +115,10 @@
   if (!shared_) {
     return limit_.per_second * kLooseRate;
   }
-  const double left = level_ - unseen_;
-  const double beside =
-      (fleet.has_silent ? std::min(0.0, left) : left) / kLevelSeconds;
+  const double left = level_ - unseen_ - limit_.per_second * kKeptBackSeconds;
+  const double beside = left < 0           ? left / kRepaidSeconds
+                        : fleet.has_silent ? 0
+                                           : left / kLevelSeconds;
   return std::max(limit_.per_second * kLeastRate, limit_.per_second + beside);
 }
 
--- a/src/pathcleat/accounts/quota_control.cpp
+++ b/src/pathcleat/accounts/quota_control.cpp
@@ -95,7 +95,9 @@
       meters_.try_emplace(id, account.limit, bounds_, MixHashes(seed_, id))
           .first->second;
   const FleetState state = StateOf(id, now);
+  const bool was_shared = meter.IsShared();
   const bool allowed = meter.TryTake(state, now);
+  has_news_ = has_news_ || (meter.IsShared() && !was_shared);
   QuotaDecision decision;
   if (!allowed) {
     decision = DecisionOf(meter, state, now);
@@ -126,6 +128,7 @@
 
 UsageReport QuotaControl::OwnUsage(Time now) {
   const bool has_silent = HasSilent(now);
+  has_news_ = false;
   told_.clear();
   for (auto& [account, meter] : meters_) {
     const AccountUse use = meter.Tell(has_silent, now);
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -71,14 +71,21 @@
   Beat(false);
 }
 
+void PeerLink::TellUsage() {
+  const Time now = BootClock::now();
+  SendOwnUsage(now);
+  if (reporter_.IsReporter(now)) {
+    SendDomainUsage(now);
+  }
+}
+
 void PeerLink::Tick() {
   const Time now = BootClock::now();
   Beat(false);
-  SendOwnUsage(now);
   if (reporter_.IsReporter(now)) {
     SendReports();
-    SendDomainUsage(now);
   }
+  TellUsage();
   timer_.expires_after(kHeartbeatPeriod);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -309,6 +309,9 @@
   }
   view_.Tick(now);
   state_.ShareBounds(now);
+  if (state_.quotas.control().HasNews()) {
+    peers_.TellUsage();
+  }
   state_.pool.CloseIdle(now);
   tick_timer_.expires_after(kTickPeriod);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
