--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
+#include "pathcleat/gateway/account_stats.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
 #include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/gateway/key_ledger.hpp"
@@ -62,6 +63,7 @@
   const KeyDigester& digester;
   AccountTable accounts;
   QuotaGate quotas;
+  AccountStats account_stats;
   UpstreamTable upstreams;
   UpstreamPicker picker;
   SplitBalancer splits;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "pathcleat/gateway/gateway_state.hpp"
@@ -74,6 +75,7 @@
   Time sent() const { return sent_; }
 
  private:
+  bool WasForgotten(const CallResult& result) const;
   void CountBreak(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
   void NoteSilent(const HttpClient& client);
@@ -83,6 +85,7 @@
   HttpClientPtr client_;  ///< of the attempt under way
   Pick pick_;
   Time sent_;
+  std::optional<Duration> rested_;  ///< its connection, if it was kept
   bool silent_ = false;  ///< the connection of this attempt, as far as known
   bool counts_ = true;   ///< against the upstream, if it fails
 };
--- a/include/pathcleat/gateway/upstream_pool.hpp
+++ b/include/pathcleat/gateway/upstream_pool.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/gateway/rest_limit.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 
@@ -26,7 +27,13 @@
   explicit UpstreamPool(boost::asio::io_context& loop) : loop_(loop) {}
 
   /// @brief A connection for one request: a kept one or one not yet open.
-  HttpClientPtr Take(const UpstreamInfo& upstream, Time now);
+  /// @param repeatable whether the request may be sent again where it is lost;
+  /// else no connection is used that may have been forgotten at rest.
+  HttpClientPtr Take(const UpstreamInfo& upstream, bool repeatable, Time now);
+
+  /// @brief A kept connection was gone when it was used.
+  /// @param rested since its last use.
+  void OnForgotten(const UpstreamInfo& upstream, Duration rested, Time now);
 
   /// @brief A connection not yet open, though others are kept.
   HttpClientPtr Open(const UpstreamInfo& upstream);
@@ -55,6 +62,7 @@
  private:
   using Kept = std::vector<HttpClientPtr>;
 
+  HttpClientPtr TakeKept(const UpstreamInfo& upstream, Time now);
   static bool IsFresh(const HttpClient& client, Time now);
   static void CloseUnheard(Kept& kept, Time now);
   bool IsOtherSilent(const std::string& upstream_id, Time now) const;
@@ -62,7 +70,8 @@
 
   boost::asio::io_context& loop_;
   std::map<std::string, Kept> idle_;
-  std::map<std::string, Time> silences_;  ///< the last one, by upstream
+  std::map<std::string, Time> silences_;    ///< the last one, by upstream
+  std::map<std::string, RestLimit> rests_;  ///< by service
   std::uint64_t silent_ = 0;
 };
 
--- a/include/pathcleat/gateway/upstream_protocol.hpp
+++ b/include/pathcleat/gateway/upstream_protocol.hpp
@@ -26,6 +26,7 @@
   std::string request_id;
   const Account* account = nullptr;  ///< null: the caller is of none
   bool hides_key = false;            ///< callers' keys are of client accounts
+  bool repeatable = false;
 };
 
 /// @brief The request as an upstream gets it: end-to-end fields, the request
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -89,30 +89,6 @@
       });
 }
 
-bool Call::TakeQuota() {
-  if (!account_) {
-    return true;
-  }
-  const Time now = BootClock::now();
-  const QuotaAnswer quota = state_.quotas.Take(*account_, request_.CallerLeft(),
-                                               route_->target_latency, now);
-  counts_ = quota.decision.allowed;
-  if (counts_) {
-    return true;
-  }
-  state_.metrics.OnRefused(kOverLimit);
-  trace_.NoteOverLimit(*account_, quota.decision, quota.retry_after);
-  Answer(OverLimitResponse(quota.retry_after), RunOutcome::kNotRun);
-  return false;
-}
-
-// What certainly has not run is no use of the account's limit.
-void Call::GiveQuotaBack() {
-  if (std::exchange(counts_, false)) {
-    state_.quotas.control().GiveBack(*account_, BootClock::now());
-  }
-}
-
 void Call::ClaimKey() {
   if (!MayClaim()) {
     RefuseForStop();
@@ -212,7 +188,8 @@
   runs_.OnSent();
   attempt_.Start(
       pick, request_.key, exchange_->request(),
-      {request_id_, account_.get(), state_.accounts.IsInForce()},
+      {request_id_, account_.get(), state_.accounts.IsInForce(),
+       route_->repeatable},
       {left, deadline_ - BootClock::now()},
       [this] { exchange_->CheckCaller(); },
       [self = shared_from_this()](const CallResult& result) {
@@ -370,46 +347,6 @@
          latency > route_->target_latency * kSlowMultiple;
 }
 
-// Repeatable work is cancelled at the upstream, and what has not been sent is
-// taken back, also the rest of a body. Other work that an upstream has whole
-// runs to its end, as nobody could tell afterwards how far it had come.
-void Call::CancelAttempt(BreakCause cause) {
-  if (attempt_.IsUnderWay() && (route_->repeatable || !attempt_.IsPassedOn())) {
-    if (!attempt_.MayHaveSent()) {
-      runs_.OnKnownNotRun();
-    }
-    attempt_.Cancel(cause);
-  }
-}
-
-// Nothing more is started. A caller that has only ended its side of the
-// connection is still answered, with what can be told truthfully.
-void Call::OnCallerLeft() {
-  if (done_ || left_) {
-    return;
-  }
-  left_ = true;
-  trace_.Note(EventCode::kCallerLeft, {});
-  const bool was_sent = attempt_.MayHaveSent();
-  CancelAttempt(BreakCause::kCallerLeft);
-  if (attempt_.IsUnderWay()) {
-    state_.metrics.OnCallerLeft(WorkLeft::kRunsOn);
-    trace_.TellSoFar();
-    return;
-  }
-  state_.metrics.OnCallerLeft(was_sent ? WorkLeft::kCancelled
-                                       : WorkLeft::kNotStarted);
-  EndForCallerLeft();
-}
-
-void Call::EndForCallerLeft() {
-  if (runs_.MayHaveRun()) {
-    AnswerUnknown(http_status::kBadGateway, "the caller has left");
-  } else {
-    Refuse(Duration::zero(), "caller_left");
-  }
-}
-
 void Call::OnDeadline() {
   if (done_) {
     return;
--- /dev/null
+++ b/src/pathcleat/gateway/call_account.cpp
@@ -0,0 +1,37 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// How a call counts in the limit of its caller's account.
+
+#include <utility>
+
+#include "pathcleat/gateway/call.hpp"
+#include "pathcleat/gateway/upstream_protocol.hpp"
+
+namespace pathcleat {
+
+bool Call::TakeQuota() {
+  if (!account_) {
+    return true;
+  }
+  const Time now = BootClock::now();
+  const QuotaAnswer quota = state_.quotas.Take(*account_, request_.CallerLeft(),
+                                               route_->target_latency, now);
+  counts_ = quota.decision.allowed;
+  if (counts_) {
+    state_.account_stats.OnTaken(account_->name);
+    return true;
+  }
+  state_.account_stats.OnOverLimit(account_->name);
+  state_.metrics.OnRefused(kOverLimit);
+  trace_.NoteOverLimit(*account_, quota.decision, quota.retry_after);
+  Answer(OverLimitResponse(quota.retry_after), RunOutcome::kNotRun);
+  return false;
+}
+
+// What certainly has not run is no use of the account's limit.
+void Call::GiveQuotaBack() {
+  if (std::exchange(counts_, false)) {
+    state_.quotas.control().GiveBack(*account_, BootClock::now());
+  }
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -37,8 +37,11 @@
     upstream.cold_share.TryTake(now);
   }
   // What went into silence once goes over a connection that is new.
-  client_ = was_silent ? state_.pool.Open(upstream.info)
-                       : state_.pool.Take(upstream.info, now);
+  client_ = was_silent
+                ? state_.pool.Open(upstream.info)
+                : state_.pool.Take(upstream.info, origin.repeatable, now);
+  rested_ = client_->IsReusable() ? std::optional(now - client_->idle_since())
+                                  : std::nullopt;
   client_->OnOpened(std::move(opened));
   client_->Send(
       ToUpstream(state_.headers, request, origin, upstream.info.id, times.told),
@@ -61,6 +64,10 @@
     }
   }
   CountBreak(result);
+  if (WasForgotten(result)) {
+    counts_ = false;
+    state_.pool.OnForgotten(upstream.info, *rested_, BootClock::now());
+  }
   if (result.silent && !silent_) {
     NoteSilent(*client);
   }
@@ -75,6 +82,15 @@
   callback(result);
 }
 
+// A kept connection that the upstream ended without a byte, sooner than any run
+// ends. It says nothing of the upstream.
+bool UpstreamAttempt::WasForgotten(const CallResult& result) const {
+  const Duration took = BootClock::now() - sent_;
+  return rested_ && result.outcome == CallOutcome::kBroken &&
+         !result.ended_here && !result.silent && result.bytes == 0 &&
+         took < pick_.expected / 2;
+}
+
 void UpstreamAttempt::CountBreak(const CallResult& result) {
   if (result.silent) {
     state_.metrics.OnBrokenOff(BreakCause::kSilentLink);
--- a/src/pathcleat/gateway/upstream_pool.cpp
+++ b/src/pathcleat/gateway/upstream_pool.cpp
@@ -36,7 +36,30 @@
   return client.IsReusable() && now - client.idle_since() < longest;
 }
 
-HttpClientPtr UpstreamPool::Take(const UpstreamInfo& upstream, Time now) {
+HttpClientPtr UpstreamPool::Take(const UpstreamInfo& upstream,
+                                 bool repeatable,
+                                 Time now) {
+  HttpClientPtr kept = TakeKept(upstream, now);
+  if (!kept) {
+    return Open(upstream);
+  }
+  const Duration rested = now - kept->idle_since();
+  if (!repeatable && rested > rests_[upstream.service].Longest(now)) {
+    // The last one used is the first one taken: others rested for longer.
+    Return(upstream.id, kept);
+    return Open(upstream);
+  }
+  return kept;
+}
+
+void UpstreamPool::OnForgotten(const UpstreamInfo& upstream,
+                               Duration rested,
+                               Time now) {
+  rests_[upstream.service].OnForgotten(rested, now);
+}
+
+// Null: none is kept that may be used.
+HttpClientPtr UpstreamPool::TakeKept(const UpstreamInfo& upstream, Time now) {
   auto& idle = idle_[upstream.id];
   while (!idle.empty()) {
     HttpClientPtr client = std::move(idle.back());
@@ -46,7 +69,7 @@
     }
     Discard(client);
   }
-  return Open(upstream);
+  return nullptr;
 }
 
 HttpClientPtr UpstreamPool::Open(const UpstreamInfo& upstream) {
--- a/src/pathcleat/gateway/upstream_pool_test.cpp
+++ b/src/pathcleat/gateway/upstream_pool_test.cpp
@@ -52,7 +52,8 @@
   void Keep(const std::string& id) { pool.Return(id, Opened(id)); }
 
   bool Keeps(const std::string& id) {
-    const HttpClientPtr client = pool.Take(Upstream(id), BootClock::now());
+    const HttpClientPtr client =
+        pool.Take(Upstream(id), true, BootClock::now());
     const bool kept = client->IsReusable();
     pool.Return(id, client);
     return kept;
@@ -72,7 +73,8 @@
   const HttpClientPtr silent = world.Opened("u");
   world.Keep("u");
   world.Keep("u");
-  world.AwaitUnheard(world.pool.Take(world.Upstream("u"), BootClock::now()));
+  world.AwaitUnheard(
+      world.pool.Take(world.Upstream("u"), true, BootClock::now()));
   cr_assert(world.Keeps("u"));
   cr_assert(world.pool.OnSilent("u", *silent, BootClock::now()));
   cr_assert_not(world.Keeps("u"));
@@ -97,5 +99,21 @@
   cr_assert_not(world.Keeps("c"));
 }
 
+// Work that may be repeated finds out by itself, at no cost to its caller.
+// Checked to fail with the comparison left out of UpstreamPool::Take.
+Test(upstream_pool, work_that_runs_once_avoids_connections_that_may_be_gone) {
+  constexpr Duration kRest{200'000};
+  PoolWorld world;
+  world.Keep("u");
+  const Time later = BootClock::now() + kRest;
+  cr_assert(world.pool.Take(world.Upstream("u"), false, later)->IsReusable(),
+            "nothing was forgotten yet");
+  world.Keep("u");
+  world.pool.OnForgotten(world.Upstream("u"), kRest, later);
+  cr_assert_not(
+      world.pool.Take(world.Upstream("u"), false, later)->IsReusable());
+  cr_assert(world.pool.Take(world.Upstream("u"), true, later)->IsReusable());
+}
+
 }  // namespace
 }  // namespace pathcleat
