The average load of others counts where a request is refused, not where it goes

Change: UpstreamLoad::Told, without the average, decides the choice; Expected, with it, the wait by which a request is refused.

--- a/include/pathcleat/routing/upstream_load.hpp
+++ b/include/pathcleat/routing/upstream_load.hpp
@@ -45,9 +45,15 @@
   /// @brief Expected requests running or waiting there now, from all hosts.
   double Expected(Time now) const;
 
+  /// @brief The same by what this upstream itself told, without the average of
+  /// others: few that are busy would else move all that told nothing of late.
+  double Told(Time now) const;
+
  private:
   double AgeMicros(Time now) const;
+  double OwnUsualAt(Time now) const;
   double UsualAt(Time now) const;
+  double With(double usual, Time now) const;
 
   bool remember_usual_ = true;
   int own_ = 0;
--- a/src/pathcleat/routing/upstream_load.cpp
+++ b/src/pathcleat/routing/upstream_load.cpp
@@ -40,19 +40,29 @@
 }
 
 double UpstreamLoad::Expected(Time now) const {
+  return With(UsualAt(now), now);
+}
+
+double UpstreamLoad::Told(Time now) const {
+  return With(OwnUsualAt(now), now);
+}
+
+double UpstreamLoad::With(double usual, Time now) const {
   const double age = AgeMicros(now);
-  const double usual = UsualAt(now);
   return own_ + usual + (others_ - usual) * std::exp(-age / kFadeMicros);
 }
 
+double UpstreamLoad::OwnUsualAt(Time now) const {
+  return usual_ * std::exp(-AgeMicros(now) / kForgetMicros);
+}
+
 // An upstream that was heard of lately speaks for itself.
 double UpstreamLoad::UsualAt(Time now) const {
-  const double age = AgeMicros(now);
-  const double own = usual_ * std::exp(-age / kForgetMicros);
+  const double own = OwnUsualAt(now);
   if (!average_) {
     return own;
   }
-  const double silent = std::max(0.0, age - kLongestReportMicros);
+  const double silent = std::max(0.0, AgeMicros(now) - kLongestReportMicros);
   return own + average_->Value(now) * (1 - std::exp(-silent / kForgetMicros));
 }
 
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -197,20 +197,25 @@
   const double run = (warm * candidate.warmth + cold * (1 - candidate.warmth)) *
                      upstream.slowness.Value(now);
   const double slots = std::max(1, upstream.info.slots);
-  const double ahead = std::max(0.0, upstream.load.Expected(now) + 1 - slots);
-  const double wait = ahead / slots * run;
+  const auto wait_behind = [slots, run](double requests) {
+    return std::max(0.0, requests + 1 - slots) / slots * run;
+  };
+  // The choice goes by what each upstream told; whether the chosen one is
+  // worth waiting for, by what is usual at others as well.
+  const double told = wait_behind(upstream.load.Told(now));
+  const double wait = wait_behind(upstream.load.Expected(now));
   const double round_trip = Seconds(RoundTrip(upstream));
-  const double expected = round_trip + wait + run;
   Scored scored;
   scored.pick.upstream = candidate.upstream;
-  scored.pick.expected = FromSeconds(expected);
+  scored.pick.expected = FromSeconds(round_trip + wait + run);
   scored.pick.wait = FromSeconds(wait);
   scored.pick.warm = candidate.warmth >= kWarmEnough;
   scored.pick.sign = candidate.sign;
   scored.pick.left_region = upstream.region != settings_.region;
-  scored.worth = WorthAt(expected, Seconds(request.route->target_latency)) -
+  scored.worth = WorthAt(round_trip + told + run,
+                         Seconds(request.route->target_latency)) -
                  CarryingCost(upstream, profile.answer_bytes) -
-                 (run + wait) * kSlotSecondCost -
+                 (run + told) * kSlotSecondCost -
                  kRankCost * static_cast<double>(
                                  std::min(candidate.sign.rank, kRanksPriced));
   return scored;
