Room taken by accounts at home in one region is left out of others' shares

Change: BoundRoom: what the fleet asks for accounts with homes, by region and in steps, is taken off the slots that RegionShares goes by. Operators: `show accounts`, `account NAME`, metrics by account, `pathcleat-lab quotas`.

--- a/include/pathcleat/accounts/quota_control.hpp
+++ b/include/pathcleat/accounts/quota_control.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,6 +58,12 @@
   /// @brief A request that was taken was refused later, and has not run.
   void GiveBack(const Account& account, Time now);
 
+  /// @brief Requests a second that come to the fleet from accounts that have
+  /// homes and a limit, by region; those of several homes are shared evenly.
+  std::map<std::string, double> DemandAtHome(
+      const std::vector<Account>& accounts,
+      Time now) const;
+
   /// @brief What decides on an account now; takes nothing.
   QuotaDecision Explain(const Account& account, Time now) const;
 
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -31,11 +31,13 @@
   std::string Answer(const WhereQuery& query);
   std::string Answer(const WhyQuery& query) const;
   std::string Answer(const ShowQuery& query) const;
+  std::string Answer(const AccountQuery& query) const;
   std::string Answer(const HelpQuery& query) const;
   std::string ShowHosts() const;
   std::string ShowUpstreams() const;
   std::string ShowShifts() const;
   std::string ShowConfig() const;
+  std::string ShowAccounts() const;
   std::string Timeline() const;
   std::string NextCommandId();
 
--- a/include/pathcleat/query/command.hpp
+++ b/include/pathcleat/query/command.hpp
@@ -34,7 +34,14 @@
 
 /// @brief What "show" can show.
 /// @ingroup query
-enum class ShowTopic { kHosts, kUpstreams, kShifts, kConfig, kMetrics };
+enum class ShowTopic {
+  kHosts,
+  kUpstreams,
+  kShifts,
+  kConfig,
+  kMetrics,
+  kAccounts
+};
 
 /// @brief "show TOPIC"
 /// @ingroup query
@@ -42,6 +49,12 @@
   ShowTopic topic = ShowTopic::kHosts;
 };
 
+/// @brief "account NAME"
+/// @ingroup query
+struct AccountQuery {
+  std::string name;
+};
+
 /// @brief "help"
 /// @ingroup query
 struct HelpQuery {};
@@ -54,8 +67,12 @@
 
 /// @brief Anything an operator can say.
 /// @ingroup query
-using OperatorCommand =
-    std::variant<WhereQuery, WhyQuery, ShowQuery, HelpQuery, ChangeCommand>;
+using OperatorCommand = std::variant<WhereQuery,
+                                     WhyQuery,
+                                     ShowQuery,
+                                     AccountQuery,
+                                     HelpQuery,
+                                     ChangeCommand>;
 
 /// @brief The language's grammar, for "help".
 /// @ingroup query
--- a/include/pathcleat/routing/region_shares.hpp
+++ b/include/pathcleat/routing/region_shares.hpp
@@ -14,6 +14,7 @@
 struct RegionRoom {
   double slots = 0;  ///< of its open upstreams
   int hosts = 0;     ///< entry hosts alive in it; callers spread over them
+  double bound = 0;  ///< part of the slots taken by what may run nowhere else
 };
 
 /// @brief Which part of a service's keys the regions serve for the callers of
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "pathcleat/routing/admission_control.hpp"
+#include "pathcleat/routing/bound_room.hpp"
 #include "pathcleat/routing/key_placement.hpp"
 #include "pathcleat/routing/link_limits.hpp"
 #include "pathcleat/routing/pick.hpp"
@@ -64,6 +65,12 @@
   /// @brief Entry hosts alive, by region.
   void SetHosts(std::map<std::string, int> hosts) { hosts_ = std::move(hosts); }
 
+  /// @brief Requests a second of client accounts that may run nowhere else, by
+  /// region. Call a few times a second.
+  void SetBoundDemand(const std::map<std::string, double>& per_second) {
+    bound_.SetDemand(per_second);
+  }
+
   ShiftTable& shifts() { return shifts_; }
   LinkLimits& links() { return links_; }
 
@@ -121,6 +128,7 @@
   AdmissionControl admission_;
   ShiftTable shifts_;
   LinkLimits links_;
+  BoundRoom bound_;
   std::map<std::string, int> hosts_;                  ///< alive, by region
   std::map<std::string, SharesEntry> shares_;         ///< by service
   std::map<std::string, RequestProfile> profiles_;    ///< by route name
--- a/src/pathcleat/accounts/account_table.cpp
+++ b/src/pathcleat/accounts/account_table.cpp
@@ -36,8 +36,8 @@
 }
 
 const std::vector<Account>& AccountTable::All() const {
-  static const std::vector<Account> kNone;
-  return accounts_ ? *accounts_ : kNone;
+  static const std::vector<Account> none;
+  return accounts_ ? *accounts_ : none;
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/accounts/quota_control.cpp
+++ b/src/pathcleat/accounts/quota_control.cpp
@@ -113,6 +113,24 @@
   }
 }
 
+std::map<std::string, double> QuotaControl::DemandAtHome(
+    const std::vector<Account>& accounts,
+    Time now) const {
+  std::map<std::string, double> demand;
+  for (const Account& account : accounts) {
+    if (account.home_regions.empty() || !account.limit.IsSet()) {
+      continue;
+    }
+    const QuotaDecision use = Explain(account, now);
+    const double taken = std::min(use.fleet_demand, use.limit_per_second);
+    for (const std::string& region : account.home_regions) {
+      demand[region] +=
+          taken / static_cast<double>(account.home_regions.size());
+    }
+  }
+  return demand;
+}
+
 QuotaDecision QuotaControl::Explain(const Account& account, Time now) const {
   if (!account.limit.IsSet()) {
     return {};
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -18,6 +18,7 @@
 #include "pathcleat/lab/deployment_config.hpp"
 #include "pathcleat/lab/load_audit.hpp"
 #include "pathcleat/lab/load_generator.hpp"
+#include "pathcleat/lab/quota_model.hpp"
 #include "pathcleat/lab/return_model.hpp"
 #include "pathcleat/lab/routing_model.hpp"
 #include "pathcleat/lab/slope.hpp"
@@ -41,6 +42,7 @@
   pathcleat-lab token DEPLOYMENT
   pathcleat-lab measure [--seeds=N]
   pathcleat-lab returns [--seeds=N]
+  pathcleat-lab quotas [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
@@ -53,6 +55,7 @@
   token      Print the operators' token that lies in the store.
   measure    Compare routing policies in the model.
   returns    What becomes of requests that are told to come back, in the model.
+  quotas     How well ways to share an account's limit keep it, in the model.
   slopes     Measure what the capacity page is reckoned from.
 
 Options:
@@ -247,6 +250,13 @@
   return kDone;
 }
 
+int RunQuotas(const Arguments& arguments) {
+  for (long seed = 1; seed <= arguments.at("--seeds").asLong(); ++seed) {
+    std::cout << CompareQuotaPolicies(static_cast<std::uint64_t>(seed));
+  }
+  return kDone;
+}
+
 int RunSlopes() {
   for (const auto& measure :
        {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes}) {
@@ -262,6 +272,9 @@
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
+  if (arguments.at("quotas").asBool()) {
+    return RunQuotas(arguments);
+  }
   if (arguments.at("returns").asBool()) {
     return RunReturns(arguments);
   }
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -119,6 +119,7 @@
     budget.SetBurst(RetryBurst(now));
   }
   ShareQuotas(now);
+  picker.SetBoundDemand(quotas.control().DemandAtHome(accounts.All(), now));
   ShareCold(now);
 }
 
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -114,6 +114,23 @@
   page.Sample("pathcleat_requests_under_way", {}, state.requests);
 }
 
+// A few accounts alone, so that the page stays short.
+void AddAccounts(Page& page, const AccountStats& accounts) {
+  page.Family("pathcleat_account_requests_total", "counter",
+              "Requests of the busiest and the most refused client accounts.");
+  for (const auto& [account, counts] : accounts.Foremost()) {
+    page.Sample("pathcleat_account_requests_total",
+                {{"account", account}, {"outcome", "taken"}}, counts.taken);
+    page.Sample("pathcleat_account_requests_total",
+                {{"account", account}, {"outcome", "over_limit"}},
+                counts.over_limit);
+  }
+  page.Family("pathcleat_account_requests_uncounted_total", "counter",
+              "Requests of accounts beyond those that are counted.");
+  page.Sample("pathcleat_account_requests_uncounted_total", {},
+              accounts.uncounted());
+}
+
 void AddBudgets(Page& page, const GatewayState& state) {
   page.Family("pathcleat_retries_total", "counter",
               "Requests sent once more, by service.");
@@ -282,6 +299,7 @@
                           Time now) {
   Page page;
   AddRequests(page, state);
+  AddAccounts(page, state.account_stats);
   AddBudgets(page, state);
   AddUpstreams(page, state, now);
   AddFleet(page, state, inputs.versions, now);
--- /dev/null
+++ b/src/pathcleat/gateway/operator_accounts.cpp
@@ -0,0 +1,80 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// What operators are told of client accounts.
+
+#include <iomanip>
+#include <sstream>
+
+#include "pathcleat/gateway/operator_service.hpp"
+
+namespace pathcleat {
+namespace {
+
+std::string LimitText(const AccountLimit& limit) {
+  std::ostringstream text;
+  if (!limit.IsSet()) {
+    return "no limit";
+  }
+  text << limit.per_second << " requests a second and " << limit.burst
+       << " at once";
+  return text.str();
+}
+
+std::string UseText(const QuotaDecision& use) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(1) << use.fleet_demand
+       << " a second come to the fleet, as told within the last second; part "
+          "of this host "
+       << std::setprecision(3) << use.share;
+  return text.str();
+}
+
+}  // namespace
+
+std::string OperatorService::ShowAccounts() const {
+  const Time now = BootClock::now();
+  std::ostringstream text;
+  for (const Account& account : state_.accounts.All()) {
+    text << account.name << ": " << LimitText(account.limit);
+    if (account.limit.IsSet()) {
+      text << ", " << UseText(state_.quotas.control().Explain(account, now));
+    }
+    const AccountCounts counts = state_.account_stats.Of(account.name);
+    text << ", taken here " << counts.taken << ", refused " << counts.over_limit
+         << "\n";
+  }
+  const std::string accounts = text.str();
+  return accounts.empty() ? "no client accounts: callers need no keys\n"
+                          : accounts;
+}
+
+std::string OperatorService::Answer(const AccountQuery& query) const {
+  const Account* account = state_.accounts.FindNamed(query.name);
+  if (account == nullptr) {
+    return "no account is called '" + query.name + "' in version " +
+           std::to_string(state_.routes.version()) + "\n";
+  }
+  std::ostringstream text;
+  text << account->name << ", by version " << state_.routes.version() << "\n"
+       << "limit: " << LimitText(account->limit) << "\n";
+  if (account->limit.IsSet()) {
+    const QuotaDecision use =
+        state_.quotas.control().Explain(*account, BootClock::now());
+    text << "use: " << UseText(use) << "; next in "
+         << static_cast<int>(ToMilliseconds(use.next_in)) << " ms\n";
+  }
+  const AccountCounts counts = state_.account_stats.Of(account->name);
+  text << "here: taken " << counts.taken << ", refused beyond the limit "
+       << counts.over_limit << "\n";
+  if (account->priority) {
+    text << "priority: " << *account->priority << "\n";
+  }
+  for (const std::string& region : account->home_regions) {
+    text << "home: " << region << "\n";
+  }
+  for (const KeyDigest& key : account->keys) {
+    text << "key: digest " << ShortText(key) << "...\n";
+  }
+  return text.str();
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -195,6 +195,8 @@
       return ShowConfig();
     case ShowTopic::kMetrics:
       return state_.metrics.ToText();
+    case ShowTopic::kAccounts:
+      return ShowAccounts();
   }
   return "";
 }
--- a/src/pathcleat/lab/accounts_test.cpp
+++ b/src/pathcleat/lab/accounts_test.cpp
@@ -297,6 +297,28 @@
   cr_assert_eq(TestWorld::Outcome(nowhere), "not-run");
 }
 
+Test(accounts, operators_see_limits_use_and_digests) {
+  AccountWorld accounts;
+  TestWorld& world = accounts.world;
+  world.config().accounts[0].limit = {5, 5};
+  accounts.Put();
+  world.StartAll();
+  accounts.AwaitInForce(2);
+  cr_assert_eq(accounts.Status(0, kRunnersKey), http_status::kOk);
+  const std::string all = world.Command(0, "show accounts").response.body;
+  cr_assert(all.find("runners: 5 requests a second") != std::string::npos);
+  cr_assert(all.find("clubs: no limit") != std::string::npos);
+  const std::string one = world.Command(0, "account runners").response.body;
+  cr_assert(one.find("here: taken 1, refused") != std::string::npos);
+  cr_assert(one.find("key: digest ") != std::string::npos);
+  cr_assert(one.find(kRunnersKey) == std::string::npos);
+  cr_assert(world.Command(0, "account nobody")
+                .response.body.starts_with("no account"));
+  const std::string page = world.Metrics(0).response.body;
+  cr_assert(page.find("pathcleat_account_requests_total{account=\"runners\"") !=
+            std::string::npos);
+}
+
 // No key stands in a log line, an event, or a message between hosts.
 Test(promise, keys_are_told_nowhere) {
   AccountWorld accounts;
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -13,7 +13,8 @@
 constexpr std::string_view kHelp =
     "where SERVICE from CLIENT-IP\n"
     "why REQUEST-ID\n"
-    "show hosts | upstreams | shifts | config | metrics\n"
+    "show hosts | upstreams | shifts | config | metrics | accounts\n"
+    "account NAME\n"
     "drain upstream NAME | drain region NAME\n"
     "undrain upstream NAME | undrain region NAME\n"
     "shift SERVICE from REGION to REGION cap N% [over TIME]   (TIME: 30s, "
@@ -66,6 +67,9 @@
     if (verb == "show") {
       return ParseShow();
     }
+    if (verb == "account") {
+      return ParseAccount();
+    }
     if (verb == "drain" || verb == "undrain") {
       return ParseDrain(verb == "drain");
     }
@@ -106,13 +110,11 @@
 
   Result<OperatorCommand> ParseShow() {
     const std::map<std::string, ShowTopic> topics = {
-        {"hosts", ShowTopic::kHosts},
-        {"upstreams", ShowTopic::kUpstreams},
-        {"shifts", ShowTopic::kShifts},
-        {"config", ShowTopic::kConfig},
-        {"metrics", ShowTopic::kMetrics}};
+        {"hosts", ShowTopic::kHosts},     {"upstreams", ShowTopic::kUpstreams},
+        {"shifts", ShowTopic::kShifts},   {"config", ShowTopic::kConfig},
+        {"metrics", ShowTopic::kMetrics}, {"accounts", ShowTopic::kAccounts}};
     constexpr const char* kWanted =
-        "hosts, upstreams, shifts, config or metrics";
+        "hosts, upstreams, shifts, config, metrics or accounts";
     BOOST_LEAF_AUTO(word, Word(kWanted));
     const auto topic = topics.find(word);
     if (topic == topics.end()) {
@@ -122,6 +124,11 @@
     return OperatorCommand(ShowQuery{topic->second});
   }
 
+  Result<OperatorCommand> ParseAccount() {
+    BOOST_LEAF_AUTO(name, Word("the name of a client account"));
+    return OperatorCommand(AccountQuery{name});
+  }
+
   Result<OperatorCommand> ParseDrain(bool drained) {
     BOOST_LEAF_AUTO(sort, Word("upstream or region"));
     if (sort == "upstream") {
--- a/src/pathcleat/routing/region_shares.cpp
+++ b/src/pathcleat/routing/region_shares.cpp
@@ -22,15 +22,20 @@
   return found == weights.end() ? 0 : found->second;
 }
 
+double SlotsLeft(const RegionRoom& room) {
+  return room.slots * (1 - room.bound);
+}
+
 }  // namespace
 
-// Callers are taken to spread over the regions as the hosts do, and all regions
-// are to be equally busy.
+// What is placed by room goes by the slots that are left beside what may run
+// nowhere else. Callers are taken to spread over the regions as the hosts do,
+// and all regions are to be equally busy.
 void RegionShares::Update(const std::map<std::string, RegionRoom>& regions) {
   double slots = 0;
   double hosts = 0;
   for (const auto& [name, room] : regions) {
-    slots += room.slots;
+    slots += SlotsLeft(room);
     hosts += room.hosts;
   }
   const double need_of_host = slots / std::max(1.0, hosts);
@@ -38,9 +43,10 @@
   weights_.clear();
   spill_.clear();
   for (const auto& [name, room] : regions) {
-    if (room.slots > 0) {
-      const double spare = std::max(room.slots - need_of_host * room.hosts,
-                                    room.slots * kLeastSpare);
+    const double left = SlotsLeft(room);
+    if (left > 0) {
+      const double spare =
+          std::max(left - need_of_host * room.hosts, left * kLeastSpare);
       spill_[name] = spare / room.slots;
       spare_elsewhere += name == own_region_ ? 0 : spare;
     }
@@ -48,13 +54,14 @@
   const auto own = regions.find(own_region_);
   const RegionRoom home = own == regions.end() ? RegionRoom{} : own->second;
   const double home_need = need_of_host * std::max(1, home.hosts);
-  home_share_ = home_need > 0 ? std::min(1.0, home.slots / home_need) : 0;
+  home_share_ = home_need > 0 ? std::min(1.0, SlotsLeft(home) / home_need) : 0;
   const double pull = keeps_home_ ? kHomePull : 0;
   for (const auto& [name, of_slot] : spill_) {
     const double by_room = name == own_region_
                                ? home_share_ / home.slots
                                : (1 - home_share_) * of_slot / spare_elsewhere;
-    weights_[name] = pull * by_room + (1 - pull) / slots;
+    const double unbound = 1 - regions.at(name).bound;
+    weights_[name] = pull * by_room + (1 - pull) * unbound / slots;
   }
 }
 
--- a/src/pathcleat/routing/region_shares_test.cpp
+++ b/src/pathcleat/routing/region_shares_test.cpp
@@ -43,6 +43,27 @@
   }));
 }
 
+// An account at home in the smallest region fills half of it: other callers of
+// that region are placed as if it had half of its slots. Checked to fail with
+// room.bound left out of SlotsLeft.
+Test(region_shares, room_that_others_are_bound_to_is_left_to_them) {
+  std::map<std::string, RegionRoom> regions{
+      {"north", {156, 20}}, {"west", {744, 24}}, {"south", {624, 22}}};
+  RegionShares north("north", true);
+  north.Update(regions);
+  const double before = Part(north, "north", regions["north"]);
+  regions["north"].bound = 0.5;
+  north.Update(regions);
+  const double after = Part(north, "north", regions["north"]);
+  cr_assert_gt(after, before * 0.45);
+  cr_assert_lt(after, before * 0.58);
+  double sum = 0;
+  for (const auto& [name, room] : regions) {
+    sum += Part(north, name, room);
+  }
+  cr_assert_float_eq(sum, 1, 1e-9);
+}
+
 // Checked to fail with kHomePull at 0.
 Test(region_shares, region_with_room_keeps_most_of_its_keys) {
   const std::map<std::string, RegionRoom> regions{
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -167,6 +167,9 @@
       regions[upstream->region].slots += std::max(1, upstream->info.slots);
     }
   }
+  for (auto& [region, room] : regions) {
+    room.bound = bound_.PartOf(service, region, room.slots);
+  }
   for (const auto& [region, hosts] : hosts_) {
     regions[region].hosts = hosts;
   }
@@ -212,12 +215,12 @@
   scored.pick.warm = candidate.warmth >= kWarmEnough;
   scored.pick.sign = candidate.sign;
   scored.pick.left_region = upstream.region != settings_.region;
-  scored.worth = WorthAt(round_trip + told + run,
-                         Seconds(request.route->target_latency)) -
-                 CarryingCost(upstream, profile.answer_bytes) -
-                 (run + told) * kSlotSecondCost -
-                 kRankCost * static_cast<double>(
-                                 std::min(candidate.sign.rank, kRanksPriced));
+  scored.worth =
+      WorthAt(round_trip + told + run, Seconds(request.route->target_latency)) -
+      CarryingCost(upstream, profile.answer_bytes) -
+      (run + told) * kSlotSecondCost -
+      kRankCost *
+          static_cast<double>(std::min(candidate.sign.rank, kRanksPriced));
   return scored;
 }
 
@@ -271,6 +274,9 @@
     }
   }
   best.pick.candidates = static_cast<int>(candidates.size());
+  if (request.excluded.empty()) {
+    bound_.OnPlaced(request.service, best.pick.expected - best.pick.wait);
+  }
   RequestProfile& profile = ProfileOf(*request.route);
   // What a queue alone makes hopeless; a run time is only guessed.
   if (RoundTrip(*best.pick.upstream) + best.pick.wait > request.time_left) {
