--- a/include/pathcleat/lab/slope.hpp
+++ b/include/pathcleat/lab/slope.hpp
@@ -43,5 +43,6 @@
 std::vector<Slope> BlockTableSlopes();
 std::vector<Slope> RoutingSlopes();
 std::vector<Slope> HeartbeatSlopes();
+std::vector<Slope> AccountSlopes();
 
 }  // namespace pathcleat
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -259,7 +259,7 @@
 
 int RunSlopes() {
   for (const auto& measure :
-       {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes}) {
+       {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes, AccountSlopes}) {
     std::cout << ToText(measure()) << "\n" << std::flush;
   }
   return kDone;
--- a/src/pathcleat/gateway/config_history_test.cpp
+++ b/src/pathcleat/gateway/config_history_test.cpp
@@ -66,6 +66,35 @@
   cr_assert_eq(&history.PartSince(config, 0), &history.PartSince(config, 77));
 }
 
+// Checked to fail with the accounts left out of ConfigHistory::MakePart.
+Test(config_history, host_is_told_the_accounts_that_changed) {
+  ConfigHistory history;
+  RoutingConfig config = LargeConfig();
+  for (int i = 0; i < 500; ++i) {
+    Account account;
+    account.name = "account-" + std::to_string(i);
+    account.keys = {KeyDigest{static_cast<std::uint8_t>(i),
+                              static_cast<std::uint8_t>(i / 256)}};
+    account.priority = 1;
+    account.limit = {10, 20};
+    account.home_regions = {"north"};
+    config.accounts.push_back(account);
+  }
+  const RoutingConfig old_config = config;
+  history.Note(old_config);
+  config.version = 2;
+  config.accounts[7].keys.clear();
+  config.accounts.erase(config.accounts.begin() + 9);
+  history.Note(config);
+  const std::string& change = history.PartSince(config, 1);
+  cr_assert_lt(change.size(), 1'000U);
+  const auto taken = Take(change, &old_config);
+  cr_assert(taken.has_value());
+  cr_assert(MarksOf(taken->accounts) == MarksOf(config.accounts));
+  const auto whole = Take(history.PartSince(config, 0), nullptr);
+  cr_assert(MarksOf(whole->accounts) == MarksOf(config.accounts));
+}
+
 Test(config_history, change_of_another_version_is_no_configuration) {
   ConfigHistory history;
   RoutingConfig config = LargeConfig();
