--- a/include/pathcleat/gateway/change_journal.hpp
+++ b/include/pathcleat/feeds/change_journal.hpp
@@ -13,7 +13,7 @@
 /// @brief Which keys of a topic changed at which version, as far back as a
 /// bounded memory goes, so that a host can tell others what changed since
 /// the version that they know. Not thread-safe.
-/// @ingroup gateway
+/// @ingroup feeds
 class ChangeJournal {
  public:
   /// @param capacity changes kept; older ones are forgotten.
--- a/include/pathcleat/gateway/config_history.hpp
+++ b/include/pathcleat/feeds/config_history.hpp
@@ -6,7 +6,7 @@
 #include <map>
 #include <string>
 
-#include "pathcleat/gateway/config_part.hpp"
+#include "pathcleat/feeds/config_part.hpp"
 
 namespace pathcleat {
 
@@ -14,7 +14,7 @@
 /// what changes the version that it knows, encoded once for all of them. Of
 /// older versions only the marks of their routes and accounts are kept. Not
 /// thread-safe.
-/// @ingroup gateway
+/// @ingroup feeds
 class ConfigHistory {
  public:
   /// @brief A version came into force. Versions only rise.
--- a/include/pathcleat/gateway/config_lag.hpp
+++ b/include/pathcleat/feeds/config_lag.hpp
@@ -12,7 +12,7 @@
 /// other hosts have in force. What no living host tells of any more does not
 /// count: a host cut off from the rest serves on by what it knows. Not
 /// thread-safe.
-/// @ingroup gateway
+/// @ingroup feeds
 class ConfigLag {
  public:
   /// @param silence after which what was told is forgotten.
--- a/include/pathcleat/gateway/config_part.hpp
+++ b/include/pathcleat/feeds/config_part.hpp
@@ -13,7 +13,7 @@
 namespace pathcleat {
 
 /// @brief What leads from the base's list to the new one.
-/// @ingroup gateway
+/// @ingroup feeds
 template <class Entry>
 struct ListChange {
   std::vector<ListStep<Entry>> steps;
@@ -22,7 +22,7 @@
 
 /// @brief A configuration as one host passes it on to another: whole, or as
 /// what changes the routes and accounts of an older version.
-/// @ingroup gateway
+/// @ingroup feeds
 struct ConfigPart {
   RoutingConfig config;    ///< without routes and accounts if there is a base
   std::uint64_t base = 0;  ///< version that the steps begin at; 0: whole
@@ -33,16 +33,16 @@
 /// @brief The configuration that a part tells.
 /// @param known what this host has in force; null: nothing.
 /// @return nothing if the part is no change of it.
-/// @ingroup gateway
+/// @ingroup feeds
 std::optional<RoutingConfig> CompleteConfig(ConfigPart part,
                                             const RoutingConfig* known);
 
 /// @brief A part's bytes (cereal, portable binary).
-/// @ingroup gateway
+/// @ingroup feeds
 std::string EncodeConfigPart(const ConfigPart& part);
 
 /// @brief Reads a part; nothing if the bytes are none.
-/// @ingroup gateway
+/// @ingroup feeds
 std::optional<ConfigPart> DecodeConfigPart(std::string_view bytes);
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/feed_tables.hpp
+++ b/include/pathcleat/feeds/feed_tables.hpp
@@ -4,12 +4,12 @@
 #include <cstdint>
 
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/gateway/fleet_snapshot.hpp"
+#include "pathcleat/feeds/fleet_snapshot.hpp"
 
 namespace pathcleat {
 
 /// @brief What one host asks another for.
-/// @ingroup gateway
+/// @ingroup feeds
 struct FeedRequest {
   SourceTopic topic = SourceTopic::kOrders;
   std::uint64_t after = 0;   ///< version known; 0: all there is
@@ -18,7 +18,7 @@
 };
 
 /// @brief What a host knows, as others ask for it.
-/// @ingroup gateway
+/// @ingroup feeds
 class FeedTables {
  public:
   virtual ~FeedTables() = default;
--- a/include/pathcleat/gateway/fleet_snapshot.hpp
+++ b/include/pathcleat/feeds/fleet_snapshot.hpp
@@ -16,7 +16,7 @@
 
 /// @brief All that one host knows of a topic: what another one takes over
 /// while it cannot reach the platform itself.
-/// @ingroup gateway
+/// @ingroup feeds
 struct FleetSnapshot {
   SourceTopic topic = SourceTopic::kOrders;
   std::uint64_t version = 0;            ///< up to which the host knows all
@@ -31,15 +31,15 @@
 };
 
 /// @brief A snapshot as a source would have told it.
-/// @ingroup gateway
+/// @ingroup feeds
 SourceAnswer AnswerOf(const FleetSnapshot& snapshot, const Transfer& transfer);
 
 /// @brief A snapshot's bytes (cereal, portable binary).
-/// @ingroup gateway
+/// @ingroup feeds
 std::string EncodeSnapshot(const FleetSnapshot& snapshot);
 
 /// @brief Reads a snapshot; nothing if the bytes are none.
-/// @ingroup gateway
+/// @ingroup feeds
 std::optional<FleetSnapshot> DecodeSnapshot(std::string_view bytes);
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/peer_feed.hpp
+++ b/include/pathcleat/feeds/peer_feed.hpp
@@ -10,31 +10,31 @@
 #include <vector>
 
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/feeds/config_part.hpp"
+#include "pathcleat/feeds/feed_tables.hpp"
+#include "pathcleat/feeds/fleet_snapshot.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
-#include "pathcleat/gateway/config_part.hpp"
-#include "pathcleat/gateway/feed_tables.hpp"
-#include "pathcleat/gateway/fleet_snapshot.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_server.hpp"
 
 namespace pathcleat {
 
 /// @brief Whom a host asks.
-/// @ingroup gateway
+/// @ingroup feeds
 struct FeedPeer {
   std::string name;
   std::string address;  ///< IP number and port
 };
 
 /// @brief What another host answered.
-/// @ingroup gateway
+/// @ingroup feeds
 struct FeedAnswer {
   FleetSnapshot snapshot;
   Transfer transfer;
 };
 
 /// @brief A question to another host.
-/// @ingroup gateway
+/// @ingroup feeds
 struct PeerQuestion {
   FeedPeer peer;
   FeedRequest request;
@@ -45,7 +45,7 @@
 
 /// @brief Passes what one host knows of the platform's tables on to others
 /// (HTTP, sealed with the hosts' key), at once or as soon as it changes.
-/// @ingroup gateway
+/// @ingroup feeds
 class PeerFeed {
  public:
   /// Given nothing if the other host did not answer.
--- a/include/pathcleat/gateway/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -6,8 +6,8 @@
 #include <optional>
 #include <string>
 
+#include "pathcleat/feeds/peer_feed.hpp"
 #include "pathcleat/fleet/relay_choice.hpp"
-#include "pathcleat/gateway/peer_feed.hpp"
 #include "pathcleat/store/fleet_source.hpp"
 
 namespace pathcleat {
@@ -15,7 +15,7 @@
 /// @brief The platform's tables as this host learns them: from the store, or
 /// from a host that watches it. Whom to ask is chosen anew at each call. Not
 /// thread-safe.
-/// @ingroup gateway
+/// @ingroup feeds
 class RelayedSource : public FleetSource {
  public:
   /// @param hosts the fleet, to choose relays from.
--- a/include/pathcleat/gateway/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -14,7 +14,7 @@
 namespace pathcleat {
 
 /// @brief What a watcher tells of its topic.
-/// @ingroup gateway
+/// @ingroup feeds
 struct SourceUpdate {
   bool whole = false;         ///< all there is; what it lacks is gone
   std::uint64_t version = 0;  ///< up to which the topic is known with it
@@ -28,7 +28,7 @@
 /// @brief Keeps up with one topic of the source: reads it whole, then watches
 /// it; after a failure it goes on from where it was, after history was lost
 /// it reads it whole again.
-/// @ingroup gateway
+/// @ingroup feeds
 class SourceWatcher {
  public:
   using Handler = std::function<void(const SourceUpdate&)>;
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -3,13 +3,13 @@
 
 #include <functional>
 
-#include "pathcleat/gateway/change_journal.hpp"
-#include "pathcleat/gateway/config_history.hpp"
-#include "pathcleat/gateway/config_lag.hpp"
+#include "pathcleat/feeds/change_journal.hpp"
+#include "pathcleat/feeds/config_history.hpp"
+#include "pathcleat/feeds/config_lag.hpp"
+#include "pathcleat/feeds/peer_feed.hpp"
+#include "pathcleat/feeds/relayed_source.hpp"
+#include "pathcleat/feeds/source_watcher.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
-#include "pathcleat/gateway/peer_feed.hpp"
-#include "pathcleat/gateway/relayed_source.hpp"
-#include "pathcleat/gateway/source_watcher.hpp"
 
 namespace pathcleat {
 
--- a/src/pathcleat/gateway/change_journal.cpp
+++ b/src/pathcleat/feeds/change_journal.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/change_journal.hpp"
+#include "pathcleat/feeds/change_journal.hpp"
 
 #include <algorithm>
 
--- a/src/pathcleat/gateway/config_history_test.cpp
+++ b/src/pathcleat/feeds/config_history_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/config_history.hpp"
+#include "pathcleat/feeds/config_history.hpp"
 
 #include "property.hpp"
 
--- a/src/pathcleat/gateway/config_lag_test.cpp
+++ b/src/pathcleat/feeds/config_lag_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/config_lag.hpp"
+#include "pathcleat/feeds/config_lag.hpp"
 
 #include "property.hpp"
 
--- a/src/pathcleat/gateway/config_part.cpp
+++ b/src/pathcleat/feeds/config_part.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/config_part.hpp"
+#include "pathcleat/feeds/config_part.hpp"
 
 #include <cereal/types/array.hpp>
 #include <cereal/types/optional.hpp>
--- a/src/pathcleat/gateway/fleet_snapshot.cpp
+++ b/src/pathcleat/feeds/fleet_snapshot.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/fleet_snapshot.hpp"
+#include "pathcleat/feeds/fleet_snapshot.hpp"
 
 #include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
--- a/src/pathcleat/gateway/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/peer_feed.hpp"
+#include "pathcleat/feeds/peer_feed.hpp"
 
 #include <charconv>
 #include <memory>
--- a/src/pathcleat/gateway/peer_feed_test.cpp
+++ b/src/pathcleat/feeds/peer_feed_test.cpp
@@ -1,10 +1,10 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/peer_feed.hpp"
+#include "pathcleat/feeds/peer_feed.hpp"
 
 #include "event_loop.hpp"
 #include "pass_through.hpp"
 #include "pathcleat/core/seal.hpp"
-#include "pathcleat/gateway/config_history.hpp"
+#include "pathcleat/feeds/config_history.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "property.hpp"
 #include "scripted_server.hpp"
--- a/src/pathcleat/gateway/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/relayed_source.hpp"
+#include "pathcleat/feeds/relayed_source.hpp"
 
 #include <algorithm>
 #include <utility>
--- a/src/pathcleat/gateway/source_watcher_test.cpp
+++ b/src/pathcleat/feeds/source_watcher_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/source_watcher.hpp"
+#include "pathcleat/feeds/source_watcher.hpp"
 
 #include <vector>
 
--- a/src/pathcleat/lab/account_slopes.cpp
+++ b/src/pathcleat/lab/account_slopes.cpp
@@ -3,7 +3,7 @@
 
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/accounts/quota_control.hpp"
-#include "pathcleat/gateway/config_history.hpp"
+#include "pathcleat/feeds/config_history.hpp"
 #include "pathcleat/lab/slope.hpp"
 #include "stopwatch.hpp"
 
