--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -49,6 +49,8 @@
   kShiftHeld = 1605,
   kTakenFromPeer = 1606,
   kTransferFailed = 1607,
+  kRolloutStep = 1608,
+  kRolloutTold = 1609,
   kPeerRejected = 1701,
   kOperatorRejected = 1702,
   kLogDropped = 1901,
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -48,7 +48,9 @@
 constexpr const char* kLimitPerSecond = "limit_per_second";
 constexpr const char* kListAgeMs = "list_age_ms";
 constexpr const char* kListVersion = "list_version";
+constexpr const char* kOrder = "order";
 constexpr const char* kOutcome = "outcome";
+constexpr const char* kPhase = "phase";
 constexpr const char* kReason = "reason";
 constexpr const char* kRefused = "refused";
 constexpr const char* kRepeatable = "repeatable";
@@ -61,6 +63,7 @@
 constexpr const char* kTargetMs = "target_ms";
 constexpr const char* kTransferMs = "transfer_ms";
 constexpr const char* kUpstream = "upstream";
+constexpr const char* kVersion = "version";
 constexpr const char* kWaitMs = "wait_ms";
 constexpr const char* kWarm = "warm";
 }  // namespace field
--- a/include/pathcleat/feeds/fleet_snapshot.hpp
+++ b/include/pathcleat/feeds/fleet_snapshot.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/routing/routing_config.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 #include "pathcleat/store/fleet_source.hpp"
@@ -26,6 +27,7 @@
   std::string config_part;              ///< for kOrders; empty: unchanged
   RoutingConfig config;                 ///< what it tells; not sent itself
   std::set<std::string> drained;        ///< for kOrders: failure domains, all
+  std::vector<RolloutOrder> rollouts;   ///< for kOrders: all that stand
   std::vector<UpstreamInfo> upstreams;  ///< for kUpstreams
   std::vector<std::string> gone;        ///< for kUpstreams: ids off the list
 };
--- a/include/pathcleat/fleet/domain_report.hpp
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -10,6 +10,7 @@
 #include "pathcleat/core/hybrid_clock.hpp"
 #include "pathcleat/fleet/host_info.hpp"
 #include "pathcleat/fleet/host_versions.hpp"
+#include "pathcleat/rollouts/rollout_tally.hpp"
 
 namespace pathcleat {
 
@@ -53,10 +54,11 @@
   bool pass_on = false;  ///< the receiver is to tell its own domain
   std::vector<MemberGroup> groups;
   std::vector<HostInfo> introduced;  ///< a few hosts in full
+  RolloutTallies rollouts;  ///< of all its hosts; in the round's first report
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, time, pass_on, groups, introduced);
+    archive(domain, time, pass_on, groups, introduced, rollouts);
   }
 };
 
--- a/include/pathcleat/fleet/heartbeat.hpp
+++ b/include/pathcleat/fleet/heartbeat.hpp
@@ -9,6 +9,7 @@
 #include "pathcleat/core/hybrid_clock.hpp"
 #include "pathcleat/fleet/host_info.hpp"
 #include "pathcleat/fleet/host_versions.hpp"
+#include "pathcleat/rollouts/rollout_tally.hpp"
 
 namespace pathcleat {
 
@@ -19,10 +20,11 @@
   HybridTime time;
   HostVersions versions;
   bool wants_reply = false;  ///< the receiver is to answer at once
+  RolloutTallies rollouts;   ///< what this host saw of those under way
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(host, time, versions, wants_reply);
+    archive(host, time, versions, wants_reply, rollouts);
   }
 };
 
--- a/include/pathcleat/fleet/peer_datagram.hpp
+++ b/include/pathcleat/fleet/peer_datagram.hpp
@@ -12,8 +12,8 @@
 /// form gets a new number. The first byte under the seal.
 /// @ingroup fleet
 enum class DatagramKind : std::uint8_t {
-  kHeartbeat = 0x11,
-  kReport = 0x12,
+  kHeartbeat = 0x21,
+  kReport = 0x22,
   kUsage = 0x13,  ///< of client accounts' limits
 };
 
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -27,6 +27,7 @@
  public:
   /// @param traffic where the bytes are counted.
   /// @param usage what is told of client accounts beside.
+  /// @param tallies what is told of rollouts in heartbeats and reports.
   /// @param versions tells how far this host has come.
   /// @param on_versions told how far others have come, each time that they
   /// are heard or reported, with the name of the host or failure domain.
@@ -36,6 +37,7 @@
       EventLog& events,
       PeerTraffic& traffic,
       UsageTeller& usage,
+      TallyTeller& tallies,
       std::function<HostVersions()> versions,
       std::function<void(const std::string&, const HostVersions&)> on_versions);
 
@@ -80,6 +82,7 @@
   EventLog& events_;
   PeerTraffic& traffic_;
   UsageTeller& usage_;
+  TallyTeller& tallies_;
   std::function<HostVersions()> versions_;
   std::function<void(const std::string&, const HostVersions&)> on_versions_;
   std::string key_;
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -57,6 +57,7 @@
   bool MayGoElsewhere() const;
   void OnResult(const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
+  void NoteVersion(const Pick& pick, bool bad);
   void OnFailure(const CallResult& result);
   bool MayRetry();
   void RetryOrGiveUp();
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -72,6 +72,7 @@
   void OnOrders(const SourceUpdate& update);
   void AdoptConfig(const RoutingConfig& config, const Transfer& transfer);
   void OnDrains(const SourceUpdate& update);
+  void OnRollouts(const SourceUpdate& update);
   void OnUpstreams(const SourceUpdate& update);
   void OnUpstream(const UpstreamInfo& upstream, Time now);
   bool MayComeBack(const SourceUpdate& update, Time now) const;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -16,6 +16,7 @@
 #include "pathcleat/gateway/fleet_view.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
+#include "pathcleat/gateway/rollout_writer.hpp"
 #include "pathcleat/http/http_server.hpp"
 #include "pathcleat/store/store_call_stats.hpp"
 
@@ -35,12 +36,14 @@
  public:
   /// @param store where hosts find each other.
   /// @param source where configuration and upstreams come from.
+  /// @param statuses where operators read what became of rollouts.
   /// @param digester of client accounts' keys; it gets its secret from here.
   Gateway(boost::asio::io_context& loop,
           const EntrySettings& settings,
           const HeaderNames& headers,
           TableStore& store,
           FleetSource& source,
+          RolloutStatusStore& statuses,
           KeyDigester& digester);
 
   /// @brief What the metrics page shows of the process around this host.
@@ -85,12 +88,15 @@
   void OnSecrets();
   void OnCommands();
   void AdvanceShifts(Time now);
+  void AdvanceRollouts(Time now);
+  int HostsAhead(Time now) const;
   Result<void> ListenAt(HttpServer& server, const std::string& address);
 
   GatewayState state_;
   KeyDigester& digester_;
   FleetSecrets secrets_;
   CommandLog commands_;
+  RolloutWriter rollout_writer_;
   PeerLink peers_;
   FleetView view_;
   FleetRows rows_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -21,6 +21,7 @@
 #include "pathcleat/gateway/stop_plan.hpp"
 #include "pathcleat/gateway/trace_store.hpp"
 #include "pathcleat/gateway/upstream_pool.hpp"
+#include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/routing/route_table.hpp"
 #include "pathcleat/routing/split_balancer.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
@@ -53,6 +54,9 @@
   /// @brief Shares what all hosts may do among those that are alive.
   void ShareBounds(Time now);
 
+  /// @brief Tells each rollout which versions run and what is under way there.
+  void RefreshRollouts();
+
   boost::asio::io_context& loop;
   const Time started = BootClock::now();
   EntrySettings settings;
@@ -77,6 +81,7 @@
   std::map<std::string, RetryBudget> retries;  ///< by service
   OpenRequests open_requests;
   StopPlan stop;
+  RolloutControl rollouts;
   int requests = 0;  ///< callers' requests under way
   std::uint64_t next_request = 1;
   bool leaving = false;
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -38,6 +38,7 @@
   std::string ShowShifts() const;
   std::string ShowConfig() const;
   std::string ShowAccounts() const;
+  std::string ShowRollouts() const;
   std::string Timeline() const;
   std::string NextCommandId();
 
--- a/include/pathcleat/http/http_status.hpp
+++ b/include/pathcleat/http/http_status.hpp
@@ -18,6 +18,7 @@
 constexpr int kUnprocessable = 422;
 constexpr int kTooManyRequests = 429;
 constexpr int kHeaderTooLarge = 431;
+constexpr int kInternalError = 500;
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
--- a/include/pathcleat/query/command.hpp
+++ b/include/pathcleat/query/command.hpp
@@ -40,7 +40,8 @@
   kShifts,
   kConfig,
   kMetrics,
-  kAccounts
+  kAccounts,
+  kRollouts
 };
 
 /// @brief "show TOPIC"
--- /dev/null
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -0,0 +1,106 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/rollouts/answer_judge.hpp"
+#include "pathcleat/rollouts/canary_gate.hpp"
+#include "pathcleat/rollouts/rollout_order.hpp"
+#include "pathcleat/rollouts/tally_board.hpp"
+#include "pathcleat/rollouts/version_rule.hpp"
+#include "pathcleat/steer/rollout_step.hpp"
+
+namespace pathcleat {
+
+/// @brief What a decision on a rollout rests on, beside the answers.
+/// @ingroup rollouts
+struct RolloutFacts {
+  bool ordered = true;  ///< the order stands, or is withdrawn
+  Duration elapsed{0};  ///< since the rollout began
+  int hosts = 1;        ///< that may be sending, this one included
+};
+
+/// @brief One order to move a service to a version, as this host follows and
+/// judges it. A version in doubt is taken back, never completed.
+/// @ingroup rollouts
+class Rollout {
+ public:
+  Rollout(const RolloutOrder& order, std::uint64_t incarnation);
+
+  const RolloutOrder& order() const { return order_; }
+
+  /// @brief What is decided, as far as it is known here.
+  void SetState(const RolloutState& state);
+  const std::optional<RolloutState>& state() const { return state_; }
+
+  /// @brief Where the next request may go.
+  /// @param first false for a request that was sent before: it tries nothing.
+  VersionRulePtr RuleFor(bool first) const;
+
+  /// @brief A request goes to an upstream.
+  void OnSent(const std::string& version);
+
+  /// @brief How things stand at this host now. Call before it tells others,
+  /// a few times a second.
+  /// @param versions of the service's open upstreams.
+  /// @param on_others requests under way at versions but the new one.
+  void SetSituation(const std::set<std::string>& versions,
+                    std::uint32_t on_others);
+
+  void OnAnswer(const std::string& version, std::uint64_t route, bool bad);
+
+  /// @brief What this host alone has counted.
+  const RolloutTally& Own() const { return own_; }
+
+  TallyBoard& board() { return board_; }
+  const TallyBoard& board() const { return board_; }
+  const CanaryGate& gate() const { return gate_; }
+
+  /// @brief Answers of the whole fleet, as they were last judged.
+  const RolloutTally& judged() const { return judged_; }
+
+  /// @brief Takes the answers that came since the last call into the tests.
+  void Judge(Time now);
+
+  /// @brief The decision that is due, if any.
+  /// @param reason set to what led to it, for the log.
+  std::optional<RolloutStep> Due(const RolloutFacts& facts,
+                                 Time now,
+                                 std::string& reason) const;
+
+ private:
+  bool IsFresh(const std::string& version) const {
+    return version == order_.version;
+  }
+  bool HasManyBad() const;
+  bool IsBad() const;
+  bool IsGood() const;
+  RolloutStep StepTo(RolloutPhase phase) const;
+  std::optional<RolloutStep> WhileRunning(const RolloutFacts& facts,
+                                          std::string& reason) const;
+  std::optional<RolloutStep> WhilePromoted(const RolloutFacts& facts,
+                                           Time now,
+                                           std::string& reason) const;
+
+  RolloutOrder order_;
+  std::uint64_t incarnation_;
+  std::optional<RolloutState> state_;
+  CanaryGate gate_;
+  RolloutTally own_;
+  std::set<std::string> versions_;
+  bool others_run_ = true;
+  TallyBoard board_;
+  RolloutTally judged_;  ///< answers that the tests have seen
+  AnswerJudge all_;
+  std::map<std::uint64_t, AnswerJudge> by_route_;
+  VersionRulePtr canary_;
+  VersionRulePtr others_;
+  VersionRulePtr promoted_;
+};
+
+}  // namespace pathcleat
--- a/include/pathcleat/routing/pick.hpp
+++ b/include/pathcleat/routing/pick.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "pathcleat/accounts/account.hpp"
+#include "pathcleat/rollouts/version_rule.hpp"
 #include "pathcleat/routing/route.hpp"
 #include "pathcleat/routing/upstream_table.hpp"
 #include "pathcleat/routing/urgency_ledger.hpp"
@@ -26,6 +27,7 @@
   Duration time_left{0};
   Duration caller_deadline{0};     ///< that the caller sent with it
   std::set<std::string> excluded;  ///< ids already tried
+  VersionRulePtr versions;         ///< where it may go; null: to any
   double caller_position = 0;      ///< of the caller in shifts, in [0, 1)
 
   Urgency urgency() const {
@@ -77,6 +79,7 @@
   PickFailure failure = PickFailure::kNone;
   Duration expected{0};     ///< until the answer
   Duration wait{0};         ///< of it, before a slot is free
+  Duration if_cold{0};      ///< until the answer, where its key is new
   Duration retry_after{0};  ///< of a failure: when there may be room
   bool warm = false;
   WarmthSign sign;  ///< of the upstream for the key
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -32,6 +32,7 @@
   std::uint64_t turned_away = 0;  ///< requests that it said it did not run
   Slowness slowness;
   std::optional<Time> lapse_ends;  ///< its entry is gone; it may come back
+  Time open_from;                  ///< no requests before
   bool removed = false;            ///< off the list; requests under way go on
 
   bool IsCold(Time now) const { return now < cold_until; }
--- a/include/pathcleat/routing/upstream_info.hpp
+++ b/include/pathcleat/routing/upstream_info.hpp
@@ -8,13 +8,17 @@
 
 namespace pathcleat {
 
-/// @brief One start of an upstream, as its list entry tells it.
+/// @brief One upstream, as its list entry tells it.
 /// @ingroup routing
 struct UpstreamInfo {
-  std::string id;  ///< of this start; never used again
+  std::string id;
   std::string service;
   std::string address;  ///< IP number and port, "10.1.0.35:8144"
   std::string domain;   ///< failure domain
+  std::string version;  ///< of its software
+  /// When it started, by its own clock, in milliseconds since the epoch. One
+  /// that starts again may keep its id, and knows nothing of before. 0: untold.
+  std::uint64_t born = 0;
   int slots = 1;
   bool leaving = false;
   Duration cold_for{0};  ///< how much longer it bears little, when it was told
@@ -23,13 +27,14 @@
 
   template <class Archive>
   void save(Archive& archive) const {  // NOLINT: named by cereal
-    archive(id, service, address, domain, slots, leaving,
+    archive(id, service, address, domain, version, born, slots, leaving,
             static_cast<std::int64_t>(cold_for.count()));
   }
   template <class Archive>
   void load(Archive& archive) {  // NOLINT: named by cereal
     std::int64_t micros = 0;
-    archive(id, service, address, domain, slots, leaving, micros);
+    archive(id, service, address, domain, version, born, slots, leaving,
+            micros);
     cold_for = Duration(micros);
   }
 };
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -26,8 +26,9 @@
                          PolicySwitches policy = {});
 
   /// @brief Adds or renews an entry. What is known of the upstream beside
-  /// the entry is kept.
-  void Put(const UpstreamInfo& entry, Time now);
+  /// the entry is kept, unless it has started again under its id.
+  /// @return whether it has.
+  bool Put(const UpstreamInfo& entry, Time now);
 
   /// @brief The entry is gone: no new requests.
   void Remove(const std::string& id);
@@ -54,9 +55,14 @@
   /// @brief Whether new requests may go there, by list and drains.
   bool IsOpen(const UpstreamState& upstream) const;
 
+  /// @brief Versions of a service's open upstreams.
+  std::set<std::string> VersionsOf(std::string_view service) const;
+
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  UpstreamPtr Add(const UpstreamInfo& entry, Time now);
+  Time OpenFrom(const UpstreamInfo& entry, Time now);
   std::shared_ptr<AverageLoad> AverageLoadOf(const UpstreamState& upstream);
 
   std::map<std::string, std::string> region_of_domain_;
@@ -66,6 +72,8 @@
   /// By service and region.
   std::map<std::pair<std::string, std::string>, std::shared_ptr<AverageLoad>>
       average_loads_;
+  /// When each version of a service was first listed.
+  std::map<std::string, std::map<std::string, Time>, std::less<>> versions_;
   std::set<std::string> drained_;  ///< failure domains
   std::set<std::string> drained_upstreams_;
   std::set<std::string> drained_regions_;
--- a/include/pathcleat/steer/config_change.hpp
+++ b/include/pathcleat/steer/config_change.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "pathcleat/core/hybrid_clock.hpp"
+#include "pathcleat/steer/rollout_step.hpp"
 #include "pathcleat/steer/shift.hpp"
 
 namespace pathcleat {
@@ -74,7 +75,8 @@
                                      SetRegionDrain,
                                      StartShift,
                                      StopShift,
-                                     AssignBlock>;
+                                     AssignBlock,
+                                     RolloutStep>;
 
 /// @brief One accepted change of the configuration.
 /// @ingroup steer
--- a/include/pathcleat/steer/config_state.hpp
+++ b/include/pathcleat/steer/config_state.hpp
@@ -21,10 +21,12 @@
   std::map<std::pair<std::string, std::string>, ShiftPlan>
       shifts;                       ///< by service and region left
   std::vector<AssignBlock> blocks;  ///< in order; later ones win
+  RolloutStates rollouts;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(version, drained_upstreams, drained_regions, shifts, blocks);
+    archive(version, drained_upstreams, drained_regions, shifts, blocks,
+            rollouts);
   }
 };
 
--- a/include/pathcleat/store/fleet_change.hpp
+++ b/include/pathcleat/store/fleet_change.hpp
@@ -4,6 +4,7 @@
 #include <string>
 #include <variant>
 
+#include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/routing/routing_config.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 
@@ -22,7 +23,14 @@
   bool drained = false;
 };
 
-/// @brief A row that could not be understood; what it said before stays.
+/// @brief An operator wants no rollout of a service any more.
+/// @ingroup store
+struct RolloutWithdrawn {
+  std::string service;
+};
+
+/// @brief A row that could not be understood. An operator's is passed over, so
+/// that what it said before stays; an upstream's names no upstream to use.
 /// @ingroup store
 struct UnreadableRow {
   std::string key;
@@ -33,6 +41,8 @@
 /// @ingroup store
 using FleetChange = std::variant<RoutingConfig,
                                  DomainDrain,
+                                 RolloutOrder,
+                                 RolloutWithdrawn,
                                  UpstreamInfo,
                                  UpstreamGone,
                                  UnreadableRow>;
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -27,6 +27,7 @@
 #include "pathcleat/gateway/gateway.hpp"
 #include "pathcleat/query/request_story.hpp"
 #include "platform_table.hpp"
+#include "rollout_rows.hpp"
 
 namespace pathcleat {
 namespace {
@@ -128,8 +129,9 @@
   platform::PlatformTable table(loop, options);
   KeyDigester digester;
   platform::FleetFeed feed(loop, options, digester);
+  platform::RolloutRows rollouts(loop, options);
   Gateway gateway(loop, loaded.settings, platform::PlatformHeaderNames(), table,
-                  feed, digester);
+                  feed, rollouts, digester);
   gateway.SetProbes({[&log] { return log.dropped(); }, &store_calls});
   log.OnDropped([&gateway](const LogCounts& dropped) {
     gateway.state().events.Record(EventCode::kLogDropped, "log", "",
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -51,6 +51,8 @@
     EventInfo{kShiftHeld, "shift-held", kWarning, kState, "service"},
     EventInfo{kTakenFromPeer, "taken-from-peer", kInfo, kState, "peer"},
     EventInfo{kTransferFailed, "transfer-failed", kWarning, kState, "peer"},
+    EventInfo{kRolloutStep, "rollout-step", kInfo, kState, "service"},
+    EventInfo{kRolloutTold, "rollout-told", kInfo, kState, "service"},
     EventInfo{kPeerRejected, "peer-rejected", kAlarm, kState, "peer"},
     EventInfo{kOperatorRejected, "operator-rejected", kAlarm, kState, "caller"},
     EventInfo{kLogDropped, "log-dropped", kWarning, kState, "topic"},
--- a/src/pathcleat/feeds/fleet_snapshot.cpp
+++ b/src/pathcleat/feeds/fleet_snapshot.cpp
@@ -16,7 +16,7 @@
 void serialize(Archive& archive, FleetSnapshot& snapshot) {
   archive(snapshot.topic, snapshot.version, snapshot.changed, snapshot.whole,
           snapshot.unsettled, snapshot.config_part, snapshot.drained,
-          snapshot.upstreams, snapshot.gone);
+          snapshot.rollouts, snapshot.upstreams, snapshot.gone);
 }
 // NOLINTEND(readability-identifier-naming)
 
@@ -37,6 +37,9 @@
     for (const std::string& domain : snapshot.drained) {
       answer.changes.emplace_back(DomainDrain{domain, true});
     }
+    for (const RolloutOrder& order : snapshot.rollouts) {
+      answer.changes.emplace_back(order);
+    }
     return answer;
   }
   answer.whole = snapshot.whole;
--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/fleet/heartbeat.hpp"
 
+#include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 
 #include "pathcleat/core/binary_codec.hpp"
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -26,6 +26,7 @@
     EventLog& events,
     PeerTraffic& traffic,
     UsageTeller& usage,
+    TallyTeller& tallies,
     std::function<HostVersions()> versions,
     std::function<void(const std::string&, const HostVersions&)> on_versions)
     : hosts_(hosts),
@@ -33,6 +34,7 @@
       events_(events),
       traffic_(traffic),
       usage_(usage),
+      tallies_(tallies),
       versions_(std::move(versions)),
       on_versions_(std::move(on_versions)),
       socket_(loop),
@@ -105,7 +107,9 @@
 void PeerLink::SendReports() {
   const Time now = BootClock::now();
   std::vector<std::string> sealed;
-  for (DomainReport& report : reporter_.Reports(versions_(), now)) {
+  std::vector<DomainReport> reports = reporter_.Reports(versions_(), now);
+  reports.front().rollouts = tallies_.DomainTallies(now);
+  for (DomainReport& report : reports) {
     report.time = events_.clock().Tick(WallMicros());
     sealed.push_back(
         SealDatagram(DatagramKind::kReport, EncodeReport(report), key_));
@@ -123,6 +127,7 @@
   heartbeat.time = events_.clock().Tick(WallMicros());
   heartbeat.versions = versions_();
   heartbeat.wants_reply = wants_reply;
+  heartbeat.rollouts = tallies_.OwnTallies();
   const std::string sealed =
       SealDatagram(DatagramKind::kHeartbeat, EncodeHeartbeat(heartbeat), key_);
   traffic_.OnSent(PeerMessage::kHeartbeat, sealed.size());
@@ -201,6 +206,10 @@
                    "heartbeats arrive from " + heartbeat.host.domain);
   }
   on_versions_(heartbeat.host.name, heartbeat.versions);
+  if (heartbeat.host.domain == hosts_.self().domain) {
+    tallies_.OnHostTallies(IncarnationId(heartbeat.host), heartbeat.rollouts,
+                           BootClock::now());
+  }
   if (heartbeat.wants_reply) {
     SendHeartbeat(heartbeat.host.peer_address, false);
     SendKnownUsage(heartbeat.host.peer_address);
@@ -230,6 +239,7 @@
   for (const MemberGroup& group : report.groups) {
     on_versions_(report.domain, group.versions);
   }
+  tallies_.OnDomainTallies(report.domain, report.rollouts, now);
   if (report.pass_on) {
     PassOn(report);
   }
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kLeastTimeLeft{10'000};
 // An answer that takes so many times its target is worth explaining.
 constexpr int kSlowMultiple = 3;
+// An answer that takes so many times what work with a new key takes is as good
+// as a failure to its caller. Run times of one kind vary by a half.
+constexpr int kFarTooSlow = 2;
 constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
 
 }  // namespace
@@ -164,6 +167,7 @@
                     BootClock::now() - attempt_.sent());
   ++attempts_;
   attempt_.NoteNoAnswer();
+  NoteVersion(attempt_.pick(), true);
   CancelAttempt(BreakCause::kPatience);
   Retry(next);
 }
@@ -219,6 +223,7 @@
     case CallOutcome::kBroken:
     case CallOutcome::kTimedOut:
       ++attempts_;
+      NoteVersion(pick, true);
       attempt_.NoteFailed();
       OnFailure(result);
       return;
@@ -244,6 +249,7 @@
   }
   if (!IsWholeAnswer(state_.headers, result.response)) {
     state_.OnAttemptFailed(upstream);
+    NoteVersion(pick, true);
     OnFailure({CallOutcome::kBroken, {}, "the answer lacks its signature"});
     return;
   }
@@ -251,6 +257,8 @@
     state_.events.Record(EventCode::kUpstreamUp, upstream.info.id, "");
   }
   upstream.health.OnSuccess();
+  NoteVersion(pick, result.response.status >= http_status::kInternalError ||
+                        now - sent > pick.if_cold * kFarTooSlow);
   const auto report = LoadReportIn(state_.headers, result.response);
   const AnswerFacts facts{now - sent, result.response.body.size(),
                           report && report->waiting > 0};
@@ -260,6 +268,15 @@
   Answer(std::move(response), RunOutcome::kAnswered);
 }
 
+// What an upstream that is starting takes says nothing of its version.
+void Call::NoteVersion(const Pick& pick, bool bad) {
+  const UpstreamState& upstream = *pick.upstream;
+  Rollout* rollout = state_.rollouts.Find(upstream.info.service);
+  if (rollout != nullptr && !upstream.IsCold(BootClock::now())) {
+    rollout->OnAnswer(upstream.info.version, StableHash(route_->name), bad);
+  }
+}
+
 void Call::OnFailure(const CallResult& result) {
   if (done_) {
     key_.Settle({}, RunOutcome::kUnknown);
--- a/src/pathcleat/gateway/call_stop.cpp
+++ b/src/pathcleat/gateway/call_stop.cpp
@@ -26,8 +26,16 @@
 
 Pick Call::ChooseNow() {
   request_.time_left = Left();
+  Rollout* rollout = state_.rollouts.Find(request_.service);
+  request_.versions =
+      rollout == nullptr ? nullptr : rollout->RuleFor(attempts_ == 0);
   const Time now = BootClock::now();
   Pick pick = state_.picker.Choose(request_, now);
+  if (!pick.upstream && request_.versions && !request_.versions->only.empty()) {
+    // What is tried has no room: that is no reason to refuse.
+    request_.versions = rollout->RuleFor(false);
+    pick = state_.picker.Choose(request_, now);
+  }
   const StopPlan& stop = state_.stop;
   const bool too_late =
       pick.failure == PickFailure::kTooLate && stop.Shortens(deadline_);
--- a/src/pathcleat/gateway/command_log.cpp
+++ b/src/pathcleat/gateway/command_log.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/gateway/command_log.hpp"
 
 #include <array>
+#include <cereal/types/set.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/variant.hpp>
 #include <cstdio>
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -180,6 +180,7 @@
 
 void FleetView::AddOrders(FleetSnapshot& snapshot, std::uint64_t known) {
   snapshot.drained = state_.upstreams.drained_domains();
+  snapshot.rollouts = state_.rollouts.orders();
   const RoutingConfig* config = Config();
   if (config != nullptr && config->version > known) {
     snapshot.config_part = config_history_.PartSince(*config, known);
@@ -238,6 +239,7 @@
     }
   }
   OnDrains(update);
+  OnRollouts(update);
   peers_.Publish(SourceTopic::kOrders);
 }
 
@@ -265,6 +267,28 @@
   }
 }
 
+void FleetView::OnRollouts(const SourceUpdate& update) {
+  std::map<std::string, RolloutOrder> orders;
+  if (!update.whole) {
+    for (const RolloutOrder& order : state_.rollouts.orders()) {
+      orders[order.service] = order;
+    }
+  }
+  for (const FleetChange& change : update.changes) {
+    if (const auto* order = std::get_if<RolloutOrder>(&change)) {
+      orders[order->service] = *order;
+    } else if (const auto* gone = std::get_if<RolloutWithdrawn>(&change)) {
+      orders.erase(gone->service);
+    }
+  }
+  std::vector<RolloutOrder> standing;
+  for (const auto& [service, order] : orders) {
+    standing.push_back(order);
+  }
+  state_.rollouts.OnOrders(standing);
+  state_.RefreshRollouts();
+}
+
 void FleetView::OnUpstreams(const SourceUpdate& update) {
   const Time now = BootClock::now();
   const bool may_come_back = MayComeBack(update, now);
@@ -284,7 +308,9 @@
       upstream_journal_.Note(update.changed, gone->id);
       OnGone(gone->id, may_come_back, now);
     } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
+      upstream_journal_.Note(update.changed, bad->key);
       state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
+      OnGone(bad->key, false, now);
     }
   }
   if (update.whole) {
@@ -301,7 +327,16 @@
 }
 
 void FleetView::OnUpstream(const UpstreamInfo& upstream, Time now) {
-  state_.upstreams.Put(upstream, now);
+  if (!state_.settings.region_of_domain.contains(upstream.domain)) {
+    state_.events.Record(EventCode::kSettingsFault, upstream.id,
+                         "no such failure domain: " + upstream.domain);
+    OnGone(upstream.id, false, now);
+    return;
+  }
+  const bool started_again = state_.upstreams.Put(upstream, now);
+  if (started_again) {
+    state_.pool.Drop(upstream.id);
+  }
   if (upstream.leaving) {
     state_.pool.Drop(upstream.id);
     RecordOfList(EventCode::kUpstreamLeaving, upstream.id);
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "pathcleat/accounts/caller_identity.hpp"
+#include "pathcleat/core/hash.hpp"
 #include "pathcleat/gateway/call.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
@@ -55,17 +56,20 @@
                  const HeaderNames& headers,
                  TableStore& store,
                  FleetSource& source,
+                 RolloutStatusStore& statuses,
                  KeyDigester& digester)
     : state_(loop, settings, headers, store, digester, WallMicros()),
       digester_(digester),
       secrets_(loop, store, [this] { OnSecrets(); }),
       commands_(store, state_.events, [this] { OnCommands(); }),
+      rollout_writer_(settings.host, commands_, statuses, state_.events),
       peers_(
           loop,
           state_.hosts,
           state_.events,
           state_.peer_traffic,
           state_.quotas.control(),
+          state_.rollouts,
           [this] { return Versions(); },
           [this](const std::string& from, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
@@ -172,6 +176,8 @@
   state_.upstreams.SetDrains(state.drained_upstreams, state.drained_regions);
   state_.picker.shifts().Sync(state, BootClock::now());
   state_.client_regions.Assign(state.blocks);
+  state_.rollouts.Adopt(state.rollouts);
+  state_.RefreshRollouts();
   peers_.Tell();
 }
 
@@ -198,6 +204,28 @@
       now);
 }
 
+// All hosts judge by the same tallies; a hash of the name tells who acts first.
+int Gateway::HostsAhead(Time now) const {
+  const std::uint64_t own = StableHash(state_.settings.host);
+  int ahead = 0;
+  for (const KnownHost* host : state_.hosts.Others()) {
+    const bool acts = state_.hosts.IsAlive(*host, now) && !host->info.leaving;
+    ahead += acts && StableHash(host->info.name) < own ? 1 : 0;
+  }
+  return ahead;
+}
+
+void Gateway::AdvanceRollouts(Time now) {
+  if (state_.rollouts.All().empty() && commands_.state().rollouts.empty()) {
+    return;
+  }
+  state_.RefreshRollouts();
+  const RolloutSurroundings fleet{state_.hosts.Sharers(now),
+                                  state_.events.clock().Tick(WallMicros())};
+  const auto due = state_.rollouts.Judge(fleet, now);
+  rollout_writer_.Tick(due, HostsAhead(now), now);
+}
+
 void Gateway::HandleReadiness(const ExchangePtr& exchange) {
   exchange->Respond(
       IsReady() ? TextResponse(http_status::kOk, "ready\n")
@@ -300,6 +328,7 @@
 void Gateway::Tick() {
   const Time now = BootClock::now();
   AdvanceShifts(now);
+  AdvanceRollouts(now);
   for (const std::string& host : state_.hosts.NewlySilent(now)) {
     if (state_.hosts.IsLeaving(host)) {
       state_.quotas.control().OnHostEnded(host);
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -80,7 +80,8 @@
       keys(loop, store, events),
       client_regions(RegionsOf(settings)),
       traces(kTracesKept),
-      request_log(events, settings.request_log) {}
+      request_log(events, settings.request_log),
+      rollouts(MixHashes(StableHash(settings.host), incarnation)) {}
 
 double GatewayState::RetryBurst(Time now) const {
   return settings.bounds.retry_slack * kSlackShare / hosts.Sharers(now);
@@ -123,6 +124,18 @@
   ShareCold(now);
 }
 
+void GatewayState::RefreshRollouts() {
+  for (auto& [service, rollout] : rollouts.All()) {
+    int on_others = 0;
+    for (const UpstreamPtr& upstream : upstreams.Of(service)) {
+      const bool fresh = upstream->info.version == rollout.order().version;
+      on_others += fresh ? 0 : upstream->load.own();
+    }
+    rollout.SetSituation(upstreams.VersionsOf(service),
+                         static_cast<std::uint32_t>(on_others));
+  }
+}
+
 // A host that died may be one that was cut off: it counts as long as it is
 // known.
 void GatewayState::ShareQuotas(Time now) {
--- /dev/null
+++ b/src/pathcleat/gateway/operator_rollouts.cpp
@@ -0,0 +1,38 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// What operators are told of version rollouts.
+
+#include <sstream>
+
+#include "pathcleat/gateway/operator_service.hpp"
+
+namespace pathcleat {
+namespace {
+
+std::string CountsText(const AnswerCounts& answers) {
+  return std::to_string(answers.bad) + " bad of " +
+         std::to_string(answers.total());
+}
+
+std::string PhaseText(const Rollout& rollout) {
+  return rollout.state() ? ToString(rollout.state()->phase) : "not begun";
+}
+
+}  // namespace
+
+std::string OperatorService::ShowRollouts() const {
+  std::ostringstream text;
+  for (const auto& [service, rollout] : state_.rollouts.All()) {
+    const RolloutTally& fleet = rollout.judged();
+    text << service << " to " << rollout.order().version << ": "
+         << PhaseText(rollout) << "; answers of all hosts, as told within the "
+         << "last second: " << CountsText(fleet.fresh)
+         << " at the new version, " << CountsText(fleet.others)
+         << " at others; tried here " << rollout.gate().fresh() << " of "
+         << rollout.gate().sent() << " requests; under way at others "
+         << fleet.on_others << "\n";
+  }
+  const std::string rollouts = text.str();
+  return rollouts.empty() ? "no rollout was ordered\n" : rollouts;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -197,6 +197,8 @@
       return state_.metrics.ToText();
     case ShowTopic::kAccounts:
       return ShowAccounts();
+    case ShowTopic::kRollouts:
+      return ShowRollouts();
   }
   return "";
 }
--- /dev/null
+++ b/src/pathcleat/gateway/rollout_writer.cpp
@@ -0,0 +1,106 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/gateway/rollout_writer.hpp"
+
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+// A host that is ahead is given so long before the next one acts: a scan and a
+// write at the store. With the first three dead that is 0.6 s.
+constexpr Duration kTurn{200'000};
+// Hosts beyond do nothing: so many that die at one moment are too many.
+constexpr int kMostTurns = 30;
+
+RolloutOutcome OutcomeOf(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::kRunning:
+    case RolloutPhase::kPromoted:
+      return RolloutOutcome::kRunning;
+    case RolloutPhase::kCompleted:
+      return RolloutOutcome::kCompleted;
+    case RolloutPhase::kRolledBack:
+      return RolloutOutcome::kRolledBack;
+  }
+  return RolloutOutcome::kRunning;
+}
+
+}  // namespace
+
+RolloutWriter::RolloutWriter(const std::string& host,
+                             CommandLog& commands,
+                             RolloutStatusStore& statuses,
+                             EventLog& events)
+    : host_(host), commands_(commands), statuses_(statuses), events_(events) {}
+
+void RolloutWriter::Tick(const std::vector<DueStep>& due, int ahead, Time now) {
+  if (ahead > kMostTurns) {
+    return;
+  }
+  std::map<std::string, Time> since;
+  for (const DueStep& one : due) {
+    const std::string& service = one.step.service;
+    const auto known = due_since_.find(service);
+    since[service] = known == due_since_.end() ? now : known->second;
+    if (now - since[service] >= kTurn * ahead && !deciding_) {
+      Decide(one);
+    }
+  }
+  due_since_ = std::move(since);
+  for (const auto& [service, state] : commands_.state().rollouts) {
+    Untold& untold = statuses_told_[service];
+    if (untold.order != state.order || untold.phase != state.phase) {
+      untold = {now, untold.asking, false, state.order, state.phase};
+    }
+    if (!untold.told && !untold.asking && now - untold.since >= kTurn * ahead) {
+      Tell(service, state);
+    }
+  }
+}
+
+void RolloutWriter::Decide(const DueStep& due) {
+  deciding_ = true;
+  const std::string id =
+      "rollout-" + host_ + "-" + std::to_string(next_command_++);
+  commands_.Submit(due.step, id, [this, due](const CommandResult& result) {
+    deciding_ = false;
+    if (result.accepted) {
+      events_.Record(EventCode::kRolloutStep, due.step.service, due.reason,
+                     {{field::kVersion, due.step.version},
+                      {field::kPhase, ToString(due.step.phase)},
+                      NumberField(field::kOrder, due.step.order)});
+    }
+  });
+}
+
+void RolloutWriter::Tell(const std::string& service,
+                         const RolloutState& state) {
+  statuses_told_[service].asking = true;
+  const RolloutStatus wanted{service, state.version, OutcomeOf(state.phase)};
+  statuses_.Read(service, [this, wanted](const RolloutStatusRead& read) {
+    OnRead(wanted, read);
+  });
+}
+
+void RolloutWriter::OnRead(const RolloutStatus& wanted,
+                           const RolloutStatusRead& read) {
+  Untold& untold = statuses_told_[wanted.service];
+  if (read.outcome != StoreOutcome::kDone || read.status == wanted) {
+    untold.asking = false;
+    untold.told = read.outcome == StoreOutcome::kDone;
+    return;
+  }
+  // Whatever comes of it, the next read shows it.
+  statuses_.Write(wanted, read.version,
+                  [this, wanted](const TableWrite& write) {
+                    Untold& written = statuses_told_[wanted.service];
+                    written.asking = false;
+                    if (write.outcome == StoreOutcome::kDone) {
+                      events_.Record(EventCode::kRolloutTold, wanted.service,
+                                     "operators read it in the store",
+                                     {{field::kVersion, wanted.version}});
+                    }
+                  });
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -29,6 +29,9 @@
   const bool was_silent = std::exchange(silent_, false);
   counts_ = true;
   upstream.load.OnSent();
+  if (Rollout* rollout = state_.rollouts.Find(upstream.info.service)) {
+    rollout->OnSent(upstream.info.version);
+  }
   // Upstreams are quick at a key from the start of its first run on.
   upstream.keys.Touch(key);
   state_.picker.links().OnSent(upstream.region);
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -13,13 +13,15 @@
 constexpr std::string_view kHelp =
     "where SERVICE from CLIENT-IP\n"
     "why REQUEST-ID\n"
-    "show hosts | upstreams | shifts | config | metrics | accounts\n"
+    "show hosts | upstreams | shifts | config | metrics | accounts | "
+    "rollouts\n"
     "account NAME\n"
     "drain upstream NAME | drain region NAME\n"
     "undrain upstream NAME | undrain region NAME\n"
     "shift SERVICE from REGION to REGION cap N% [over TIME]   (TIME: 30s, "
     "10m)\n"
     "stop shift SERVICE from REGION\n"
+    "roll back SERVICE   (takes a version that is being rolled out back)\n"
     "assign CLIENT-BLOCK to REGION   (CLIENT-BLOCK: 10.1.0.0/16)\n"
     "help\n";
 
@@ -79,6 +81,9 @@
     if (verb == "stop") {
       return ParseStop();
     }
+    if (verb == "roll") {
+      return ParseRollBack();
+    }
     if (verb == "assign") {
       return ParseAssign();
     }
@@ -110,11 +115,12 @@
 
   Result<OperatorCommand> ParseShow() {
     const std::map<std::string, ShowTopic> topics = {
-        {"hosts", ShowTopic::kHosts},     {"upstreams", ShowTopic::kUpstreams},
-        {"shifts", ShowTopic::kShifts},   {"config", ShowTopic::kConfig},
-        {"metrics", ShowTopic::kMetrics}, {"accounts", ShowTopic::kAccounts}};
+        {"hosts", ShowTopic::kHosts},      {"upstreams", ShowTopic::kUpstreams},
+        {"shifts", ShowTopic::kShifts},    {"config", ShowTopic::kConfig},
+        {"metrics", ShowTopic::kMetrics},  {"accounts", ShowTopic::kAccounts},
+        {"rollouts", ShowTopic::kRollouts}};
     constexpr const char* kWanted =
-        "hosts, upstreams, shifts, config, metrics or accounts";
+        "hosts, upstreams, shifts, config, metrics, accounts or rollouts";
     BOOST_LEAF_AUTO(word, Word(kWanted));
     const auto topic = topics.find(word);
     if (topic == topics.end()) {
@@ -124,6 +130,14 @@
     return OperatorCommand(ShowQuery{topic->second});
   }
 
+  Result<OperatorCommand> ParseRollBack() {
+    BOOST_LEAF_CHECK(Keyword("back"));
+    RolloutStep step;
+    BOOST_LEAF_ASSIGN(step.service, Service());
+    step.phase = RolloutPhase::kRolledBack;
+    return Change(step);
+  }
+
   Result<OperatorCommand> ParseAccount() {
     BOOST_LEAF_AUTO(name, Word("the name of a client account"));
     return OperatorCommand(AccountQuery{name});
--- /dev/null
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -0,0 +1,212 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/rollouts/rollout.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pathcleat {
+namespace {
+
+// The users allow a bad version a tenth of a service's requests and 50 more.
+// The rest is left for hosts that have not heard of the order yet.
+constexpr double kCanaryShare = 0.08;
+// Of the time allowed: no version is judged good before the first, so that one
+// that fails late is still found; what is not known to be good by the second is
+// taken back, and the rest is left for the old version's work to end.
+constexpr double kTryAtLeast = 0.5;
+constexpr double kTryAtMost = 0.75;
+constexpr double kFinishBy = 0.97;
+// So many bad answers are judged by their count as well, in time for the users'
+// bound, which runs from the 50th one.
+constexpr std::uint64_t kManyBad = 25;
+// Standard errors beyond the usual share: chance passes 3.1 once in 1,000
+// looks, and there are a few dozen of them.
+constexpr double kManyBadErrors = 4;
+
+AnswerCounts Since(const AnswerCounts& now, const AnswerCounts& before) {
+  return {now.good - std::min(now.good, before.good),
+          now.bad - std::min(now.bad, before.bad)};
+}
+
+VersionRulePtr Only(const std::string& version, double part) {
+  VersionRule rule;
+  rule.only = version;
+  rule.part = part;
+  return std::make_shared<const VersionRule>(rule);
+}
+
+VersionRulePtr NoneOf(const std::set<std::string>& versions) {
+  VersionRule rule;
+  rule.avoided = versions;
+  return std::make_shared<const VersionRule>(rule);
+}
+
+}  // namespace
+
+Rollout::Rollout(const RolloutOrder& order, std::uint64_t incarnation)
+    : order_(order),
+      incarnation_(incarnation),
+      gate_(kCanaryShare),
+      board_(order.id),
+      canary_(Only(order.version, kCanaryShare)),
+      others_(NoneOf({order.version})) {
+  own_.order = order.id;
+}
+
+void Rollout::SetState(const RolloutState& state) {
+  state_ = state;
+  promoted_ = NoneOf(state.replaced);
+}
+
+// Before it is known here that the rollout has begun, nothing is tried.
+VersionRulePtr Rollout::RuleFor(bool first) const {
+  if (state_ && state_->phase == RolloutPhase::kRolledBack) {
+    return others_;
+  }
+  if (!others_run_) {
+    return nullptr;
+  }
+  if (!state_) {
+    return others_;
+  }
+  if (state_->phase != RolloutPhase::kRunning) {
+    return promoted_;
+  }
+  return first && gate_.IsOpen() ? canary_ : others_;
+}
+
+void Rollout::OnSent(const std::string& version) {
+  gate_.OnSent(IsFresh(version));
+}
+
+void Rollout::SetSituation(const std::set<std::string>& versions,
+                           std::uint32_t on_others) {
+  versions_ = versions;
+  others_run_ = versions.size() > versions.count(order_.version);
+  own_.on_others = on_others;
+  own_.promoted = state_ && state_->phase == RolloutPhase::kPromoted ? 1 : 0;
+}
+
+void Rollout::OnAnswer(const std::string& version,
+                       std::uint64_t route,
+                       bool bad) {
+  const AnswerCounts one{bad ? 0U : 1U, bad ? 1U : 0U};
+  if (!IsFresh(version)) {
+    own_.others.Add(one);
+    return;
+  }
+  own_.fresh.Add(one);
+  own_.fresh_by_route[route].Add(one);
+}
+
+void Rollout::Judge(Time now) {
+  board_.OnHost(incarnation_, own_, now);
+  const RolloutTally fleet = board_.OfFleet(now);
+  const double usual = UsualBad(fleet.others);
+  all_.Add(Since(fleet.fresh, judged_.fresh), usual);
+  for (const auto& [route, answers] : fleet.fresh_by_route) {
+    by_route_[route].Add(Since(answers, judged_.fresh_by_route[route]), usual);
+  }
+  judged_ = fleet;
+}
+
+bool Rollout::HasManyBad() const {
+  if (judged_.fresh.bad < kManyBad) {
+    return false;
+  }
+  const auto answers = static_cast<double>(judged_.fresh.total());
+  const double usual = UsualBad(judged_.others);
+  const double error = std::sqrt(usual * (1 - usual) / answers);
+  return static_cast<double>(judged_.fresh.bad) / answers >
+         usual + kManyBadErrors * error;
+}
+
+bool Rollout::IsBad() const {
+  return HasManyBad() || all_.IsBad() ||
+         std::any_of(by_route_.begin(), by_route_.end(),
+                     [](const auto& route) { return route.second.IsBad(); });
+}
+
+// Also no route by itself is in doubt.
+bool Rollout::IsGood() const {
+  return all_.IsGood() &&
+         std::all_of(by_route_.begin(), by_route_.end(), [](const auto& route) {
+           return route.second.LeansGood();
+         });
+}
+
+RolloutStep Rollout::StepTo(RolloutPhase phase) const {
+  RolloutStep step;
+  step.service = order_.service;
+  step.order = order_.id;
+  step.version = order_.version;
+  step.phase = phase;
+  return step;
+}
+
+std::optional<RolloutStep> Rollout::Due(const RolloutFacts& facts,
+                                        Time now,
+                                        std::string& reason) const {
+  if (!state_) {
+    if (!facts.ordered) {
+      return std::nullopt;
+    }
+    reason = "an operator's order";
+    return StepTo(RolloutPhase::kRunning);
+  }
+  if (state_->IsFinal()) {
+    return std::nullopt;
+  }
+  if (!facts.ordered) {
+    reason = "the order was withdrawn";
+    return StepTo(RolloutPhase::kRolledBack);
+  }
+  if (IsBad()) {
+    reason = "its answers are bad more often than those of other versions";
+    return StepTo(RolloutPhase::kRolledBack);
+  }
+  return state_->phase == RolloutPhase::kRunning
+             ? WhileRunning(facts, reason)
+             : WhilePromoted(facts, now, reason);
+}
+
+std::optional<RolloutStep> Rollout::WhileRunning(const RolloutFacts& facts,
+                                                 std::string& reason) const {
+  RolloutStep promote = StepTo(RolloutPhase::kPromoted);
+  promote.replaced = versions_;
+  promote.replaced.erase(order_.version);
+  const bool runs = versions_.contains(order_.version);
+  if (runs && promote.replaced.empty()) {
+    reason = "no other version runs";
+    return promote;
+  }
+  if (runs && facts.elapsed >= order_.allowed * kTryAtLeast && IsGood()) {
+    reason = "its answers are as good as those of other versions";
+    return promote;
+  }
+  if (facts.elapsed >= order_.allowed * kTryAtMost) {
+    reason = "not known to be good in time";
+    return StepTo(RolloutPhase::kRolledBack);
+  }
+  return std::nullopt;
+}
+
+// The old version ends at once when this is completed: by then each host that
+// may send has said that it sends there no more, and what ran there has ended.
+std::optional<RolloutStep> Rollout::WhilePromoted(const RolloutFacts& facts,
+                                                  Time now,
+                                                  std::string& reason) const {
+  const RolloutTally fleet = board_.OfFleet(now);
+  if (fleet.promoted >= static_cast<std::uint32_t>(facts.hosts) &&
+      fleet.on_others == 0) {
+    reason = "nothing runs at other versions";
+    return StepTo(RolloutPhase::kCompleted);
+  }
+  if (facts.elapsed >= order_.allowed * kFinishBy) {
+    reason = "work at other versions has not ended in time";
+    return StepTo(RolloutPhase::kRolledBack);
+  }
+  return std::nullopt;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -0,0 +1,113 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/rollouts/rollout_control.hpp"
+
+#include <algorithm>
+
+namespace pathcleat {
+namespace {
+
+RolloutTally TallyIn(const RolloutTallies& tallies,
+                     const std::string& service) {
+  const auto found = tallies.find(service);
+  return found == tallies.end() ? RolloutTally() : found->second;
+}
+
+Duration Between(HybridTime from, HybridTime until) {
+  return Duration(until.micros > from.micros ? until.micros - from.micros : 0);
+}
+
+}  // namespace
+
+void RolloutControl::OnOrders(const std::vector<RolloutOrder>& orders) {
+  orders_ = orders;
+  for (const RolloutOrder& order : orders) {
+    const auto known = rollouts_.find(order.service);
+    if (known != rollouts_.end() && known->second.order().id >= order.id) {
+      continue;
+    }
+    rollouts_.insert_or_assign(order.service, Rollout(order, incarnation_));
+  }
+  Adopt(states_);
+}
+
+void RolloutControl::Adopt(const RolloutStates& states) {
+  states_ = states;
+  for (auto& [service, rollout] : rollouts_) {
+    const auto state = states.find(service);
+    if (state != states.end() && state->second.order == rollout.order().id) {
+      rollout.SetState(state->second);
+    }
+  }
+}
+
+Rollout* RolloutControl::Find(const std::string& service) {
+  const auto found = rollouts_.find(service);
+  return found == rollouts_.end() ? nullptr : &found->second;
+}
+
+RolloutTallies RolloutControl::OwnTallies() const {
+  RolloutTallies tallies;
+  for (const auto& [service, rollout] : rollouts_) {
+    if (rollout.state() && !rollout.state()->IsFinal()) {
+      tallies[service] = rollout.Own();
+    }
+  }
+  return tallies;
+}
+
+RolloutTallies RolloutControl::DomainTallies(Time now) const {
+  RolloutTallies tallies;
+  for (const auto& [service, rollout] : rollouts_) {
+    if (rollout.state() && !rollout.state()->IsFinal()) {
+      tallies[service] = rollout.board().OfDomain(now);
+    }
+  }
+  return tallies;
+}
+
+void RolloutControl::OnHostTallies(std::uint64_t incarnation,
+                                   const RolloutTallies& tallies,
+                                   Time now) {
+  for (auto& [service, rollout] : rollouts_) {
+    rollout.board().OnHost(incarnation, TallyIn(tallies, service), now);
+  }
+}
+
+void RolloutControl::OnDomainTallies(const std::string& domain,
+                                     const RolloutTallies& tallies,
+                                     Time now) {
+  for (auto& [service, rollout] : rollouts_) {
+    rollout.board().OnDomain(domain, TallyIn(tallies, service), now);
+  }
+}
+
+bool RolloutControl::IsOrdered(const Rollout& rollout) const {
+  return std::any_of(orders_.begin(), orders_.end(),
+                     [&rollout](const RolloutOrder& order) {
+                       return order == rollout.order();
+                     });
+}
+
+std::vector<DueStep> RolloutControl::Judge(const RolloutSurroundings& fleet,
+                                           Time now) {
+  std::vector<DueStep> due;
+  for (auto& [service, rollout] : rollouts_) {
+    if (rollout.state() && rollout.state()->IsFinal()) {
+      continue;
+    }
+    rollout.Judge(now);
+    RolloutFacts facts;
+    facts.ordered = IsOrdered(rollout);
+    facts.hosts = fleet.hosts;
+    if (rollout.state()) {
+      facts.elapsed = Between(rollout.state()->started, fleet.time);
+    }
+    std::string reason;
+    if (const auto step = rollout.Due(facts, now, reason)) {
+      due.push_back({*step, reason});
+    }
+  }
+  return due;
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/rollouts/tally_board.cpp
@@ -0,0 +1,80 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/rollouts/tally_board.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Tallies come twice a second; one that is this old may be of a host that has
+// died, and tells nothing of what is under way now.
+constexpr Duration kFreshFor{2'500'000};
+
+void RaiseAnswers(RolloutTally& kept, const RolloutTally& told) {
+  kept.others.Raise(told.others);
+  kept.fresh.Raise(told.fresh);
+  for (const auto& [route, answers] : told.fresh_by_route) {
+    kept.fresh_by_route[route].Raise(answers);
+  }
+}
+
+void AddAnswers(RolloutTally& sum, const RolloutTally& told) {
+  sum.others.Add(told.others);
+  sum.fresh.Add(told.fresh);
+  for (const auto& [route, answers] : told.fresh_by_route) {
+    sum.fresh_by_route[route].Add(answers);
+  }
+}
+
+template <class Map>
+void AddAll(RolloutTally& sum, const Map& told, Time now) {
+  for (const auto& [name, one] : told) {
+    AddAnswers(sum, one.tally);
+    if (now - one.heard <= kFreshFor) {
+      sum.on_others += one.tally.on_others;
+      sum.promoted += one.tally.promoted;
+    }
+  }
+}
+
+}  // namespace
+
+template <class Name>
+void TallyBoard::Keep(std::map<Name, Told>& told,
+                      const Name& name,
+                      const RolloutTally& tally,
+                      Time now) {
+  if (tally.order != order_) {
+    return;
+  }
+  Told& kept = told[name];
+  RaiseAnswers(kept.tally, tally);
+  kept.tally.on_others = tally.on_others;
+  kept.tally.promoted = tally.promoted;
+  kept.heard = now;
+}
+
+void TallyBoard::OnHost(std::uint64_t incarnation,
+                        const RolloutTally& tally,
+                        Time now) {
+  Keep(hosts_, incarnation, tally, now);
+}
+
+void TallyBoard::OnDomain(const std::string& domain,
+                          const RolloutTally& tally,
+                          Time now) {
+  Keep(domains_, domain, tally, now);
+}
+
+RolloutTally TallyBoard::OfDomain(Time now) const {
+  RolloutTally sum;
+  sum.order = order_;
+  AddAll(sum, hosts_, now);
+  return sum;
+}
+
+RolloutTally TallyBoard::OfFleet(Time now) const {
+  RolloutTally sum = OfDomain(now);
+  AddAll(sum, domains_, now);
+  return sum;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -41,6 +41,26 @@
   return Duration(static_cast<Duration::rep>(seconds * kMicros));
 }
 
+// The part of each region's candidates, one at least, that ranks first by hash.
+void KeepFirstOfRegions(std::vector<Candidate>& candidates, double part) {
+  std::map<std::string, std::size_t> left;
+  for (const Candidate& candidate : candidates) {
+    ++left[candidate.upstream->region];
+  }
+  for (auto& [region, count] : left) {
+    count =
+        static_cast<std::size_t>(std::ceil(part * static_cast<double>(count)));
+  }
+  std::sort(candidates.begin(), candidates.end(),
+            [](const Candidate& a, const Candidate& b) {
+              return a.upstream->hash < b.upstream->hash;
+            });
+  std::erase_if(candidates, [&left](const Candidate& candidate) {
+    std::size_t& places = left[candidate.upstream->region];
+    return places == 0 || places-- == 0;
+  });
+}
+
 double WorthAt(double expected, double target) {
   const double on_time =
       1 / (1 + std::exp((expected - target) / (kSpread * target)));
@@ -88,17 +108,40 @@
                            links_.HasRoom(upstream->region);
     const bool bears =
         !upstream->IsCold(now) || upstream->cold_share.CanTake(now);
-    if (request.MayRunIn(upstream->region) && reachable && bears &&
-        table_.IsOpen(*upstream) && upstream->health.MayTry(now) &&
+    if (now >= upstream->open_from && request.MayRunIn(upstream->region) &&
+        reachable && bears && table_.IsOpen(*upstream) &&
+        upstream->health.MayTry(now) &&
         !request.excluded.contains(upstream->info.id)) {
       Candidate candidate;
       candidate.upstream = upstream;
       candidates.push_back(std::move(candidate));
     }
   }
+  if (request.versions) {
+    KeepVersions(candidates, *request.versions);
+  }
   return candidates;
 }
 
+// Of a version that is being tried, the few that rank first in each region get
+// all that goes there, so that they are as busy as the others. A rule that
+// leaves nothing is passed over but for a trial: what runs serves.
+void UpstreamPicker::KeepVersions(std::vector<Candidate>& candidates,
+                                  const VersionRule& rule) const {
+  std::vector<Candidate> allowed;
+  for (const Candidate& candidate : candidates) {
+    if (rule.Allows(candidate.upstream->info.version)) {
+      allowed.push_back(candidate);
+    }
+  }
+  if (!rule.only.empty()) {
+    KeepFirstOfRegions(allowed, rule.part);
+    candidates = std::move(allowed);
+  } else if (!allowed.empty()) {
+    candidates = std::move(allowed);
+  }
+}
+
 void UpstreamPicker::KeepRegion(std::vector<Candidate>& candidates,
                                 const std::string& region) const {
   std::erase_if(candidates, [&region](const Candidate& candidate) {
@@ -212,6 +255,7 @@
   scored.pick.upstream = candidate.upstream;
   scored.pick.expected = FromSeconds(round_trip + wait + run);
   scored.pick.wait = FromSeconds(wait);
+  scored.pick.if_cold = FromSeconds(round_trip + wait + cold);
   scored.pick.warm = candidate.warmth >= kWarmEnough;
   scored.pick.sign = candidate.sign;
   scored.pick.left_region = upstream.region != settings_.region;
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -12,6 +12,9 @@
 // About as many as an upstream of the users' services keeps in mind.
 constexpr std::size_t kKeysRemembered = 48;
 constexpr double kColdBurst = 1;
+// Orders reach a host within half a second of the store's answer, and so does
+// the list: twice that.
+constexpr Duration kNewVersionWait{1'000'000};
 
 }  // namespace
 
@@ -27,13 +30,34 @@
     : region_of_domain_(std::move(region_of_domain)),
       policy_(std::move(policy)) {}
 
-void UpstreamTable::Put(const UpstreamInfo& entry, Time now) {
-  auto& upstream = by_id_[entry.id];
-  if (!upstream) {
-    upstream = std::make_shared<UpstreamState>(entry);
-    upstream->load.RememberUsual(policy_.IsOn(Mechanism::kUsualLoad));
-    by_service_[entry.service].push_back(upstream);
+UpstreamPtr UpstreamTable::Add(const UpstreamInfo& entry, Time now) {
+  auto upstream = std::make_shared<UpstreamState>(entry);
+  upstream->load.RememberUsual(policy_.IsOn(Mechanism::kUsualLoad));
+  upstream->open_from = OpenFrom(entry, now);
+  by_id_[entry.id] = upstream;
+  by_service_[entry.service].push_back(upstream);
+  return upstream;
+}
+
+// The first of a version may belong to a rollout whose order has not come yet.
+Time UpstreamTable::OpenFrom(const UpstreamInfo& entry, Time now) {
+  auto& versions = versions_[entry.service];
+  const bool first_of_all = versions.empty();
+  const auto [version, added] = versions.try_emplace(
+      entry.version, first_of_all ? Time() : now + kNewVersionWait);
+  return version->second;
+}
+
+bool UpstreamTable::Put(const UpstreamInfo& entry, Time now) {
+  const auto known = by_id_.find(entry.id);
+  const bool again =
+      known != by_id_.end() && (known->second->info.born != entry.born ||
+                                known->second->info.service != entry.service);
+  if (again) {
+    Remove(entry.id);
   }
+  const UpstreamPtr upstream =
+      known == by_id_.end() || again ? Add(entry, now) : known->second;
   upstream->info = entry;
   upstream->lapse_ends.reset();
   upstream->region = region_of_domain_[entry.domain];
@@ -44,6 +68,7 @@
     upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
     upstream->keys.Clear();
   }
+  return again;
 }
 
 std::shared_ptr<AverageLoad> UpstreamTable::AverageLoadOf(
@@ -98,6 +123,17 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+std::set<std::string> UpstreamTable::VersionsOf(
+    std::string_view service) const {
+  std::set<std::string> versions;
+  for (const UpstreamPtr& upstream : Of(service)) {
+    if (IsOpen(*upstream)) {
+      versions.insert(upstream->info.version);
+    }
+  }
+  return versions;
+}
+
 std::vector<UpstreamPtr> UpstreamTable::All() const {
   std::vector<UpstreamPtr> all;
   all.reserve(by_id_.size());
--- a/src/pathcleat/steer/config_state.cpp
+++ b/src/pathcleat/steer/config_state.cpp
@@ -15,7 +15,7 @@
 
 class Applier {
  public:
-  explicit Applier(ConfigState& state) : state_(state) {}
+  Applier(ConfigState& state, HybridTime time) : state_(state), time_(time) {}
 
   void operator()(const SetUpstreamDrain& operation) const {
     SetMembership(state_.drained_upstreams, operation.upstream,
@@ -40,9 +40,13 @@
     });
     state_.blocks.push_back(operation);
   }
+  void operator()(const RolloutStep& operation) const {
+    pathcleat::Apply(state_.rollouts, operation, time_);
+  }
 
  private:
   ConfigState& state_;
+  HybridTime time_;
 };
 
 }  // namespace
@@ -52,7 +56,7 @@
     return false;
   }
   state.version = change.version;
-  std::visit(Applier(state), change.operation);
+  std::visit(Applier(state, change.time), change.operation);
   return true;
 }
 
--- /dev/null
+++ b/src/pathcleat/steer/rollout_step.cpp
@@ -0,0 +1,63 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/steer/rollout_step.hpp"
+
+namespace pathcleat {
+namespace {
+
+bool MayFollow(RolloutPhase before, RolloutPhase after) {
+  switch (before) {
+    case RolloutPhase::kRunning:
+      return after == RolloutPhase::kPromoted ||
+             after == RolloutPhase::kRolledBack;
+    case RolloutPhase::kPromoted:
+      return after == RolloutPhase::kCompleted ||
+             after == RolloutPhase::kRolledBack;
+    case RolloutPhase::kCompleted:
+    case RolloutPhase::kRolledBack:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace
+
+const char* ToString(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::kRunning:
+      return "running";
+    case RolloutPhase::kPromoted:
+      return "promoted";
+    case RolloutPhase::kCompleted:
+      return "completed";
+    case RolloutPhase::kRolledBack:
+      return "rolled_back";
+  }
+  return "running";
+}
+
+bool Apply(RolloutStates& states, const RolloutStep& step, HybridTime time) {
+  const auto known = states.find(step.service);
+  if (step.phase == RolloutPhase::kRunning) {
+    if (known != states.end() && known->second.order >= step.order) {
+      return false;
+    }
+    states[step.service] = {step.order, step.version, step.phase, time,
+                            step.replaced};
+    return true;
+  }
+  if (known == states.end()) {
+    return false;
+  }
+  RolloutState& state = known->second;
+  const bool meant = step.order == 0 || step.order == state.order;
+  if (!meant || !MayFollow(state.phase, step.phase)) {
+    return false;
+  }
+  state.phase = step.phase;
+  if (step.phase == RolloutPhase::kPromoted) {
+    state.replaced = step.replaced;
+  }
+  return true;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -16,6 +16,7 @@
 #include "platform_stand_in.hpp"
 #include "platform_table.hpp"
 #include "property.hpp"
+#include "rollout_rows.hpp"
 
 namespace pathcleat {
 
@@ -78,9 +79,11 @@
     host.digester = std::make_unique<KeyDigester>();
     host.feed =
         std::make_unique<platform::FleetFeed>(loop_, options, *host.digester);
+    host.rollouts =
+        std::make_unique<platform::RolloutRows>(loop_, table_options);
     host.gateway = std::make_unique<Gateway>(
         loop_, host.settings, platform::PlatformHeaderNames(), *host.table,
-        *host.feed, *host.digester);
+        *host.feed, *host.rollouts, *host.digester);
     host.gateway->SetProbes({nullptr, &host.store_calls});
     const bool started = TryOr(
         [&]() -> Result<bool> {
@@ -295,6 +298,7 @@
     std::unique_ptr<platform::PlatformTable> table;
     std::unique_ptr<KeyDigester> digester;
     std::unique_ptr<platform::FleetFeed> feed;
+    std::unique_ptr<platform::RolloutRows> rollouts;
     std::unique_ptr<Gateway> gateway;
   };
 
