At a start few hosts of a failure domain read the store whole, the others take it from them

Change: the reading begins once the rows have named the other hosts; who ranks first in its domain reads, as for the watches, the others ask who says in its heartbeats that it knows, and go to the store by turns after a second. A follower that was answered by a peer counts as answered: it had asked others beside its watch at each change otherwise.

--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -42,6 +42,7 @@
 
  private:
   RelayChoice Choose(Time now);
+  bool AwaitsOthers(SourceTopic topic, Time now);
   void BeginWatch(const FeedPeer& peer,
                   const FeedRequest& request,
                   Callback callback);
@@ -61,6 +62,7 @@
   std::map<std::string, Time> avoided_;             ///< peers, and until when
   std::map<SourceTopic, PeerQuestionPtr> watches_;  ///< at other hosts
   std::map<SourceTopic, bool> at_store_;  ///< topics that the store answers
+  std::map<SourceTopic, Time> waiting_since_;  ///< for others to have read
   std::optional<Time> store_failed_;
 };
 
--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -94,9 +94,10 @@
   int failures_ = 0;
   std::uint64_t generation_ = 0;  ///< of the calls that count
   std::optional<Time> behind_since_;
-  Time begun_anew_;       ///< when a watch was last taken for dead
-  bool reading_ = false;  ///< the topic whole, page by page
-  bool reached_ = false;
+  Time begun_anew_;        ///< when a watch was last taken for dead
+  bool reading_ = false;   ///< the topic whole, page by page
+  bool reached_ = false;   ///< the store, by the last call to it
+  bool answered_ = false;  ///< the last call, by whomever
   bool loaded_ = false;
 };
 
--- a/include/pathcleat/fleet/relay_choice.hpp
+++ b/include/pathcleat/fleet/relay_choice.hpp
@@ -17,6 +17,22 @@
   std::set<std::string> avoided;  ///< peer addresses that have failed it
 };
 
+/// @brief What decides whether a host reads a table of the store whole.
+/// @ingroup fleet
+struct ReadingNeed {
+  int domains = 1;     ///< failure domains of the fleet
+  Duration waited{0};  ///< for another host of its domain to have read it
+};
+
+/// @brief Whether a host should read a table whole from the store now. Where
+/// hundreds of hosts start at one moment, all of them would: at 986 hosts and
+/// 10,002 upstreams that is 3 GB. So in each failure domain the few that rank
+/// first do, by the hosts that are alive or that rows have just named; the
+/// others take what these know, and if that does not come, go to the store by
+/// turns.
+/// @ingroup fleet
+bool ReadsStore(const HostTable& hosts, const ReadingNeed& need, Time now);
+
 /// @brief Whom a host asks for changes of the store's tables.
 /// @ingroup fleet
 enum class RelayKind {
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -29,6 +29,9 @@
 
   /// @brief Binds the address where other hosts ask.
   Result<void> Open(const std::string& address, std::uint16_t port);
+
+  /// @brief Begins, once the other hosts are known by their rows: who reads
+  /// the store goes by them. Further calls do nothing.
   void Start();
 
   /// @brief The key that seals what hosts tell each other.
@@ -94,6 +97,7 @@
   ConfigLag lag_;
   ChangeJournal upstream_journal_;
   std::map<SourceTopic, bool> asking_;  ///< topics asked of a host beside
+  bool started_ = false;
   bool store_lost_ = false;
   Time unsettled_until_;  ///< entries may have lapsed while the store was away
 };
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -44,12 +44,28 @@
   return ChooseRelay(hosts_, need, now);
 }
 
+// Who has read the topic says so in its heartbeats, and is then asked beside.
+bool RelayedSource::AwaitsOthers(SourceTopic topic, Time now) {
+  const Time since = waiting_since_.try_emplace(topic, now).first->second;
+  if (ReadsStore(hosts_, {domains_, now - since}, now)) {
+    waiting_since_.erase(topic);
+    return false;
+  }
+  return true;
+}
+
 void RelayedSource::Read(SourceTopic topic,
                          const std::string& from,
                          Callback callback) {
+  const Time now = BootClock::now();
+  if (from.empty() && access(now) != StoreAccess::kFailing &&
+      AwaitsOthers(topic, now)) {
+    callback(NotAsked());
+    return;
+  }
   // The pages of one reading come from one place.
   const RelayChoice choice =
-      from.empty() ? Choose(BootClock::now()) : RelayChoice();
+      from.empty() && store_failed_ ? Choose(now) : RelayChoice();
   switch (choice.kind) {
     case RelayKind::kPeer:
       AskPeer({choice.peer_name, choice.peer_address}, {topic, 0, Duration(0)},
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -67,7 +67,11 @@
 void SourceWatcher::OnRead(const SourceAnswer& answer) {
   Note(answer);
   if (answer.outcome != StoreOutcome::kDone) {
-    Pause([this] { Start(); });
+    if (answer.relayed) {
+      PauseFor(kFirstPause, [this] { Start(); });
+    } else {
+      Pause([this] { Start(); });
+    }
     return;
   }
   // Pages are as of different moments: the watch begins at the first one's.
@@ -171,7 +175,7 @@
   const Time heard = source_.WatchHeard(topic_).value_or(Time());
   const bool late =
       behind_since_ && now - std::max(*behind_since_, heard) > pace_.ask_after;
-  return peer_version > version_ && (late || !reached_);
+  return peer_version > version_ && (late || !answered_);
 }
 
 bool SourceWatcher::Adopt(const SourceAnswer& answer) {
@@ -209,6 +213,7 @@
   const bool reached = answer.outcome == StoreOutcome::kDone ||
                        answer.outcome == StoreOutcome::kHistoryGone;
   failures_ = reached ? 0 : failures_ + 1;
+  answered_ = reached;
   if (!answer.relayed && reached != reached_) {
     reached_ = reached;
     observer_(reached);
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -15,6 +15,13 @@
 // a small fleet loses most of its hosts at once.
 constexpr int kFewestWatchers = 8;
 
+// The first have read the table and passed it on after 1 s, also where they
+// start at the same moment. Then so many hosts a second go to the store.
+constexpr Duration kReadingPatience{1'000'000};
+constexpr int kReadersASecond = 8;
+// Rows of hosts that are gone for good may all rank ahead.
+constexpr Duration kLongestPatience{3'000'000};
+
 int WatchersOfDomain(int domains) {
   const int shared = std::max(1, domains);
   return (kFewestWatchers + shared - 1) / shared;
@@ -88,6 +95,24 @@
 
 }  // namespace
 
+bool ReadsStore(const HostTable& hosts, const ReadingNeed& need, Time now) {
+  const HostInfo& self = hosts.self();
+  int ahead = 0;
+  for (const KnownHost* host : hosts.Others()) {
+    const bool counts = host->info.domain == self.domain &&
+                        !host->info.leaving && HostTable::Shares(*host, now);
+    ahead += counts && RanksAhead(host->info, self) ? 1 : 0;
+  }
+  const int behind = ahead - WatchersOfDomain(need.domains);
+  if (behind < 0) {
+    return true;
+  }
+  constexpr Duration kSecond{1'000'000};
+  const Duration patience =
+      kReadingPatience + kSecond * (behind / kReadersASecond);
+  return need.waited >= std::min(patience, kLongestPatience);
+}
+
 RelayChoice ChooseRelay(const HostTable& hosts,
                         const RelayNeed& need,
                         Time now) {
--- a/src/pathcleat/fleet/relay_choice_test.cpp
+++ b/src/pathcleat/fleet/relay_choice_test.cpp
@@ -218,5 +218,37 @@
                 .kind == RelayKind::kStore);
 }
 
+// Hosts that read a table of the store whole when all start at one moment, each
+// knowing the others by their rows.
+int ReadersAtStart(int domains, int per_domain, Duration waited) {
+  Fleet fleet(domains, per_domain);
+  for (const auto& table : fleet.tables) {
+    for (const HostInfo& info : fleet.infos) {
+      table->OnListed(info, kStart);
+    }
+  }
+  int readers = 0;
+  for (const auto& table : fleet.tables) {
+    readers += ReadsStore(*table, {domains, waited}, kStart) ? 1 : 0;
+  }
+  return readers;
+}
+
+// With each of 986 hosts reading 10,002 upstreams, a start took 3 GB from the
+// store: 0.4 of a day's worth. Readers grow with the domains, not the hosts.
+// Checked to fail with ReadsStore always true.
+Test(relay_choice, readers_of_the_store_do_not_grow_with_the_hosts) {
+  cr_assert_eq(ReadersAtStart(9, 11, Duration(0)), 9);
+  cr_assert_eq(ReadersAtStart(9, 111, Duration(0)), 9);
+  cr_assert_eq(ReadersAtStart(1, 9, Duration(0)), 8);
+}
+
+// A few more where the first have died, and never all at one moment.
+Test(relay_choice, others_read_the_store_by_turns_if_the_first_do_not) {
+  cr_assert_eq(ReadersAtStart(9, 111, Duration(1'000'000)), 9 * 9);
+  cr_assert_eq(ReadersAtStart(9, 111, Duration(2'000'000)), 9 * 17);
+  cr_assert_eq(ReadersAtStart(1, 9, Duration(1'000'000)), 9);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -70,6 +70,9 @@
 }
 
 void FleetView::Start() {
+  if (std::exchange(started_, true)) {
+    return;
+  }
   orders_.Start();
   upstream_list_.Start();
 }
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -126,7 +126,6 @@
   BOOST_LEAF_CHECK(ListenAt(metrics_, settings.listen.metrics));
   BOOST_LEAF_CHECK(peers_.Open(settings.peer_address, settings.peer_port));
   BOOST_LEAF_CHECK(view_.Open(settings.peer_address, settings.peer_port));
-  view_.Start();
   rows_.Start();
   Tick();
   state_.events.Record(EventCode::kHostStarted, settings.host,
@@ -162,6 +161,7 @@
   secrets_.OnRowsRead();
   commands_.OnRowsRead();
   peers_.Announce();
+  view_.Start();
 }
 
 void Gateway::OnSecrets() {
