What a host looks after several times a second does not grow with the list

Cause: four times a second each host walked and copied the whole list for what is cold and for what has lapsed, and walked it for the regions' slots: at 10,002 upstreams three walks of about 0.5 ms, reckoned, of the 25 ms that a tenth of a core has for a quarter of a second. Change: the table keeps what may be cold and what has lapsed; slots are counted anew when the list has changed.

--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -98,7 +98,9 @@
  private:
   struct SharesEntry {
     RegionShares shares;
-    std::optional<Time> updated;  ///< nothing: not reckoned yet
+    std::optional<Time> updated;       ///< nothing: not reckoned yet
+    std::uint64_t revision = 0;        ///< of the list, when slots were counted
+    std::map<std::string, int> slots;  ///< of open upstreams, by region
   };
   struct Scored {
     Pick pick;
@@ -115,6 +117,7 @@
   void KeepRegion(std::vector<Candidate>& candidates,
                   const std::string& region) const;
   RegionShares& SharesOf(const std::string& service, Time now);
+  void CountSlots(SharesEntry& entry, const std::string& service) const;
   void EstimateWarmth(std::vector<Candidate>& candidates,
                       const PickRequest& request);
   Scored Score(const Candidate& candidate,
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -49,6 +49,16 @@
   /// @brief All listed upstreams of a service.
   const std::vector<UpstreamPtr>& Of(std::string_view service) const;
 
+  /// @brief Upstreams that may be cold. Few are, so that looking after them
+  /// several times a second does not grow with the list.
+  const std::vector<UpstreamPtr>& MaybeCold(Time now);
+
+  /// @brief Upstreams whose entries have lapsed.
+  std::vector<UpstreamPtr> Lapsed() const;
+
+  /// @brief Rises with each change of what is listed and open.
+  std::uint64_t revision() const { return revision_; }
+
   /// @brief All listed upstreams.
   std::vector<UpstreamPtr> All() const;
 
@@ -74,6 +84,9 @@
       average_loads_;
   /// When each version of a service was first listed.
   std::map<std::string, std::map<std::string, Time>, std::less<>> versions_;
+  std::vector<UpstreamPtr> maybe_cold_;
+  std::set<std::string> lapsed_;  ///< ids, also of some that came back
+  std::uint64_t revision_ = 0;
   std::set<std::string> drained_;  ///< failure domains
   std::set<std::string> drained_upstreams_;
   std::set<std::string> drained_regions_;
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -372,10 +372,8 @@
 
 // Entries that lapsed while the store was away have this long from its return.
 void FleetView::BoundLapses(Time until) {
-  for (const UpstreamPtr& upstream : state_.upstreams.All()) {
-    if (upstream->lapse_ends) {
-      upstream->lapse_ends = std::min(*upstream->lapse_ends, until);
-    }
+  for (const UpstreamPtr& upstream : state_.upstreams.Lapsed()) {
+    upstream->lapse_ends = std::min(*upstream->lapse_ends, until);
   }
 }
 
@@ -396,8 +394,8 @@
 }
 
 void FleetView::Tick(Time now) {
-  for (const UpstreamPtr& upstream : state_.upstreams.All()) {
-    if (upstream->lapse_ends && now >= *upstream->lapse_ends) {
+  for (const UpstreamPtr& upstream : state_.upstreams.Lapsed()) {
+    if (now >= *upstream->lapse_ends) {
       OnGone(upstream->info.id, false, now);
     }
   }
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -154,9 +154,9 @@
 }
 
 void GatewayState::ShareCold(Time now) {
-  for (const UpstreamPtr& upstream : upstreams.All()) {
+  for (const UpstreamPtr& upstream : upstreams.MaybeCold(now)) {
     const ServiceInfo* service = routes.FindService(upstream->info.service);
-    if (!upstream->IsCold(now) || service == nullptr) {
+    if (service == nullptr) {
       continue;
     }
     const std::string& region = upstream->region;
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -192,23 +192,38 @@
   return PickFailure::kNone;
 }
 
+// The list is walked when it has changed, not four times a second.
+void UpstreamPicker::CountSlots(SharesEntry& entry,
+                                const std::string& service) const {
+  if (entry.revision == table_.revision()) {
+    return;
+  }
+  entry.revision = table_.revision();
+  entry.slots.clear();
+  for (const UpstreamPtr& upstream : table_.Of(service)) {
+    if (table_.IsOpen(*upstream)) {
+      entry.slots[upstream->region] += std::max(1, upstream->info.slots);
+    }
+  }
+}
+
 RegionShares& UpstreamPicker::SharesOf(const std::string& service, Time now) {
   auto found = shares_.find(service);
   if (found == shares_.end()) {
     const bool keeps_home = settings_.policy.IsOn(Mechanism::kRegionShares);
     const RegionShares shares(settings_.region, keeps_home);
-    found = shares_.emplace(service, SharesEntry{shares, std::nullopt}).first;
+    found = shares_.emplace(service, SharesEntry{shares, std::nullopt, 0, {}})
+                .first;
   }
   SharesEntry& entry = found->second;
   if (entry.updated && now - *entry.updated < kSharesPeriod) {
     return entry.shares;
   }
   entry.updated = now;
+  CountSlots(entry, service);
   std::map<std::string, RegionRoom> regions;
-  for (const UpstreamPtr& upstream : table_.Of(service)) {
-    if (table_.IsOpen(*upstream)) {
-      regions[upstream->region].slots += std::max(1, upstream->info.slots);
-    }
+  for (const auto& [region, slots] : entry.slots) {
+    regions[region].slots = slots;
   }
   for (auto& [region, room] : regions) {
     room.bound = bound_.PartOf(service, region, room.slots);
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -58,8 +58,10 @@
   }
   const UpstreamPtr upstream =
       known == by_id_.end() || again ? Add(entry, now) : known->second;
+  ++revision_;
   upstream->info = entry;
   upstream->lapse_ends.reset();
+  lapsed_.erase(entry.id);
   upstream->region = region_of_domain_[entry.domain];
   if (policy_.IsOn(Mechanism::kAverageLoad)) {
     upstream->load.ShareAverage(AverageLoadOf(*upstream));
@@ -67,6 +69,10 @@
   if (entry.cold_for > Duration::zero()) {
     upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
     upstream->keys.Clear();
+    if (std::find(maybe_cold_.begin(), maybe_cold_.end(), upstream) ==
+        maybe_cold_.end()) {
+      maybe_cold_.push_back(upstream);
+    }
   }
   return again;
 }
@@ -86,6 +92,8 @@
     return;
   }
   const UpstreamPtr upstream = found->second;
+  ++revision_;
+  lapsed_.erase(id);
   upstream->removed = true;
   std::erase(by_service_[upstream->info.service], upstream);
   by_id_.erase(found);
@@ -98,11 +106,28 @@
   }
   if (!found->second->lapse_ends) {
     found->second->lapse_ends = until;
+    lapsed_.insert(id);
   }
   return true;
 }
 
+const std::vector<UpstreamPtr>& UpstreamTable::MaybeCold(Time now) {
+  std::erase_if(maybe_cold_, [now](const UpstreamPtr& upstream) {
+    return upstream->removed || !upstream->IsCold(now);
+  });
+  return maybe_cold_;
+}
+
+std::vector<UpstreamPtr> UpstreamTable::Lapsed() const {
+  std::vector<UpstreamPtr> lapsed;
+  for (const std::string& id : lapsed_) {
+    lapsed.push_back(by_id_.at(id));
+  }
+  return lapsed;
+}
+
 void UpstreamTable::SetDrained(const std::string& domain, bool drained) {
+  ++revision_;
   if (drained) {
     drained_.insert(domain);
   } else {
@@ -112,6 +137,7 @@
 
 void UpstreamTable::SetDrains(std::set<std::string> upstreams,
                               std::set<std::string> regions) {
+  ++revision_;
   drained_upstreams_ = std::move(upstreams);
   drained_regions_ = std::move(regions);
 }
