Heartbeats in a large failure domain go to the few hosts that report for it

Cause: heartbeats went from each host to each of its failure domain, twice a second: 218 datagrams a second each way in a domain of 109 hosts, and 96 reports in three datagrams a round of each other domain's reporter. Ruled out: a longer period (still the square; silence is found later); probes as in SWIM (limits are shared by who is known to live; a view late by seconds takes more than its share). Change: in a domain of more than 40 hosts heartbeats go to the four that rank first, the two reporters tell their own domain what they tell others, and where no report comes for two rounds all go to all again. A report names 125 hosts in a datagram, 48 before: 10 bytes a host. Figures (domain_reporter, a model without network): datagrams that the middle host takes in a second at 109 and at 218 hosts a domain 218 and 436 to 12 at most; the loss of all that hear the others directly, and one datagram in twenty lost, hide no living host.

--- a/include/pathcleat/fleet/domain_report.hpp
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -22,13 +22,26 @@
 /// @ingroup fleet
 struct MemberSign {
   std::uint64_t id = 0;      ///< IncarnationId
-  std::uint16_t age_ms = 0;  ///< since its last heartbeat
+  std::uint16_t age_ms = 0;  ///< since its last heartbeat; 32,767 at most
   bool leaving = false;
 
+  // The age and the flag share two bytes: each byte is told to each host.
   template <class Archive>
-  void serialize(Archive& archive) {
-    archive(id, age_ms, leaving);
+  void save(Archive& archive) const {  // NOLINT: named by cereal
+    const unsigned flag = leaving ? kLeaving : 0U;
+    archive(id, static_cast<std::uint16_t>((age_ms & kMostAge) | flag));
+  }
+  template <class Archive>
+  void load(Archive& archive) {  // NOLINT: named by cereal
+    std::uint16_t age_and_flag = 0;
+    archive(id, age_and_flag);
+    age_ms = age_and_flag & kMostAge;
+    leaving = (age_and_flag & kLeaving) != 0;
   }
+
+ private:
+  static constexpr unsigned kLeaving = 0x8000;
+  static constexpr unsigned kMostAge = 0x7fff;
 };
 
 /// @brief Hosts that have come equally far. The age of their configuration is
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "pathcleat/accounts/usage_report.hpp"
 #include "pathcleat/core/error.hpp"
@@ -15,6 +16,7 @@
 #include "pathcleat/fleet/domain_report.hpp"
 #include "pathcleat/fleet/domain_reporter.hpp"
 #include "pathcleat/fleet/heartbeat.hpp"
+#include "pathcleat/fleet/heartbeat_plan.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
 
@@ -64,9 +66,15 @@
   void OnDatagram(std::size_t size);
   void OnHeartbeat(const Heartbeat& heartbeat);
   void OnReport(const DomainReport& report);
+  void TakeMembers(const DomainReport& report, Time now);
   void PassOn(DomainReport report);
-  void Beat(bool wants_reply);
+  void Beat(const std::vector<std::string>& receivers, bool wants_reply);
   void SendReports();
+  void SendRound(const std::vector<DomainReport>& reports,
+                 const std::vector<std::string>& receivers);
+  std::vector<std::string> WholeDomain() const;
+  std::string SealHeartbeat(bool wants_reply);
+  void SendSealed(const std::string& address, const std::string& heartbeat);
   void SendHeartbeat(const std::string& address, bool wants_reply);
   void SendReport(const std::string& address, const std::string& sealed);
   void OnUsage(const UsageReport& report);
@@ -79,6 +87,7 @@
 
   HostTable& hosts_;
   DomainReporter reporter_;
+  HeartbeatPlan plan_;
   EventLog& events_;
   PeerTraffic& traffic_;
   UsageTeller& usage_;
--- a/include/pathcleat/rollouts/rollout_control.hpp
+++ b/include/pathcleat/rollouts/rollout_control.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/core/hybrid_clock.hpp"
@@ -32,9 +33,10 @@
 /// @ingroup rollouts
 class RolloutControl final : public TallyTeller {
  public:
+  /// @param domain own failure domain.
   /// @param incarnation another one at each start of a host.
-  explicit RolloutControl(std::uint64_t incarnation)
-      : incarnation_(incarnation) {}
+  RolloutControl(std::string domain, std::uint64_t incarnation)
+      : domain_(std::move(domain)), incarnation_(incarnation) {}
 
   /// @brief All orders that stand.
   void OnOrders(const std::vector<RolloutOrder>& orders);
@@ -64,6 +66,7 @@
  private:
   bool IsOrdered(const Rollout& rollout) const;
 
+  std::string domain_;
   std::uint64_t incarnation_;
   std::vector<RolloutOrder> orders_;
   RolloutStates states_;
--- a/include/pathcleat/rollouts/tally_board.hpp
+++ b/include/pathcleat/rollouts/tally_board.hpp
@@ -26,6 +26,9 @@
   /// @brief Another failure domain tells of all its hosts.
   void OnDomain(const std::string& domain, const RolloutTally& tally, Time now);
 
+  /// @brief A host that hears all of the own failure domain tells of it.
+  void OnOwnDomain(const RolloutTally& tally, Time now);
+
   /// @brief The own failure domain, as told to others.
   RolloutTally OfDomain(Time now) const;
 
@@ -46,6 +49,7 @@
 
   std::uint64_t order_;
   std::map<std::uint64_t, Told> hosts_;  ///< by incarnation
+  std::map<int, Told> own_domain_;       ///< as others told it: one at most
   std::map<std::string, Told> domains_;  ///< all but the own one
 };
 
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -16,10 +16,12 @@
 // domains hear of this one again before its hosts count as silent there, 2.5 s
 // after they were heard last.
 constexpr Duration kReporterSilence{1'100'000};
-// So many hosts fit a datagram of 1,472 bytes, at 11 bytes each, with three
-// introductions of 150 bytes and four groups of 45; more groups are rare, and
-// cost a second packet.
-constexpr std::size_t kMostMembers = 48;
+// So many hosts fit a datagram of 1,472 bytes, at 10 bytes each, with three
+// groups of 45; more groups are rare, and cost a second packet.
+constexpr std::size_t kMostMembers = 125;
+// With so many hosts at most there is room for three introductions of 150
+// bytes.
+constexpr std::size_t kMembersBeside = 52;
 constexpr std::size_t kIntroducedBeside = 3;
 // In a datagram without members.
 constexpr std::size_t kIntroducedAlone = 6;
@@ -131,8 +133,13 @@
                                                     DomainReport& beside,
                                                     Time now) {
   std::vector<DomainReport> alone;
+  std::size_t members = 0;
+  for (const MemberGroup& group : beside.groups) {
+    members += group.members.size();
+  }
   for (HostInfo& host : Introduced(now)) {
-    if (beside.introduced.size() < kIntroducedBeside) {
+    if (members <= kMembersBeside &&
+        beside.introduced.size() < kIntroducedBeside) {
       beside.introduced.push_back(std::move(host));
       continue;
     }
--- a/src/pathcleat/fleet/domain_reporter_test.cpp
+++ b/src/pathcleat/fleet/domain_reporter_test.cpp
@@ -2,11 +2,13 @@
 #include "pathcleat/fleet/domain_reporter.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/fleet/heartbeat_plan.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -34,6 +36,8 @@
   HostInfo info;
   std::unique_ptr<HostTable> table;
   std::unique_ptr<DomainReporter> reporter;
+  std::unique_ptr<HeartbeatPlan> plan;
+  int received = 0;  ///< datagrams
   bool runs = true;
   int phase = 0;
 };
@@ -57,7 +61,9 @@
     node.info = info;
     node.table = std::make_unique<HostTable>(info, kSilence);
     node.reporter = std::make_unique<DomainReporter>(*node.table, now);
+    node.plan = std::make_unique<HeartbeatPlan>(*node.table);
     node.phase = static_cast<int>(nodes.size()) % kPhases;
+    places.emplace(info.peer_address, nodes.size());
     nodes.push_back(std::move(node));
     return nodes.back();
   }
@@ -70,15 +76,17 @@
   }
 
   Node* Find(const std::string& address) {
-    for (Node& node : nodes) {
-      if (node.info.peer_address == address && node.runs) {
-        return &node;
+    const auto [first, last] = places.equal_range(address);
+    for (auto place = first; place != last; ++place) {
+      if (nodes[place->second].runs) {
+        return &nodes[place->second];
       }
     }
     return nullptr;
   }
 
   void Take(Node& node, const DomainReport& report) {
+    ++node.received;
     for (const HostInfo& host : report.introduced) {
       node.table->OnIntroduced(host, now);
     }
@@ -89,16 +97,43 @@
     }
   }
 
-  void Beat(const Node& from) {
+  // To all, as after a start.
+  void Greet(const Node& from) {
     for (Node& node : nodes) {
       if (node.runs && node.info.domain == from.info.domain && !lost()) {
         node.table->OnHeard(from.info, {}, now);
+        ++node.received;
+      }
+    }
+  }
+
+  void Beat(const Node& from) {
+    for (const std::string& address : from.plan->Receivers(now)) {
+      Node* node = Find(address);
+      if (node != nullptr && !lost()) {
+        node->table->OnHeard(from.info, {}, now);
+        ++node->received;
+      }
+    }
+  }
+
+  void TellOwnDomain(Node& from, const std::vector<DomainReport>& reports) {
+    from.plan->OnOwnDomainTold(now);
+    for (const std::string& address : from.plan->Told(now)) {
+      Node* node = Find(address);
+      if (node == nullptr || lost()) {
+        continue;
+      }
+      node->plan->OnOwnDomainTold(now);
+      for (const DomainReport& report : reports) {
+        Take(*node, report);
       }
     }
   }
 
   void Report(Node& from) {
     const auto reports = from.reporter->Reports({}, now);
+    TellOwnDomain(from, reports);
     for (const std::string& address : from.reporter->Receivers(now)) {
       between_domains += reports.size();
       Node* receiver = Find(address);
@@ -159,6 +194,7 @@
   }
 
   std::vector<Node> nodes;
+  std::multimap<std::string, std::size_t> places;  ///< by address
   Time now = kStart;
   int steps = 0;
   std::size_t between_domains = 0;  ///< datagrams
@@ -260,7 +296,7 @@
   }
   // Those that are listed are greeted, and answer.
   for (Node& node : fleet.nodes) {
-    fleet.Beat(node);
+    fleet.Greet(node);
   }
   fleet.Run(Duration(2'500'000));
   for (const Node& node : fleet.nodes) {
@@ -310,6 +346,64 @@
       30));
 }
 
+// Datagrams that the middle host of a domain takes in a second.
+int TakenASecond(int per_domain) {
+  constexpr int kSeconds = 4;
+  Fleet fleet(1, per_domain);
+  // Until nobody is new.
+  fleet.Run(Duration(5'000'000));
+  for (Node& node : fleet.nodes) {
+    node.received = 0;
+  }
+  fleet.Run(Duration(1'000'000) * kSeconds);
+  return fleet.nodes[static_cast<std::size_t>(per_domain) / 2].received /
+         kSeconds;
+}
+
+// Heartbeats to all were 218 datagrams a second each way in a domain of 109
+// hosts, and twice that in one of twice the size.
+// Checked to fail with HeartbeatPlan::IsLarge always false.
+Test(domain_reporter, talk_in_a_large_domain_does_not_grow_with_it) {
+  constexpr int kMost = 12;
+  cr_assert_leq(TakenASecond(109), kMost);
+  cr_assert_leq(TakenASecond(218), kMost);
+  cr_assert_geq(TakenASecond(30), 58);
+}
+
+// All hosts that hear the others directly die at one moment.
+// Checked to fail with heartbeats going to the first of the domain alone where
+// no report comes.
+Test(domain_reporter, loss_of_all_that_hear_a_large_domain_hides_nobody) {
+  constexpr int kHosts = 60;
+  Fleet fleet(2, kHosts);
+  fleet.Run(Duration(5'000'000));
+  for (Node& node : fleet.nodes) {
+    node.runs = node.info.domain != "domain-0" || node.info.link_mbps < 200;
+  }
+  fleet.nodes[3].runs = fleet.nodes[4].runs = false;
+  fleet.Run(Duration(6'000'000), [&] {
+    for (const Node& node : fleet.nodes) {
+      cr_assert(!node.runs || fleet.Alive(node) >= fleet.Running());
+    }
+  });
+  for (const Node& node : fleet.nodes) {
+    cr_assert(!node.runs || fleet.Alive(node) == fleet.Running());
+  }
+}
+
+// One datagram in twenty is lost.
+Test(domain_reporter, lost_datagrams_hide_nobody_in_a_large_domain) {
+  std::uint64_t draws = 1;
+  Fleet fleet(1, 60);
+  fleet.lost = [&draws] { return MixHashes(++draws, 7) % 20 == 0; };
+  fleet.Run(Duration(3'000'000));
+  fleet.Run(Duration(15'000'000), [&] {
+    for (const Node& node : fleet.nodes) {
+      cr_assert_eq(fleet.Alive(node), fleet.Running());
+    }
+  });
+}
+
 // Checked to fail with Receivers naming all hosts of a domain.
 Test(domain_reporter, talk_between_domains_grows_with_the_domains_alone) {
   const auto talk = [](int domains, int per_domain) {
--- /dev/null
+++ b/src/pathcleat/fleet/heartbeat_plan.cpp
@@ -0,0 +1,69 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/fleet/heartbeat_plan.hpp"
+
+#include <algorithm>
+
+#include "pathcleat/fleet/host_rank.hpp"
+
+namespace pathcleat {
+namespace {
+
+// Up to here heartbeats go to all: 78 datagrams a second each way, and news of
+// a host is half a second younger than by way of a report.
+constexpr std::size_t kMostDirect = 40;
+// Two report; two more know as much the moment that both are gone.
+constexpr std::size_t kReceivers = 4;
+// Two rounds of reports.
+constexpr Duration kReportSilence{1'100'000};
+
+}  // namespace
+
+std::vector<const KnownHost*> HeartbeatPlan::Domain() const {
+  std::vector<const KnownHost*> domain = hosts_.Others();
+  std::erase_if(domain, [this](const KnownHost* host) {
+    return host->info.domain != hosts_.self().domain;
+  });
+  return domain;
+}
+
+bool HeartbeatPlan::IsLarge(Time now) const {
+  const auto domain = Domain();
+  const auto living = std::count_if(
+      domain.begin(), domain.end(),
+      [now](const KnownHost* host) { return HostTable::Shares(*host, now); });
+  return static_cast<std::size_t>(living) >= kMostDirect;
+}
+
+std::vector<std::string> HeartbeatPlan::Receivers(Time now) const {
+  std::vector<const KnownHost*> receivers = Domain();
+  if (IsLarge(now) && now - told_ <= kReportSilence) {
+    std::erase_if(receivers, [&](const KnownHost* host) {
+      return host->info.leaving || !hosts_.IsAlive(*host, now);
+    });
+    std::sort(receivers.begin(), receivers.end(),
+              [](const KnownHost* a, const KnownHost* b) {
+                return RanksAhead(a->info, b->info);
+              });
+    receivers.resize(std::min(receivers.size(), kReceivers));
+  }
+  std::vector<std::string> addresses;
+  for (const KnownHost* host : receivers) {
+    addresses.push_back(host->info.peer_address);
+  }
+  return addresses;
+}
+
+std::vector<std::string> HeartbeatPlan::Told(Time now) const {
+  std::vector<std::string> addresses;
+  if (!IsLarge(now)) {
+    return addresses;
+  }
+  for (const KnownHost* host : Domain()) {
+    if (hosts_.IsAlive(*host, now)) {
+      addresses.push_back(host->info.peer_address);
+    }
+  }
+  return addresses;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -31,6 +31,7 @@
     std::function<void(const std::string&, const HostVersions&)> on_versions)
     : hosts_(hosts),
       reporter_(hosts, BootClock::now()),
+      plan_(hosts),
       events_(events),
       traffic_(traffic),
       usage_(usage),
@@ -63,14 +64,14 @@
 }
 
 void PeerLink::Announce() {
-  Beat(true);
+  Beat(WholeDomain(), true);
   for (const std::string& address : reporter_.Receivers(BootClock::now())) {
     SendHeartbeat(address, true);
   }
 }
 
 void PeerLink::Tell() {
-  Beat(false);
+  Beat(WholeDomain(), false);
 }
 
 void PeerLink::TellUsage() {
@@ -83,7 +84,7 @@
 
 void PeerLink::Tick() {
   const Time now = BootClock::now();
-  Beat(false);
+  Beat(plan_.Receivers(now), false);
   if (reporter_.IsReporter(now)) {
     SendReports();
   }
@@ -96,42 +97,76 @@
   });
 }
 
-void PeerLink::Beat(bool wants_reply) {
+std::vector<std::string> PeerLink::WholeDomain() const {
+  std::vector<std::string> addresses;
   for (const KnownHost* host : hosts_.Others()) {
     if (host->info.domain == hosts_.self().domain) {
-      SendHeartbeat(host->info.peer_address, wants_reply);
+      addresses.push_back(host->info.peer_address);
     }
   }
+  return addresses;
+}
+
+void PeerLink::Beat(const std::vector<std::string>& receivers,
+                    bool wants_reply) {
+  if (receivers.empty()) {
+    return;
+  }
+  const std::string sealed = SealHeartbeat(wants_reply);
+  for (const std::string& address : receivers) {
+    SendSealed(address, sealed);
+  }
 }
 
 void PeerLink::SendReports() {
   const Time now = BootClock::now();
-  std::vector<std::string> sealed;
+  plan_.OnOwnDomainTold(now);
   std::vector<DomainReport> reports = reporter_.Reports(versions_(), now);
   reports.front().rollouts = tallies_.DomainTallies(now);
+  SendRound(reports, reporter_.Receivers(now));
   for (DomainReport& report : reports) {
+    report.pass_on = false;
+  }
+  SendRound(reports, plan_.Told(now));
+}
+
+void PeerLink::SendRound(const std::vector<DomainReport>& reports,
+                         const std::vector<std::string>& receivers) {
+  if (receivers.empty()) {
+    return;
+  }
+  std::vector<std::string> sealed;
+  for (DomainReport report : reports) {
     report.time = events_.clock().Tick(WallMicros());
     sealed.push_back(
         SealDatagram(DatagramKind::kReport, EncodeReport(report), key_));
   }
-  for (const std::string& address : reporter_.Receivers(now)) {
+  for (const std::string& address : receivers) {
     for (const std::string& bytes : sealed) {
       SendReport(address, bytes);
     }
   }
 }
 
-void PeerLink::SendHeartbeat(const std::string& address, bool wants_reply) {
+std::string PeerLink::SealHeartbeat(bool wants_reply) {
   Heartbeat heartbeat;
   heartbeat.host = hosts_.self();
   heartbeat.time = events_.clock().Tick(WallMicros());
   heartbeat.versions = versions_();
   heartbeat.wants_reply = wants_reply;
   heartbeat.rollouts = tallies_.OwnTallies();
-  const std::string sealed =
-      SealDatagram(DatagramKind::kHeartbeat, EncodeHeartbeat(heartbeat), key_);
-  traffic_.OnSent(PeerMessage::kHeartbeat, sealed.size());
-  Send(address, sealed);
+  return SealDatagram(DatagramKind::kHeartbeat, EncodeHeartbeat(heartbeat),
+                      key_);
+}
+
+void PeerLink::SendSealed(const std::string& address,
+                          const std::string& heartbeat) {
+  traffic_.OnSent(PeerMessage::kHeartbeat, heartbeat.size());
+  Send(address, heartbeat);
+}
+
+void PeerLink::SendHeartbeat(const std::string& address, bool wants_reply) {
+  SendSealed(address, SealHeartbeat(wants_reply));
 }
 
 void PeerLink::SendReport(const std::string& address,
@@ -217,11 +252,21 @@
 }
 
 void PeerLink::OnReport(const DomainReport& report) {
-  if (report.domain == hosts_.self().domain) {
-    return;
-  }
   const Time now = BootClock::now();
   events_.clock().Observe(report.time, WallMicros());
+  TakeMembers(report, now);
+  for (const MemberGroup& group : report.groups) {
+    on_versions_(report.domain, group.versions);
+  }
+  tallies_.OnDomainTallies(report.domain, report.rollouts, now);
+  if (report.domain == hosts_.self().domain) {
+    plan_.OnOwnDomainTold(now);
+  } else if (report.pass_on) {
+    PassOn(report);
+  }
+}
+
+void PeerLink::TakeMembers(const DomainReport& report, Time now) {
   for (const HostInfo& host : report.introduced) {
     if (host.domain == report.domain) {
       hosts_.OnIntroduced(host, now);
@@ -236,13 +281,6 @@
       }
     }
   }
-  for (const MemberGroup& group : report.groups) {
-    on_versions_(report.domain, group.versions);
-  }
-  tallies_.OnDomainTallies(report.domain, report.rollouts, now);
-  if (report.pass_on) {
-    PassOn(report);
-  }
 }
 
 std::string PeerLink::SealUsage(UsageReport report) {
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -81,7 +81,8 @@
       client_regions(RegionsOf(settings)),
       traces(kTracesKept),
       request_log(events, settings.request_log),
-      rollouts(MixHashes(StableHash(settings.host), incarnation)) {}
+      rollouts(settings.domain,
+               MixHashes(StableHash(settings.host), incarnation)) {}
 
 double GatewayState::RetryBurst(Time now) const {
   return settings.bounds.retry_slack * kSlackShare / hosts.Sharers(now);
--- a/src/pathcleat/rollouts/rollout_control.cpp
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -77,7 +77,12 @@
                                      const RolloutTallies& tallies,
                                      Time now) {
   for (auto& [service, rollout] : rollouts_) {
-    rollout.board().OnDomain(domain, TallyIn(tallies, service), now);
+    const RolloutTally tally = TallyIn(tallies, service);
+    if (domain == domain_) {
+      rollout.board().OnOwnDomain(tally, now);
+    } else {
+      rollout.board().OnDomain(domain, tally, now);
+    }
   }
 }
 
--- a/src/pathcleat/rollouts/rollout_test.cpp
+++ b/src/pathcleat/rollouts/rollout_test.cpp
@@ -31,7 +31,7 @@
  public:
   Fleet(int hosts, std::uint64_t seed) : random_(seed) {
     for (int i = 0; i < hosts; ++i) {
-      controls_.emplace_back(++incarnations_);
+      controls_.emplace_back("d", ++incarnations_);
       controls_.back().OnOrders({Order()});
     }
   }
@@ -74,7 +74,7 @@
   }
 
   void Kill(std::size_t index) {
-    controls_[index] = RolloutControl(++incarnations_);
+    controls_[index] = RolloutControl("d", ++incarnations_);
     controls_[index].OnOrders({Order()});
     controls_[index].Adopt(states_);
   }
@@ -250,7 +250,7 @@
 }
 
 Test(rollout, withdrawn_order_is_taken_back_and_new_one_begins) {
-  RolloutControl control(1);
+  RolloutControl control("d", 1);
   RolloutStates states;
   const auto decide = [&](Time now) {
     RolloutSurroundings fleet;
@@ -275,7 +275,7 @@
 // Work that runs at an old version holds its end back.
 // Checked to fail without the test of on_others in Rollout::WhilePromoted.
 Test(promise, old_version_does_not_end_while_work_runs_there) {
-  RolloutControl control(1);
+  RolloutControl control("d", 1);
   RolloutStates states;
   RolloutSurroundings fleet;
   const auto decide = [&](Time now, std::uint32_t under_way) {
--- a/src/pathcleat/rollouts/tally_board.cpp
+++ b/src/pathcleat/rollouts/tally_board.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/rollouts/tally_board.hpp"
 
+#include <algorithm>
+
 namespace pathcleat {
 namespace {
 
@@ -64,11 +66,22 @@
   Keep(domains_, domain, tally, now);
 }
 
+void TallyBoard::OnOwnDomain(const RolloutTally& tally, Time now) {
+  Keep(own_domain_, 0, tally, now);
+}
+
+// A host of a large domain hears few others itself; both are of the same
+// answers.
 RolloutTally TallyBoard::OfDomain(Time now) const {
-  RolloutTally sum;
-  sum.order = order_;
-  AddAll(sum, hosts_, now);
-  return sum;
+  RolloutTally heard;
+  heard.order = order_;
+  AddAll(heard, hosts_, now);
+  RolloutTally told;
+  AddAll(told, own_domain_, now);
+  RaiseAnswers(heard, told);
+  heard.on_others = std::max(heard.on_others, told.on_others);
+  heard.promoted = std::max(heard.promoted, told.promoted);
+  return heard;
 }
 
 RolloutTally TallyBoard::OfFleet(Time now) const {
