A late answer of the store does not hide a newer decision on a rollout

Cause: the status row that was read for an earlier decision counted as told for the newer one, if the two came apart while the store took its time; the operators then never heard that a version was taken back. Found by reading. Change: what was read counts only if it is what is decided now.

--- a/include/pathcleat/gateway/rollout_writer.hpp
+++ b/include/pathcleat/gateway/rollout_writer.hpp
@@ -31,9 +31,10 @@
   void Tick(const std::vector<DueStep>& due, int ahead, Time now);
 
  private:
+  // What operators should read of one service, and whether they do.
   struct Untold {
     Time since;
-    bool asking = false;
+    bool asking = false;  ///< the store has not answered yet
     bool told = false;
     std::uint64_t order = 0;
     RolloutPhase phase = RolloutPhase::kRunning;
@@ -41,6 +42,7 @@
 
   void Decide(const DueStep& due);
   void Tell(const std::string& service, const RolloutState& state);
+  bool IsCurrent(const RolloutStatus& wanted) const;
   void OnRead(const RolloutStatus& wanted, const RolloutStatusRead& read);
 
   std::string host_;
--- a/src/pathcleat/gateway/rollout_writer.cpp
+++ b/src/pathcleat/gateway/rollout_writer.cpp
@@ -25,6 +25,10 @@
   return RolloutOutcome::kRunning;
 }
 
+RolloutStatus StatusOf(const std::string& service, const RolloutState& state) {
+  return {service, state.version, OutcomeOf(state.phase)};
+}
+
 }  // namespace
 
 RolloutWriter::RolloutWriter(const std::string& host,
@@ -76,18 +80,26 @@
 void RolloutWriter::Tell(const std::string& service,
                          const RolloutState& state) {
   statuses_told_[service].asking = true;
-  const RolloutStatus wanted{service, state.version, OutcomeOf(state.phase)};
+  const RolloutStatus wanted = StatusOf(service, state);
   statuses_.Read(service, [this, wanted](const RolloutStatusRead& read) {
     OnRead(wanted, read);
   });
 }
 
+// A newer decision may have come while the store took its time.
+bool RolloutWriter::IsCurrent(const RolloutStatus& wanted) const {
+  const auto state = commands_.state().rollouts.find(wanted.service);
+  return state != commands_.state().rollouts.end() &&
+         StatusOf(wanted.service, state->second) == wanted;
+}
+
 void RolloutWriter::OnRead(const RolloutStatus& wanted,
                            const RolloutStatusRead& read) {
   Untold& untold = statuses_told_[wanted.service];
-  if (read.outcome != StoreOutcome::kDone || read.status == wanted) {
+  const bool known = read.outcome == StoreOutcome::kDone;
+  if (!known || !IsCurrent(wanted) || read.status == wanted) {
     untold.asking = false;
-    untold.told = read.outcome == StoreOutcome::kDone;
+    untold.told = known && IsCurrent(wanted);
     return;
   }
   // Whatever comes of it, the next read shows it.
