--- a/include/pathcleat/feeds/upstream_rows.hpp
+++ b/include/pathcleat/feeds/upstream_rows.hpp
@@ -11,8 +11,9 @@
 namespace pathcleat {
 
 /// @brief Entries of the list in few bytes, as hosts tell them each other: each
-/// name of a service, domain or version once, addresses as numbers. 10,002
-/// entries of the users' kind are 0.33 MB; field by field they were 1.2 MB.
+/// name of a service, domain or version once, addresses as numbers. An
+/// entry of a large list is 36 bytes at most; field by field it was 116,
+/// reckoned.
 /// @ingroup feeds
 std::string EncodeUpstreams(const std::vector<UpstreamInfo>& upstreams);
 
--- a/include/pathcleat/fleet/heartbeat_plan.hpp
+++ b/include/pathcleat/fleet/heartbeat_plan.hpp
@@ -34,6 +34,12 @@
   /// own domain: none in a small one.
   std::vector<std::string> Told(Time now) const;
 
+  /// @brief Peer addresses of all other hosts of the domain that are known.
+  std::vector<std::string> Known() const;
+
+  /// @brief Of these, of the ones that are alive.
+  std::vector<std::string> Living(Time now) const;
+
  private:
   bool IsLarge(Time now) const;
   std::vector<const KnownHost*> Domain() const;
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -72,7 +72,6 @@
   void SendReports();
   void SendRound(const std::vector<DomainReport>& reports,
                  const std::vector<std::string>& receivers);
-  std::vector<std::string> WholeDomain() const;
   std::string SealHeartbeat(bool wants_reply);
   void SendSealed(const std::string& address, const std::string& heartbeat);
   void SendHeartbeat(const std::string& address, bool wants_reply);
--- a/include/pathcleat/gateway/rollout_writer.hpp
+++ b/include/pathcleat/gateway/rollout_writer.hpp
@@ -32,7 +32,7 @@
 
  private:
   // What operators should read of one service, and whether they do.
-  struct Untold {
+  struct ToldStatus {
     Time since;
     bool asking = false;  ///< the store has not answered yet
     bool told = false;
@@ -49,8 +49,8 @@
   CommandLog& commands_;
   RolloutStatusStore& statuses_;
   EventLog& events_;
-  std::map<std::string, Time> due_since_;        ///< by service
-  std::map<std::string, Untold> statuses_told_;  ///< by service
+  std::map<std::string, Time> due_since_;   ///< by service
+  std::map<std::string, ToldStatus> told_;  ///< by service
   bool deciding_ = false;
   std::uint64_t next_command_ = 1;
 };
--- a/include/pathcleat/rollouts/tally_board.hpp
+++ b/include/pathcleat/rollouts/tally_board.hpp
@@ -41,15 +41,12 @@
     Time heard;
   };
 
-  template <class Name>
-  void Keep(std::map<Name, Told>& told,
-            const Name& name,
-            const RolloutTally& tally,
-            Time now);
+  static void Keep(Told& kept, const RolloutTally& tally, Time now);
+  static void Add(RolloutTally& sum, const Told& told, Time now);
 
   std::uint64_t order_;
   std::map<std::uint64_t, Told> hosts_;  ///< by incarnation
-  std::map<int, Told> own_domain_;       ///< as others told it: one at most
+  Told own_domain_;                      ///< as others told it
   std::map<std::string, Told> domains_;  ///< all but the own one
 };
 
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -92,15 +92,10 @@
 }  // namespace
 
 bool DomainReporter::IsReporter(Time now) const {
-  const HostInfo& self = hosts_.self();
-  int ahead = 0;
-  for (const KnownHost* host : hosts_.Others()) {
-    const bool counts = host->info.domain == self.domain && host->ever_heard &&
-                        !host->info.leaving &&
-                        now - host->heard <= kReporterSilence;
-    ahead += counts && RanksAhead(host->info, self) ? 1 : 0;
-  }
-  return ahead < kReporters;
+  const auto heard_of_late = [now](const KnownHost& host) {
+    return host.ever_heard && now - host.heard <= kReporterSilence;
+  };
+  return CountAhead(hosts_, hosts_.self(), heard_of_late) < kReporters;
 }
 
 // New hosts, and now and then another one, both by turns.
--- a/src/pathcleat/fleet/heartbeat_plan.cpp
+++ b/src/pathcleat/fleet/heartbeat_plan.cpp
@@ -18,6 +18,16 @@
 // heartbeats and one of reports), and it is silent to them after 2.5 s.
 constexpr Duration kReportSilence{700'000};
 
+std::vector<std::string> AddressesOf(
+    const std::vector<const KnownHost*>& hosts) {
+  std::vector<std::string> addresses;
+  addresses.reserve(hosts.size());
+  for (const KnownHost* host : hosts) {
+    addresses.push_back(host->info.peer_address);
+  }
+  return addresses;
+}
+
 }  // namespace
 
 std::vector<const KnownHost*> HeartbeatPlan::Domain() const {
@@ -48,25 +58,23 @@
               });
     receivers.resize(std::min(receivers.size(), kReceivers));
   }
-  std::vector<std::string> addresses;
-  addresses.reserve(receivers.size());
-  for (const KnownHost* host : receivers) {
-    addresses.push_back(host->info.peer_address);
-  }
-  return addresses;
+  return AddressesOf(receivers);
 }
 
 std::vector<std::string> HeartbeatPlan::Told(Time now) const {
-  std::vector<std::string> addresses;
-  if (!IsLarge(now)) {
-    return addresses;
-  }
-  for (const KnownHost* host : Domain()) {
-    if (hosts_.IsAlive(*host, now)) {
-      addresses.push_back(host->info.peer_address);
-    }
-  }
-  return addresses;
+  return IsLarge(now) ? Living(now) : std::vector<std::string>();
+}
+
+std::vector<std::string> HeartbeatPlan::Known() const {
+  return AddressesOf(Domain());
+}
+
+std::vector<std::string> HeartbeatPlan::Living(Time now) const {
+  std::vector<const KnownHost*> living = Domain();
+  std::erase_if(living, [&](const KnownHost* host) {
+    return !hosts_.IsAlive(*host, now);
+  });
+  return AddressesOf(living);
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/host_rank.cpp
+++ b/src/pathcleat/fleet/host_rank.cpp
@@ -12,4 +12,17 @@
   return StableHash(a.name) < StableHash(b.name);
 }
 
+int CountAhead(const HostTable& hosts,
+               const HostInfo& ranked,
+               const std::function<bool(const KnownHost&)>& counts) {
+  int ahead = 0;
+  for (const KnownHost* host : hosts.Others()) {
+    const bool candidate =
+        host->info.domain == ranked.domain && !host->info.leaving;
+    ahead +=
+        candidate && counts(*host) && RanksAhead(host->info, ranked) ? 1 : 0;
+  }
+  return ahead;
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -64,14 +64,14 @@
 }
 
 void PeerLink::Announce() {
-  Beat(WholeDomain(), true);
+  Beat(plan_.Known(), true);
   for (const std::string& address : reporter_.Receivers(BootClock::now())) {
     SendHeartbeat(address, true);
   }
 }
 
 void PeerLink::Tell() {
-  Beat(WholeDomain(), false);
+  Beat(plan_.Known(), false);
 }
 
 void PeerLink::TellUsage() {
@@ -97,16 +97,6 @@
   });
 }
 
-std::vector<std::string> PeerLink::WholeDomain() const {
-  std::vector<std::string> addresses;
-  for (const KnownHost* host : hosts_.Others()) {
-    if (host->info.domain == hosts_.self().domain) {
-      addresses.push_back(host->info.peer_address);
-    }
-  }
-  return addresses;
-}
-
 void PeerLink::Beat(const std::vector<std::string>& receivers,
                     bool wants_reply) {
   if (receivers.empty()) {
@@ -305,10 +295,8 @@
   }
   told_usage_ = tells;
   const std::string sealed = SealUsage(report);
-  for (const KnownHost* host : hosts_.Others()) {
-    if (host->info.domain == hosts_.self().domain) {
-      SendUsage(host->info.peer_address, sealed);
-    }
+  for (const std::string& address : plan_.Known()) {
+    SendUsage(address, sealed);
   }
 }
 
@@ -340,12 +328,8 @@
   UsageReport passed = report;
   passed.pass_on = false;
   const std::string sealed = SealUsage(passed);
-  const Time now = BootClock::now();
-  for (const KnownHost* host : hosts_.Others()) {
-    if (host->info.domain == hosts_.self().domain &&
-        hosts_.IsAlive(*host, now)) {
-      SendUsage(host->info.peer_address, sealed);
-    }
+  for (const std::string& address : plan_.Living(BootClock::now())) {
+    SendUsage(address, sealed);
   }
 }
 
@@ -353,12 +337,8 @@
   report.pass_on = false;
   const std::string sealed =
       SealDatagram(DatagramKind::kReport, EncodeReport(report), key_);
-  const Time now = BootClock::now();
-  for (const KnownHost* host : hosts_.Others()) {
-    if (host->info.domain == hosts_.self().domain &&
-        hosts_.IsAlive(*host, now)) {
-      SendReport(host->info.peer_address, sealed);
-    }
+  for (const std::string& address : plan_.Living(BootClock::now())) {
+    SendReport(address, sealed);
   }
 }
 
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -49,18 +49,15 @@
                 const HostInfo& ranked,
                 const RankRule& rule,
                 Time now) {
-  int ahead = 0;
-  const auto count = [&](const HostInfo& host, bool failing) {
-    const bool counts = host.domain == ranked.domain && !host.leaving &&
-                        !(rule.past_failing && failing);
-    ahead += counts && RanksAhead(host, ranked) ? 1 : 0;
+  const HostInfo& self = hosts.self();
+  const bool self_ahead = self.domain == ranked.domain && !self.leaving &&
+                          !(rule.past_failing && rule.self_failing) &&
+                          RanksAhead(self, ranked);
+  const auto counts = [&](const KnownHost& host) {
+    const bool failing = host.versions.store == StoreAccess::kFailing;
+    return hosts.IsAlive(host, now) && !(rule.past_failing && failing);
   };
-  count(hosts.self(), rule.self_failing);
-  for (const KnownHost* host : hosts.Others()) {
-    if (hosts.IsAlive(*host, now)) {
-      count(host->info, host->versions.store == StoreAccess::kFailing);
-    }
-  }
+  const int ahead = CountAhead(hosts, ranked, counts) + (self_ahead ? 1 : 0);
   return ahead < WatchersOfDomain(rule.domains);
 }
 
@@ -96,13 +93,10 @@
 }  // namespace
 
 bool ReadsStore(const HostTable& hosts, const ReadingNeed& need, Time now) {
-  const HostInfo& self = hosts.self();
-  int ahead = 0;
-  for (const KnownHost* host : hosts.Others()) {
-    const bool counts = host->info.domain == self.domain &&
-                        !host->info.leaving && HostTable::Shares(*host, now);
-    ahead += counts && RanksAhead(host->info, self) ? 1 : 0;
-  }
+  const auto counts = [now](const KnownHost& host) {
+    return HostTable::Shares(host, now);
+  };
+  const int ahead = CountAhead(hosts, hosts.self(), counts);
   const int behind = ahead - WatchersOfDomain(need.domains);
   if (behind < 0) {
     return true;
--- a/src/pathcleat/gateway/rollout_writer.cpp
+++ b/src/pathcleat/gateway/rollout_writer.cpp
@@ -52,11 +52,11 @@
   }
   due_since_ = std::move(since);
   for (const auto& [service, state] : commands_.state().rollouts) {
-    Untold& untold = statuses_told_[service];
-    if (untold.order != state.order || untold.phase != state.phase) {
-      untold = {now, untold.asking, false, state.order, state.phase};
+    ToldStatus& told = told_[service];
+    if (told.order != state.order || told.phase != state.phase) {
+      told = {now, told.asking, false, state.order, state.phase};
     }
-    if (!untold.told && !untold.asking && now - untold.since >= kTurn * ahead) {
+    if (!told.told && !told.asking && now - told.since >= kTurn * ahead) {
       Tell(service, state);
     }
   }
@@ -79,7 +79,7 @@
 
 void RolloutWriter::Tell(const std::string& service,
                          const RolloutState& state) {
-  statuses_told_[service].asking = true;
+  told_[service].asking = true;
   const RolloutStatus wanted = StatusOf(service, state);
   statuses_.Read(service, [this, wanted](const RolloutStatusRead& read) {
     OnRead(wanted, read);
@@ -95,18 +95,18 @@
 
 void RolloutWriter::OnRead(const RolloutStatus& wanted,
                            const RolloutStatusRead& read) {
-  Untold& untold = statuses_told_[wanted.service];
+  ToldStatus& told = told_[wanted.service];
   const bool known = read.outcome == StoreOutcome::kDone;
   if (!known || !IsCurrent(wanted) || read.status == wanted) {
-    untold.asking = false;
-    untold.told = known && IsCurrent(wanted);
+    told.asking = false;
+    told.told = known && IsCurrent(wanted);
     return;
   }
   // Whatever comes of it, the next read shows it.
   statuses_.Write(wanted, read.version,
                   [this, wanted](const TableWrite& write) {
-                    Untold& written = statuses_told_[wanted.service];
-                    written.asking = false;
+                    ToldStatus& told = told_[wanted.service];
+                    told.asking = false;
                     if (write.outcome == StoreOutcome::kDone) {
                       events_.Record(EventCode::kRolloutTold, wanted.service,
                                      "operators read it in the store",
--- a/src/pathcleat/rollouts/tally_board.cpp
+++ b/src/pathcleat/rollouts/tally_board.cpp
@@ -26,48 +26,43 @@
   }
 }
 
-template <class Map>
-void AddAll(RolloutTally& sum, const Map& told, Time now) {
-  for (const auto& [name, one] : told) {
-    AddAnswers(sum, one.tally);
-    if (now - one.heard <= kFreshFor) {
-      sum.on_others += one.tally.on_others;
-      sum.promoted += one.tally.promoted;
-    }
-  }
-}
-
 }  // namespace
 
-template <class Name>
-void TallyBoard::Keep(std::map<Name, Told>& told,
-                      const Name& name,
-                      const RolloutTally& tally,
-                      Time now) {
-  if (tally.order != order_) {
-    return;
-  }
-  Told& kept = told[name];
+void TallyBoard::Keep(Told& kept, const RolloutTally& tally, Time now) {
   RaiseAnswers(kept.tally, tally);
   kept.tally.on_others = tally.on_others;
   kept.tally.promoted = tally.promoted;
   kept.heard = now;
 }
 
+void TallyBoard::Add(RolloutTally& sum, const Told& told, Time now) {
+  AddAnswers(sum, told.tally);
+  if (now - told.heard <= kFreshFor) {
+    sum.on_others += told.tally.on_others;
+    sum.promoted += told.tally.promoted;
+  }
+}
+
 void TallyBoard::OnHost(std::uint64_t incarnation,
                         const RolloutTally& tally,
                         Time now) {
-  Keep(hosts_, incarnation, tally, now);
+  if (tally.order == order_) {
+    Keep(hosts_[incarnation], tally, now);
+  }
 }
 
 void TallyBoard::OnDomain(const std::string& domain,
                           const RolloutTally& tally,
                           Time now) {
-  Keep(domains_, domain, tally, now);
+  if (tally.order == order_) {
+    Keep(domains_[domain], tally, now);
+  }
 }
 
 void TallyBoard::OnOwnDomain(const RolloutTally& tally, Time now) {
-  Keep(own_domain_, 0, tally, now);
+  if (tally.order == order_) {
+    Keep(own_domain_, tally, now);
+  }
 }
 
 // A host of a large domain hears few others itself; both are of the same
@@ -75,9 +70,11 @@
 RolloutTally TallyBoard::OfDomain(Time now) const {
   RolloutTally heard;
   heard.order = order_;
-  AddAll(heard, hosts_, now);
+  for (const auto& [incarnation, host] : hosts_) {
+    Add(heard, host, now);
+  }
   RolloutTally told;
-  AddAll(told, own_domain_, now);
+  Add(told, own_domain_, now);
   RaiseAnswers(heard, told);
   heard.on_others = std::max(heard.on_others, told.on_others);
   heard.promoted = std::max(heard.promoted, told.promoted);
@@ -86,7 +83,9 @@
 
 RolloutTally TallyBoard::OfFleet(Time now) const {
   RolloutTally sum = OfDomain(now);
-  AddAll(sum, domains_, now);
+  for (const auto& [name, domain] : domains_) {
+    Add(sum, domain, now);
+  }
   return sum;
 }
 
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -57,7 +57,7 @@
     Remove(entry.id);
   }
   const UpstreamPtr upstream =
-      known == by_id_.end() || again ? Add(entry, now) : known->second;
+      again || known == by_id_.end() ? Add(entry, now) : known->second;
   ++revision_;
   upstream->info = entry;
   upstream->lapse_ends.reset();
