Grown files: orders, the planned stop, versions and a test's model in files of their own

Change: moves alone: what a host takes over of the operators' orders, its planned stop, the rule on versions, what operators are shown of a choice, the model of hosts that exchange heartbeats.

--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -108,8 +108,6 @@
   };
 
   std::vector<Candidate> Candidates(const PickRequest& request, Time now) const;
-  void KeepVersions(std::vector<Candidate>& candidates,
-                    const VersionRule& rule) const;
   void KeepLargeNear(std::vector<Candidate>& candidates,
                      const PickRequest& request);
   PickFailure PassShift(std::vector<Candidate>& candidates,
--- /dev/null
+++ b/include/pathcleat/routing/version_filter.hpp
@@ -0,0 +1,15 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <vector>
+
+#include "pathcleat/rollouts/version_rule.hpp"
+#include "pathcleat/routing/key_placement.hpp"
+
+namespace pathcleat {
+
+/// @brief Leaves the candidates to which a rule on versions lets a request go.
+/// @ingroup routing
+void KeepVersions(std::vector<Candidate>& candidates, const VersionRule& rule);
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/fleet_view_orders.cpp
@@ -0,0 +1,95 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// What a host takes over of the operators' orders: the configuration, drains,
+// rollouts.
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "pathcleat/gateway/fleet_view.hpp"
+
+namespace pathcleat {
+
+void FleetView::AdoptConfig(const RoutingConfig& config,
+                            const Transfer& transfer) {
+  const std::uint64_t replaces = state_.routes.version();
+  if (state_.routes.Adopt(config)) {
+    config_history_.Note(state_.routes.config());
+    state_.accounts.Adopt(state_.routes.accounts());
+    state_.quotas.control().Adopt(state_.accounts.All());
+    lag_.OnApplied(config.version);
+    on_config_(config);
+    state_.routes_since = BootClock::now();
+    state_.events.Record(
+        EventCode::kConfigApplied, "routes", "",
+        {NumberField(field::kConfigVersion, config.version),
+         NumberField(field::kReplaces, replaces),
+         {field::kFrom, transfer.from},
+         NumberField(field::kBytes, transfer.bytes),
+         MillisecondsField(field::kTransferMs, transfer.took),
+         MillisecondsField(field::kDecodeMs, transfer.decoding)});
+  }
+}
+
+void FleetView::OnOrders(const SourceUpdate& update) {
+  for (const FleetChange& change : update.changes) {
+    if (const auto* config = std::get_if<RoutingConfig>(&change)) {
+      AdoptConfig(*config, update.transfer);
+    } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
+      state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
+    }
+  }
+  OnDrains(update);
+  OnRollouts(update);
+  peers_.Publish(SourceTopic::kOrders);
+}
+
+void FleetView::OnDrains(const SourceUpdate& update) {
+  std::set<std::string> drained = update.whole
+                                      ? std::set<std::string>()
+                                      : state_.upstreams.drained_domains();
+  for (const FleetChange& change : update.changes) {
+    if (const auto* drain = std::get_if<DomainDrain>(&change)) {
+      if (drain->drained) {
+        drained.insert(drain->domain);
+      } else {
+        drained.erase(drain->domain);
+      }
+    }
+  }
+  for (const auto& [domain, region] : state_.settings.region_of_domain) {
+    const bool now = drained.contains(domain);
+    if (now == state_.upstreams.drained_domains().contains(domain)) {
+      continue;
+    }
+    state_.upstreams.SetDrained(domain, now);
+    state_.events.Record(EventCode::kDomainDrained, domain,
+                         now ? "nothing new goes there" : "taken back");
+  }
+}
+
+void FleetView::OnRollouts(const SourceUpdate& update) {
+  std::map<std::string, RolloutOrder> orders;
+  if (!update.whole) {
+    for (const RolloutOrder& order : state_.rollouts.orders()) {
+      orders[order.service] = order;
+    }
+  }
+  for (const FleetChange& change : update.changes) {
+    if (const auto* order = std::get_if<RolloutOrder>(&change)) {
+      orders[order->service] = *order;
+    } else if (const auto* gone = std::get_if<RolloutWithdrawn>(&change)) {
+      orders.erase(gone->service);
+    }
+  }
+  std::vector<RolloutOrder> standing;
+  standing.reserve(orders.size());
+  for (const auto& [service, order] : orders) {
+    standing.push_back(order);
+  }
+  state_.rollouts.OnOrders(standing);
+  state_.RefreshRollouts();
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -23,7 +23,6 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{250};
 constexpr std::size_t kMostLocated = 16;
-constexpr std::chrono::milliseconds kQuietCheckPeriod{20};
 // The first host has a version within this time of its acknowledgement: a
 // watch gathers changes for 0.25 s, and 359 KB take 0.3 s at 10 Mbit/s.
 constexpr Duration kFirstHostLag{500'000};
@@ -364,62 +363,4 @@
                        "bounds taken over");
 }
 
-void Gateway::Stop(std::function<void()> done) {
-  if (state_.leaving) {
-    return;
-  }
-  state_.leaving = true;
-  stopped_ = std::move(done);
-  const Time now = BootClock::now();
-  state_.stop.Begin(now, state_.settings.bounds.stop_grace);
-  state_.hosts.SetLeaving();
-  peers_.Tell();
-  view_.Leave();
-  callers_.CloseAfterAnswers();
-  state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
-  stop_timer_.expires_after(state_.stop.accepts_until() - now);
-  stop_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      FinishStop();
-    }
-  });
-}
-
-void Gateway::FinishStop() {
-  callers_.StopAccepting();
-  callers_.FinishAndClose();
-  AwaitQuiet();
-}
-
-void Gateway::RecordStopped() {
-  const auto& refusals = state_.metrics.refusals();
-  const auto refused = refusals.find(ReasonOf(PickFailure::kHostStops));
-  state_.events.Record(
-      EventCode::kHostStopped, state_.settings.host,
-      std::to_string(state_.requests) + " requests left unanswered",
-      {NumberField(field::kRefused,
-                   refused == refusals.end() ? 0 : refused->second),
-       NumberField(field::kGivenUp, state_.metrics.given_up_at_end())});
-}
-
-void Gateway::AwaitQuiet() {
-  const Time now = BootClock::now();
-  if (now >= state_.stop.last_answers()) {
-    state_.open_requests.OnHostEnds();
-  }
-  const bool quiet = state_.requests == 0 && callers_.connections() == 0 &&
-                     state_.keys.pending() == 0;
-  if (quiet || now >= state_.stop.ends()) {
-    RecordStopped();
-    stopped_();
-    return;
-  }
-  stop_timer_.expires_after(kQuietCheckPeriod);
-  stop_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      AwaitQuiet();
-    }
-  });
-}
-
 }  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/gateway/gateway_stop.cpp
@@ -0,0 +1,74 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+// A planned stop of a host, to its end.
+
+#include <string>
+#include <utility>
+
+#include "pathcleat/gateway/gateway.hpp"
+
+namespace pathcleat {
+namespace {
+
+constexpr std::chrono::milliseconds kQuietCheckPeriod{20};
+
+}  // namespace
+
+void Gateway::Stop(std::function<void()> done) {
+  if (state_.leaving) {
+    return;
+  }
+  state_.leaving = true;
+  stopped_ = std::move(done);
+  const Time now = BootClock::now();
+  state_.stop.Begin(now, state_.settings.bounds.stop_grace);
+  state_.hosts.SetLeaving();
+  peers_.Tell();
+  view_.Leave();
+  callers_.CloseAfterAnswers();
+  state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
+  stop_timer_.expires_after(state_.stop.accepts_until() - now);
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      FinishStop();
+    }
+  });
+}
+
+void Gateway::FinishStop() {
+  callers_.StopAccepting();
+  callers_.FinishAndClose();
+  AwaitQuiet();
+}
+
+void Gateway::RecordStopped() {
+  const auto& refusals = state_.metrics.refusals();
+  const auto refused = refusals.find(ReasonOf(PickFailure::kHostStops));
+  state_.events.Record(
+      EventCode::kHostStopped, state_.settings.host,
+      std::to_string(state_.requests) + " requests left unanswered",
+      {NumberField(field::kRefused,
+                   refused == refusals.end() ? 0 : refused->second),
+       NumberField(field::kGivenUp, state_.metrics.given_up_at_end())});
+}
+
+void Gateway::AwaitQuiet() {
+  const Time now = BootClock::now();
+  if (now >= state_.stop.last_answers()) {
+    state_.open_requests.OnHostEnds();
+  }
+  const bool quiet = state_.requests == 0 && callers_.connections() == 0 &&
+                     state_.keys.pending() == 0;
+  if (quiet || now >= state_.stop.ends()) {
+    RecordStopped();
+    stopped_();
+    return;
+  }
+  stop_timer_.expires_after(kQuietCheckPeriod);
+  stop_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      AwaitQuiet();
+    }
+  });
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/routing/version_filter.hpp"
 
 namespace pathcleat {
 namespace {
@@ -41,26 +42,6 @@
   return Duration(static_cast<Duration::rep>(seconds * kMicros));
 }
 
-// The part of each region's candidates, one at least, that ranks first by hash.
-void KeepFirstOfRegions(std::vector<Candidate>& candidates, double part) {
-  std::map<std::string, std::size_t> left;
-  for (const Candidate& candidate : candidates) {
-    ++left[candidate.upstream->region];
-  }
-  for (auto& [region, count] : left) {
-    count =
-        static_cast<std::size_t>(std::ceil(part * static_cast<double>(count)));
-  }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.upstream->hash < b.upstream->hash;
-            });
-  std::erase_if(candidates, [&left](const Candidate& candidate) {
-    std::size_t& places = left[candidate.upstream->region];
-    return places == 0 || places-- == 0;
-  });
-}
-
 double WorthAt(double expected, double target) {
   const double on_time =
       1 / (1 + std::exp((expected - target) / (kSpread * target)));
@@ -123,25 +104,6 @@
   return candidates;
 }
 
-// Of a version that is being tried, the few that rank first in each region get
-// all that goes there, so that they are as busy as the others. A rule that
-// leaves nothing is passed over but for a trial: what runs serves.
-void UpstreamPicker::KeepVersions(std::vector<Candidate>& candidates,
-                                  const VersionRule& rule) const {
-  std::vector<Candidate> allowed;
-  for (const Candidate& candidate : candidates) {
-    if (rule.Allows(candidate.upstream->info.version)) {
-      allowed.push_back(candidate);
-    }
-  }
-  if (!rule.only.empty()) {
-    KeepFirstOfRegions(allowed, rule.part);
-    candidates = std::move(allowed);
-  } else if (!allowed.empty()) {
-    candidates = std::move(allowed);
-  }
-}
-
 void UpstreamPicker::KeepRegion(std::vector<Candidate>& candidates,
                                 const std::string& region) const {
   std::erase_if(candidates, [&region](const Candidate& candidate) {
@@ -351,29 +313,6 @@
   return best.pick;
 }
 
-std::vector<Pick> UpstreamPicker::Explain(const PickRequest& request,
-                                          Time now) {
-  std::vector<Candidate> candidates = Candidates(request, now);
-  if (request.sticky) {
-    RankByKey(candidates, request.key, SharesOf(request.service, now));
-  }
-  EstimateWarmth(candidates, request);
-  std::vector<Scored> scored;
-  scored.reserve(candidates.size());
-  for (const Candidate& candidate : candidates) {
-    scored.push_back(Score(candidate, request, now));
-  }
-  std::stable_sort(
-      scored.begin(), scored.end(),
-      [](const Scored& a, const Scored& b) { return a.worth > b.worth; });
-  std::vector<Pick> picks;
-  picks.reserve(scored.size());
-  for (Scored& one : scored) {
-    picks.push_back(std::move(one.pick));
-  }
-  return picks;
-}
-
 TargetState UpstreamPicker::StateOf(const std::string& service,
                                     const std::string& region,
                                     Time now) const {
