A rule on versions is never passed over, and an unknown list opens no version

Cause: where a rule left no candidate it was passed over. A version that was taken back got requests again while the others were out of reach or had been tried by the request, and an old one after all hosts had said that they send there no more. A host whose list was not read yet took the tried version for the only one. Found by reading the change again. Change: a rule that leaves nothing leaves nothing. Where the list names one side alone, that side serves; completed needs the new version on the list; rollouts look again at each change of the list.

--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -93,7 +93,9 @@
   CanaryGate gate_;
   RolloutTally own_;
   std::set<std::string> versions_;
+  // Until the list is known, a rule holds as if both ran.
   bool others_run_ = true;
+  bool fresh_runs_ = true;
   TallyBoard board_;
   RolloutTally judged_;  ///< answers that the tests have seen
   AnswerJudge all_;
--- a/include/pathcleat/routing/version_filter.hpp
+++ b/include/pathcleat/routing/version_filter.hpp
@@ -8,7 +8,8 @@
 
 namespace pathcleat {
 
-/// @brief Leaves the candidates to which a rule on versions lets a request go.
+/// @brief Leaves the candidates to which a rule on versions lets a request go;
+/// that may be none, also where others could serve it.
 /// @ingroup routing
 void KeepVersions(std::vector<Candidate>& candidates, const VersionRule& rule);
 
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -245,6 +245,7 @@
   }
   state_.list_version = upstream_list_.version();
   state_.list_since = now;
+  state_.RefreshRollouts();
   state_.ShareBounds(now);
   peers_.Publish(SourceTopic::kUpstreams);
 }
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -60,13 +60,10 @@
 
 // Before it is known here that the rollout has begun, nothing is tried.
 VersionRulePtr Rollout::RuleFor(bool first) const {
-  if (state_ && state_->phase == RolloutPhase::kRolledBack) {
-    return others_;
-  }
-  if (!others_run_) {
-    return nullptr;
+  if (!others_run_ || !fresh_runs_) {
+    return nullptr;  // there is one choice alone
   }
-  if (!state_) {
+  if (!state_ || state_->phase == RolloutPhase::kRolledBack) {
     return others_;
   }
   if (state_->phase != RolloutPhase::kRunning) {
@@ -82,7 +79,10 @@
 void Rollout::SetSituation(const std::set<std::string>& versions,
                            std::uint32_t on_others) {
   versions_ = versions;
-  others_run_ = versions.size() > versions.count(order_.version);
+  if (!versions.empty()) {
+    fresh_runs_ = versions.contains(order_.version);
+    others_run_ = versions.size() > versions.count(order_.version);
+  }
   own_.on_others = on_others;
   own_.promoted = state_ && state_->phase == RolloutPhase::kPromoted ? 1 : 0;
 }
@@ -197,8 +197,8 @@
                                                   Time now,
                                                   std::string& reason) const {
   const RolloutTally fleet = board_.OfFleet(now);
-  if (fleet.promoted >= static_cast<std::uint32_t>(facts.hosts) &&
-      fleet.on_others == 0) {
+  if (fresh_runs_ && fleet.on_others == 0 &&
+      fleet.promoted >= static_cast<std::uint32_t>(facts.hosts)) {
     reason = "nothing runs at other versions";
     return StepTo(RolloutPhase::kCompleted);
   }
--- a/src/pathcleat/rollouts/rollout_test.cpp
+++ b/src/pathcleat/rollouts/rollout_test.cpp
@@ -299,5 +299,48 @@
   cr_assert(states["s"].phase == RolloutPhase::kCompleted);
 }
 
+// Takes a rollout to a phase by hand.
+void Decide(RolloutControl& control, RolloutPhase phase) {
+  RolloutState state;
+  state.order = Order().id;
+  state.version = "v2";
+  state.phase = phase;
+  state.replaced = {"v1"};
+  control.Adopt({{"s", state}});
+}
+
+// Before the list is known, a host that has just started must not take any
+// version for the only one. Seen to fail: an empty list counted as one without
+// other versions, and the tried one got requests as any.
+Test(promise, unknown_list_opens_no_version) {
+  RolloutControl control("d", 1);
+  control.OnOrders({Order()});
+  Rollout& rollout = *control.Find("s");
+  rollout.SetSituation({}, 0);
+  for (const RolloutPhase phase :
+       {RolloutPhase::kRunning, RolloutPhase::kRolledBack}) {
+    Decide(control, phase);
+    cr_assert(rollout.RuleFor(false) != nullptr);
+    cr_assert_not(rollout.RuleFor(false)->Allows("v2"));
+  }
+  Decide(control, RolloutPhase::kCompleted);
+  cr_assert_not(rollout.RuleFor(false)->Allows("v1"));
+}
+
+// Where the list names no other version at all, what runs serves; the old one
+// is then not said to be done with either.
+Test(rollout, only_version_that_is_listed_serves) {
+  RolloutControl control("d", 1);
+  control.OnOrders({Order()});
+  Rollout& rollout = *control.Find("s");
+  Decide(control, RolloutPhase::kRolledBack);
+  rollout.SetSituation({"v2"}, 0);
+  cr_assert(rollout.RuleFor(false) == nullptr);
+  Decide(control, RolloutPhase::kPromoted);
+  rollout.SetSituation({"v1"}, 0);
+  cr_assert(rollout.RuleFor(false) == nullptr);
+  cr_assert(control.Judge({1, {}}, kStart).empty());
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/routing/version_filter.cpp
+++ b/src/pathcleat/routing/version_filter.cpp
@@ -6,7 +6,6 @@
 #include <cstddef>
 #include <map>
 #include <string>
-#include <utility>
 
 namespace pathcleat {
 namespace {
@@ -34,20 +33,13 @@
 }  // namespace
 
 // Of a version that is being tried, the few that rank first in each region get
-// all that goes there, so that they are as busy as the others. A rule that
-// leaves nothing is passed over but for a trial: what runs serves.
+// all that goes there, so that they are as busy as the others.
 void KeepVersions(std::vector<Candidate>& candidates, const VersionRule& rule) {
-  std::vector<Candidate> allowed;
-  for (const Candidate& candidate : candidates) {
-    if (rule.Allows(candidate.upstream->info.version)) {
-      allowed.push_back(candidate);
-    }
-  }
+  std::erase_if(candidates, [&rule](const Candidate& candidate) {
+    return !rule.Allows(candidate.upstream->info.version);
+  });
   if (!rule.only.empty()) {
-    KeepFirstOfRegions(allowed, rule.part);
-    candidates = std::move(allowed);
-  } else if (!allowed.empty()) {
-    candidates = std::move(allowed);
+    KeepFirstOfRegions(candidates, rule.part);
   }
 }
 
