Logs tell when a connection opened and how the list of upstreams came

To tell a choice that was acted on late from a list that came late: PC1115 (connection-opened) with the time since the choice and the list's version and age by then; PC1301 and PC1305 with the sender, bytes and time of the change's transfer. Before, a request's log ended at the choice (PC1111), and nothing told from where a host had learnt that an upstream leaves. No decision changes. One line more in the log of a request whose connection was opened for it, within the log's bounds.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -30,6 +30,7 @@
   kAttemptFailed = 1112,
   kAttemptNotRun = 1113,
   kRequestAnswered = 1114,
+  kConnectionOpened = 1115,
   kKeyReplayed = 1201,
   kKeyInProgress = 1202,
   kKeyWriteFailed = 1203,
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -55,6 +55,7 @@
   void ArmPatience(Duration patience);
   void OnPatienceOver();
   bool MayGoElsewhere() const;
+  void OnOpened();
   void OnResult(const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
   void NoteVersion(const Pick& pick, bool bad);
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -96,6 +96,7 @@
   ConfigHistory config_history_;
   ConfigLag lag_;
   ChangeJournal upstream_journal_;
+  Transfer list_transfer_;              ///< how the list's last changes came
   std::map<SourceTopic, bool> asking_;  ///< topics asked of a host beside
   bool started_ = false;
   bool store_lost_ = false;
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -43,6 +43,10 @@
   /// @param attempt from 1 up.
   void NoteSent(const Pick& pick, int attempt, Time now);
 
+  /// @brief The connection that it is to be sent over has opened.
+  /// @param elapsed since the upstream was picked.
+  void NoteOpened(const std::string& upstream, Duration elapsed);
+
   /// @brief An attempt came to nothing.
   void NoteFailed(const std::string& upstream,
                   const std::string& detail,
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -32,6 +32,8 @@
     EventInfo{kAttemptFailed, "attempt-failed", kInfo, kFailure, "request"},
     EventInfo{kAttemptNotRun, "attempt-not-run", kInfo, kFailure, "request"},
     EventInfo{kRequestAnswered, "request-answered", kInfo, kRequest, "request"},
+    EventInfo{kConnectionOpened, "connection-opened", kInfo, kRequest,
+              "request"},
     EventInfo{kKeyReplayed, "key-replayed", kInfo, kFailure, "key"},
     EventInfo{kKeyInProgress, "key-in-progress", kInfo, kFailure, "key"},
     EventInfo{kKeyWriteFailed, "key-write-failed", kWarning, kFailure, "key"},
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -194,14 +194,19 @@
       pick, request_.key, exchange_->request(),
       {request_id_, account_.get(), state_.accounts.IsInForce(),
        route_->repeatable},
-      {left, deadline_ - BootClock::now()},
-      [this] { exchange_->CheckCaller(); },
+      {left, deadline_ - BootClock::now()}, [this] { OnOpened(); },
       [self = shared_from_this()](const CallResult& result) {
         self->OnResult(result);
       });
   ArmPatience(PatienceFor(pick.expected, left));
 }
 
+void Call::OnOpened() {
+  trace_.NoteOpened(attempt_.pick().upstream->info.id,
+                    BootClock::now() - attempt_.sent());
+  exchange_->CheckCaller();
+}
+
 void Call::OnResult(const CallResult& result) {
   patience_timer_.cancel();
   const Pick pick = attempt_.pick();
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -215,6 +215,7 @@
 void FleetView::OnUpstreams(const SourceUpdate& update) {
   const Time now = BootClock::now();
   const bool may_come_back = MayComeBack(update, now);
+  list_transfer_ = update.transfer;
   if (update.relayed && !update.unsettled) {
     BoundLapses(now + kLapseTime);
   }
@@ -311,7 +312,10 @@
 void FleetView::RecordOfList(EventCode code, const std::string& upstream) {
   state_.events.Record(
       code, upstream, "",
-      {NumberField(field::kListVersion, upstream_list_.version())});
+      {NumberField(field::kListVersion, upstream_list_.version()),
+       {field::kFrom, list_transfer_.from},
+       NumberField(field::kBytes, list_transfer_.bytes),
+       MillisecondsField(field::kTransferMs, list_transfer_.took)});
 }
 
 void FleetView::Tick(Time now) {
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -66,6 +66,15 @@
         MillisecondsField(field::kListAgeMs, now - state_.list_since)});
 }
 
+void RequestTrace::NoteOpened(const std::string& upstream, Duration elapsed) {
+  Note(EventCode::kConnectionOpened,
+       {{field::kUpstream, upstream},
+        MillisecondsField(field::kElapsedMs, elapsed),
+        NumberField(field::kListVersion, state_.list_version),
+        MillisecondsField(field::kListAgeMs,
+                          BootClock::now() - state_.list_since)});
+}
+
 void RequestTrace::NoteFailed(const std::string& upstream,
                               const std::string& detail,
                               Duration elapsed) {
