Failing test: watches cut at the store send every host there

Logs: 126 followers' watches turned away by their relays within 0.5 s, then 24, 13 and 7 hosts reading 1.07 MB from the store within 1.5 s, most on 10 Mbit/s. The test shows it with twelve hosts.

--- a/src/pathcleat/lab/relay_test.cpp
+++ b/src/pathcleat/lab/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "test_world.hpp"
 
 #include <algorithm>
+#include <map>
 
 namespace pathcleat {
 namespace {
@@ -41,6 +42,14 @@
   return watching;
 }
 
+std::uint64_t StoreCalls(const TestWorld& world, std::size_t host) {
+  std::uint64_t calls = 0;
+  for (const auto& [call, count] : world.StoreCallsOf(host).calls) {
+    calls += count;
+  }
+  return calls;
+}
+
 // At 80 hosts each with watches of its own the store's calls cost 0.16 to 0.50
 // of a day's worth. Checked to fail with ChooseRelay always kStore.
 Test(relay, changes_reach_all_hosts_with_the_calls_of_a_few) {
@@ -87,6 +96,36 @@
   }));
 }
 
+// The upstreams' list and the configuration came late to most hosts of a fleet,
+// and half of the callers waited, after the store had cut all watches and
+// dropped its history: each relay took the store for gone, turned its followers
+// away, and these read everything from the store themselves, 1 MB each over
+// links of 10 Mbit/s.
+Test(relay, watches_that_the_store_cuts_send_no_follower_there) {
+  TestWorld world(LargeDomain());
+  world.StartAll();
+  PutVersion(world, 2);
+  cr_assert(world.Await(
+      [&] { return AllAt(world, 2) && Watching(world) == kWatchers; }));
+  std::map<std::size_t, std::uint64_t> calls_of_followers;
+  for (std::size_t i = 0; i < kHosts; ++i) {
+    if (world.host(i).Versions().store == StoreAccess::kFollowing) {
+      calls_of_followers[i] = StoreCalls(world, i);
+    }
+  }
+  cr_assert_eq(calls_of_followers.size(), kHosts - kWatchers);
+  for (std::uint64_t version = 3; version < 6; ++version) {
+    world.platform().CutFeeds();
+    world.platform().ForgetHistory();
+    PutVersion(world, version);
+    cr_assert(world.Await(
+        [&] { return AllAt(world, version) && Watching(world) == kWatchers; }));
+  }
+  for (const auto& [host, calls] : calls_of_followers) {
+    cr_assert_eq(StoreCalls(world, host), calls);
+  }
+}
+
 // The store refuses everything, and a host has noticed.
 void TakeStoreAway(TestWorld& world) {
   platform::StandInFaults busy;
