A watch that breaks off does not make a relay take the store for gone

Callers waited, and hosts learnt late of leaving upstreams, after the store had cut its watches and dropped its history. Cause: a relay took the broken watch for a failing store and turned its followers away; as all relays did so in the same moment none was left, and each host went to the store, was told that history is gone, and read the whole configuration over its own thin link. Class: one lost call is taken for the state of its peer, and all act on it alike and at once. Ruled out: the store being away (its next answers came within 0.1 s in the test). Change: the first break of a watch is passed on to the watcher, which asks again in 0.1 s, and does not count; that call's outcome does. A store that refuses, or breaks twice, counts as before.

--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "pathcleat/feeds/peer_feed.hpp"
@@ -49,8 +50,10 @@
   PeerQuestionPtr AskPeer(const FeedPeer& peer,
                           const FeedRequest& request,
                           const Callback& callback);
-  Callback Noting(SourceTopic topic, Callback callback);
+  enum class CallKind { kRead, kWatch };
+  Callback Noting(SourceTopic topic, CallKind kind, Callback callback);
   void NoteStore(SourceTopic topic, StoreOutcome outcome);
+  bool IsFirstBreak(SourceTopic topic, CallKind kind, StoreOutcome outcome);
   void LeaveStore(SourceTopic topic);
   void TellIfChanged(StoreAccess before);
 
@@ -62,6 +65,7 @@
   std::map<std::string, Time> avoided_;             ///< peers, and until when
   std::map<SourceTopic, PeerQuestionPtr> watches_;  ///< at other hosts
   std::map<SourceTopic, bool> at_store_;  ///< topics that the store answers
+  std::set<SourceTopic> broken_;  ///< watches that ended without an answer
   std::map<SourceTopic, Time> waiting_since_;  ///< for others to have read
   std::optional<Time> store_failed_;
 };
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -75,7 +75,8 @@
       callback(NotAsked());
       return;
     case RelayKind::kStore:
-      store_.Read(topic, from, Noting(topic, std::move(callback)));
+      store_.Read(topic, from,
+                  Noting(topic, CallKind::kRead, std::move(callback)));
       return;
   }
 }
@@ -97,7 +98,8 @@
       callback(NotAsked());
       return;
     case RelayKind::kStore:
-      store_.Watch(topic, after, wait, Noting(topic, std::move(callback)));
+      store_.Watch(topic, after, wait,
+                   Noting(topic, CallKind::kWatch, std::move(callback)));
       return;
   }
 }
@@ -151,14 +153,30 @@
 }
 
 FleetSource::Callback RelayedSource::Noting(SourceTopic topic,
+                                            CallKind kind,
                                             Callback callback) {
-  return [this, topic,
+  return [this, topic, kind,
           callback = std::move(callback)](const SourceAnswer& answer) {
-    NoteStore(topic, answer.outcome);
+    if (!IsFirstBreak(topic, kind, answer.outcome)) {
+      NoteStore(topic, answer.outcome);
+    }
     callback(answer);
   };
 }
 
+// A watch that breaks off says nothing of the store: the next call, a moment
+// later, does. Relays that took the store for gone by it all turned their
+// followers away at one moment, and sent them to the store.
+bool RelayedSource::IsFirstBreak(SourceTopic topic,
+                                 CallKind kind,
+                                 StoreOutcome outcome) {
+  if (kind == CallKind::kWatch && outcome == StoreOutcome::kUnknown) {
+    return broken_.insert(topic).second;
+  }
+  broken_.erase(topic);
+  return false;
+}
+
 void RelayedSource::NoteStore(SourceTopic topic, StoreOutcome outcome) {
   const Time now = BootClock::now();
   const StoreAccess before = access(now);
