Rooms: what one request says and holds on its way leaves gateway/ for calls/

Twelve files (connections to upstreams, the protocol spoken to them, keys and their rows, run records, causes of breaks, patience, the plan of a stop) that know nothing of the host's tables. Moves and include paths alone; arrows: store -> calls -> gateway.

--- a/include/pathcleat/gateway/break_cause.hpp
+++ b/include/pathcleat/calls/break_cause.hpp
@@ -5,7 +5,7 @@
 
 /// @brief Why this host ended an exchange at an upstream that may have been
 /// at work on it.
-/// @ingroup gateway
+/// @ingroup calls
 enum class BreakCause {
   kPatience,    ///< silent for far longer than expected, another one asked
   kCallerLeft,  ///< the caller left, and the work may be repeated
--- a/include/pathcleat/gateway/header_names.hpp
+++ b/include/pathcleat/calls/header_names.hpp
@@ -8,7 +8,7 @@
 /// @brief Names of the header fields that callers, hosts and upstreams
 /// exchange. The defaults are the project's own; an adapter may name others.
 /// An empty name means that nobody sends that field.
-/// @ingroup gateway
+/// @ingroup calls
 struct HeaderNames {
   std::string request_id = "X-Request-Id";
   std::string deadline_ms = "X-Deadline-Ms";  ///< time left
--- a/include/pathcleat/gateway/key_ledger.hpp
+++ b/include/pathcleat/calls/key_ledger.hpp
@@ -6,15 +6,15 @@
 #include <memory>
 #include <string>
 
+#include "pathcleat/calls/key_row.hpp"
 #include "pathcleat/core/event_log.hpp"
-#include "pathcleat/gateway/key_row.hpp"
 #include "pathcleat/steer/key_claim.hpp"
 #include "pathcleat/store/table_store.hpp"
 
 namespace pathcleat {
 
 /// @brief A key that this process has claimed and must settle.
-/// @ingroup gateway
+/// @ingroup calls
 struct ClaimedKey {
   std::string row_name;
   KeyRow row;
@@ -22,7 +22,7 @@
 };
 
 /// @brief Result of a claim; the action is final (not kPut or kRead).
-/// @ingroup gateway
+/// @ingroup calls
 struct ClaimResult {
   KeyAction action = KeyAction::kRefuseNotRun;
   ClaimedKey claimed;  ///< for kRun
@@ -30,7 +30,7 @@
 };
 
 /// @brief A request's claim to its idempotency key.
-/// @ingroup gateway
+/// @ingroup calls
 struct KeyRequest {
   std::string row_name;
   std::uint64_t fingerprint = 0;
@@ -39,7 +39,7 @@
 
 /// @brief Keeps idempotency keys in the table service: one conditional write
 /// to claim, one to settle. Lives in one thread's event loop.
-/// @ingroup gateway
+/// @ingroup calls
 class KeyLedger {
  public:
   KeyLedger(boost::asio::io_context& loop, TableStore& store, EventLog& events);
--- a/include/pathcleat/gateway/key_row.hpp
+++ b/include/pathcleat/calls/key_row.hpp
@@ -11,7 +11,7 @@
 namespace pathcleat {
 
 /// @brief An idempotency key's row as it lies in the table service.
-/// @ingroup gateway
+/// @ingroup calls
 struct KeyRow {
   KeyState state = KeyState::kRunning;
   std::string token;
@@ -21,15 +21,15 @@
 };
 
 /// @brief Name of the row of a service's key.
-/// @ingroup gateway
+/// @ingroup calls
 std::string KeyRowName(const std::string& service, const std::string& key);
 
 /// @brief JSON form of a row; bodies are kept in base64.
-/// @ingroup gateway
+/// @ingroup calls
 std::string ToJson(const KeyRow& row);
 
 /// @brief The row of a JSON text; no value if it is not one.
-/// @ingroup gateway
+/// @ingroup calls
 std::optional<KeyRow> KeyRowFromJson(const std::string& text);
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/open_requests.hpp
+++ b/include/pathcleat/calls/open_requests.hpp
@@ -8,7 +8,7 @@
 
 /// @brief A caller's request under way, as its host sees it. It leaves the
 /// list that it is in when it is destroyed.
-/// @ingroup gateway
+/// @ingroup calls
 class OpenRequest
     : public boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
@@ -24,7 +24,7 @@
 };
 
 /// @brief The callers' requests under way at a host.
-/// @ingroup gateway
+/// @ingroup calls
 class OpenRequests {
  public:
   void Add(OpenRequest& request) { requests_.push_back(request); }
--- a/include/pathcleat/gateway/pick_request.hpp
+++ b/include/pathcleat/calls/pick_request.hpp
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "pathcleat/gateway/header_names.hpp"
+#include "pathcleat/calls/header_names.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
 
@@ -12,7 +12,7 @@
 /// @brief What the choice of an upstream needs to know of a caller's request.
 /// Its service is not chosen yet.
 /// @param request_id stands for the key where the route has none.
-/// @ingroup gateway
+/// @ingroup calls
 PickRequest PickRequestOf(const HeaderNames& names,
                           const Exchange& exchange,
                           const Route& route,
--- a/include/pathcleat/gateway/rest_limit.hpp
+++ b/include/pathcleat/calls/rest_limit.hpp
@@ -10,7 +10,7 @@
 /// a word: what is sent on it is lost, and nobody can tell whether it has run.
 /// Learned from connections that broke at their first use after a rest; what is
 /// not seen again is forgotten. Not thread-safe.
-/// @ingroup gateway
+/// @ingroup calls
 class RestLimit {
  public:
   /// @brief A connection that had rested so long was gone.
--- a/include/pathcleat/gateway/run_record.hpp
+++ b/include/pathcleat/calls/run_record.hpp
@@ -6,7 +6,7 @@
 /// @brief Whether a request may have run. Each send counts as a run until it
 /// is known that it was none, so that what is forgotten to be noted makes an
 /// answer promise too little, and never too much.
-/// @ingroup gateway
+/// @ingroup calls
 class RunRecord {
  public:
   void OnSent() { ++sends_; }
--- a/include/pathcleat/gateway/stop_plan.hpp
+++ b/include/pathcleat/calls/stop_plan.hpp
@@ -6,7 +6,7 @@
 namespace pathcleat {
 
 /// @brief How long a request's work may take.
-/// @ingroup gateway
+/// @ingroup calls
 struct WorkTimes {
   Duration expected{0};    ///< until its answer
   Duration target{0};      ///< until which an answer has its full worth
@@ -20,7 +20,7 @@
 /// A host knows when its process must end. So work that would not surely be
 /// done by then is not begun, and work that is begun ends at its upstream
 /// while there is still time to pass on how it ended.
-/// @ingroup gateway
+/// @ingroup calls
 class StopPlan {
  public:
   /// @brief The stop begins. Only the first call counts.
--- a/include/pathcleat/gateway/upstream_pool.hpp
+++ b/include/pathcleat/calls/upstream_pool.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "pathcleat/gateway/rest_limit.hpp"
+#include "pathcleat/calls/rest_limit.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 
@@ -16,12 +16,12 @@
 /// @brief A request that is late and of which bytes have waited for so long
 /// for an acknowledgement went into silence: twice TCP's shortest pause before
 /// a retransmission.
-/// @ingroup gateway
+/// @ingroup calls
 inline constexpr Duration kLeastSilence{400'000};
 
 /// @brief Kept connections to the upstreams, by upstream. The last one used
 /// is used first, so that those not needed grow old and are closed.
-/// @ingroup gateway
+/// @ingroup calls
 class UpstreamPool {
  public:
   explicit UpstreamPool(boost::asio::io_context& loop) : loop_(loop) {}
--- a/include/pathcleat/gateway/upstream_protocol.hpp
+++ b/include/pathcleat/calls/upstream_protocol.hpp
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "pathcleat/accounts/account.hpp"
+#include "pathcleat/calls/header_names.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_message.hpp"
 #include "pathcleat/routing/upstream_load.hpp"
@@ -16,12 +16,12 @@
 /// @brief The time that a caller says it will wait, if it says one. Zero if it
 /// waits no longer (0 or less), a day if it names more than that; what is no
 /// number is as good as missing.
-/// @ingroup gateway
+/// @ingroup calls
 std::optional<Duration> CallerDeadline(const HeaderNames& names,
                                        const HttpRequest& request);
 
 /// @brief Whose a request is, as upstreams are told.
-/// @ingroup gateway
+/// @ingroup calls
 struct RequestOrigin {
   std::string request_id;
   const Account* account = nullptr;  ///< null: the caller is of none
@@ -33,7 +33,7 @@
 /// id, the account's name, the time left in milliseconds (never a time of day)
 /// and the upstream meant. What the caller says of its account is not passed
 /// on, nor is its key.
-/// @ingroup gateway
+/// @ingroup calls
 HttpRequest ToUpstream(const HeaderNames& names,
                        const HttpRequest& request,
                        const RequestOrigin& origin,
@@ -42,34 +42,34 @@
 
 /// @brief Tells a request's own answers from others' that arrive late: those
 /// with another id. An answer without an id is taken for its own.
-/// @ingroup gateway
+/// @ingroup calls
 HttpClient::Matcher AnswersOf(const HeaderNames& names,
                               const std::string& request_id);
 
 /// @brief The load that an upstream tells in an answer, if it tells any.
-/// @ingroup gateway
+/// @ingroup calls
 std::optional<LoadReport> LoadReportIn(const HeaderNames& names,
                                        const HttpResponse& response);
 
 /// @brief Whether the upstream says that it has not run the request.
-/// @ingroup gateway
+/// @ingroup calls
 bool IsNotRun(const HeaderNames& names, const HttpResponse& response);
 
 /// @brief Whether a success carries what every whole answer carries.
-/// @ingroup gateway
+/// @ingroup calls
 bool IsWholeAnswer(const HeaderNames& names, const HttpResponse& response);
 
 /// @brief A refusal that certainly was not run, and when to come back.
-/// @ingroup gateway
+/// @ingroup calls
 HttpResponse NotRunResponse(const std::string& reason, Duration retry_after);
 
 /// @brief Why requests beyond their account's limit are refused, as logs and
 /// metrics tell it.
-/// @ingroup gateway
+/// @ingroup calls
 inline constexpr const char* kOverLimit = "account_limit";
 
 /// @brief The refusal of a request beyond its account's limit.
-/// @ingroup gateway
+/// @ingroup calls
 HttpResponse OverLimitResponse(Duration retry_after);
 
 }  // namespace pathcleat
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/calls/open_requests.hpp"
+#include "pathcleat/calls/run_record.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/key_guard.hpp"
-#include "pathcleat/gateway/open_requests.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
-#include "pathcleat/gateway/run_record.hpp"
 #include "pathcleat/gateway/upstream_attempt.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/gateway/metrics.hpp
@@ -17,10 +17,10 @@
 #include <string>
 #include <utility>
 
+#include "pathcleat/calls/break_cause.hpp"
 #include "pathcleat/core/histogram.hpp"
 #include "pathcleat/core/run_outcome.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/gateway/break_cause.hpp"
 
 namespace pathcleat {
 
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -5,8 +5,8 @@
 #include <optional>
 #include <string>
 
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_client.hpp"
 
 namespace pathcleat {
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -10,8 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "pathcleat/calls/header_names.hpp"
 #include "pathcleat/core/time.hpp"
-#include "pathcleat/gateway/header_names.hpp"
 #include "pathcleat/http/http_server.hpp"
 
 namespace pathcleat {
--- a/src/pathcleat/gateway/key_ledger.cpp
+++ b/src/pathcleat/calls/key_ledger.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/key_ledger.hpp"
+#include "pathcleat/calls/key_ledger.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
--- a/src/pathcleat/gateway/pick_request.cpp
+++ b/src/pathcleat/calls/pick_request.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/pick_request.hpp"
+#include "pathcleat/calls/pick_request.hpp"
 
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 
 namespace pathcleat {
 namespace {
--- a/src/pathcleat/gateway/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/upstream_protocol.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 
 #include <algorithm>
 #include <array>
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -4,11 +4,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "pathcleat/calls/patience.hpp"
+#include "pathcleat/calls/pick_request.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/request_id.hpp"
-#include "pathcleat/gateway/patience.hpp"
-#include "pathcleat/gateway/pick_request.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
--- a/src/pathcleat/gateway/call_account.cpp
+++ b/src/pathcleat/gateway/call_account.cpp
@@ -3,8 +3,8 @@
 
 #include <utility>
 
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/gateway/call.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 
 namespace pathcleat {
 
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -8,11 +8,11 @@
 #include <utility>
 
 #include "pathcleat/accounts/caller_identity.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/gateway/call.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_status.hpp"
 #include "pathcleat/http/query_text.hpp"
--- a/src/pathcleat/gateway/key_guard.cpp
+++ b/src/pathcleat/gateway/key_guard.cpp
@@ -3,8 +3,8 @@
 
 #include <utility>
 
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/gateway/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
 #include "pathcleat/routing/comeback.hpp"
 
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -3,7 +3,7 @@
 
 #include <utility>
 
-#include "pathcleat/gateway/upstream_protocol.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 
 namespace pathcleat {
 
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "pathcleat/gateway/upstream_protocol.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 
 namespace pathcleat {
 namespace {
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -6,7 +6,7 @@
 #include <memory>
 #include <utility>
 
-#include "pathcleat/gateway/upstream_protocol.hpp"
+#include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
