A test's comment claims only what was run

The head of leaving_upstream_test said that all its tests fail with the check off; that was seen of the first (before the mend) and of the cold one (said there), not of the other two. A comment alone, found on reading the change once more; no code, no assertion.

--- a/src/pathcleat/lab/leaving_upstream_test.cpp
+++ b/src/pathcleat/lab/leaving_upstream_test.cpp
@@ -3,8 +3,8 @@
 // leaves (3 s are allowed), from hosts that were late with all they did. Cause:
 // an upstream was chosen, the connection to it took up to a second to open, and
 // the request was then sent by the old choice, whatever had been learnt by
-// then. Proof: with the choice looked at again once the connection has opened
-// (Call::OnOpened) these tests pass; with MayStillSend true they fail.
+// then. Proof: the first test failed until the choice was looked at again once
+// the connection has opened (Call::OnOpened).
 
 #include <functional>
 
