Logs tell a request's method, path and size of body

After the incident the logs could not tell which requests were the same one: they named the route and the affinity key, which requests that were answered share. PC1110 now tells method, path with query (256 bytes at most) and size of body.

--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -6,6 +6,12 @@
 #include "pathcleat/calls/upstream_protocol.hpp"
 
 namespace pathcleat {
+namespace {
+
+// Of a path with its query, for the log; a longer one is cut.
+constexpr std::size_t kMostPathBytes = 256;
+
+}  // namespace
 
 void RequestTrace::Note(EventCode code, EventFields fields) {
   events_.push_back(
@@ -15,8 +21,12 @@
 void RequestTrace::NoteTaken(const Exchange& exchange,
                              const PickRequest& picked,
                              Duration left) {
+  const HttpRequest& request = exchange.request();
   Note(EventCode::kRequestTaken,
        {{field::kCaller, exchange.caller()},
+        {field::kMethod, request.method},
+        {field::kPath, request.target.substr(0, kMostPathBytes)},
+        NumberField(field::kBodyBytes, request.body.size()),
         {field::kRoute, picked.route->name},
         {field::kService, picked.service},
         {field::kAccount, picked.account ? picked.account->name : ""},
