--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -102,6 +102,11 @@
   /// @brief Stops listening and cuts all connections, as a crash would.
   void Crash();
 
+  /// @brief Crashes from now on when it begins to run a request for this
+  /// target.
+  void CrashOn(std::string target) { fatal_target_ = std::move(target); }
+  bool HasCrashed() const { return server_ == nullptr; }
+
  private:
   void Handle(const ExchangePtr& exchange);
   bool IsForAnother(const ExchangePtr& exchange) const;
@@ -126,6 +131,7 @@
   std::vector<ExchangePtr> queue_;
   Director director_;
   SpoiltAnswer spoilt_ = SpoiltAnswer::kNone;
+  std::string fatal_target_;  ///< empty: none
   int in_flight_ = 0;
   Time counted_;  ///< up to when slot_seconds is told
   bool hold_ = false;
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/lab/upstream_stand_in.hpp"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <utility>
@@ -179,6 +180,11 @@
   ++in_flight_;
   ledger_.most_in_flight = std::max(ledger_.most_in_flight, in_flight_);
   exchange->OnAbandoned([this] { End(); });
+  if (exchange->request().target == fatal_target_) {
+    // Not inside the server's own callback.
+    boost::asio::post(loop_, [this] { Crash(); });
+    return;
+  }
   if (hold_) {
     held_.push_back(exchange);
     return;
