Failing tests: hosts that miss every change after a silent outage of the store

After a silent outage no host heard of new configurations or of upstreams that left, for up to 20 s after the store answered again, so that callers' requests went to upstreams that had left. A watch that is begun while the store is silent, or sent again then, is trusted for its whole length.

--- a/src/pathcleat/feeds/source_watcher_test.cpp
+++ b/src/pathcleat/feeds/source_watcher_test.cpp
@@ -17,9 +17,10 @@
   }
   void Watch(SourceTopic,
              std::uint64_t after,
-             Duration,
+             Duration wait,
              Callback callback) override {
     watched_after = after;
+    watched_for = wait;
     watches.push_back(std::move(callback));
   }
 
@@ -29,6 +30,7 @@
   std::vector<Callback> reads;
   std::vector<Callback> watches;
   std::uint64_t watched_after = 0;
+  Duration watched_for{0};
   int stopped = 0;  ///< watches given up
   std::optional<Time> heard;
 };
@@ -93,6 +95,21 @@
   cr_assert_eq(world.source.stopped, 1);
 }
 
+// Guards against a long watch that is begun while the store is silent: the
+// store may have taken it and never answer it.
+Test(source_watcher, watch_after_a_failure_does_not_wait_for_changes) {
+  WatcherWorld world;
+  world.source.reads.back()(WatcherWorld::Done(7));
+  cr_assert_gt(world.source.watched_for.count(), 0);
+  world.source.watches.back()(SourceAnswer());
+  cr_assert(
+      WaitUntil(world.loop, [&] { return world.source.watches.size() == 2U; }));
+  cr_assert_eq(world.source.watched_for.count(), 0);
+  world.source.watches.back()(WatcherWorld::Done(7));
+  cr_assert_eq(world.source.watches.size(), 3U);
+  cr_assert_gt(world.source.watched_for.count(), 0);
+}
+
 Test(source_watcher, lost_history_is_read_whole_again) {
   WatcherWorld world;
   world.source.reads.back()(WatcherWorld::Done(7));
