A long watch of the store is begun only after a short call was answered

After a silent outage of the store no host heard of new configurations or of upstreams that left, for up to 20 s: callers' requests went to upstreams that had left. Cause: a watch that followed a failure, or was sent again as its connection was silent, waited for changes for its whole length; the store had taken it in its last silent moments and never answered. All relays begin theirs at one moment, so no host knew more than another. Class: a wait begun while the peer is not sound is trusted for its full length.

After any failure the next watch asks for what has changed by now, within the time of a call, and so does one that is sent again (StoreCaller::Watch); only its answer lets a long one begin. When the store answers one topic again, a watch of the other that was begun before it failed is begun anew. pathcleat_feed_age_seconds shows the age of each topic.

It costs one short call a topic and relay after a failure.

--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -47,6 +47,11 @@
   /// either before long, its watch is taken for dead and begun anew.
   void OnPeerVersion(std::uint64_t version, Time now);
 
+  /// @brief What was begun before this time may have been lost, as the store
+  /// failed another call then, or this host stood still from then on: such a
+  /// watch is begun anew.
+  void DistrustBefore(Time since);
+
   /// @brief Another host, asked beside the watch, has answered. What is new in
   /// it is handled, and the watch goes on from there.
   /// @return whether it was newer than what is known here.
@@ -62,6 +67,9 @@
   /// @brief Version of the newest change that was seen.
   std::uint64_t changed() const { return changed_; }
 
+  /// @brief When a call was last answered, by whomever.
+  Time answered_at() const { return answered_at_; }
+
   /// @brief Whether the last call was answered.
   bool IsReached() const { return reached_; }
 
@@ -72,6 +80,7 @@
   void Read(const std::string& from);
   void OnRead(const SourceAnswer& answer);
   void Watch();
+  void WatchAnew();
   void OnWatch(const SourceAnswer& answer);
   void Pause(std::function<void()> next);
   void PauseFor(Duration pause, std::function<void()> next);
@@ -94,7 +103,10 @@
   int failures_ = 0;
   std::uint64_t generation_ = 0;  ///< of the calls that count
   std::optional<Time> behind_since_;
-  Time begun_anew_;        ///< when a watch was last taken for dead
+  Time begun_anew_;  ///< when a watch was last taken for dead
+  Time watch_began_;
+  Time answered_at_;
+  bool in_doubt_ = false;  ///< the last call failed, or was taken for dead
   bool reading_ = false;   ///< the topic whole, page by page
   bool reached_ = false;   ///< the store, by the last call to it
   bool answered_ = false;  ///< the last call, by whomever
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -48,6 +48,11 @@
   /// @param from name of the host or domain.
   void OnPeerVersions(const std::string& from, const HostVersions& versions);
 
+  /// @brief When a topic was last heard of, also that nothing has changed.
+  Time AnsweredAt(SourceTopic topic) const {
+    return WatcherOf(topic).answered_at();
+  }
+
   /// @brief How far the configuration here is behind that of other hosts.
   const ConfigLag& lag() const { return lag_; }
 
@@ -83,7 +88,7 @@
   void OnGone(const std::string& id, bool may_come_back, Time now);
   void BoundLapses(Time until);
   void RecordOfList(EventCode code, const std::string& upstream);
-  void OnStore(bool reached, const char* topic);
+  void OnStore(bool reached, SourceTopic topic);
   void OnAccess();
 
   GatewayState& state_;
@@ -100,6 +105,7 @@
   std::map<SourceTopic, bool> asking_;  ///< topics asked of a host beside
   bool started_ = false;
   bool store_lost_ = false;
+  Time store_failed_;     ///< when it last failed a call
   Time unsettled_until_;  ///< entries may have lapsed while the store was away
 };
 
--- a/include/pathcleat/gateway/metrics_page.hpp
+++ b/include/pathcleat/gateway/metrics_page.hpp
@@ -1,10 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <map>
 #include <string>
 
 #include "pathcleat/core/log_class.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/store/fleet_source.hpp"
 #include "pathcleat/store/store_call_stats.hpp"
 
 namespace pathcleat {
@@ -13,6 +15,7 @@
 /// @ingroup gateway
 struct MetricsInputs {
   HostVersions versions;
+  std::map<SourceTopic, Time> feeds_answered;  ///< when each topic last was
   LogCounts log_dropped{};
   const StoreCallStats* store_calls = nullptr;  ///< may be missing
 };
--- a/include/pathcleat/store/fleet_source.hpp
+++ b/include/pathcleat/store/fleet_source.hpp
@@ -21,6 +21,12 @@
   kUpstreams,  ///< the list of upstreams
 };
 
+/// @brief Stable lower-case name of a topic, for logs and metrics.
+/// @ingroup store
+inline const char* ToString(SourceTopic topic) {
+  return topic == SourceTopic::kOrders ? "orders" : "upstreams";
+}
+
 /// @brief Answer to a read or a watch.
 /// @ingroup store
 struct SourceAnswer {
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kWatchTime{20'000'000};
+// What has changed is told at once, and so is that nothing has.
+constexpr Duration kNoWait{0};
 constexpr std::chrono::milliseconds kFirstPause{100};
 constexpr int kMostDoublings = 3;
 
@@ -95,9 +97,26 @@
   Watch();
 }
 
+// A store that falls silent may take a call and never answer it. A long wait is
+// begun only once a short call has been answered.
 void SourceWatcher::Watch() {
   reading_ = false;
-  source_.Watch(topic_, version_, kWatchTime, Current(&SourceWatcher::OnWatch));
+  watch_began_ = BootClock::now();
+  source_.Watch(topic_, version_, in_doubt_ ? kNoWait : kWatchTime,
+                Current(&SourceWatcher::OnWatch));
+}
+
+void SourceWatcher::WatchAnew() {
+  source_.StopWatch(topic_);
+  ++generation_;
+  in_doubt_ = true;
+  Watch();
+}
+
+void SourceWatcher::DistrustBefore(Time since) {
+  if (!reading_ && loaded_ && !in_doubt_ && watch_began_ < since) {
+    WatchAnew();
+  }
 }
 
 void SourceWatcher::OnWatch(const SourceAnswer& answer) {
@@ -158,9 +177,7 @@
   // a link that needs longer for the whole.
   if (!reading_ && failures_ == 0 && now - TrustedSince() > pace_.dead_after) {
     begun_anew_ = now;
-    source_.StopWatch(topic_);
-    ++generation_;
-    Watch();
+    WatchAnew();
   }
 }
 
@@ -213,7 +230,11 @@
   const bool reached = answer.outcome == StoreOutcome::kDone ||
                        answer.outcome == StoreOutcome::kHistoryGone;
   failures_ = reached ? 0 : failures_ + 1;
+  in_doubt_ = !reached;
   answered_ = reached;
+  if (reached) {
+    answered_at_ = BootClock::now();
+  }
   if (!answer.relayed && reached != reached_) {
     reached_ = reached;
     observer_(reached);
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -55,13 +55,13 @@
           source_,
           SourceTopic::kOrders,
           [this](const SourceUpdate& update) { OnOrders(update); },
-          [this](bool reached) { OnStore(reached, "orders"); }),
+          [this](bool reached) { OnStore(reached, SourceTopic::kOrders); }),
       upstream_list_(
           state.loop,
           source_,
           SourceTopic::kUpstreams,
           [this](const SourceUpdate& update) { OnUpstreams(update); },
-          [this](bool reached) { OnStore(reached, "upstreams"); }),
+          [this](bool reached) { OnStore(reached, SourceTopic::kUpstreams); }),
       lag_(kLagSilence),
       upstream_journal_(kChangesKept) {}
 
@@ -152,9 +152,8 @@
   if (!WatcherOf(topic).Adopt(AnswerOf(answer.snapshot, answer.transfer))) {
     return;
   }
-  const char* what = topic == SourceTopic::kOrders ? "orders" : "upstreams";
   state_.events.Record(EventCode::kTakenFromPeer, peer,
-                       std::string(what) + " up to version " +
+                       std::string(ToString(topic)) + " up to version " +
                            std::to_string(answer.snapshot.version));
 }
 
@@ -326,15 +325,24 @@
   }
 }
 
-void FleetView::OnStore(bool reached, const char* topic) {
+void FleetView::OnStore(bool reached, SourceTopic topic) {
   state_.store_reached = reached;
+  if (reached) {
+    const SourceTopic other = topic == SourceTopic::kOrders
+                                  ? SourceTopic::kUpstreams
+                                  : SourceTopic::kOrders;
+    WatcherOf(other).DistrustBefore(store_failed_);
+  } else {
+    store_failed_ = BootClock::now();
+  }
   if (reached && store_lost_) {
     unsettled_until_ = BootClock::now() + kLapseTime;
     BoundLapses(unsettled_until_);
   }
   store_lost_ = !reached;
   state_.events.Record(
-      reached ? EventCode::kPlatformUp : EventCode::kPlatformDown, topic,
+      reached ? EventCode::kPlatformUp : EventCode::kPlatformDown,
+      ToString(topic),
       reached ? "the store answers" : "the store does not answer");
 }
 
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -255,6 +255,10 @@
 void Gateway::HandleMetrics(const ExchangePtr& exchange) {
   MetricsInputs inputs;
   inputs.versions = Versions();
+  for (const SourceTopic topic :
+       {SourceTopic::kOrders, SourceTopic::kUpstreams}) {
+    inputs.feeds_answered[topic] = view_.AnsweredAt(topic);
+  }
   inputs.store_calls = probes_.store_calls;
   if (probes_.log_dropped) {
     inputs.log_dropped = probes_.log_dropped();
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -251,6 +251,15 @@
   page.Sample("pathcleat_hosts_alive", {}, state.hosts.Alive(now));
 }
 
+void AddFeeds(Page& page, const MetricsInputs& inputs, Time now) {
+  page.Family("pathcleat_feed_age_seconds", "gauge",
+              "Since a topic was last heard of, also that nothing changed.");
+  for (const auto& [topic, answered] : inputs.feeds_answered) {
+    page.Sample("pathcleat_feed_age_seconds", {{"topic", ToString(topic)}},
+                std::chrono::duration<double>(now - answered).count());
+  }
+}
+
 void AddPeers(Page& page, const PeerTraffic& traffic) {
   page.Family("pathcleat_peer_bytes_sent_total", "counter",
               "Bytes sent to other hosts, by kind.");
@@ -316,6 +325,7 @@
   AddUpstreams(page, state, now);
   AddCrashes(page, state);
   AddFleet(page, state, inputs.versions, now);
+  AddFeeds(page, inputs, now);
   AddPeers(page, state.peer_traffic);
   if (inputs.store_calls != nullptr) {
     AddStore(page, *inputs.store_calls);
