A machine that was suspended takes nobody for dead on waking

On waking the clock has leapt while timers have their whole rest before them. In the first turn all other hosts looked dead: their silence was reckoned over time in which nobody could be heard, so that this host would have taken the whole of what hosts share (retries, cold upstreams, accounts' limits) for itself; requests past their deadline waited on for as long as they had been away from it; watches of the store that were lost meanwhile were waited for.

HostTable::OnAwake notes a standstill, of a suspended or a frozen machine: it is no silence of others, while what others are told keeps the true ages. Requests that are past their deadline end (OpenRequests::EndOverdue), after what lies in sockets has been read. Watches begun before are begun anew.

--- a/include/pathcleat/calls/open_requests.hpp
+++ b/include/pathcleat/calls/open_requests.hpp
@@ -4,6 +4,8 @@
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/list_hook.hpp>
 
+#include "pathcleat/core/time.hpp"
+
 namespace pathcleat {
 
 /// @brief A caller's request under way, as its host sees it. It leaves the
@@ -17,6 +19,12 @@
   /// known.
   virtual void OnHostEnds() = 0;
 
+  /// @brief When its caller must have an answer.
+  virtual Time deadline() const = 0;
+
+  /// @brief That time is over.
+  virtual void OnDeadline() = 0;
+
   OpenRequest() = default;
   OpenRequest(const OpenRequest&) = delete;
   OpenRequest& operator=(const OpenRequest&) = delete;
@@ -32,21 +40,36 @@
   /// @brief Tells each request that the host ends. Requests may leave
   /// meanwhile.
   void OnHostEnds() {
+    ForEach([](OpenRequest& request) { request.OnHostEnds(); });
+  }
+
+  /// @brief Ends those whose deadline was before this time. Requests may leave
+  /// meanwhile.
+  void EndOverdue(Time before) {
+    ForEach([before](OpenRequest& request) {
+      if (request.deadline() < before) {
+        request.OnDeadline();
+      }
+    });
+  }
+
+ private:
+  using List =
+      boost::intrusive::list<OpenRequest,
+                             boost::intrusive::constant_time_size<false>>;
+
+  template <class Step>
+  void ForEach(const Step& step) {
     List told;
     told.swap(requests_);
     while (!told.empty()) {
       OpenRequest& request = told.front();
       told.pop_front();
       requests_.push_back(request);
-      request.OnHostEnds();
+      step(request);
     }
   }
 
- private:
-  using List =
-      boost::intrusive::list<OpenRequest,
-                             boost::intrusive::constant_time_size<false>>;
-
   List requests_;
 };
 
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -17,6 +17,7 @@
   kHostStarted = 1001,
   kHostLeaving = 1002,
   kHostStopped = 1003,
+  kHostStoodStill = 1004,
   kSettingsFault = 1005,
   kSettingsReloaded = 1006,
   kRequestRefused = 1101,
--- a/include/pathcleat/core/time.hpp
+++ b/include/pathcleat/core/time.hpp
@@ -22,6 +22,11 @@
   static time_point now();
 };
 
+/// @brief For tests: lets the clock leap as that of a machine does that was
+/// suspended. Timers stand still meanwhile.
+/// @ingroup core
+void LeapBootClock(Duration leap);
+
 /// @brief A point on this machine's BootClock; never sent to another host.
 /// @ingroup core
 using Time = BootClock::time_point;
--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/core/time.hpp"
@@ -36,6 +37,15 @@
   const HostInfo& self() const { return self_; }
   void SetLeaving() { self_.leaving = true; }
 
+  /// @brief This host runs at this moment. To be told a few times a second,
+  /// and before anything is decided by who lives. A machine that was suspended
+  /// or stood still has heard nobody meanwhile: that time is no silence of the
+  /// others.
+  void OnAwake(Time now);
+
+  /// @brief For how long this host stood still, if that was not asked since.
+  Duration TakeStandstill() { return std::exchange(untold_still_, {}); }
+
   /// @brief A row of the store names a host.
   void OnListed(const HostInfo& host, Time now);
 
@@ -60,7 +70,7 @@
   /// longer than it counts as alive, and also if only a row names it, as a host
   /// that has just started has not heard all others yet. Who counts too few
   /// takes more than its share.
-  static bool Shares(const KnownHost& host, Time now);
+  bool Shares(const KnownHost& host, Time now) const;
 
   /// @brief Names of the hosts that have fallen silent since the last call.
   std::vector<std::string> NewlySilent(Time now);
@@ -96,11 +106,16 @@
                                   Time now) const;
 
  private:
+  Duration SilenceOf(const KnownHost& host, Time now) const;
   void Keep(const KnownHost& host);
   std::vector<HostInfo> Serving(Time now) const;
 
   HostInfo self_;
   Duration silence_;
+  Time awake_;        ///< when this host last ran, as far as was told
+  Time still_until_;  ///< end of its last standstill
+  Duration still_for_{0};
+  Duration untold_still_{0};
   std::map<std::string, KnownHost> others_;
   std::map<std::uint64_t, std::string> names_;  ///< by IncarnationId
 };
--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -40,6 +40,9 @@
   /// @brief Tells the caller what is known, as the process ends.
   void OnHostEnds() override;
 
+  Time deadline() const override { return deadline_; }
+  void OnDeadline() override;
+
  private:
   bool TakeQuota();
   void GiveQuotaBack();
@@ -82,7 +85,6 @@
   void CancelAttempt(BreakCause cause);
   void OnCallerLeft();
   void EndForCallerLeft();
-  void OnDeadline();
   Duration Left() const;
 
   GatewayState& state_;
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -40,6 +40,11 @@
   /// @brief Whether requests can be served by what is known.
   bool IsLoaded() const;
 
+  /// @brief This host runs again after it had stood still: its watches may be
+  /// lost.
+  /// @param since when it last ran.
+  void OnAwake(Time since);
+
   /// @brief How far this host has come, for its heartbeats.
   HostVersions Versions() const;
 
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -70,6 +70,7 @@
   HostVersions Versions() const;
 
  private:
+  void NoteAwake(Time now);
   bool IsTooFarBehind() const;
   void HandleCaller(const ExchangePtr& exchange);
   Duration ReturnUnloaded(const Exchange& exchange) const;
@@ -111,6 +112,7 @@
   boost::asio::steady_timer stop_timer_;
   std::function<void()> stopped_;
   Time shifts_advanced_;
+  Time awake_since_;  ///< the end of the last standstill
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -17,6 +17,7 @@
     EventInfo{kHostStarted, "host-started", kInfo, kState, "process"},
     EventInfo{kHostLeaving, "host-leaving", kInfo, kState, "process"},
     EventInfo{kHostStopped, "host-stopped", kInfo, kState, "process"},
+    EventInfo{kHostStoodStill, "host-stood-still", kWarning, kState, "process"},
     EventInfo{kSettingsFault, "settings-fault", kAlarm, kState, "key"},
     EventInfo{kSettingsReloaded, "settings-reloaded", kInfo, kState, "process"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
--- a/src/pathcleat/core/time.cpp
+++ b/src/pathcleat/core/time.cpp
@@ -3,14 +3,26 @@
 
 #include <time.h>
 
+#include <atomic>
+
 namespace pathcleat {
+namespace {
+
+std::atomic<Duration::rep> leapt{0};
+
+}  // namespace
+
+void LeapBootClock(Duration leap) {
+  leapt += leap.count();
+}
 
 BootClock::time_point BootClock::now() {
   timespec value{};
   clock_gettime(CLOCK_BOOTTIME, &value);
   const auto elapsed = std::chrono::seconds(value.tv_sec) +
                        std::chrono::nanoseconds(value.tv_nsec);
-  return time_point(std::chrono::duration_cast<Duration>(elapsed));
+  return time_point(std::chrono::duration_cast<Duration>(elapsed) +
+                    Duration(leapt));
 }
 
 std::uint64_t WallMicros() {
--- a/src/pathcleat/fleet/heartbeat_plan.cpp
+++ b/src/pathcleat/fleet/heartbeat_plan.cpp
@@ -42,7 +42,7 @@
   const auto domain = Domain();
   const auto living = std::count_if(
       domain.begin(), domain.end(),
-      [now](const KnownHost* host) { return HostTable::Shares(*host, now); });
+      [&](const KnownHost* host) { return hosts_.Shares(*host, now); });
   return static_cast<std::size_t>(living) >= kMostDirect;
 }
 
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -16,11 +16,33 @@
 // that start at one moment have introduced each other within 3 s.
 constexpr Duration kShareTime{4'000'000};
 
+// Far beyond the time between two calls of OnAwake, also on a machine with a
+// tenth of a core; below the silence after which a host counts as dead.
+constexpr Duration kStandstill{1'000'000};
+
 }  // namespace
 
 HostTable::HostTable(HostInfo self, Duration silence)
     : self_(std::move(self)), silence_(silence) {}
 
+void HostTable::OnAwake(Time now) {
+  const Time last = std::exchange(awake_, now);
+  const Duration still = now - last;
+  if (last == Time() || still < kStandstill) {
+    return;
+  }
+  still_until_ = now;
+  still_for_ = still;
+  untold_still_ = still;
+}
+
+// What others are told keeps the true age: this host knows nothing of who died
+// while it stood still.
+Duration HostTable::SilenceOf(const KnownHost& host, Time now) const {
+  const Duration silence = now - host.heard;
+  return host.heard < still_until_ ? silence - still_for_ : silence;
+}
+
 void HostTable::Keep(const KnownHost& host) {
   KnownHost& kept = others_[host.info.name];
   if (!kept.info.name.empty()) {
@@ -94,12 +116,12 @@
   return is_back ? &host : nullptr;
 }
 
-bool HostTable::Shares(const KnownHost& host, Time now) {
-  return now - host.heard <= kShareTime;
+bool HostTable::Shares(const KnownHost& host, Time now) const {
+  return SilenceOf(host, now) <= kShareTime;
 }
 
 bool HostTable::IsAlive(const KnownHost& host, Time now) const {
-  return host.ever_heard && now - host.heard <= silence_;
+  return host.ever_heard && SilenceOf(host, now) <= silence_;
 }
 
 std::vector<std::string> HostTable::NewlySilent(Time now) {
--- a/src/pathcleat/fleet/host_table_test.cpp
+++ b/src/pathcleat/fleet/host_table_test.cpp
@@ -55,6 +55,30 @@
   cr_assert_str_eq(found.front().c_str(), "self");
 }
 
+// Guards against a host that takes all others for dead on waking, and with that
+// the whole of what they share for itself.
+Test(host_table, standstill_of_this_host_is_no_silence_of_others) {
+  constexpr Duration kPeriod{250'000};
+  HostTable table(HostAt("self", "n1", "north"), kSilence);
+  table.OnAwake(kStart);
+  table.OnHeard(HostAt("near", "n1", "north"), {}, kStart);
+  table.OnAwake(kStart + kPeriod);
+  cr_assert_eq(table.TakeStandstill().count(), 0);
+  const Time woken = kStart + kPeriod + std::chrono::seconds(60);
+  table.OnAwake(woken);
+  cr_assert_eq(table.TakeStandstill().count(), Duration(60'000'000).count());
+  cr_assert_eq(table.TakeStandstill().count(), 0);
+  cr_assert_eq(table.Alive(woken), 2);
+  cr_assert_eq(table.Sharers(woken), 2);
+  cr_assert(table.NewlySilent(woken).empty());
+  // From now on it is heard, or falls silent, as ever.
+  Time now = woken;
+  for (; now < woken + kSilence; now += kPeriod) {
+    table.OnAwake(now);
+  }
+  cr_assert_eq(table.Alive(now), 1);
+}
+
 Test(host_table, configuration_counts_at_hosts_that_take_callers) {
   HostTable table(HostAt("self", "n1", "north"), kSilence);
   HostVersions versions;
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -191,6 +191,7 @@
 }
 
 void PeerLink::OnDatagram(std::size_t size) {
+  hosts_.OnAwake(BootClock::now());
   if (key_.empty()) {
     return;
   }
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -93,8 +93,8 @@
 }  // namespace
 
 bool ReadsStore(const HostTable& hosts, const ReadingNeed& need, Time now) {
-  const auto counts = [now](const KnownHost& host) {
-    return HostTable::Shares(host, now);
+  const auto counts = [&hosts, now](const KnownHost& host) {
+    return hosts.Shares(host, now);
   };
   const int ahead = CountAhead(hosts, hosts.self(), counts);
   const int behind = ahead - WatchersOfDomain(need.domains);
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -369,6 +369,7 @@
 }
 
 void Call::OnDeadline() {
+  const auto self = shared_from_this();
   if (done_) {
     return;
   }
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -81,6 +81,11 @@
   return state_.routes.IsKnown() && upstream_list_.IsLoaded();
 }
 
+void FleetView::OnAwake(Time since) {
+  orders_.DistrustBefore(since);
+  upstream_list_.DistrustBefore(since);
+}
+
 HostVersions FleetView::Versions() const {
   HostVersions versions;
   versions.config = state_.routes.version();
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::chrono::milliseconds kTickPeriod{250};
 constexpr std::size_t kMostLocated = 16;
+// A request that is so far past its deadline is ended. Its own timer is late
+// where the machine was suspended; answers that came meanwhile are read first.
+constexpr Duration kOverdue{300'000};
 // The first host has a version within this time of its acknowledgement: a
 // watch gathers changes for 0.25 s, and 359 KB take 0.3 s at 10 Mbit/s.
 constexpr Duration kFirstHostLag{500'000};
@@ -238,6 +241,7 @@
 }
 
 void Gateway::HandleLocate(const ExchangePtr& exchange) {
+  NoteAwake(BootClock::now());
   const std::string& target = exchange->request().target;
   const std::string own = state_.client_regions.RegionOf(exchange->caller())
                               .value_or(state_.settings.region);
@@ -283,6 +287,7 @@
 }
 
 void Gateway::HandleCaller(const ExchangePtr& exchange) {
+  NoteAwake(BootClock::now());
   if (!view_.IsLoaded()) {
     exchange->Respond(NotRunResponse(kNoConfig, ReturnUnloaded(*exchange)));
     return;
@@ -334,8 +339,26 @@
                                  std::string(ReasonOf(fault)) + "\n"));
 }
 
+// Timers stand still while the machine is suspended, and the clock runs on:
+// what was to happen meanwhile is due now.
+void Gateway::NoteAwake(Time now) {
+  state_.hosts.OnAwake(now);
+  const Duration still = state_.hosts.TakeStandstill();
+  if (still == Duration::zero()) {
+    return;
+  }
+  state_.events.Record(EventCode::kHostStoodStill, state_.settings.host, "",
+                       {MillisecondsField(field::kElapsedMs, still)});
+  awake_since_ = now;
+  view_.OnAwake(now - still);
+}
+
 void Gateway::Tick() {
   const Time now = BootClock::now();
+  NoteAwake(now);
+  if (now - awake_since_ >= kOverdue) {
+    state_.open_requests.EndOverdue(now - kOverdue);
+  }
   if (now - state_.started > kRowsPatience) {
     view_.Start();
   }
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -183,7 +183,7 @@
   }
   ColdSenders senders(StableHash(settings.host), settings.region);
   for (const KnownHost* host : hosts.Others()) {
-    if (HostTable::Shares(*host, now)) {
+    if (hosts.Shares(*host, now)) {
       senders.Add(StableHash(host->info.name), host->info.region);
     }
   }
