--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -16,12 +16,8 @@
 #include "pathcleat/crashes/crash_ledger.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
-#include "pathcleat/gateway/account_stats.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
-#include "pathcleat/gateway/metrics.hpp"
 #include "pathcleat/gateway/quota_gate.hpp"
-#include "pathcleat/gateway/request_log.hpp"
-#include "pathcleat/gateway/trace_store.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/routing/route_table.hpp"
@@ -30,6 +26,10 @@
 #include "pathcleat/routing/upstream_table.hpp"
 #include "pathcleat/settings/entry_settings.hpp"
 #include "pathcleat/steer/retry_budget.hpp"
+#include "pathcleat/telemetry/account_stats.hpp"
+#include "pathcleat/telemetry/metrics.hpp"
+#include "pathcleat/telemetry/request_log.hpp"
+#include "pathcleat/telemetry/trace_store.hpp"
 
 namespace pathcleat {
 
--- a/include/pathcleat/gateway/account_stats.hpp
+++ b/include/pathcleat/telemetry/account_stats.hpp
@@ -10,7 +10,7 @@
 namespace pathcleat {
 
 /// @brief What this host has done with one account's requests.
-/// @ingroup gateway
+/// @ingroup telemetry
 struct AccountCounts {
   std::uint64_t taken = 0;
   std::uint64_t over_limit = 0;  ///< refused beyond the account's limit
@@ -18,7 +18,7 @@
 
 /// @brief Counts requests by client account, for a bounded number of accounts:
 /// those that come first. Not thread-safe.
-/// @ingroup gateway
+/// @ingroup telemetry
 class AccountStats {
  public:
   using Row = std::pair<std::string, AccountCounts>;
--- a/include/pathcleat/gateway/metrics.hpp
+++ b/include/pathcleat/telemetry/metrics.hpp
@@ -25,7 +25,7 @@
 namespace pathcleat {
 
 /// @brief What becomes of the work of a caller that leaves before its answer.
-/// @ingroup gateway
+/// @ingroup telemetry
 enum class WorkLeft {
   kNotStarted,  ///< no byte of it had been sent to an upstream
   kCancelled,   ///< its upstream was told, by the end of the connection
@@ -37,7 +37,7 @@
 
 /// @brief Counts and latencies of answered requests by service and kind
 /// (Boost.Accumulators; quantiles by the extended P-square estimate).
-/// @ingroup gateway
+/// @ingroup telemetry
 class Metrics {
  public:
   void Record(const std::string& kind, RunOutcome outcome, Duration latency);
--- a/include/pathcleat/gateway/request_log.hpp
+++ b/include/pathcleat/telemetry/request_log.hpp
@@ -14,7 +14,7 @@
 /// @brief Decides which requests' events go to the log once a request is over:
 /// all of those that did not go as they should, while a rate allows it, and a
 /// sample of the others, the same at all hosts. Not thread-safe.
-/// @ingroup gateway
+/// @ingroup telemetry
 class RequestLog {
  public:
   RequestLog(EventLog& events, const RequestLogSettings& settings);
--- a/include/pathcleat/gateway/trace_store.hpp
+++ b/include/pathcleat/telemetry/trace_store.hpp
@@ -14,7 +14,7 @@
 
 /// @brief Remembers, for the newest requests, each step with its inputs and
 /// reasons: what "why REQUEST-ID" tells.
-/// @ingroup gateway
+/// @ingroup telemetry
 class TraceStore {
  public:
   explicit TraceStore(std::size_t capacity) : capacity_(capacity) {}
--- a/src/pathcleat/gateway/account_stats_test.cpp
+++ b/src/pathcleat/telemetry/account_stats_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/account_stats.hpp"
+#include "pathcleat/telemetry/account_stats.hpp"
 
 #include <criterion/criterion.h>
 
--- a/src/pathcleat/gateway/metrics.cpp
+++ b/src/pathcleat/telemetry/metrics.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/metrics.hpp"
+#include "pathcleat/telemetry/metrics.hpp"
 
 #include <array>
 #include <iomanip>
--- a/src/pathcleat/gateway/request_log_test.cpp
+++ b/src/pathcleat/telemetry/request_log_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/request_log.hpp"
+#include "pathcleat/telemetry/request_log.hpp"
 
 #include "event_loop.hpp"
 #include "property.hpp"
--- a/src/pathcleat/gateway/trace_store.cpp
+++ b/src/pathcleat/telemetry/trace_store.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/trace_store.hpp"
+#include "pathcleat/telemetry/trace_store.hpp"
 
 #include <utility>
 
