crash_block switched off is off wholly, and digests copy no bodies

One test of the switch now stands before each step.

A request's body went by copy into the text that is hashed: up to 64 MB for each request while anything is suspected. Its own digest stands for it now.

--- a/include/pathcleat/gateway/call.hpp
+++ b/include/pathcleat/gateway/call.hpp
@@ -67,6 +67,8 @@
   void NoteVersion(const Pick& pick, bool bad);
   void OnFailure(const CallResult& result);
   RequestDigest Digest();
+  bool CountsCrashes() const;
+  bool MayBeSuspected() const;
   CrashVerdict JudgeCrashes(Time now);
   std::optional<Pick> KeptFromUpstreams(Time now);
   void NoteEndedUnder(const CallResult& result);
--- a/src/pathcleat/crashes/request_digest.cpp
+++ b/src/pathcleat/crashes/request_digest.cpp
@@ -26,7 +26,9 @@
   Append(text, FindHeader(request.headers, "Host").value_or(""));
   Append(text, request.target);
   Append(text, account);
-  Append(text, request.body);
+  // Bodies may be large: they are not copied.
+  const KeyDigest body = digester.Digest(request.body);
+  text.append(body.begin(), body.end());
   const KeyDigest digest = digester.Digest(text);
   RequestDigest first_half = 0;
   std::memcpy(&first_half, digest.data(), sizeof first_half);
--- a/src/pathcleat/gateway/call_crash.cpp
+++ b/src/pathcleat/gateway/call_crash.cpp
@@ -22,11 +22,19 @@
   return *digest_;
 }
 
+bool Call::CountsCrashes() const {
+  return state_.request_digester.IsReady() &&
+         state_.settings.policy.IsOn(Mechanism::kCrashBlock);
+}
+
+// As long as nothing is suspected, no digest is reckoned.
+bool Call::MayBeSuspected() const {
+  return !state_.crashes.IsEmpty() && CountsCrashes();
+}
+
 CrashVerdict Call::JudgeCrashes(Time now) {
-  if (state_.crashes.IsEmpty() || !state_.request_digester.IsReady()) {
-    return {};
-  }
-  return state_.crashes.Judge(Digest(), now);
+  return MayBeSuspected() ? state_.crashes.Judge(Digest(), now)
+                          : CrashVerdict();
 }
 
 // A request under which this call's upstream has ended gets no second one if
@@ -44,8 +52,8 @@
 }
 
 void Call::NoteCrashTrial() {
-  on_trial_ = !state_.crashes.IsEmpty() && state_.request_digester.IsReady() &&
-              state_.crashes.OnSent(Digest(), BootClock::now());
+  on_trial_ =
+      MayBeSuspected() && state_.crashes.OnSent(Digest(), BootClock::now());
 }
 
 // A connection ends without an answer also where it was reset, or had been
@@ -55,8 +63,7 @@
                        !result.ended_here && !result.silent;
   const UpstreamInfo& upstream = attempt_.pick().upstream->info;
   const auto endpoint = ParseTcpEndpoint(upstream.address);
-  if (!by_peer || !endpoint || !state_.request_digester.IsReady() ||
-      !state_.settings.policy.IsOn(Mechanism::kCrashBlock)) {
+  if (!by_peer || !endpoint || !CountsCrashes()) {
     return;
   }
   ended_under_ = true;
@@ -70,7 +77,7 @@
 
 // Whatever the answer says: what crashes its upstream gets none.
 void Call::NoteRunEnded() {
-  if (!state_.crashes.IsEmpty() && state_.request_digester.IsReady()) {
+  if (MayBeSuspected()) {
     state_.crashes.OnAnswer(Digest(), BootClock::now());
   }
 }
