A follower does not leave its relay because the host stood still

A watch at another host that was begun anew on waking, or as the store answered again, counted against that host: it was left alone for 5 s, and the follower went to others or to the store, all of them at one moment after a stall. Whether such a watch lives shows in what other hosts know (0.7 s), so that only watches of the store itself are begun anew.

--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -38,6 +38,9 @@
   void StopWatch(SourceTopic topic) override;
   std::optional<Time> WatchHeard(SourceTopic topic) const override;
 
+  /// @brief Whether another host is asked for the changes of a topic.
+  bool FollowsPeer(SourceTopic topic) const { return watches_.contains(topic); }
+
   /// @brief How this host learns of changes now.
   StoreAccess access(Time now) const;
 
--- a/include/pathcleat/gateway/fleet_view.hpp
+++ b/include/pathcleat/gateway/fleet_view.hpp
@@ -94,6 +94,7 @@
   void BoundLapses(Time until);
   void RecordOfList(EventCode code, const std::string& upstream);
   void OnStore(bool reached, SourceTopic topic);
+  void Distrust(SourceTopic topic, Time since);
   void OnAccess();
 
   GatewayState& state_;
--- a/src/pathcleat/gateway/fleet_view.cpp
+++ b/src/pathcleat/gateway/fleet_view.cpp
@@ -82,8 +82,15 @@
 }
 
 void FleetView::OnAwake(Time since) {
-  orders_.DistrustBefore(since);
-  upstream_list_.DistrustBefore(since);
+  Distrust(SourceTopic::kOrders, since);
+  Distrust(SourceTopic::kUpstreams, since);
+}
+
+// Whether a watch at another host lives shows in what others know.
+void FleetView::Distrust(SourceTopic topic, Time since) {
+  if (!source_.FollowsPeer(topic)) {
+    WatcherOf(topic).DistrustBefore(since);
+  }
 }
 
 HostVersions FleetView::Versions() const {
@@ -336,7 +343,7 @@
     const SourceTopic other = topic == SourceTopic::kOrders
                                   ? SourceTopic::kUpstreams
                                   : SourceTopic::kOrders;
-    WatcherOf(other).DistrustBefore(store_failed_);
+    Distrust(other, store_failed_);
   } else {
     store_failed_ = BootClock::now();
   }
