--- a/src/pathcleat/lab/suspended_machine_test.cpp
+++ b/src/pathcleat/lab/suspended_machine_test.cpp
@@ -22,17 +22,22 @@
   TestWorld world;
 };
 
+// Sends a request and waits until an upstream has it, which keeps its answer.
+void SendHeld(TestWorld& world, RawClient& caller) {
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
+  caller.Send(
+      "POST /s/write/entry HTTP/1.1\r\nHost: test.example\r\n"
+      "X-Run-Id: r\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(world.Await([&world] { return world.InFlight() == 1; }));
+}
+
 // Guards against callers that wait for their answer for as long again as their
 // deadline was away when the machine was suspended.
 Test(suspended_machine, requests_past_their_deadline_end_on_waking) {
   SuspendedWorld suspended(Duration(60'000'000));
   TestWorld& world = suspended.world;
-  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
   RawClient caller(world.loop(), world.address(), world.CallerPort(0));
-  caller.Send(
-      "POST /s/write/entry HTTP/1.1\r\nHost: test.example\r\n"
-      "X-Run-Id: r\r\nContent-Length: 0\r\n\r\n");
-  cr_assert(world.Await([&world] { return world.InFlight() == 1; }));
+  SendHeld(world, caller);
   LeapBootClock(std::chrono::minutes(2));
   cr_assert(world.Await([&caller] { return caller.Has("504"); }));
   cr_assert(world.HasEvent(0, EventCode::kHostStoodStill));
@@ -43,12 +48,8 @@
 Test(suspended_machine, answer_that_is_there_on_waking_is_delivered) {
   SuspendedWorld suspended(Duration(60'000'000));
   TestWorld& world = suspended.world;
-  world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
   RawClient caller(world.loop(), world.address(), world.CallerPort(0));
-  caller.Send(
-      "POST /s/write/entry HTTP/1.1\r\nHost: test.example\r\n"
-      "X-Run-Id: r\r\nContent-Length: 0\r\n\r\n");
-  cr_assert(world.Await([&world] { return world.InFlight() == 1; }));
+  SendHeld(world, caller);
   LeapBootClock(std::chrono::minutes(2));
   world.ForEachUpstream([](UpstreamStandIn& u) { u.AnswerRun("r"); });
   cr_assert(world.Await([&caller] { return caller.Has("end r"); }));
