Reporters tell again what is blocked, for hosts that were cut off

A host that was cut off while others were told of a request that crashes upstreams passed it on once it was back: it heard nothing until upstreams had ended under its own tries. Found by reading. The hosts that report for a domain tell the domain and the others every 2 s what was blocked within two minutes.

crash_ledger/reporters_tell_again_what_is_blocked: without the repetition nothing is told after the first 5 s. One blocked request costs each host a datagram of 140 B every 2 s from each reporter, reckoned.

--- a/include/pathcleat/crashes/crash_ledger.hpp
+++ b/include/pathcleat/crashes/crash_ledger.hpp
@@ -93,7 +93,7 @@
   /// @brief Forgets what is too old. Call a few times a second.
   void Tick(Time now);
 
-  CrashReport ForDomain(Time now) override;
+  CrashReport ForDomain(bool reports, Time now) override;
   CrashReport ForOtherDomains(Time now) override;
   CrashReport Known(Time now) const override;
   bool OnCrashes(const CrashReport& report, Time now) override;
@@ -103,6 +103,9 @@
   struct Telling {
     int left = 0;  ///< times
     Time due;      ///< the next one
+    Time told;     ///< the last one
+
+    bool IsDue(const CrashSuspect& suspect, bool repeats, Time now) const;
   };
   struct Suspect {
     CrashSuspect known;
@@ -118,7 +121,10 @@
   Suspect& Entry(RequestDigest request);
   void NoteOwn(RequestDigest request, bool was_blocked, Time now);
   void Notice(RequestDigest request, bool was_blocked, Time now);
-  CrashReport Report(bool pass_on, Telling Suspect::*telling, Time now);
+  CrashReport Report(bool pass_on,
+                     Telling Suspect::*telling,
+                     bool repeats,
+                     Time now);
 
   std::string domain_;
   std::string host_;
--- a/include/pathcleat/crashes/crash_report.hpp
+++ b/include/pathcleat/crashes/crash_report.hpp
@@ -83,7 +83,9 @@
   virtual ~CrashTeller() = default;
 
   /// @brief What this host has seen and tells its own failure domain now.
-  virtual CrashReport ForDomain(Time now) = 0;
+  /// @param reports whether it reports for the domain: then what is blocked is
+  /// told again and again, as hosts may have been cut off.
+  virtual CrashReport ForDomain(bool reports, Time now) = 0;
 
   /// @brief What the domain has seen; asked of the hosts that report for it.
   virtual CrashReport ForOtherDomains(Time now) = 0;
--- a/src/pathcleat/crashes/crash_ledger.cpp
+++ b/src/pathcleat/crashes/crash_ledger.cpp
@@ -18,6 +18,10 @@
 constexpr int kTellsOfSuspect = 2;
 constexpr int kTellsOfChange = 4;
 constexpr Duration kTellGap{400'000};
+// A host that was cut off while others were told hears of it again within this
+// time, for as long as callers are likely to ask on.
+constexpr Duration kRepeatGap{2'000'000};
+constexpr Duration kRepeatFor = std::chrono::minutes(2);
 // What was heard in the own domain waits so long for this host to become the
 // one that tells other domains.
 constexpr Duration kNewsTime = std::chrono::seconds(5);
@@ -103,7 +107,7 @@
   Suspect& suspect = suspects_.at(request);
   suspect.noted = now;
   suspect.told_by.clear();
-  suspect.to_domain = {TellsOf(suspect.known), now};
+  suspect.to_domain = {TellsOf(suspect.known), now, {}};
   suspect.to_others = suspect.to_domain;
   Notice(request, was_blocked, now);
   if (on_news_) {
@@ -184,9 +188,19 @@
   }
 }
 
+bool CrashLedger::Telling::IsDue(const CrashSuspect& suspect,
+                                 bool repeats,
+                                 Time now) const {
+  const bool again = repeats && suspect.IsBlocked() &&
+                     now - suspect.LastCrash() < kRepeatFor &&
+                     now - told >= kRepeatGap;
+  return again || (left > 0 && now >= due);
+}
+
 // What finds no room is told the next time.
 CrashReport CrashLedger::Report(bool pass_on,
                                 Telling Suspect::*telling,
+                                bool repeats,
                                 Time now) {
   CrashReport report{domain_, host_, pass_on, {}};
   for (auto& [request, suspect] : suspects_) {
@@ -194,25 +208,26 @@
     if (now - suspect.noted > kNewsTime) {
       tell.left = 0;
     }
-    if (tell.left > 0 && now >= tell.due) {
+    if (tell.IsDue(suspect.known, repeats, now)) {
       report.entries.push_back(suspect.known.EntryOf(request, now));
     }
   }
   KeepFirst(report.entries);
   for (const CrashEntry& entry : report.entries) {
     Telling& tell = suspects_.at(entry.request).*telling;
-    --tell.left;
+    tell.left = std::max(0, tell.left - 1);
     tell.due = now + kTellGap;
+    tell.told = now;
   }
   return report;
 }
 
-CrashReport CrashLedger::ForDomain(Time now) {
-  return Report(false, &Suspect::to_domain, now);
+CrashReport CrashLedger::ForDomain(bool reports, Time now) {
+  return Report(false, &Suspect::to_domain, reports, now);
 }
 
 CrashReport CrashLedger::ForOtherDomains(Time now) {
-  return Report(true, &Suspect::to_others, now);
+  return Report(true, &Suspect::to_others, true, now);
 }
 
 CrashReport CrashLedger::Known(Time now) const {
@@ -238,7 +253,7 @@
     suspect.noted = now;
     suspect.told_by = report.host;
     if (report.domain == domain_) {
-      suspect.to_others = {TellsOf(suspect.known), now};
+      suspect.to_others = {TellsOf(suspect.known), now, {}};
     }
     Notice(entry.request, was_blocked, now);
   }
--- a/src/pathcleat/crashes/crash_ledger_test.cpp
+++ b/src/pathcleat/crashes/crash_ledger_test.cpp
@@ -70,7 +70,7 @@
 
 // What one host tells is told to the other, as it would be on its way.
 void Tell(CrashLedger& from, CrashLedger& to, Time now) {
-  const auto report = DecodeCrashes(EncodeCrashes(from.ForDomain(now)));
+  const auto report = DecodeCrashes(EncodeCrashes(from.ForDomain(false, now)));
   cr_assert(report.has_value());
   to.OnCrashes(*report, now);
 }
@@ -121,7 +121,7 @@
   Block(ledger, At(seconds(0)));
   int told = 0;
   for (int round = 0; round < 100; ++round) {
-    const auto report = ledger.ForDomain(At(milliseconds(10 * round)));
+    const auto report = ledger.ForDomain(false, At(milliseconds(10 * round)));
     told += static_cast<int>(report.entries.size());
   }
   cr_assert_leq(told, 4);
@@ -130,6 +130,31 @@
   cr_assert_not(heard.OnCrashes(ledger.Known(At(seconds(1))), At(seconds(1))));
 }
 
+// Guards against a host that was cut off while others were told, and sends a
+// blocked request on once it is back.
+Test(crash_ledger, reporters_tell_again_what_is_blocked) {
+  CrashLedger reporter("a", "a-1");
+  Block(reporter, At(seconds(0)));
+  CrashLedger member("a", "a-2");
+  Block(member, At(seconds(0)));
+  const auto tells_in_ten_seconds = [](CrashLedger& ledger, bool reports,
+                                       Time from) {
+    std::size_t told = 0;
+    for (int i = 0; i < 20; ++i) {
+      told += ledger.ForDomain(reports, from + i * milliseconds(500))
+                  .entries.size();
+    }
+    return told;
+  };
+  cr_assert_eq(tells_in_ten_seconds(member, false, At(seconds(30))), 0U);
+  cr_assert_eq(tells_in_ten_seconds(reporter, true, At(seconds(30))), 5U);
+  CrashLedger back("a", "a-3");
+  back.OnCrashes(reporter.ForDomain(true, At(seconds(50))), At(seconds(50)));
+  cr_assert(IsBlocked(back, At(seconds(50))));
+  // What has been blocked for long is not told for ever.
+  cr_assert_eq(tells_in_ten_seconds(reporter, true, At(minutes(3))), 0U);
+}
+
 Test(crash_ledger, host_that_starts_learns_what_is_blocked) {
   CrashLedger ledger("a", "a-1");
   Block(ledger, At(seconds(0)));
@@ -197,7 +222,8 @@
   cr_assert_leq(ledger.size(), 1'024U);
   ledger.OnCrash(kRequest, 3, At(seconds(2)));
   cr_assert(IsBlocked(ledger, At(seconds(2))));
-  const std::string bytes = EncodeCrashes(ledger.ForDomain(At(seconds(2))));
+  const std::string bytes =
+      EncodeCrashes(ledger.ForDomain(false, At(seconds(2))));
   cr_assert_leq(bytes.size(), 1'400U);
   ledger.Tick(At(minutes(11)));
   cr_assert_eq(ledger.size(), 1U);
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -343,8 +343,9 @@
 
 void PeerLink::TellCrashes() {
   const Time now = BootClock::now();
-  SendCrashes(plan_.Known(), tellers_.crashes.ForDomain(now));
-  if (reporter_.IsReporter(now)) {
+  const bool reports = reporter_.IsReporter(now);
+  SendCrashes(plan_.Known(), tellers_.crashes.ForDomain(reports, now));
+  if (reports) {
     SendCrashes(reporter_.Receivers(now),
                 tellers_.crashes.ForOtherDomains(now));
   }
--- a/src/pathcleat/lab/crash_model.cpp
+++ b/src/pathcleat/lab/crash_model.cpp
@@ -196,13 +196,15 @@
   // As PeerLink does it: each domain's first host tells the other domains.
   void Tell(std::size_t from) {
     Host& host = hosts_[from];
-    const CrashReport near = host.ledger->ForDomain(now_);
+    const bool reports =
+        from % static_cast<std::size_t>(plan_.hosts_in_domain) == 0;
+    const CrashReport near = host.ledger->ForDomain(reports, now_);
     for (std::size_t to = 0; to < hosts_.size(); ++to) {
       if (to != from && hosts_[to].domain == host.domain) {
         Post(to, near);
       }
     }
-    if (from % static_cast<std::size_t>(plan_.hosts_in_domain) != 0) {
+    if (!reports) {
       return;
     }
     const CrashReport far = host.ledger->ForOtherDomains(now_);
