Logs tell header fields of upstreams' answers that nobody reads (PC1309)

Each unknown name is told once by each host, with its first value; 128 names at most.

Tests: unknown_fields/are_told_once_and_known_ones_never, .../are_bounded.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -43,6 +43,7 @@
   kDomainDrained = 1306,
   kRequestBlocked = 1307,
   kRequestUnblocked = 1308,
+  kAnswerFieldUnknown = 1309,
   kPeerSilent = 1407,
   kPeerHeard = 1408,
   kPlatformDown = 1501,
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -11,6 +11,7 @@
 #include "pathcleat/calls/key_ledger.hpp"
 #include "pathcleat/calls/open_requests.hpp"
 #include "pathcleat/calls/stop_plan.hpp"
+#include "pathcleat/calls/unknown_fields.hpp"
 #include "pathcleat/calls/upstream_pool.hpp"
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/crashes/crash_ledger.hpp"
@@ -91,6 +92,7 @@
   RolloutControl rollouts;
   CrashLedger crashes;
   ListenProbe listen_probe;
+  UnknownFields unknown_fields;
   int requests = 0;  ///< callers' requests under way
   std::uint64_t next_request = 1;
   bool leaving = false;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -86,6 +86,7 @@
   bool WasForgotten(const CallResult& result) const;
   void CountBreak(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
+  void NoteUnknownFields(const HttpHeaders& headers);
   void NoteSilent(const HttpClient& client);
   void NoteEnded();
   bool TakeCold(Time now);
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -47,6 +47,8 @@
     EventInfo{kDomainDrained, "domain-drained", kInfo, kState, "domain"},
     EventInfo{kRequestBlocked, "request-blocked", kAlarm, kState, "digest"},
     EventInfo{kRequestUnblocked, "request-unblocked", kInfo, kState, "digest"},
+    EventInfo{kAnswerFieldUnknown, "answer-field-unknown", kInfo, kState,
+              "upstream"},
     EventInfo{kPeerSilent, "peer-silent", kWarning, kState, "peer"},
     EventInfo{kPeerHeard, "peer-heard", kInfo, kState, "peer"},
     EventInfo{kPlatformDown, "platform-down", kAlarm, kState, "topic"},
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -84,7 +84,8 @@
       rollouts(settings.domain,
                MixHashes(StableHash(settings.host), incarnation)),
       crashes(settings.domain, settings.host),
-      listen_probe(loop) {
+      listen_probe(loop),
+      unknown_fields(headers) {
   crashes.OnNotice([this](const CrashNotice& notice) {
     events.Record(notice.blocked ? EventCode::kRequestBlocked
                                  : EventCode::kRequestUnblocked,
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -64,6 +64,7 @@
     if (const auto report = LoadReportIn(state_.headers, result.response)) {
       upstream.load.OnReport(*report, BootClock::now());
     }
+    NoteUnknownFields(result.response.headers);
   }
   CountBreak(result);
   if (WasForgotten(result)) {
@@ -84,6 +85,14 @@
   callback(result);
 }
 
+void UpstreamAttempt::NoteUnknownFields(const HttpHeaders& headers) {
+  for (const HttpHeader& header : state_.unknown_fields.TakeNew(headers)) {
+    state_.events.Record(EventCode::kAnswerFieldUnknown,
+                         pick_.upstream->info.id,
+                         header.name + ": " + header.value);
+  }
+}
+
 // A kept connection that the upstream ended without a byte, sooner than any run
 // ends. It says nothing of the upstream.
 bool UpstreamAttempt::WasForgotten(const CallResult& result) const {
