--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -26,7 +26,8 @@
   std::map<std::string, int> runs_by_id;       ///< by the caller's X-Run-Id
   std::map<std::string, int> runs_by_key;      ///< by Idempotency-Key
   std::map<std::string, int> runs_by_account;  ///< by the account told
-  int keys_seen = 0;  ///< requests with an Authorization field
+  int keys_seen = 0;           ///< requests with an Authorization field
+  std::vector<Time> arrivals;  ///< of requests, also those turned away
 };
 
 /// @brief Options of an upstream stand-in.
@@ -92,6 +93,10 @@
   /// @brief Says that it has not run any request from now on.
   void TurnAway(bool turn_away) { turn_away_ = turn_away; }
 
+  /// @brief Names a limit of requests a second in all answers from now on, in
+  /// these words; empty: none.
+  void NameLimit(std::string limit) { limit_ = std::move(limit); }
+
   /// @brief Asked what to do with each request from now on.
   using Director = std::function<UpstreamAct()>;
   void Direct(Director director) { director_ = std::move(director); }
@@ -121,6 +126,7 @@
   void CountSlots();
   void Answer(const ExchangePtr& exchange);
   std::string LoadText() const;
+  void AddState(HttpResponse& response) const;
 
   boost::asio::io_context& loop_;
   UpstreamStandInOptions options_;
@@ -131,6 +137,7 @@
   std::vector<ExchangePtr> queue_;
   Director director_;
   SpoiltAnswer spoilt_ = SpoiltAnswer::kNone;
+  std::string limit_;         ///< that answers name; empty: none
   std::string fatal_target_;  ///< empty: none
   int in_flight_ = 0;
   Time counted_;  ///< up to when slot_seconds is told
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -58,14 +58,22 @@
          "," + std::to_string(options_.slots);
 }
 
+void UpstreamStandIn::AddState(HttpResponse& response) const {
+  response.headers.push_back({options_.headers.load, LoadText()});
+  if (!limit_.empty()) {
+    response.headers.push_back({options_.headers.limit, limit_});
+  }
+}
+
 void UpstreamStandIn::Handle(const ExchangePtr& exchange) {
   if (exchange->request().target == "/health") {
     HttpResponse response = TextResponse(http_status::kOk, "well\n");
     response.headers.push_back({options_.headers.upstream_id, options_.id});
-    response.headers.push_back({options_.headers.load, LoadText()});
+    AddState(response);
     exchange->Respond(std::move(response));
     return;
   }
+  ledger_.arrivals.push_back(BootClock::now());
   if (IsForAnother(exchange)) {
     RefuseNotRun(exchange, kMisdirected);
     return;
@@ -155,7 +163,7 @@
   ++ledger_.turned_away;
   HttpResponse response = TextResponse(status, "not run\n");
   response.headers.push_back({options_.headers.not_run, "1"});
-  response.headers.push_back({options_.headers.load, LoadText()});
+  AddState(response);
   exchange->Respond(std::move(response));
 }
 
@@ -246,7 +254,7 @@
   const std::string id = Field(exchange, names.request_id);
   const bool stranger = spoilt_ == SpoiltAnswer::kStrangerId;
   response.headers.push_back({names.request_id, stranger ? "stranger" : id});
-  response.headers.push_back({names.load, LoadText()});
+  AddState(response);
   if (!names.signature.empty() && spoilt_ != SpoiltAnswer::kNoSignature) {
     response.headers.push_back({names.signature, "signed." + id});
   }
