--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -105,8 +105,8 @@
   /// @brief How many hosts share the limits of client accounts.
   void ShareQuotas(Time now);
 
-  /// @brief This host's share of what each cold upstream bears.
-  void ShareCold(Time now);
+  /// @brief This host's share of each upstream whose rate is bounded.
+  void ShareRates(Time now);
   double RetryBurst(Time now) const;
 };
 
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -48,8 +48,8 @@
   void TakeBack();
 
   /// @brief Whether the upstream may be sent what was picked for it a while
-  /// ago: it is listed and open, and if it has turned cold, this host's share
-  /// of what it bears has room.
+  /// ago: it is listed and open, and if its rate is bounded by now, this
+  /// host's share has room.
   bool MayStillSend(Time now);
 
   /// @brief Whether an upstream has been sent to and has not answered yet.
@@ -89,14 +89,14 @@
   void NoteUnknownFields(const HttpHeaders& headers);
   void NoteSilent(const HttpClient& client);
   void NoteEnded();
-  bool TakeCold(Time now);
+  bool TakeShare(Time now);
 
   GatewayState& state_;
   HttpClientPtr client_;  ///< of the attempt under way
   Pick pick_;
   Time sent_;
   std::optional<Duration> rested_;  ///< its connection, if it was kept
-  bool took_cold_ = false;          ///< of this host's share of a cold upstream
+  bool took_share_ = false;         ///< of an upstream of bounded rate
   bool silent_ = false;  ///< the connection of this attempt, as far as known
   bool counts_ = true;   ///< against the upstream, if it fails
 };
--- a/include/pathcleat/routing/cold_share.hpp
+++ b/include/pathcleat/routing/rate_share.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -9,28 +10,34 @@
 
 namespace pathcleat {
 
-/// @brief What all hosts together may send to one cold upstream.
+/// @brief What all hosts together may send to one upstream.
 /// @ingroup routing
-struct ColdBound {
+struct RateBound {
   double per_second = 0;  ///< requests a second that it bears
-  double slack = 0;       ///< requests more in any one second
+  double slack = 0;       ///< requests more in any one window
+
+  /// @brief The bound that keeps both.
+  RateBound Lower(const RateBound& other) const {
+    return {std::min(per_second, other.per_second),
+            std::min(slack, other.slack)};
+  }
 };
 
-/// @brief How many hosts send to a cold upstream at the same time. Each may
-/// send one request at once, and half of the slack is kept back for hosts that
-/// see each other come and go late.
-int ColdSenderCount(double slack);
+/// @brief How many hosts send to an upstream of bounded rate at the same time.
+/// Each may send one request at once, and half of the slack is kept back for
+/// hosts that see each other come and go late.
+int RateSenderCount(double slack);
 
-/// @brief All hosts rank the senders to a cold upstream alike, near ones first,
-/// so that the few which send agree without talk. A service may grow by
-/// thousands of cold upstreams at one moment, and the fleet has as many hosts:
-/// ranking all for each was 2.6 million steps four times a second at 986 hosts
-/// and 2,629 upstreams. Here ranking ends as soon as it is decided.
+/// @brief All hosts rank the senders to an upstream of bounded rate alike, near
+/// ones first, so that the few which send agree without talk. A service may
+/// grow by thousands of cold upstreams at one moment, and the fleet has as many
+/// hosts: ranking all for each was 2.6 million steps four times a second at 986
+/// hosts and 2,629 upstreams. Here ranking ends as soon as it is decided.
 /// @ingroup routing
-class ColdSenders {
+class RateSenders {
  public:
   /// @param self hash of this host's name.
-  ColdSenders(std::uint64_t self, std::string region)
+  RateSenders(std::uint64_t self, std::string region)
       : self_(self), region_(std::move(region)) {}
 
   /// @brief Another host that may send.
@@ -39,9 +46,9 @@
     ++count_;
   }
 
-  /// @brief Requests a second that this host may send to a cold upstream.
+  /// @brief Requests a second that this host may send to an upstream.
   /// @return 0 if the sending is left to others.
-  double Rate(const ColdBound& bound,
+  double Rate(const RateBound& bound,
               std::uint64_t upstream_hash,
               const std::string& upstream_region) const;
 
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -26,9 +26,9 @@
   UpstreamLoad load;
   UpstreamHealth health;
   RecentKeys keys;
-  Comeback comeback;       ///< of requests refused for its queue
-  Time cold_until;         ///< bears few requests until then
-  TokenBucket cold_share;  ///< this host's share of what it bears when cold
+  Comeback comeback;              ///< of requests refused for its queue
+  Time cold_until;                ///< bears few requests until then
+  TokenBucket share;              ///< this host's share of its bounded rate
   std::uint64_t turned_away = 0;  ///< requests that it said it did not run
   Slowness slowness;
   std::optional<Time> lapse_ends;  ///< its entry is gone; it may come back
@@ -36,6 +36,10 @@
   bool removed = false;            ///< off the list; requests under way go on
 
   bool IsCold(Time now) const { return now < cold_until; }
+
+  /// @brief Whether all hosts together may send it requests at a bounded rate
+  /// alone, this host at that of its share.
+  bool IsBounded(Time now) const { return IsCold(now); }
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -49,9 +49,9 @@
   /// @brief All listed upstreams of a service.
   const std::vector<UpstreamPtr>& Of(std::string_view service) const;
 
-  /// @brief Upstreams that may be cold. Few are, so that looking after them
-  /// several times a second does not grow with the list.
-  const std::vector<UpstreamPtr>& MaybeCold(Time now);
+  /// @brief Upstreams whose rate may be bounded. Few are, so that looking after
+  /// them several times a second does not grow with the list.
+  const std::vector<UpstreamPtr>& MaybeBounded(Time now);
 
   /// @brief Upstreams whose entries have lapsed.
   std::vector<UpstreamPtr> Lapsed() const;
@@ -84,7 +84,7 @@
       average_loads_;
   /// When each version of a service was first listed.
   std::map<std::string, std::map<std::string, Time>, std::less<>> versions_;
-  std::vector<UpstreamPtr> maybe_cold_;
+  std::vector<UpstreamPtr> maybe_bounded_;
   std::set<std::string> lapsed_;  ///< ids, also of some that came back
   std::uint64_t revision_ = 0;
   std::set<std::string> drained_;  ///< failure domains
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/routing/cold_share.hpp"
+#include "pathcleat/routing/rate_share.hpp"
 
 namespace pathcleat {
 namespace {
@@ -131,7 +131,7 @@
   }
   ShareQuotas(now);
   picker.SetBoundDemand(quotas.control().DemandAtHome(accounts.All(), now));
-  ShareCold(now);
+  ShareRates(now);
 }
 
 void GatewayState::TickCrashes(Time now) {
@@ -177,24 +177,24 @@
   quotas.control().SetHosts(sharers, now);
 }
 
-void GatewayState::ShareCold(Time now) {
-  const auto& cold = upstreams.MaybeCold(now);
-  if (cold.empty()) {
+void GatewayState::ShareRates(Time now) {
+  const auto& bounded = upstreams.MaybeBounded(now);
+  if (bounded.empty()) {
     return;
   }
-  ColdSenders senders(StableHash(settings.host), settings.region);
+  RateSenders senders(StableHash(settings.host), settings.region);
   for (const KnownHost* host : hosts.Others()) {
     if (hosts.Shares(*host, now)) {
       senders.Add(StableHash(host->info.name), host->info.region);
     }
   }
-  for (const UpstreamPtr& upstream : cold) {
+  for (const UpstreamPtr& upstream : bounded) {
     const ServiceInfo* service = routes.FindService(upstream->info.service);
     if (service == nullptr) {
       continue;
     }
-    const ColdBound bound{service->cold_per_second, settings.bounds.cold_slack};
-    upstream->cold_share.SetRate(
+    const RateBound bound{service->cold_per_second, settings.bounds.cold_slack};
+    upstream->share.SetRate(
         senders.Rate(bound, upstream->hash, upstream->region), now);
   }
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -36,8 +36,8 @@
   upstream.keys.Touch(key);
   state_.picker.links().OnSent(upstream.region);
   upstream.health.OnSent(pick.expected, now);
-  took_cold_ = false;
-  TakeCold(now);
+  took_share_ = false;
+  TakeShare(now);
   // What went into silence once goes over a connection that is new.
   client_ = was_silent
                 ? state_.pool.Open(upstream.info)
@@ -125,14 +125,14 @@
 }
 
 bool UpstreamAttempt::MayStillSend(Time now) {
-  return state_.upstreams.IsOpen(*pick_.upstream) && TakeCold(now);
+  return state_.upstreams.IsOpen(*pick_.upstream) && TakeShare(now);
 }
 
-bool UpstreamAttempt::TakeCold(Time now) {
+bool UpstreamAttempt::TakeShare(Time now) {
   UpstreamState& upstream = *pick_.upstream;
-  if (!took_cold_ && upstream.IsCold(now)) {
-    took_cold_ = upstream.cold_share.TryTake(now);
-    return took_cold_;
+  if (!took_share_ && upstream.IsBounded(now)) {
+    took_share_ = upstream.share.TryTake(now);
+    return took_share_;
   }
   return true;
 }
--- a/src/pathcleat/lab/leaving_upstream_test.cpp
+++ b/src/pathcleat/lab/leaving_upstream_test.cpp
@@ -94,12 +94,12 @@
 }
 
 // An upstream that has turned cold bears few requests: what was chosen before
-// counts among them. Checked to fail with TakeCold out of MayStillSend.
+// counts among them. Checked to fail with TakeShare out of MayStillSend.
 Test(promise, cold_upstream_gets_its_share_alone_over_connections_that_open) {
   OpeningWorld opening;
   const UpstreamPtr chosen = opening.SendAndAwaitChoice(kGet);
   const Time now = BootClock::now();
-  while (chosen->cold_share.TryTake(now)) {
+  while (chosen->share.TryTake(now)) {
   }
   UpstreamInfo cold = chosen->info;
   cold.cold_for = Duration(60'000'000);
--- a/src/pathcleat/lab/return_model.cpp
+++ b/src/pathcleat/lab/return_model.cpp
@@ -133,15 +133,15 @@
           trouble.cold_per_second > 0 ? trouble.cold_for : Duration::zero();
       for (const auto& host : hosts_) {
         host->table.Put(info, agenda_.now());
-        ShareCold(*host, info.id);
+        ShareRates(*host, info.id);
       }
     }
   }
 
-  void ShareCold(ReturnHost& host, const std::string& id) {
+  void ShareRates(ReturnHost& host, const std::string& id) {
     for (const UpstreamPtr& upstream : host.table.Of(kService)) {
       if (upstream->info.id == id) {
-        upstream->cold_share.SetRate(
+        upstream->share.SetRate(
             plan_.trouble.cold_per_second / static_cast<double>(hosts_.size()),
             agenda_.now());
       }
@@ -220,7 +220,7 @@
     pick.upstream->load.OnSent();
     pick.upstream->keys.Touch(asked->key);
     if (pick.upstream->IsCold(sent)) {
-      pick.upstream->cold_share.TryTake(sent);
+      pick.upstream->share.TryTake(sent);
     }
     request.excluded.insert(pick.upstream->info.id);
     ModelQueue* queue = QueueOf(pick.upstream->info.id);
--- a/src/pathcleat/routing/admission_control.cpp
+++ b/src/pathcleat/routing/admission_control.cpp
@@ -48,11 +48,10 @@
     return Opening{*retried - now, usual_run};
   }
   const auto takes =
-      upstream.IsCold(now) ? upstream.cold_share.TakesIn(now) : std::nullopt;
+      upstream.IsBounded(now) ? upstream.share.TakesIn(now) : std::nullopt;
   if (takes) {
     constexpr Duration kSecond{1'000'000};
-    return Opening{*takes,
-                   Times(kSecond, 1 / upstream.cold_share.per_second())};
+    return Opening{*takes, Times(kSecond, 1 / upstream.share.per_second())};
   }
   return std::nullopt;
 }
--- a/src/pathcleat/routing/admission_control_test.cpp
+++ b/src/pathcleat/routing/admission_control_test.cpp
@@ -53,7 +53,7 @@
   void TurnCold(double per_second) {
     info_.cold_for = Duration(60'000'000);
     table_.Put(info_, kStart);
-    upstream().cold_share.SetRate(per_second, kStart);
+    upstream().share.SetRate(per_second, kStart);
   }
 
   UpstreamState& upstream() { return *table_.All().front(); }
@@ -74,7 +74,7 @@
   ReturnWorld world;
   world.TurnCold(5);
   cr_assert(world.Choose(kStart).upstream != nullptr);
-  world.upstream().cold_share.TryTake(kStart);
+  world.upstream().share.TryTake(kStart);
   std::vector<Duration> told;
   for (int i = 0; i < 3; ++i) {
     const Pick refused = world.Choose(kStart);
--- a/src/pathcleat/routing/cold_share.cpp
+++ b/src/pathcleat/routing/rate_share.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/cold_share.hpp"
+#include "pathcleat/routing/rate_share.hpp"
 
 #include <algorithm>
 
@@ -12,11 +12,11 @@
 
 }  // namespace
 
-int ColdSenderCount(double slack) {
+int RateSenderCount(double slack) {
   return std::max(1, static_cast<int>(slack * kSlackPart));
 }
 
-int ColdSenders::CountAhead(const std::vector<std::uint64_t>& hosts,
+int RateSenders::CountAhead(const std::vector<std::uint64_t>& hosts,
                             std::uint64_t upstream_hash,
                             int enough) const {
   const std::uint64_t own = MixHashes(upstream_hash, self_);
@@ -31,10 +31,10 @@
   return ahead;
 }
 
-double ColdSenders::Rate(const ColdBound& bound,
+double RateSenders::Rate(const RateBound& bound,
                          std::uint64_t upstream_hash,
                          const std::string& upstream_region) const {
-  const int senders = std::min(ColdSenderCount(bound.slack), count_ + 1);
+  const int senders = std::min(RateSenderCount(bound.slack), count_ + 1);
   const bool near = region_ == upstream_region;
   int ahead = 0;
   for (const auto& [region, hosts] : others_) {
--- a/src/pathcleat/routing/cold_share_test.cpp
+++ b/src/pathcleat/routing/rate_share_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/cold_share.hpp"
+#include "pathcleat/routing/rate_share.hpp"
 
 #include <deque>
 
@@ -11,20 +11,20 @@
 namespace {
 
 // A living host, as a candidate to send to a cold upstream.
-struct ColdSender {
+struct RateSender {
   std::uint64_t hash = 0;
   bool near = false;  ///< in the upstream's region
 };
 
-double ColdRate(const ColdBound& bound,
-                std::uint64_t upstream_hash,
-                const ColdSender& self,
-                const std::vector<ColdSender>& others) {
-  const auto region_of = [](const ColdSender& sender) {
+double RateOf(const RateBound& bound,
+              std::uint64_t upstream_hash,
+              const RateSender& self,
+              const std::vector<RateSender>& others) {
+  const auto region_of = [](const RateSender& sender) {
     return sender.near ? "near" : "far";
   };
-  ColdSenders senders(self.hash, region_of(self));
-  for (const ColdSender& other : others) {
+  RateSenders senders(self.hash, region_of(self));
+  for (const RateSender& other : others) {
     senders.Add(other.hash, region_of(other));
   }
   return senders.Rate(bound, upstream_hash, "near");
@@ -35,7 +35,7 @@
 
 // One host of a fleet, with its own share of a cold upstream.
 struct Sender {
-  ColdSender place;
+  RateSender place;
   TokenBucket share{0, 1};
 };
 
@@ -47,9 +47,9 @@
   return fleet;
 }
 
-std::vector<ColdSender> OthersOf(const std::vector<Sender>& fleet,
+std::vector<RateSender> OthersOf(const std::vector<Sender>& fleet,
                                  std::size_t self) {
-  std::vector<ColdSender> others;
+  std::vector<RateSender> others;
   for (std::size_t i = 0; i < fleet.size(); ++i) {
     if (i != self) {
       others.push_back(fleet[i].place);
@@ -60,15 +60,15 @@
 
 // With a share of its own at each of 80 hosts, each with one request saved up,
 // a cold upstream got 80 at once (FAILBACK on the grown deployments).
-Test(cold_share, all_hosts_together_keep_the_bound_in_every_second) {
+Test(rate_share, all_hosts_together_keep_the_bound_in_every_second) {
   cr_assert(Holds("any second, any fleet", [] {
     const int count = *rc::gen::inRange(1, 100);
     std::vector<Sender> fleet = Fleet(count, count / 3);
-    const ColdBound bound{double(*rc::gen::inRange(1, 20)), 5};
+    const RateBound bound{double(*rc::gen::inRange(1, 20)), 5};
     const Time start{Duration(1'000'000)};
     for (std::size_t i = 0; i < fleet.size(); ++i) {
       fleet[i].share.SetRate(
-          ColdRate(bound, 7, fleet[i].place, OthersOf(fleet, i)), start);
+          RateOf(bound, 7, fleet[i].place, OthersOf(fleet, i)), start);
     }
     std::deque<Time> sent;
     for (Time now = start; now < start + 3 * kWindow; now += kStep) {
@@ -85,33 +85,32 @@
   }));
 }
 
-Test(cold_share, near_hosts_send_and_somebody_always_does) {
+Test(rate_share, near_hosts_send_and_somebody_always_does) {
   cr_assert(Holds("senders", [] {
     const int count = *rc::gen::inRange(1, 40);
     const int near = *rc::gen::inRange(0, count + 1);
     const std::vector<Sender> fleet = Fleet(count, near);
-    const ColdBound bound{4, 5};
+    const RateBound bound{4, 5};
     int senders = 0;
     double rate = 0;
     for (std::size_t i = 0; i < fleet.size(); ++i) {
-      const double own =
-          ColdRate(bound, 11, fleet[i].place, OthersOf(fleet, i));
+      const double own = RateOf(bound, 11, fleet[i].place, OthersOf(fleet, i));
       senders += own > 0 ? 1 : 0;
       rate += own;
       RC_ASSERT(own <= 0 || fleet[i].place.near ||
-                near < ColdSenderCount(bound.slack));
+                near < RateSenderCount(bound.slack));
     }
-    RC_ASSERT(senders == std::min(count, ColdSenderCount(bound.slack)));
+    RC_ASSERT(senders == std::min(count, RateSenderCount(bound.slack)));
     RC_ASSERT(rate > 3.99 && rate < 4.01);
   }));
 }
 
 // By the definition: near hosts first, then by hash; the first few send.
-bool Sends(const ColdBound& bound,
+bool Sends(const RateBound& bound,
            std::uint64_t upstream_hash,
            const std::vector<Sender>& fleet,
            std::size_t self) {
-  const auto rank = [&](const ColdSender& host) {
+  const auto rank = [&](const RateSender& host) {
     return std::pair(host.near, MixHashes(upstream_hash, host.hash));
   };
   int ahead = 0;
@@ -119,18 +118,18 @@
     ahead += rank(other.place) > rank(fleet[self].place) ? 1 : 0;
   }
   return ahead <
-         std::min(ColdSenderCount(bound.slack), static_cast<int>(fleet.size()));
+         std::min(RateSenderCount(bound.slack), static_cast<int>(fleet.size()));
 }
 
-Test(cold_share, ranking_that_ends_early_is_the_same) {
+Test(rate_share, ranking_that_ends_early_is_the_same) {
   cr_assert(Holds("who sends", [] {
     const int count = *rc::gen::inRange(1, 60);
     const std::vector<Sender> fleet = Fleet(count, *rc::gen::inRange(0, count));
-    const ColdBound bound{4, double(*rc::gen::inRange(1, 20))};
+    const RateBound bound{4, double(*rc::gen::inRange(1, 20))};
     const auto upstream = *rc::gen::arbitrary<std::uint64_t>();
     for (std::size_t i = 0; i < fleet.size(); ++i) {
       const double rate =
-          ColdRate(bound, upstream, fleet[i].place, OthersOf(fleet, i));
+          RateOf(bound, upstream, fleet[i].place, OthersOf(fleet, i));
       RC_ASSERT((rate > 0) == Sends(bound, upstream, fleet, i));
     }
   }));
@@ -140,7 +139,7 @@
 double RankedFor(int hosts) {
   constexpr int kUpstreams = 900;
   const auto region = [](int i) { return "region-" + std::to_string(i % 3); };
-  ColdSenders senders(StableHash("self"), region(0));
+  RateSenders senders(StableHash("self"), region(0));
   for (int i = 1; i < hosts; ++i) {
     senders.Add(StableHash("host-" + std::to_string(i)), region(i));
   }
@@ -152,7 +151,7 @@
 
 // At 986 hosts and 2,629 upstreams that join at one moment all hosts were busy
 // with ranking alone. Checked to fail without the end in CountAhead.
-Test(cold_share, ranking_does_not_grow_with_the_hosts) {
+Test(rate_share, ranking_does_not_grow_with_the_hosts) {
   constexpr double kMost = 20;
   cr_assert_leq(RankedFor(100), kMost);
   cr_assert_leq(RankedFor(1'000), kMost);
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -88,7 +88,7 @@
     const bool reachable = upstream->region == settings_.region ||
                            links_.HasRoom(upstream->region);
     const bool bears =
-        !upstream->IsCold(now) || upstream->cold_share.CanTake(now);
+        !upstream->IsBounded(now) || upstream->share.CanTake(now);
     if (now >= upstream->open_from && request.MayRunIn(upstream->region) &&
         reachable && bears && table_.IsOpen(*upstream) &&
         upstream->health.MayTry(now) &&
--- a/src/pathcleat/routing/upstream_picker_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_test.cpp
@@ -265,14 +265,14 @@
     UpstreamInfo info = upstream->info;
     info.cold_for = Duration(10'000'000);
     world.table().Put(info, kStart);
-    upstream->cold_share.SetRate(2, kStart);
+    upstream->share.SetRate(2, kStart);
   }
   int sent = 0;
   for (int ms = 0; ms < 5'000; ms += 10) {
     const Time now = kStart + Duration(ms * 1'000);
     const Pick pick = world.Choose(7, now);
     if (pick.upstream) {
-      pick.upstream->cold_share.TryTake(now);
+      pick.upstream->share.TryTake(now);
       ++sent;
     }
   }
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -11,7 +11,7 @@
 
 // About as many as an upstream of the users' services keeps in mind.
 constexpr std::size_t kKeysRemembered = 48;
-constexpr double kColdBurst = 1;
+constexpr double kShareBurst = 1;
 // Orders reach a host within half a second of the store's answer, and so does
 // the list: twice that.
 constexpr Duration kNewVersionWait{1'000'000};
@@ -22,7 +22,7 @@
     : info(entry),
       hash(StableHash(entry.id)),
       keys(kKeysRemembered),
-      cold_share(0, kColdBurst) {}
+      share(0, kShareBurst) {}
 
 UpstreamTable::UpstreamTable(
     std::map<std::string, std::string> region_of_domain,
@@ -67,8 +67,8 @@
     upstream->load.ShareAverage(AverageLoadOf(*upstream));
   }
   if (entry.cold_for > Duration::zero()) {
-    if (!upstream->IsCold(now)) {
-      maybe_cold_.push_back(upstream);
+    if (!upstream->IsBounded(now)) {
+      maybe_bounded_.push_back(upstream);
     }
     upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
     upstream->keys.Clear();
@@ -110,11 +110,11 @@
   return true;
 }
 
-const std::vector<UpstreamPtr>& UpstreamTable::MaybeCold(Time now) {
-  std::erase_if(maybe_cold_, [now](const UpstreamPtr& upstream) {
-    return upstream->removed || !upstream->IsCold(now);
+const std::vector<UpstreamPtr>& UpstreamTable::MaybeBounded(Time now) {
+  std::erase_if(maybe_bounded_, [now](const UpstreamPtr& upstream) {
+    return upstream->removed || !upstream->IsBounded(now);
   });
-  return maybe_cold_;
+  return maybe_bounded_;
 }
 
 std::vector<UpstreamPtr> UpstreamTable::Lapsed() const {
