--- a/include/pathcleat/calls/upstream_protocol.hpp
+++ b/include/pathcleat/calls/upstream_protocol.hpp
@@ -51,6 +51,18 @@
 std::optional<LoadReport> LoadReportIn(const HeaderNames& names,
                                        const HttpResponse& response);
 
+/// @brief What an answer says of a limit of requests a second.
+/// @ingroup calls
+struct LimitField {
+  bool present = false;
+  std::optional<double> per_second;  ///< nothing: what is present is no limit
+};
+
+/// @brief The limit that an upstream names in an answer. Of several the lowest
+/// holds.
+/// @ingroup calls
+LimitField LimitFieldIn(const HeaderNames& names, const HttpResponse& response);
+
 /// @brief Whether the upstream says that it has not run the request.
 /// @ingroup calls
 bool IsNotRun(const HeaderNames& names, const HttpResponse& response);
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -55,6 +55,7 @@
 constexpr const char* kMethod = "method";
 constexpr const char* kOrder = "order";
 constexpr const char* kOutcome = "outcome";
+constexpr const char* kPassedOver = "passed_over";
 constexpr const char* kPath = "path";
 constexpr const char* kPhase = "phase";
 constexpr const char* kReason = "reason";
--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -11,19 +11,20 @@
 
 /// @brief Parts of the policy that can be switched off one by one, to measure
 /// what each is worth (tools/ablate.py). No promise rests on any of them, but
-/// for kCrashBlock.
+/// for kCrashBlock and kUpstreamLimits.
 /// @ingroup core
 enum class Mechanism {
-  kRegionShares,   ///< keys stay in their callers' region while it has room
-  kLearnedWarmth,  ///< where a key is quick is learned from run times
-  kKeyPlacement,   ///< a key stays with a few upstreams
-  kAdmission,      ///< what would be late for its waiting is told to come back
-  kUsualLoad,      ///< the usual load by others is remembered
-  kAverageLoad,    ///< an upstream not heard of counts as busy as others
-  kPatience,       ///< repeatable work leaves a silent upstream
-  kCarryingCost,   ///< bytes between regions count in the choice
-  kSlowness,       ///< an upstream's speed is learned
-  kCrashBlock,     ///< requests that crash upstreams are kept from them
+  kRegionShares,    ///< keys stay in their callers' region while it has room
+  kLearnedWarmth,   ///< where a key is quick is learned from run times
+  kKeyPlacement,    ///< a key stays with a few upstreams
+  kAdmission,       ///< what would be late for its waiting is told to come back
+  kUsualLoad,       ///< the usual load by others is remembered
+  kAverageLoad,     ///< an upstream not heard of counts as busy as others
+  kPatience,        ///< repeatable work leaves a silent upstream
+  kCarryingCost,    ///< bytes between regions count in the choice
+  kSlowness,        ///< an upstream's speed is learned
+  kCrashBlock,      ///< requests that crash upstreams are kept from them
+  kUpstreamLimits,  ///< limits that upstreams name in their answers are kept
 };
 
 /// @brief Stable name of a mechanism, as settings give it.
--- a/include/pathcleat/fleet/peer_datagram.hpp
+++ b/include/pathcleat/fleet/peer_datagram.hpp
@@ -16,6 +16,7 @@
   kReport = 0x22,
   kUsage = 0x13,    ///< of client accounts' limits
   kCrashes = 0x14,  ///< of requests that crash upstreams
+  kLimits = 0x15,   ///< that upstreams name in their answers
 };
 
 /// @brief A datagram whose seal is this fleet's.
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -20,6 +20,7 @@
 #include "pathcleat/fleet/heartbeat_plan.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
+#include "pathcleat/routing/limit_report.hpp"
 
 namespace pathcleat {
 
@@ -29,6 +30,7 @@
   UsageTeller& usage;    ///< of client accounts, in messages of their own
   TallyTeller& tallies;  ///< of rollouts, in heartbeats and reports
   CrashTeller& crashes;  ///< of requests that crash upstreams, as usage
+  LimitTeller& limits;   ///< that upstreams name, as usage
 };
 
 /// @brief Sends this host's heartbeats to the others of its failure domain,
@@ -69,6 +71,9 @@
   /// @brief Tells what has just become known of requests that crash upstreams.
   void TellCrashes();
 
+  /// @brief Tells what answers have told of late of upstreams' limits.
+  void TellLimits();
+
  private:
   void Tick();
   void Receive();
@@ -94,6 +99,9 @@
   void OnCrashes(const CrashReport& report);
   void SendCrashes(const std::vector<std::string>& receivers,
                    const CrashReport& report);
+  void OnLimits(const LimitReport& report);
+  void SendLimits(const std::vector<std::string>& receivers,
+                  const LimitReport& report);
   void Send(const std::string& address, const std::string& sealed);
 
   HostTable& hosts_;
--- a/include/pathcleat/fleet/peer_traffic.hpp
+++ b/include/pathcleat/fleet/peer_traffic.hpp
@@ -14,6 +14,7 @@
   kReport,   ///< of a failure domain
   kUsage,    ///< of client accounts' limits
   kCrashes,  ///< of requests that crash upstreams
+  kLimits,   ///< that upstreams name in their answers
   kOrders,
   kUpstreams,
 };
@@ -22,7 +23,8 @@
 /// @ingroup fleet
 constexpr std::array kPeerMessages = {
     PeerMessage::kHeartbeat, PeerMessage::kReport, PeerMessage::kUsage,
-    PeerMessage::kCrashes,   PeerMessage::kOrders, PeerMessage::kUpstreams};
+    PeerMessage::kCrashes,   PeerMessage::kLimits, PeerMessage::kOrders,
+    PeerMessage::kUpstreams};
 
 /// @brief A kind's name on the page of figures.
 /// @ingroup fleet
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "pathcleat/accounts/account_table.hpp"
@@ -21,6 +22,8 @@
 #include "pathcleat/gateway/quota_gate.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
+#include "pathcleat/routing/limit_exchange.hpp"
+#include "pathcleat/routing/rate_share.hpp"
 #include "pathcleat/routing/route_table.hpp"
 #include "pathcleat/routing/split_balancer.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
@@ -93,6 +96,7 @@
   CrashLedger crashes;
   ListenProbe listen_probe;
   UnknownFields unknown_fields;
+  LimitExchange limits;
   int requests = 0;  ///< callers' requests under way
   std::uint64_t next_request = 1;
   bool leaving = false;
@@ -107,6 +111,9 @@
 
   /// @brief This host's share of each upstream whose rate is bounded.
   void ShareRates(Time now);
+  std::optional<RateBound> BoundOf(const UpstreamState& upstream,
+                                   Time now) const;
+  void OnLimitChange(UpstreamState& upstream, LimitChange change);
   double RetryBurst(Time now) const;
 };
 
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -34,6 +34,7 @@
   std::string Answer(const AccountQuery& query) const;
   std::string Answer(const HelpQuery& query) const;
   std::string ShowHosts() const;
+  static std::string RateLimitText(const UpstreamState& upstream, Time now);
   std::string ShowUpstreams() const;
   std::string ShowShifts() const;
   std::string ShowConfig() const;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -86,10 +86,12 @@
   bool WasForgotten(const CallResult& result) const;
   void CountBreak(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
+  void NoteLimit(const HttpResponse& response);
   void NoteUnknownFields(const HttpHeaders& headers);
   void NoteSilent(const HttpClient& client);
   void NoteEnded();
   bool TakeShare(Time now);
+  void GiveShareBack();
 
   GatewayState& state_;
   HttpClientPtr client_;  ///< of the attempt under way
--- /dev/null
+++ b/include/pathcleat/lab/limit_model.hpp
@@ -0,0 +1,62 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <cstdint>
+
+#include "pathcleat/core/time.hpp"
+
+namespace pathcleat {
+
+/// @brief A way to keep the limit that an upstream names over all hosts.
+/// @ingroup lab
+enum class LimitWay {
+  kNone,        ///< hosts send on as before
+  kOwnPart,     ///< each host that was told takes the limit over the hosts
+  kUsage,       ///< hosts tell each other what they send, and stay below
+  kFewSenders,  ///< as the product: few hosts send, all are told
+};
+
+/// @brief A fleet of hosts before upstreams of which some name a limit, without
+/// a network.
+/// @ingroup lab
+struct LimitModelPlan {
+  LimitWay way = LimitWay::kFewSenders;
+  int domains = 6;
+  int hosts_in_domain = 2;
+  int upstreams = 24;
+  int limited = 8;                   ///< of them, that name a limit
+  double limit_per_second = 1;       ///< that each names
+  double requests_per_second = 130;  ///< of all hosts together
+  int slots = 3;
+  Duration run_time{400'000};
+  Duration needs_from{4'000'000};
+  Duration needs_until{24'000'000};
+  Duration lasts{40'000'000};
+  Duration one_way{12'000};  ///< between hosts
+  /// From here on hosts of the first half of the domains do not hear those of
+  /// the other half, until the need ends. Zero: they always do.
+  Duration cut_from{0};
+  /// One host in so many starts again in the middle of the need, and knows
+  /// nothing. Zero: none.
+  int restarts_one_of = 0;
+  std::uint64_t seed = 1;
+};
+
+/// @brief What came of it. Windows are of 4 s, from 3 s after an upstream first
+/// named its limit to the end of its need.
+/// @ingroup lab
+struct LimitModelResult {
+  double worst_of_allowed = 0;  ///< fullest window over what it may hold
+  double worst_of_told = 0;  ///< the same, of hosts that were told 0.5 s before
+  double used = 0;           ///< part of the limits that was used
+  double refused = 0;        ///< part of the requests that no upstream took
+  /// Until the last host knew that the need was over, seconds.
+  double known_over_after = 0;
+  double bytes_per_host = 0;  ///< told to others while in need, a second
+};
+
+/// @brief Plays the plan.
+/// @ingroup lab
+LimitModelResult PlayLimits(const LimitModelPlan& plan);
+
+}  // namespace pathcleat
--- a/include/pathcleat/routing/bound_room.hpp
+++ b/include/pathcleat/routing/bound_room.hpp
@@ -22,6 +22,9 @@
   /// requests and their run times are learned.
   void OnPlaced(const std::string& service, Duration run);
 
+  /// @brief How long a service's requests run of late, seconds; 0: not known.
+  double RunSecondsOf(const std::string& service) const;
+
   /// @brief Requests a second of accounts at home there, by region.
   void SetDemand(const std::map<std::string, double>& per_second);
 
--- a/include/pathcleat/routing/pick.hpp
+++ b/include/pathcleat/routing/pick.hpp
@@ -86,6 +86,7 @@
   WarmthSign sign;  ///< of the upstream for the key
   bool left_region = false;
   int candidates = 0;
+  int passed_over = 0;  ///< upstreams whose bounded rate had no room
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -10,6 +10,7 @@
 #include "pathcleat/routing/slowness.hpp"
 #include "pathcleat/routing/upstream_health.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
+#include "pathcleat/routing/upstream_limit.hpp"
 #include "pathcleat/routing/upstream_load.hpp"
 #include "pathcleat/steer/token_bucket.hpp"
 
@@ -29,6 +30,10 @@
   Comeback comeback;              ///< of requests refused for its queue
   Time cold_until;                ///< bears few requests until then
   TokenBucket share;              ///< this host's share of its bounded rate
+  UpstreamLimit limit;            ///< that it names in its answers
+  bool limit_unreadable = false;  ///< its last answer named one that is none
+  bool watched = false;  ///< whether the table looks after its bounded rate
+  std::uint64_t passed_over = 0;  ///< requests that its share had no room for
   std::uint64_t turned_away = 0;  ///< requests that it said it did not run
   Slowness slowness;
   std::optional<Time> lapse_ends;  ///< its entry is gone; it may come back
@@ -39,7 +44,12 @@
 
   /// @brief Whether all hosts together may send it requests at a bounded rate
   /// alone, this host at that of its share.
-  bool IsBounded(Time now) const { return IsCold(now); }
+  bool IsBounded(Time now) const { return IsCold(now) || limit.IsInForce(now); }
+
+  /// @brief Slots that requests can use: fewer than it has while it names a
+  /// limit.
+  /// @param run_seconds how long they run; 0: not known.
+  double UsableSlots(double run_seconds, Time now) const;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -101,13 +101,16 @@
     std::optional<Time> updated;       ///< nothing: not reckoned yet
     std::uint64_t revision = 0;        ///< of the list, when slots were counted
     std::map<std::string, int> slots;  ///< of open upstreams, by region
+    std::map<std::string, double> unusable;  ///< of them, for their limits
   };
   struct Scored {
     Pick pick;
     double worth = 0;
   };
 
-  std::vector<Candidate> Candidates(const PickRequest& request, Time now) const;
+  std::vector<Candidate> Candidates(const PickRequest& request,
+                                    std::vector<UpstreamPtr>& passed_over,
+                                    Time now) const;
   void KeepLargeNear(std::vector<Candidate>& candidates,
                      const PickRequest& request);
   PickFailure PassShift(std::vector<Candidate>& candidates,
@@ -115,7 +118,9 @@
   void KeepRegion(std::vector<Candidate>& candidates,
                   const std::string& region) const;
   RegionShares& SharesOf(const std::string& service, Time now);
-  void CountSlots(SharesEntry& entry, const std::string& service) const;
+  void CountSlots(SharesEntry& entry,
+                  const std::string& service,
+                  Time now) const;
   void EstimateWarmth(std::vector<Candidate>& candidates,
                       const PickRequest& request);
   Scored Score(const Candidate& candidate,
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -46,6 +46,14 @@
   void SetDrains(std::set<std::string> upstreams,
                  std::set<std::string> regions);
 
+  /// @brief Takes what was heard of the limit that an upstream names.
+  LimitChange TakeLimit(const UpstreamPtr& upstream,
+                        const LimitSign& sign,
+                        Time now);
+
+  /// @brief The listed upstream of an id; null if there is none.
+  UpstreamPtr Find(const std::string& id) const;
+
   /// @brief All listed upstreams of a service.
   const std::vector<UpstreamPtr>& Of(std::string_view service) const;
 
@@ -71,6 +79,7 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  void Watch(const UpstreamPtr& upstream);
   UpstreamPtr Add(const UpstreamInfo& entry, Time now);
   Time OpenFrom(const UpstreamInfo& entry, Time now);
   std::shared_ptr<AverageLoad> AverageLoadOf(const UpstreamState& upstream);
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -29,6 +29,10 @@
   double retry_ratio = 0.2;  ///< retries a request, in any window
   double retry_slack = 50;   ///< and so many more in any window
   double cold_slack = 5;     ///< requests a second beyond what one bears
+  /// How far the limit that an upstream names may be passed in any window.
+  Duration limit_window{4'000'000};
+  double limit_overage = 0.5;  ///< part of the limit
+  double limit_slack = 5;      ///< and so many requests more
   Duration locate_ttl{2'000'000};
   Duration stop_grace{6'000'000};  ///< from a planned stop to the end
   /// From a configuration's acknowledgement to where no host may go by an
--- a/include/pathcleat/steer/token_bucket.hpp
+++ b/include/pathcleat/steer/token_bucket.hpp
@@ -19,6 +19,9 @@
   /// @brief Takes one call, if the rate allows it now.
   bool TryTake(Time now);
 
+  /// @brief Gives back one call that was taken and not made.
+  void GiveBack(Time now);
+
   /// @brief Whether TryTake would take one now.
   bool CanTake(Time now) const;
 
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -16,6 +16,7 @@
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/lab/deployment_config.hpp"
+#include "pathcleat/lab/limit_cases.hpp"
 #include "pathcleat/lab/load_audit.hpp"
 #include "pathcleat/lab/load_generator.hpp"
 #include "pathcleat/lab/quota_model.hpp"
@@ -43,6 +44,7 @@
   pathcleat-lab measure [--seeds=N]
   pathcleat-lab returns [--seeds=N]
   pathcleat-lab quotas [--seeds=N]
+  pathcleat-lab limits [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
@@ -56,6 +58,7 @@
   measure    Compare routing policies in the model.
   returns    What becomes of requests that are told to come back, in the model.
   quotas     How well ways to share an account's limit keep it, in the model.
+  limits     How well ways to keep limits that upstreams name do, in the model.
   slopes     Measure what the capacity page is reckoned from.
 
 Options:
@@ -257,6 +260,12 @@
   return kDone;
 }
 
+int RunLimits(const Arguments& arguments) {
+  std::cout << CompareLimitWays(
+      static_cast<int>(arguments.at("--seeds").asLong()));
+  return kDone;
+}
+
 int RunSlopes() {
   for (const auto& measure :
        {BlockTableSlopes, RoutingSlopes, HeartbeatSlopes, AccountSlopes}) {
@@ -272,6 +281,9 @@
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
+  if (arguments.at("limits").asBool()) {
+    return RunLimits(arguments);
+  }
   if (arguments.at("quotas").asBool()) {
     return RunQuotas(arguments);
   }
--- a/src/pathcleat/calls/unknown_fields.cpp
+++ b/src/pathcleat/calls/unknown_fields.cpp
@@ -41,8 +41,8 @@
 
 UnknownFields::UnknownFields(const HeaderNames& names) : seen_(HttpFields()) {
   for (const std::string& name :
-       {names.request_id, names.upstream_id, names.load, names.not_run,
-        names.cold_ms, names.signature}) {
+       {names.request_id, names.upstream_id, names.load, names.limit,
+        names.not_run, names.cold_ms, names.signature}) {
     seen_.insert(to_lower_copy(name));
   }
 }
--- a/src/pathcleat/calls/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <string_view>
 #include <system_error>
@@ -60,6 +61,16 @@
   return std::chrono::milliseconds(too_large ? most : std::min(value, most));
 }
 
+// A finite number of requests a second, 0 or more.
+std::optional<double> ParseLimit(std::string_view text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  const bool readable = parsed.ec == std::errc() && parsed.ptr == end &&
+                        std::isfinite(value) && value >= 0;
+  return readable ? std::optional(value) : std::nullopt;
+}
+
 }  // namespace
 
 std::optional<Duration> CallerDeadline(const HeaderNames& names,
@@ -123,6 +134,22 @@
   return LoadReport{numbers[0], numbers[1], numbers[2]};
 }
 
+LimitField LimitFieldIn(const HeaderNames& names,
+                        const HttpResponse& response) {
+  LimitField field;
+  for (const HttpHeader& header : response.headers) {
+    if (names.limit.empty() || !iequals(header.name, names.limit)) {
+      continue;
+    }
+    field.present = true;
+    const auto named = ParseLimit(header.value);
+    if (named && (!field.per_second || *named < *field.per_second)) {
+      field.per_second = named;
+    }
+  }
+  return field;
+}
+
 bool IsNotRun(const HeaderNames& names, const HttpResponse& response) {
   return response.status == http_status::kMisdirected ||
          FindHeader(response.headers, names.not_run).has_value();
--- a/src/pathcleat/calls/upstream_protocol_test.cpp
+++ b/src/pathcleat/calls/upstream_protocol_test.cpp
@@ -43,5 +43,27 @@
   }));
 }
 
+LimitField LimitOf(const std::vector<std::string>& values) {
+  HttpResponse response;
+  for (const std::string& value : values) {
+    response.headers.push_back({HeaderNames().limit, value});
+  }
+  return LimitFieldIn(HeaderNames(), response);
+}
+
+// Guards against a limit that is none and stops all sending, or ends one.
+Test(upstream_protocol, limit_that_is_no_number_is_told_from_none) {
+  cr_assert_not(LimitOf({}).present);
+  for (const std::string bad :
+       {"", "-1", "nan", "inf", "1e999", "soon", "2,5", "1.5 a second", "+2"}) {
+    const LimitField field = LimitOf({bad});
+    cr_assert(field.present);
+    cr_assert_not(field.per_second.has_value(), "%s", bad.c_str());
+  }
+  cr_assert_float_eq(LimitOf({"1.7"}).per_second.value(), 1.7, 1e-9);
+  cr_assert_float_eq(LimitOf({"0"}).per_second.value(), 0, 1e-9);
+  cr_assert_float_eq(LimitOf({"2", "1", "x"}).per_second.value(), 1, 1e-9);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/core/mechanism.cpp
+++ b/src/pathcleat/core/mechanism.cpp
@@ -22,6 +22,7 @@
     Named{Mechanism::kCarryingCost, "carrying_cost"},
     Named{Mechanism::kSlowness, "slowness"},
     Named{Mechanism::kCrashBlock, "crash_block"},
+    Named{Mechanism::kUpstreamLimits, "upstream_limits"},
 };
 
 }  // namespace
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -72,14 +72,6 @@
   Beat(plan_.Known(), false);
 }
 
-void PeerLink::TellUsage() {
-  const Time now = BootClock::now();
-  SendOwnUsage(now);
-  if (reporter_.IsReporter(now)) {
-    SendDomainUsage(now);
-  }
-}
-
 void PeerLink::Tick() {
   const Time now = BootClock::now();
   Beat(plan_.Receivers(now), false);
@@ -88,6 +80,7 @@
   }
   TellUsage();
   TellCrashes();
+  TellLimits();
   timer_.expires_after(kHeartbeatPeriod);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -221,6 +214,12 @@
       OnCrashes(*report);
       return;
     }
+  } else if (datagram && datagram->kind == DatagramKind::kLimits) {
+    if (const auto report = DecodeLimits(datagram->message)) {
+      traffic_.OnReceived(PeerMessage::kLimits, size);
+      OnLimits(*report);
+      return;
+    }
   } else if (datagram) {
     // Hosts of another version may run beside this one.
     traffic_.OnUnknownForm();
@@ -246,6 +245,8 @@
     SendKnownUsage(heartbeat.host.peer_address);
     SendCrashes({heartbeat.host.peer_address},
                 tellers_.crashes.Known(BootClock::now()));
+    SendLimits({heartbeat.host.peer_address},
+               tellers_.limits.KnownLimits(BootClock::now()));
   }
 }
 
@@ -281,102 +282,6 @@
   }
 }
 
-std::string PeerLink::SealUsage(UsageReport report) {
-  if (report.time == HybridTime{}) {
-    report.time = events_.clock().Tick(WallMicros());
-  }
-  return SealDatagram(DatagramKind::kUsage, EncodeUsage(report), key_);
-}
-
-void PeerLink::SendUsage(const std::string& address,
-                         const std::string& sealed) {
-  traffic_.OnSent(PeerMessage::kUsage, sealed.size());
-  Send(address, sealed);
-}
-
-// A report that names nothing is sent once, to take the last one back.
-void PeerLink::SendOwnUsage(Time now) {
-  const UsageReport report = tellers_.usage.OwnUsage(now);
-  const bool tells = !report.entries.empty();
-  if (!tells && !std::exchange(told_usage_, tells)) {
-    return;
-  }
-  told_usage_ = tells;
-  const std::string sealed = SealUsage(report);
-  for (const std::string& address : plan_.Known()) {
-    SendUsage(address, sealed);
-  }
-}
-
-void PeerLink::SendDomainUsage(Time now) {
-  const UsageReport report = tellers_.usage.DomainUsage(now);
-  if (report.entries.empty()) {
-    return;
-  }
-  const std::string sealed = SealUsage(report);
-  for (const std::string& address : reporter_.Receivers(now)) {
-    SendUsage(address, sealed);
-  }
-}
-
-// A host that has just started would else know of other domains' usage a round
-// of reports later.
-void PeerLink::SendKnownUsage(const std::string& address) {
-  for (const UsageReport& report : tellers_.usage.KnownUsage()) {
-    SendUsage(address, SealUsage(report));
-  }
-}
-
-void PeerLink::OnUsage(const UsageReport& report) {
-  events_.clock().Observe(report.time, WallMicros());
-  tellers_.usage.OnUsage(report, BootClock::now());
-  if (!report.pass_on) {
-    return;
-  }
-  UsageReport passed = report;
-  passed.pass_on = false;
-  const std::string sealed = SealUsage(passed);
-  for (const std::string& address : plan_.Living(BootClock::now())) {
-    SendUsage(address, sealed);
-  }
-}
-
-void PeerLink::TellCrashes() {
-  const Time now = BootClock::now();
-  const bool reports = reporter_.IsReporter(now);
-  SendCrashes(plan_.Known(), tellers_.crashes.ForDomain(reports, now));
-  if (reports) {
-    SendCrashes(reporter_.Receivers(now),
-                tellers_.crashes.ForOtherDomains(now));
-  }
-}
-
-void PeerLink::SendCrashes(const std::vector<std::string>& receivers,
-                           const CrashReport& report) {
-  if (report.entries.empty()) {
-    return;
-  }
-  const std::string sealed =
-      SealDatagram(DatagramKind::kCrashes, EncodeCrashes(report), key_);
-  for (const std::string& address : receivers) {
-    traffic_.OnSent(PeerMessage::kCrashes, sealed.size());
-    Send(address, sealed);
-  }
-}
-
-void PeerLink::OnCrashes(const CrashReport& report) {
-  const Time now = BootClock::now();
-  const bool news = tellers_.crashes.OnCrashes(report, now);
-  if (report.pass_on) {
-    CrashReport passed = report;
-    passed.pass_on = false;
-    SendCrashes(plan_.Living(now), passed);
-  }
-  if (news) {
-    TellCrashes();
-  }
-}
-
 void PeerLink::PassOn(DomainReport report) {
   report.pass_on = false;
   const std::string sealed =
--- a/src/pathcleat/fleet/peer_traffic.cpp
+++ b/src/pathcleat/fleet/peer_traffic.cpp
@@ -13,6 +13,8 @@
       return "usage";
     case PeerMessage::kCrashes:
       return "crashes";
+    case PeerMessage::kLimits:
+      return "limits";
     case PeerMessage::kOrders:
       return "orders";
     case PeerMessage::kUpstreams:
--- a/src/pathcleat/gateway/call.cpp
+++ b/src/pathcleat/gateway/call.cpp
@@ -270,11 +270,12 @@
   Answer(std::move(response), RunOutcome::kAnswered);
 }
 
-// What an upstream that is starting takes says nothing of its version.
+// What an upstream that is starting, or in need, takes says nothing of its
+// version.
 void Call::NoteVersion(const Pick& pick, bool bad) {
   const UpstreamState& upstream = *pick.upstream;
   Rollout* rollout = state_.rollouts.Find(upstream.info.service);
-  if (rollout != nullptr && !upstream.IsCold(BootClock::now())) {
+  if (rollout != nullptr && !upstream.IsBounded(BootClock::now())) {
     rollout->OnAnswer(upstream.info.version, StableHash(route_->name), bad);
   }
 }
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -74,7 +74,8 @@
           state_.hosts,
           state_.events,
           state_.peer_traffic,
-          {state_.quotas.control(), state_.rollouts, state_.crashes},
+          {state_.quotas.control(), state_.rollouts, state_.crashes,
+           state_.limits},
           [this] { return Versions(); },
           [this](const std::string& from, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
@@ -103,6 +104,7 @@
       tick_timer_(loop),
       stop_timer_(loop) {
   state_.crashes.OnNews([this] { peers_.TellCrashes(); });
+  state_.limits.OnNews([this] { peers_.TellLimits(); });
 }
 
 Result<void> Gateway::ListenAt(HttpServer& server, const std::string& address) {
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -5,7 +5,6 @@
 #include <set>
 
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/routing/rate_share.hpp"
 
 namespace pathcleat {
 namespace {
@@ -85,7 +84,11 @@
                MixHashes(StableHash(settings.host), incarnation)),
       crashes(settings.domain, settings.host),
       listen_probe(loop),
-      unknown_fields(headers) {
+      unknown_fields(headers),
+      limits(upstreams, settings.host, settings.domain) {
+  limits.SetOnChange([this](UpstreamState& upstream, LimitChange change) {
+    OnLimitChange(upstream, change);
+  });
   crashes.OnNotice([this](const CrashNotice& notice) {
     events.Record(notice.blocked ? EventCode::kRequestBlocked
                                  : EventCode::kRequestUnblocked,
@@ -131,6 +134,7 @@
   }
   ShareQuotas(now);
   picker.SetBoundDemand(quotas.control().DemandAtHome(accounts.All(), now));
+  limits.Tick(now);
   ShareRates(now);
 }
 
@@ -189,14 +193,47 @@
     }
   }
   for (const UpstreamPtr& upstream : bounded) {
-    const ServiceInfo* service = routes.FindService(upstream->info.service);
-    if (service == nullptr) {
-      continue;
+    if (const auto bound = BoundOf(*upstream, now)) {
+      upstream->share.SetRate(
+          senders.Rate(*bound, upstream->hash, upstream->region), now);
     }
-    const RateBound bound{service->cold_per_second, settings.bounds.cold_slack};
-    upstream->share.SetRate(
-        senders.Rate(bound, upstream->hash, upstream->region), now);
   }
 }
 
+// An upstream may be cold and in need at once.
+std::optional<RateBound> GatewayState::BoundOf(const UpstreamState& upstream,
+                                               Time now) const {
+  const FleetBounds& bounds = settings.bounds;
+  const ServiceInfo* service = routes.FindService(upstream.info.service);
+  std::optional<RateBound> bound;
+  if (upstream.IsCold(now) && service != nullptr) {
+    bound = RateBound{service->cold_per_second, bounds.cold_slack};
+  }
+  if (upstream.limit.IsInForce(now)) {
+    const double per_second = upstream.limit.PerSecond(now);
+    const double window =
+        std::chrono::duration<double>(bounds.limit_window).count();
+    const RateBound limit{
+        per_second,
+        bounds.limit_slack + bounds.limit_overage * per_second * window};
+    bound = bound ? bound->Lower(limit) : limit;
+  }
+  return bound;
+}
+
+// Until the next tick shares the limit out, this host sends nothing more.
+void GatewayState::OnLimitChange(UpstreamState& upstream, LimitChange change) {
+  const Time now = BootClock::now();
+  if (change == LimitChange::kNamed) {
+    upstream.share.SetRate(0, now);
+  }
+  const LimitSign& sign = *upstream.limit.sign();
+  events.Record(change == LimitChange::kEnded ? EventCode::kUpstreamLimitEnded
+                                              : EventCode::kUpstreamLimited,
+                upstream.info.id, "",
+                {{field::kLimitPerSecond, sign.per_second.value_or(0)},
+                 {field::kFrom, sign.host},
+                 MillisecondsField(field::kAgeMs, now - sign.at)});
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -161,6 +161,22 @@
     page.Sample("pathcleat_upstream_not_run_total",
                 {{"upstream", upstream->info.id}}, upstream->turned_away);
   }
+  page.Family("pathcleat_upstream_passed_over_total", "counter",
+              "Requests that went elsewhere, or nowhere, as this host's share "
+              "of an upstream's bounded rate had no room.");
+  for (const UpstreamPtr& upstream : state.upstreams.All()) {
+    if (upstream->passed_over > 0) {
+      page.Sample("pathcleat_upstream_passed_over_total",
+                  {{"upstream", upstream->info.id}}, upstream->passed_over);
+    }
+  }
+  page.Family("pathcleat_upstream_limit_per_second", "gauge",
+              "Requests a second that all hosts may send to an upstream that "
+              "names a limit.");
+  for (const auto& [id, upstream] : state.limits.in_force()) {
+    page.Sample("pathcleat_upstream_limit_per_second", {{"upstream", id}},
+                upstream->limit.PerSecond(now));
+  }
   int open = 0;
   int cold = 0;
   int suspect = 0;
@@ -174,6 +190,8 @@
               state.upstreams.size());
   page.Sample("pathcleat_upstreams", {{"state", "open"}}, open);
   page.Sample("pathcleat_upstreams", {{"state", "cold"}}, cold);
+  page.Sample("pathcleat_upstreams", {{"state", "limited"}},
+              state.limits.in_force().size());
   page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
 }
 
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -223,6 +223,20 @@
   return text.str();
 }
 
+std::string OperatorService::RateLimitText(const UpstreamState& upstream,
+                                       Time now) {
+  if (!upstream.limit.IsInForce(now)) {
+    return "";
+  }
+  const LimitSign& sign = *upstream.limit.sign();
+  std::ostringstream text;
+  text << ", takes " << upstream.limit.PerSecond(now)
+       << " requests a second from all hosts, " << upstream.share.per_second()
+       << " from here (told " << sign.host << " " << Age(sign.at, now) << "), "
+       << upstream.passed_over << " passed over here";
+  return text.str();
+}
+
 std::string OperatorService::ShowUpstreams() const {
   const Time now = BootClock::now();
   std::ostringstream text;
@@ -234,7 +248,7 @@
          << upstream->load.Expected(now) << " of " << upstream->info.slots
          << " slots in use"
          << (state_.upstreams.IsOpen(*upstream) ? "" : ", drained or leaving")
-         << (upstream->IsCold(now) ? ", cold" : "")
+         << (upstream->IsCold(now) ? ", cold" : "") << RateLimitText(*upstream, now)
          << (upstream->health.IsSuspect() ? ", does not answer" : "") << "\n";
   }
   return text.str();
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -69,6 +69,7 @@
         {field::kDomain, pick.upstream->info.domain},
         NumberField(field::kAttempt, attempt),
         NumberField(field::kCandidates, pick.candidates),
+        NumberField(field::kPassedOver, pick.passed_over),
         MillisecondsField(field::kExpectedMs, pick.expected),
         MillisecondsField(field::kWaitMs, pick.wait),
         {field::kWarm, pick.warm},
@@ -115,6 +116,7 @@
     fields.push_back(MillisecondsField(field::kWaitMs, best->wait));
     fields.push_back(MillisecondsField(field::kExpectedMs, best->expected));
     fields.push_back(NumberField(field::kCandidates, best->candidates));
+    fields.push_back(NumberField(field::kPassedOver, best->passed_over));
   }
   Note(EventCode::kRequestRefused, std::move(fields));
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "pathcleat/calls/upstream_protocol.hpp"
+#include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
 namespace {
@@ -59,12 +60,16 @@
   const HttpClientPtr client = std::exchange(client_, nullptr);
   UpstreamState& upstream = *pick_.upstream;
   const bool answered = result.outcome == CallOutcome::kAnswered;
+  if (result.outcome == CallOutcome::kNotSent) {
+    GiveShareBack();
+  }
   if (answered) {
     upstream.health.OnHeard(BootClock::now());
     if (const auto report = LoadReportIn(state_.headers, result.response)) {
       upstream.load.OnReport(*report, BootClock::now());
     }
     NoteUnknownFields(result.response.headers);
+    NoteLimit(result.response);
   }
   CountBreak(result);
   if (WasForgotten(result)) {
@@ -85,6 +90,31 @@
   callback(result);
 }
 
+// Another upstream that has the address now speaks for itself; and what was not
+// run may come from where the upstream's state is not known.
+void UpstreamAttempt::NoteLimit(const HttpResponse& response) {
+  const Time now = BootClock::now();
+  const UpstreamPtr& upstream = pick_.upstream;
+  if (!state_.settings.policy.IsOn(Mechanism::kUpstreamLimits) ||
+      response.status == http_status::kMisdirected) {
+    return;
+  }
+  const LimitField limit = LimitFieldIn(state_.headers, response);
+  const bool unreadable = limit.present && !limit.per_second;
+  if (unreadable && !upstream->limit_unreadable) {
+    state_.events.Record(
+        EventCode::kUpstreamLimitUnreadable, upstream->info.id,
+        FindHeader(response.headers, state_.headers.limit).value_or(""));
+  }
+  upstream->limit_unreadable = unreadable;
+  if (limit.per_second) {
+    state_.limits.OnNamed(upstream, *limit.per_second, now);
+  } else if (!limit.present && !IsNotRun(state_.headers, response) &&
+             IsWholeAnswer(state_.headers, response)) {
+    state_.limits.OnNotNamed(upstream, sent_, now);
+  }
+}
+
 void UpstreamAttempt::NoteUnknownFields(const HttpHeaders& headers) {
   for (const HttpHeader& header : state_.unknown_fields.TakeNew(headers)) {
     state_.events.Record(EventCode::kAnswerFieldUnknown,
@@ -120,6 +150,9 @@
 }
 
 void UpstreamAttempt::TakeBack() {
+  if (!MayHaveSent()) {
+    GiveShareBack();
+  }
   std::exchange(client_, nullptr)->Cancel();
   NoteEnded();
 }
@@ -137,6 +170,12 @@
   return true;
 }
 
+void UpstreamAttempt::GiveShareBack() {
+  if (std::exchange(took_share_, false)) {
+    pick_.upstream->share.GiveBack(BootClock::now());
+  }
+}
+
 bool UpstreamAttempt::FindSilent() {
   if (silent_ || !client_) {
     return silent_;
--- a/src/pathcleat/routing/admission_control.cpp
+++ b/src/pathcleat/routing/admission_control.cpp
@@ -9,6 +9,8 @@
 namespace pathcleat {
 namespace {
 
+constexpr Duration kSecond{1'000'000};
+
 Duration Times(Duration duration, double factor) {
   return Duration(static_cast<Duration::rep>(
       static_cast<double>(duration.count()) * factor));
@@ -50,7 +52,6 @@
   const auto takes =
       upstream.IsBounded(now) ? upstream.share.TakesIn(now) : std::nullopt;
   if (takes) {
-    constexpr Duration kSecond{1'000'000};
     return Opening{*takes, Times(kSecond, 1 / upstream.share.per_second())};
   }
   return std::nullopt;
@@ -117,14 +118,24 @@
   window.room = Duration::max();
   window.spacing = run;
   Comeback* book = &unknown_[request.service];
+  double bounded_rate = 0;
+  bool bounded_first = false;
   for (const UpstreamPtr& upstream : open) {
+    const bool bounded =
+        !upstream->health.RetriedAt() && upstream->IsBounded(now);
+    bounded_rate += bounded ? upstream->share.per_second() : 0;
     const auto opening = OpeningOf(*upstream, run, now);
     if (opening && opening->in < window.room) {
       window.room = opening->in;
       window.spacing = opening->spacing;
-      book = &upstream->comeback;
+      bounded_first = bounded;
+      book = bounded ? &unknown_[request.service] : &upstream->comeback;
     }
   }
+  if (bounded_first) {
+    // Who comes back may get any of them.
+    window.spacing = Times(kSecond, 1 / bounded_rate);
+  }
   return book->Book(window, now);
 }
 
--- a/src/pathcleat/routing/bound_room.cpp
+++ b/src/pathcleat/routing/bound_room.cpp
@@ -33,6 +33,11 @@
   use.requests += 1;
 }
 
+double BoundRoom::RunSecondsOf(const std::string& service) const {
+  const auto use = uses_.find(service);
+  return use == uses_.end() ? 0 : use->second.run_seconds;
+}
+
 void BoundRoom::SetDemand(const std::map<std::string, double>& per_second) {
   for (auto& [region, demand] : demand_) {
     const auto now = per_second.find(region);
--- /dev/null
+++ b/src/pathcleat/routing/limit_exchange.cpp
@@ -0,0 +1,159 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/limit_exchange.hpp"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace pathcleat {
+namespace {
+
+// Four rounds of heartbeats, as datagrams get lost.
+constexpr Duration kToldFor{2'000'000};
+// A report is on its way for less than this: what it tells must not look newer
+// than it is, or hosts that repeat each other would keep it fresh.
+constexpr Duration kLongestWay{100'000};
+
+std::uint32_t AgeMs(Time at, Time now) {
+  const auto age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - at).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
+}
+
+}  // namespace
+
+LimitExchange::LimitExchange(UpstreamTable& table,
+                             std::string host,
+                             std::string domain)
+    : table_(table), host_(std::move(host)), domain_(std::move(domain)) {}
+
+void LimitExchange::OnNamed(const UpstreamPtr& upstream,
+                            double per_second,
+                            Time now) {
+  TakeOwn(upstream, {per_second, now, host_, domain_}, now);
+}
+
+void LimitExchange::OnNotNamed(const UpstreamPtr& upstream,
+                               Time sent,
+                               Time now) {
+  if (upstream->limit.sign() && upstream->limit.sign()->per_second) {
+    TakeOwn(upstream, {std::nullopt, sent, host_, domain_}, now);
+  }
+}
+
+void LimitExchange::TakeOwn(const UpstreamPtr& upstream,
+                            const LimitSign& sign,
+                            Time now) {
+  const LimitChange change = Take(upstream, sign, now);
+  if (change != LimitChange::kNone && on_news_) {
+    on_news_();
+  }
+}
+
+LimitChange LimitExchange::Take(const UpstreamPtr& upstream,
+                                const LimitSign& sign,
+                                Time now) {
+  const LimitChange change = table_.TakeLimit(upstream, sign, now);
+  const LimitSign* newest = upstream->limit.sign();
+  if (newest != nullptr && newest->at == sign.at) {
+    recent_[upstream->info.id] = upstream;
+  }
+  Note(upstream, change);
+  return change;
+}
+
+void LimitExchange::Note(const UpstreamPtr& upstream, LimitChange change) {
+  if (change == LimitChange::kNone) {
+    return;
+  }
+  if (change == LimitChange::kEnded) {
+    in_force_.erase(upstream->info.id);
+  } else {
+    in_force_[upstream->info.id] = upstream;
+  }
+  if (on_change_) {
+    on_change_(*upstream, change);
+  }
+}
+
+void LimitExchange::Tick(Time now) {
+  std::vector<UpstreamPtr> lapsed;
+  std::erase_if(in_force_, [&lapsed, now](const auto& named) {
+    const bool over =
+        named.second->removed || !named.second->limit.IsInForce(now);
+    if (over && !named.second->removed) {
+      lapsed.push_back(named.second);
+    }
+    return over;
+  });
+  for (const UpstreamPtr& upstream : lapsed) {
+    Note(upstream, LimitChange::kEnded);
+  }
+}
+
+// What finds no room is told first the next time.
+LimitReport LimitExchange::Report(
+    bool pass_on,
+    const Upstreams& told,
+    const std::function<bool(const LimitSign&)>& tells,
+    Time now) {
+  LimitReport report{domain_, host_, pass_on, {}};
+  auto next = told.upper_bound(last_told_);
+  for (std::size_t i = 0; i < told.size(); ++i, ++next) {
+    if (next == told.end()) {
+      next = told.begin();
+    }
+    const LimitSign& sign = *next->second->limit.sign();
+    if (!tells(sign)) {
+      continue;
+    }
+    if (report.entries.size() == kMostLimitEntries) {
+      last_told_ = report.entries.back().upstream;
+      break;
+    }
+    const float per_second =
+        sign.per_second ? static_cast<float>(*sign.per_second) : kNamesNoLimit;
+    report.entries.push_back({next->first, per_second, AgeMs(sign.at, now)});
+  }
+  return report;
+}
+
+LimitReport LimitExchange::OwnLimits(Time now) {
+  std::erase_if(recent_, [now](const auto& named) {
+    return named.second->removed ||
+           now - named.second->limit.sign()->at > kToldFor;
+  });
+  return Report(
+      false, recent_,
+      [this](const LimitSign& sign) { return sign.host == host_; }, now);
+}
+
+LimitReport LimitExchange::DomainLimits(Time now) {
+  return Report(
+      true, recent_,
+      [this](const LimitSign& sign) { return sign.domain == domain_; }, now);
+}
+
+LimitReport LimitExchange::KnownLimits(Time now) {
+  return Report(
+      false, in_force_, [](const LimitSign&) { return true; }, now);
+}
+
+void LimitExchange::OnLimits(const LimitReport& report, Time now) {
+  for (const LimitEntry& entry : report.entries) {
+    const UpstreamPtr upstream = table_.Find(entry.upstream);
+    if (!upstream) {
+      continue;
+    }
+    LimitSign sign;
+    if (entry.per_second >= 0) {
+      sign.per_second = static_cast<double>(entry.per_second);
+    }
+    sign.at = now - std::chrono::milliseconds(entry.age_ms) - kLongestWay;
+    sign.host = report.host;
+    sign.domain = report.domain;
+    Take(upstream, sign, now);
+  }
+}
+
+}  // namespace pathcleat
--- /dev/null
+++ b/src/pathcleat/routing/upstream_limit.cpp
@@ -0,0 +1,51 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#include "pathcleat/routing/upstream_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pathcleat {
+namespace {
+
+// How far the ages that hosts tell each other may be off.
+constexpr Duration kAgeError{200'000};
+constexpr Duration kAskedAfter{3'000'000};
+// Without an answer a limit holds as named for so long, then is doubled each
+// time that this has passed: longer than most requests run.
+constexpr Duration kHoldsFor{10'000'000};
+constexpr Duration kDoublesEvery{5'000'000};
+// An upstream that takes nothing is asked now and then whether that still
+// holds.
+constexpr double kLeastPerSecond = 0.1;
+
+}  // namespace
+
+bool UpstreamLimit::Take(const LimitSign& sign) {
+  const bool ends = sign_ && sign_->per_second && !sign.per_second;
+  if (sign_ && sign.at <= sign_->at + (ends ? kAgeError : Duration::zero())) {
+    return false;
+  }
+  sign_ = std::make_shared<const LimitSign>(sign);
+  return true;
+}
+
+double UpstreamLimit::PerSecond(Time now) const {
+  if (!sign_) {
+    return capacity_;
+  }
+  const double named = std::max(kLeastPerSecond, sign_->per_second.value_or(0));
+  const Duration overdue = now - sign_->at - kHoldsFor;
+  const double doublings =
+      std::max(0.0, std::chrono::duration<double>(overdue) / kDoublesEvery);
+  return named * std::exp2(doublings);
+}
+
+bool UpstreamLimit::IsToBeAsked(Time now) const {
+  return IsInForce(now) && now - sign_->at > kAskedAfter;
+}
+
+bool UpstreamLimit::IsInForce(Time now) const {
+  return sign_ && sign_->per_second && PerSecond(now) < capacity_;
+}
+
+}  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -27,9 +27,6 @@
 constexpr double kRankCost = 0.08;
 // Ranks beyond those of a key's few upstreams cost no more than the last.
 constexpr std::size_t kRanksPriced = 2;
-// The list and the fleet change a few times a minute; shares follow within
-// this time.
-constexpr Duration kSharesPeriod{250'000};
 constexpr Duration kFirstRoundTrip{2'000};
 constexpr double kBytesWeight = 0.05;
 
@@ -48,6 +45,22 @@
   return kLateWorth + (1 - kLateWorth) * on_time;
 }
 
+// Few hosts send to a limited upstream, and their keys may seldom lead there.
+void KeepToBeAsked(std::vector<Candidate>& candidates,
+                   const PickRequest& request,
+                   Time now) {
+  const auto asked = std::find_if(
+      candidates.begin(), candidates.end(), [now](const Candidate& candidate) {
+        const UpstreamState& upstream = *candidate.upstream;
+        return upstream.limit.IsToBeAsked(now) &&
+               upstream.load.Expected(now) + 1 <= upstream.info.slots;
+      });
+  if (asked != candidates.end() && request.route->repeatable &&
+      request.excluded.empty()) {
+    candidates = {Candidate(*asked)};
+  }
+}
+
 }  // namespace
 
 UpstreamPicker::UpstreamPicker(const PickerSettings& settings,
@@ -81,22 +94,27 @@
   return bytes / kBytesInGigabyte * gigabyte;
 }
 
-std::vector<Candidate> UpstreamPicker::Candidates(const PickRequest& request,
-                                                  Time now) const {
+std::vector<Candidate> UpstreamPicker::Candidates(
+    const PickRequest& request,
+    std::vector<UpstreamPtr>& passed_over,
+    Time now) const {
   std::vector<Candidate> candidates;
   for (const UpstreamPtr& upstream : table_.Of(request.service)) {
     const bool reachable = upstream->region == settings_.region ||
                            links_.HasRoom(upstream->region);
-    const bool bears =
-        !upstream->IsBounded(now) || upstream->share.CanTake(now);
-    if (now >= upstream->open_from && request.MayRunIn(upstream->region) &&
-        reachable && bears && table_.IsOpen(*upstream) &&
-        upstream->health.MayTry(now) &&
-        !request.excluded.contains(upstream->info.id)) {
-      Candidate candidate;
-      candidate.upstream = upstream;
-      candidates.push_back(std::move(candidate));
+    if (now < upstream->open_from || !request.MayRunIn(upstream->region) ||
+        !reachable || !table_.IsOpen(*upstream) ||
+        !upstream->health.MayTry(now) ||
+        request.excluded.contains(upstream->info.id)) {
+      continue;
     }
+    if (upstream->IsBounded(now) && !upstream->share.CanTake(now)) {
+      passed_over.push_back(upstream);
+      continue;
+    }
+    Candidate candidate;
+    candidate.upstream = upstream;
+    candidates.push_back(std::move(candidate));
   }
   if (request.versions) {
     KeepVersions(candidates, *request.versions);
@@ -154,49 +172,6 @@
   return PickFailure::kNone;
 }
 
-// The list is walked when it has changed, not four times a second.
-void UpstreamPicker::CountSlots(SharesEntry& entry,
-                                const std::string& service) const {
-  if (entry.revision == table_.revision()) {
-    return;
-  }
-  entry.revision = table_.revision();
-  entry.slots.clear();
-  for (const UpstreamPtr& upstream : table_.Of(service)) {
-    if (table_.IsOpen(*upstream)) {
-      entry.slots[upstream->region] += std::max(1, upstream->info.slots);
-    }
-  }
-}
-
-RegionShares& UpstreamPicker::SharesOf(const std::string& service, Time now) {
-  auto found = shares_.find(service);
-  if (found == shares_.end()) {
-    const bool keeps_home = settings_.policy.IsOn(Mechanism::kRegionShares);
-    const RegionShares shares(settings_.region, keeps_home);
-    found = shares_.emplace(service, SharesEntry{shares, std::nullopt, 0, {}})
-                .first;
-  }
-  SharesEntry& entry = found->second;
-  if (entry.updated && now - *entry.updated < kSharesPeriod) {
-    return entry.shares;
-  }
-  entry.updated = now;
-  CountSlots(entry, service);
-  std::map<std::string, RegionRoom> regions;
-  for (const auto& [region, slots] : entry.slots) {
-    regions[region].slots = slots;
-  }
-  for (auto& [region, room] : regions) {
-    room.bound = bound_.PartOf(service, region, room.slots);
-  }
-  for (const auto& [region, hosts] : hosts_) {
-    regions[region].hosts = hosts;
-  }
-  entry.shares.Update(regions);
-  return entry.shares;
-}
-
 void UpstreamPicker::EstimateWarmth(std::vector<Candidate>& candidates,
                                     const PickRequest& request) {
   const Warmth& warmth = ProfileOf(*request.route).warmth;
@@ -271,15 +246,22 @@
 }
 
 Pick UpstreamPicker::Choose(const PickRequest& request, Time now) {
-  std::vector<Candidate> candidates = Candidates(request, now);
+  std::vector<UpstreamPtr> passed_over;
+  std::vector<Candidate> candidates = Candidates(request, passed_over, now);
+  for (const UpstreamPtr& upstream : passed_over) {
+    ++upstream->passed_over;
+  }
   if (candidates.empty()) {
-    return Refused(PickFailure::kNoUpstream, request, now);
+    Pick refused = Refused(PickFailure::kNoUpstream, request, now);
+    refused.passed_over = static_cast<int>(passed_over.size());
+    return refused;
   }
   KeepLargeNear(candidates, request);
   const PickFailure held = PassShift(candidates, request);
   if (held != PickFailure::kNone) {
     return Refused(held, request, now);
   }
+  KeepToBeAsked(candidates, request, now);
   const RegionShares& shares = SharesOf(request.service, now);
   if (request.sticky && settings_.policy.IsOn(Mechanism::kKeyPlacement)) {
     KeepKeyNear(candidates, request.key, shares);
@@ -295,6 +277,7 @@
     }
   }
   best.pick.candidates = static_cast<int>(candidates.size());
+  best.pick.passed_over = static_cast<int>(passed_over.size());
   if (request.excluded.empty()) {
     bound_.OnPlaced(request.service, best.pick.expected - best.pick.wait);
   }
@@ -322,7 +305,7 @@
   for (const UpstreamPtr& upstream : table_.Of(service)) {
     if (upstream->region == region && table_.IsOpen(*upstream) &&
         !upstream->health.IsSuspect()) {
-      slots += upstream->info.slots;
+      slots += upstream->UsableSlots(bound_.RunSecondsOf(service), now);
       used += upstream->load.Expected(now);
       round_trip = std::max(round_trip, RoundTrip(*upstream));
     }
@@ -369,8 +352,8 @@
   const Duration usual =
       FromSeconds(Seconds(run) / upstream.slowness.Value(now));
   Warmth& warmth = profile.warmth;
-  const bool quick = upstream.IsCold(now) ? warmth.IsQuick(usual)
-                                          : warmth.OnRun(pick.sign, usual);
+  const bool quick = upstream.IsBounded(now) ? warmth.IsQuick(usual)
+                                             : warmth.OnRun(pick.sign, usual);
   if (!settings_.policy.IsOn(Mechanism::kSlowness)) {
     return;
   }
--- a/src/pathcleat/routing/upstream_picker_explain.cpp
+++ b/src/pathcleat/routing/upstream_picker_explain.cpp
@@ -10,7 +10,8 @@
 
 std::vector<Pick> UpstreamPicker::Explain(const PickRequest& request,
                                           Time now) {
-  std::vector<Candidate> candidates = Candidates(request, now);
+  std::vector<UpstreamPtr> passed_over;
+  std::vector<Candidate> candidates = Candidates(request, passed_over, now);
   if (request.sticky) {
     RankByKey(candidates, request.key, SharesOf(request.service, now));
   }
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/routing/upstream_table.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "pathcleat/core/hash.hpp"
@@ -12,6 +13,10 @@
 // About as many as an upstream of the users' services keeps in mind.
 constexpr std::size_t kKeysRemembered = 48;
 constexpr double kShareBurst = 1;
+// No upstream of the users answers sooner than this, seconds.
+constexpr double kShortestRun = 0.05;
+// Limits that differ by less are the same one.
+constexpr double kSameLimit = 0.01;
 // Orders reach a host within half a second of the store's answer, and so does
 // the list: twice that.
 constexpr Duration kNewVersionWait{1'000'000};
@@ -24,6 +29,12 @@
       keys(kKeysRemembered),
       share(0, kShareBurst) {}
 
+double UpstreamState::UsableSlots(double run_seconds, Time now) const {
+  const double slots = std::max(1, info.slots);
+  const bool limited = run_seconds > 0 && limit.IsInForce(now);
+  return limited ? std::min(slots, limit.PerSecond(now) * run_seconds) : slots;
+}
+
 UpstreamTable::UpstreamTable(
     std::map<std::string, std::string> region_of_domain,
     PolicySwitches policy)
@@ -60,6 +71,7 @@
       again || known == by_id_.end() ? Add(entry, now) : known->second;
   ++revision_;
   upstream->info = entry;
+  upstream->limit.SetCapacity(std::max(1, entry.slots) / kShortestRun);
   upstream->lapse_ends.reset();
   lapsed_.erase(entry.id);
   upstream->region = region_of_domain_[entry.domain];
@@ -67,15 +79,49 @@
     upstream->load.ShareAverage(AverageLoadOf(*upstream));
   }
   if (entry.cold_for > Duration::zero()) {
-    if (!upstream->IsBounded(now)) {
-      maybe_bounded_.push_back(upstream);
-    }
+    Watch(upstream);
     upstream->cold_until = std::max(upstream->cold_until, now + entry.cold_for);
     upstream->keys.Clear();
   }
   return again;
 }
 
+void UpstreamTable::Watch(const UpstreamPtr& upstream) {
+  if (!upstream->watched) {
+    upstream->watched = true;
+    maybe_bounded_.push_back(upstream);
+  }
+}
+
+LimitChange UpstreamTable::TakeLimit(const UpstreamPtr& upstream,
+                                     const LimitSign& sign,
+                                     Time now) {
+  UpstreamLimit& limit = upstream->limit;
+  const bool bound = limit.IsInForce(now);
+  const double before = bound ? limit.PerSecond(now) : 0;
+  if (!limit.Take(sign)) {
+    return LimitChange::kNone;
+  }
+  const bool binds = limit.IsInForce(now);
+  if (binds) {
+    Watch(upstream);
+  }
+  const double after = binds ? limit.PerSecond(now) : 0;
+  if (std::abs(after - before) <= before * kSameLimit) {
+    return LimitChange::kNone;
+  }
+  ++revision_;
+  if (bound && binds) {
+    return LimitChange::kChanged;
+  }
+  return binds ? LimitChange::kNamed : LimitChange::kEnded;
+}
+
+UpstreamPtr UpstreamTable::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
 std::shared_ptr<AverageLoad> UpstreamTable::AverageLoadOf(
     const UpstreamState& upstream) {
   auto& average = average_loads_[{upstream.info.service, upstream.region}];
@@ -111,9 +157,13 @@
 }
 
 const std::vector<UpstreamPtr>& UpstreamTable::MaybeBounded(Time now) {
+  const std::size_t watched = maybe_bounded_.size();
   std::erase_if(maybe_bounded_, [now](const UpstreamPtr& upstream) {
-    return upstream->removed || !upstream->IsBounded(now);
+    upstream->watched = !upstream->removed && upstream->IsBounded(now);
+    return !upstream->watched;
   });
+  // A limit may have lapsed.
+  revision_ += maybe_bounded_.size() < watched ? 1 : 0;
   return maybe_bounded_;
 }
 
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -57,6 +57,12 @@
   bounds.retry_slack =
       reader.NumberOr("retry_slack", kCount, bounds.retry_slack);
   bounds.cold_slack = reader.NumberOr("cold_slack", kCount, bounds.cold_slack);
+  bounds.limit_window =
+      MillisecondsOr(reader, "limit_window_ms", bounds.limit_window);
+  bounds.limit_overage =
+      reader.NumberOr("limit_overage", kRatio, bounds.limit_overage);
+  bounds.limit_slack =
+      reader.NumberOr("limit_slack", kCount, bounds.limit_slack);
   bounds.locate_ttl =
       MillisecondsOr(reader, "locate_ttl_ms", bounds.locate_ttl);
   bounds.stop_grace =
--- a/src/pathcleat/steer/token_bucket.cpp
+++ b/src/pathcleat/steer/token_bucket.cpp
@@ -31,6 +31,11 @@
       static_cast<Duration::rep>(std::ceil(missing / per_second_ * kMicros)));
 }
 
+void TokenBucket::GiveBack(Time now) {
+  tokens_ = std::min(burst_, TokensAt(now) + 1);
+  last_ = now;
+}
+
 void TokenBucket::SetRate(double per_second, Time now) {
   tokens_ = TokensAt(now);
   started_ = true;
