--- a/src/pathcleat/routing/upstream_limit.cpp
+++ b/src/pathcleat/routing/upstream_limit.cpp
@@ -7,8 +7,10 @@
 namespace pathcleat {
 namespace {
 
-// How far the ages that hosts tell each other may be off.
-constexpr Duration kAgeError{200'000};
+// An answer ends a limit if its request was sent so much later than the limit
+// was last named: the ages that hosts tell each other are a little off, and an
+// upstream may leave the field out of some answers.
+constexpr Duration kEndsAfter{1'000'000};
 constexpr Duration kAskedAfter{3'000'000};
 // Without an answer a limit holds as named for so long, then is doubled each
 // time that this has passed: longer than most requests run.
@@ -22,7 +24,7 @@
 
 bool UpstreamLimit::Take(const LimitSign& sign) {
   const bool ends = sign_ && sign_->per_second && !sign.per_second;
-  if (sign_ && sign.at <= sign_->at + (ends ? kAgeError : Duration::zero())) {
+  if (sign_ && sign.at <= sign_->at + (ends ? kEndsAfter : Duration::zero())) {
     return false;
   }
   sign_ = std::make_shared<const LimitSign>(sign);
