Rooms: rows of the store that hosts write leave gateway/ for records/

Hosts' own rows, secrets, operators' commands and what became of rollouts (command_log, fleet_rows, fleet_secrets, rollout_writer with their tests) know nothing of the gateway's tables. Moved as they were (git mv, includes, @ingroup); records uses store and fleet. The five tests pass as records_test.

--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -4,11 +4,11 @@
 #include <cstdint>
 #include <string>
 
-#include "pathcleat/gateway/command_log.hpp"
-#include "pathcleat/gateway/fleet_secrets.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 #include "pathcleat/query/command.hpp"
+#include "pathcleat/records/command_log.hpp"
+#include "pathcleat/records/fleet_secrets.hpp"
 
 namespace pathcleat {
 
--- a/include/pathcleat/gateway/command_log.hpp
+++ b/include/pathcleat/records/command_log.hpp
@@ -16,7 +16,7 @@
 namespace pathcleat {
 
 /// @brief What became of an operator's command.
-/// @ingroup gateway
+/// @ingroup records
 struct CommandResult {
   bool accepted = false;
   std::uint64_t version = 0;  ///< for an accepted command
@@ -27,7 +27,7 @@
 /// only if there is none, so that of two conflicting commands one is told of
 /// the other. Hosts learn from each other's heartbeats that there are newer
 /// ones and read them from the store.
-/// @ingroup gateway
+/// @ingroup records
 class CommandLog {
  public:
   /// @param on_change called when newer commands are in force.
--- a/include/pathcleat/gateway/fleet_rows.hpp
+++ b/include/pathcleat/records/fleet_rows.hpp
@@ -15,7 +15,7 @@
 /// calls. The own row is written before the others are read, so that of two
 /// hosts that start together at least one finds the other; where that write is
 /// not known to be done, both are repeated.
-/// @ingroup gateway
+/// @ingroup records
 class FleetRows {
  public:
   /// @param on_row given each row that is no host's.
--- a/include/pathcleat/gateway/fleet_secrets.hpp
+++ b/include/pathcleat/records/fleet_secrets.hpp
@@ -13,7 +13,7 @@
 /// @brief The secrets that hosts and operators prove themselves with. Hosts
 /// have no disk: the secrets lie in the store, made by whichever host is the
 /// first to find none.
-/// @ingroup gateway
+/// @ingroup records
 class FleetSecrets {
  public:
   FleetSecrets(boost::asio::io_context& loop,
--- a/include/pathcleat/gateway/rollout_writer.hpp
+++ b/include/pathcleat/records/rollout_writer.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "pathcleat/core/event_log.hpp"
-#include "pathcleat/gateway/command_log.hpp"
+#include "pathcleat/records/command_log.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/store/rollout_status.hpp"
 
@@ -16,7 +16,7 @@
 /// contradict each other the log keeps the first, and a status is written on
 /// the condition that it is the one that was read. So a writer that is killed
 /// at any point is stood in for, and an answer that was lost does no harm.
-/// @ingroup gateway
+/// @ingroup records
 class RolloutWriter {
  public:
   RolloutWriter(const std::string& host,
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -12,7 +12,6 @@
 #include <memory>
 
 #include "header_names.hpp"
-#include "pathcleat/gateway/fleet_secrets.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/lab/deployment_config.hpp"
@@ -24,6 +23,7 @@
 #include "pathcleat/lab/routing_model.hpp"
 #include "pathcleat/lab/slope.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
+#include "pathcleat/records/fleet_secrets.hpp"
 #include "pathcleat/settings/load_deployment.hpp"
 #include "platform_stand_in.hpp"
 #include "platform_table.hpp"
--- a/src/pathcleat/gateway/command_log.cpp
+++ b/src/pathcleat/records/command_log.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/command_log.hpp"
+#include "pathcleat/records/command_log.hpp"
 
 #include <array>
 #include <cereal/types/set.hpp>
--- a/src/pathcleat/gateway/fleet_secrets.cpp
+++ b/src/pathcleat/records/fleet_secrets.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/fleet_secrets.hpp"
+#include "pathcleat/records/fleet_secrets.hpp"
 
 #include <utility>
 
--- a/src/pathcleat/gateway/rollout_writer.cpp
+++ b/src/pathcleat/records/rollout_writer.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/rollout_writer.hpp"
+#include "pathcleat/records/rollout_writer.hpp"
 
 #include <utility>
 
