Parts of a fleet that do not hear each other share bounds on rates

A part with less than 0.67 of the hosts that may live now takes its part of the rate and of the slack (RateSenders::SetKnown). A host counts as cut off for ten minutes.

Found by pathcleat-lab limits; tests rate_share/halves_that_do_not_hear_each_ other_keep_the_bound and limit_model/limits_hold_while_the_fleet_is_cut_in_halves.

--- a/include/pathcleat/routing/rate_share.hpp
+++ b/include/pathcleat/routing/rate_share.hpp
@@ -46,6 +46,11 @@
     ++count_;
   }
 
+  /// @brief How many hosts the fleet may have, this one and those that may be
+  /// cut off from here included. Without most of them this part of the fleet
+  /// takes no more than its part of a bound: another one may send as well.
+  void SetKnown(int hosts) { known_ = hosts; }
+
   /// @brief Requests a second that this host may send to an upstream.
   /// @return 0 if the sending is left to others.
   double Rate(const RateBound& bound,
@@ -56,6 +61,7 @@
   std::uint64_t ranked() const { return ranked_; }
 
  private:
+  double PartOfFleet() const;
   int CountAhead(const std::vector<std::uint64_t>& hosts,
                  std::uint64_t upstream_hash,
                  int enough) const;
@@ -64,6 +70,7 @@
   std::string region_;
   std::map<std::string, std::vector<std::uint64_t>> others_;  ///< by region
   int count_ = 0;
+  int known_ = 0;
   mutable std::uint64_t ranked_ = 0;
 };
 
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kHeardWithin{3'000'000};
 constexpr Duration kUnheardCountsFor{10'000'000};
 
+// A host that was not heard for longer is gone and not cut off.
+constexpr Duration kMayBeCutOffFor = std::chrono::minutes(10);
+
 HostInfo SelfOf(const EntrySettings& settings, std::uint64_t incarnation) {
   HostInfo self;
   self.name = settings.host;
@@ -187,11 +190,16 @@
     return;
   }
   RateSenders senders(StableHash(settings.host), settings.region);
+  int known = 1;
   for (const KnownHost* host : hosts.Others()) {
     if (hosts.Shares(*host, now)) {
       senders.Add(StableHash(host->info.name), host->info.region);
     }
+    const bool may_live =
+        !host->info.leaving && now - host->heard < kMayBeCutOffFor;
+    known += may_live ? 1 : 0;
   }
+  senders.SetKnown(known);
   for (const UpstreamPtr& upstream : bounded) {
     if (const auto bound = BoundOf(*upstream, now)) {
       upstream->share.SetRate(
--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -178,6 +178,7 @@
         senders.Add(StableHash(other.name), "r");
       }
     }
+    senders.SetKnown(static_cast<int>(hosts_.size()));
     return senders.Rate({limit, kSlack + kOverage * limit * Seconds(kWindow)},
                         upstream.hash, "r");
   }
--- a/src/pathcleat/lab/limit_model_test.cpp
+++ b/src/pathcleat/lab/limit_model_test.cpp
@@ -53,6 +53,15 @@
   cr_assert_leq(PlayLimits(plan).worst_of_told, 1.0);
 }
 
+// Guards against two parts of a fleet that each take a limit whole.
+Test(limit_model, limits_hold_while_the_fleet_is_cut_in_halves) {
+  for (const int hosts_in_domain : {2, 13}) {
+    LimitModelPlan plan = Sized(hosts_in_domain, 24);
+    plan.cut_from = Duration(10'000'000);
+    cr_assert_leq(PlayLimits(plan).worst_of_allowed, 1.0);
+  }
+}
+
 // Checked to tell the ways apart: each fails what the few senders keep.
 Test(limit_model, other_ways_break_the_bound) {
   LimitModelPlan plan = Sized(50, 24);
--- a/src/pathcleat/routing/rate_share.cpp
+++ b/src/pathcleat/routing/rate_share.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr double kSlackPart = 0.5;
+// Two parts of a fleet that do not hear each other never hold this many both.
+constexpr double kMostOfFleet = 0.67;
 
 }  // namespace
 
@@ -16,6 +18,11 @@
   return std::max(1, static_cast<int>(slack * kSlackPart));
 }
 
+double RateSenders::PartOfFleet() const {
+  const double part = (count_ + 1.0) / std::max(1, known_);
+  return part < kMostOfFleet ? part : 1;
+}
+
 int RateSenders::CountAhead(const std::vector<std::uint64_t>& hosts,
                             std::uint64_t upstream_hash,
                             int enough) const {
@@ -34,7 +41,8 @@
 double RateSenders::Rate(const RateBound& bound,
                          std::uint64_t upstream_hash,
                          const std::string& upstream_region) const {
-  const int senders = std::min(RateSenderCount(bound.slack), count_ + 1);
+  const double part = PartOfFleet();
+  const int senders = std::min(RateSenderCount(bound.slack * part), count_ + 1);
   const bool near = region_ == upstream_region;
   int ahead = 0;
   for (const auto& [region, hosts] : others_) {
@@ -49,7 +57,7 @@
       ahead += CountAhead(hosts, upstream_hash, senders - ahead);
     }
   }
-  return ahead < senders ? bound.per_second / senders : 0;
+  return ahead < senders ? bound.per_second * part / senders : 0;
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/rate_share_test.cpp
+++ b/src/pathcleat/routing/rate_share_test.cpp
@@ -135,6 +135,34 @@
   }));
 }
 
+// Guards against parts of a fleet that do not hear each other and each take the
+// whole bound.
+Test(rate_share, halves_that_do_not_hear_each_other_keep_the_bound) {
+  cr_assert(Holds("the sum over both parts", [] {
+    const int count = *rc::gen::inRange(2, 60);
+    const int in_first = *rc::gen::inRange(1, count);
+    const std::vector<Sender> fleet = Fleet(count, count);
+    const RateBound bound{double(*rc::gen::inRange(1, 20)), 8};
+    double rate = 0;
+    int senders = 0;
+    for (int i = 0; i < count; ++i) {
+      RateSenders part(fleet[i].place.hash, "near");
+      part.SetKnown(count);
+      for (int other = 0; other < count; ++other) {
+        if (other != i && (other < in_first) == (i < in_first)) {
+          part.Add(fleet[other].place.hash, "near");
+        }
+      }
+      const double own = part.Rate(bound, 7, "near");
+      rate += own;
+      senders += own > 0 ? 1 : 0;
+    }
+    // Of one part of most hosts and one of the others at most.
+    RC_ASSERT(rate <= bound.per_second * 1.34);
+    RC_ASSERT(senders <= bound.slack);
+  }));
+}
+
 // Hosts ranked for each of many cold upstreams in three regions.
 double RankedFor(int hosts) {
   constexpr int kUpstreams = 900;
