Three tests allow for a host that gets no processor time for a second

gone/many_that_leave_at_once_free_their_slots: more runs than callers. Held answers are silence: after the patience of 1 to 2 s repeatable requests go to the other upstream, as they should. Trace: with answers held 3 s the same assertion fails (2 of 2), with patience off it passes. Now the target latency, from which patience is guessed, is a minute, and so is the time-out.

promise/lookup_that_left_a_silent_upstream_is_unknown: 504 for 502. A host that stands still has less than 0.4 s left after its patience and stays, which is unknown as well. Trace: SIGSTOP for 1 s, 0.6 or 0.9 s after the start, fails it with a deadline of 2 s (2 of 4 moments) and not with 5 s (0 of 4).

promise/planned_stop_answers_what_its_upstream_never_does: longer grace and target for the same reason; not traced: it stays listed (no end within 100 s in 2 of 30 runs at load 20, 1 of 5 others, none of 44; SIGSTOP for 1.5 s at six moments did not fail it).

What the tests demand is as before. All pass 3 of 3 at a load of 11 to 20.

--- a/src/pathcleat/lab/caller_leaves_test.cpp
+++ b/src/pathcleat/lab/caller_leaves_test.cpp
@@ -217,6 +217,10 @@
   constexpr std::size_t kCallers = 100;
   TestWorldPlan plan;
   plan.slots = kCallers;
+  // Nobody is answered: on a busy machine the upstreams would count as silent
+  // before all have sent.
+  plan.target_latency = Duration(60'000'000);
+  plan.timeout = Duration(60'000'000);
   TestWorld world(plan);
   world.StartAll();
   HoldAll(world);
--- a/src/pathcleat/lab/planned_stop_test.cpp
+++ b/src/pathcleat/lab/planned_stop_test.cpp
@@ -134,6 +134,10 @@
   TestWorldPlan plan;
   plan.hosts_in_domain = {1};
   plan.timeout = Duration(60'000'000);
+  // On a busy machine the upstreams, which answer nobody, would else count as
+  // silent before the last request is sent, and the stop be too far gone.
+  plan.target_latency = Duration(2'000'000);
+  plan.stop_grace = Duration(8'000'000);
   TestWorld world(plan);
   world.StartAll();
   world.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
--- a/src/pathcleat/lab/truthful_test.cpp
+++ b/src/pathcleat/lab/truthful_test.cpp
@@ -148,7 +148,8 @@
 // runs_.OnKnownNotRun called in OnPatienceOver.
 Test(promise, lookup_that_left_a_silent_upstream_is_unknown) {
   Order order;
-  order.deadline = milliseconds(2'000);
+  // A host that is late by more than what is left after its patience stays.
+  order.deadline = milliseconds(5'000);
   order.acts = {{Kind::kSilent, milliseconds(0)},
                 {Kind::kTurnAway, milliseconds(0)},
                 {Kind::kTurnAway, milliseconds(0)}};
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -30,6 +30,9 @@
   Duration timeout{5'000'000};
   Duration stop_grace{2'500'000};
   bool upstreams_keep_deadlines = false;
+  /// Of both routes: without answers, run times are guessed from it, and so is
+  /// when an upstream counts as silent.
+  Duration target_latency = Route().target_latency;
   /// Hosts that know other secrets than the rest, so that no host hears them.
   std::set<std::size_t> lone_hosts;
 };
@@ -328,6 +331,7 @@
     read.sticky = true;
     read.max_attempts = 2;
     read.timeout = plan_.timeout;
+    read.target_latency = plan_.target_latency;
     Route write = read;
     write.name = "write";
     write.path_prefix = "/s/write/";
