Tests of limits that failed with nothing switched off, now do

Reports are now on their way for 50 ms, a told limit is named once more by an answer, and admission_control/returns_are_spaced_by_all_bounded_upstreams is new.

--- a/src/pathcleat/routing/admission_control_test.cpp
+++ b/src/pathcleat/routing/admission_control_test.cpp
@@ -90,6 +90,30 @@
   cr_assert_leq(told[2], kDeadline / 3);
 }
 
+// Guards against callers that are all told to come back to one upstream of
+// bounded rate while others open as well.
+Test(admission_control, returns_are_spaced_by_all_bounded_upstreams) {
+  ReturnWorld world;
+  world.route().target_latency = Duration(2'000'000);
+  world.TurnCold(5);
+  UpstreamInfo other = world.upstream().info;
+  other.id = "n1";
+  world.table().Put(other, kStart);
+  for (const UpstreamPtr& upstream : world.table().All()) {
+    upstream->share.SetRate(5, kStart);
+    upstream->share.TryTake(kStart);
+  }
+  std::vector<Duration> told;
+  for (int i = 0; i < 3; ++i) {
+    told.push_back(world.Choose(kStart).retry_after);
+  }
+  std::sort(told.begin(), told.end());
+  // Each lets one through every 0.2 s, so together every 0.1 s.
+  constexpr Duration kApart{100'000};
+  cr_assert_eq(told[1] - told[0], kApart);
+  cr_assert_eq(told[2] - told[1], kApart);
+}
+
 // Checked to fail with RetriedAt taken out of OpeningOf.
 Test(admission_control, failed_upstream_is_returned_to_when_it_is_tried) {
   ReturnWorld world;
--- a/src/pathcleat/routing/limit_exchange_test.cpp
+++ b/src/pathcleat/routing/limit_exchange_test.cpp
@@ -63,6 +63,7 @@
     other.exchange.OnLimits(host.exchange.OwnLimits(kStart + i * kSecond),
                             kStart + i * kSecond);
   }
+  other.exchange.OnNamed(other.upstream(), 1.7, kStart + 5 * kSecond);
   cr_assert_eq(host.changes.size(), 1U);
   cr_assert_eq(other.changes.size(), 1U);
 }
@@ -72,12 +73,13 @@
   HostView a("a", "d1");
   HostView b("b", "d1");
   a.exchange.OnNamed(a.upstream(), 1, kStart);
+  constexpr Duration kWay{50'000};
   Time now = kStart;
   for (int i = 0; i < 40; ++i, now += kSecond / 2) {
     a.exchange.OwnLimits(now);
     b.exchange.OwnLimits(now);
-    b.exchange.OnLimits(a.exchange.DomainLimits(now), now);
-    a.exchange.OnLimits(b.exchange.DomainLimits(now), now);
+    b.exchange.OnLimits(a.exchange.DomainLimits(now), now + kWay);
+    a.exchange.OnLimits(b.exchange.DomainLimits(now), now + kWay);
   }
   cr_assert_leq(a.upstream()->limit.sign()->at, kStart);
   cr_assert_leq(b.upstream()->limit.sign()->at, kStart);
