--- a/src/pathcleat/lab/limited_upstream_test.cpp
+++ b/src/pathcleat/lab/limited_upstream_test.cpp
@@ -60,5 +60,81 @@
   cr_assert_geq(served, 4);
 }
 
+bool Knows(TestWorld& world, std::size_t host, const std::string& upstream) {
+  return world.host(host).state().limits.in_force().contains(upstream);
+}
+
+// Guards against hosts that learn of a limit, and of its end, by their own
+// requests alone: those that are no senders send none.
+Test(limited_upstream, hosts_that_get_no_answer_are_told_of_it_and_of_its_end) {
+  TestWorldPlan plan = Plan();
+  plan.upstreams_in_domain = 1;
+  TestWorld world(plan);
+  world.StartAll();
+  UpstreamStandIn& limited = world.upstream(0);
+  limited.NameLimit("3");
+  int next = 0;
+  const auto ask_first_host_until = [&](const std::function<bool()>& done) {
+    while (!done()) {
+      world.Get(0, "r" + std::to_string(next++));
+    }
+  };
+  const auto all_know = [&](bool known) {
+    for (std::size_t host = 0; host < kHosts; ++host) {
+      if (Knows(world, host, limited.id()) != known) {
+        return false;
+      }
+    }
+    return true;
+  };
+  ask_first_host_until([&] { return all_know(true); });
+  cr_assert(world.HasEvent(kHosts - 1, EventCode::kUpstreamLimited));
+  const std::string shown = world.Command(0, "show upstreams").response.body;
+  cr_assert(shown.find("takes 3 requests a second") != std::string::npos);
+  limited.NameLimit("");
+  ask_first_host_until([&] { return all_know(false); });
+  cr_assert(world.HasEvent(kHosts - 1, EventCode::kUpstreamLimitEnded));
+}
+
+// Guards against a limit that is none and stops all sending, or is logged with
+// each answer.
+Test(limited_upstream, unreadable_limit_is_told_once_and_binds_nothing) {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {1};
+  TestWorld world(plan);
+  world.StartAll();
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.NameLimit("-1"); });
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(world.Get(0, "r" + std::to_string(i)).response.status,
+                 http_status::kOk);
+  }
+  int told = 0;
+  for (const Event& event : world.host(0).state().events.Snapshot()) {
+    told += event.code == EventCode::kUpstreamLimitUnreadable ? 1 : 0;
+  }
+  cr_assert_geq(told, 1);
+  cr_assert_leq(told, static_cast<int>(world.upstreams()));
+}
+
+// Guards against requests that wait, or are sent all the same, where all
+// upstreams have named how little they take.
+Test(limited_upstream, beyond_all_limits_requests_are_refused_at_once) {
+  TestWorldPlan plan;
+  plan.hosts_in_domain = {1};
+  TestWorld world(plan);
+  world.StartAll();
+  world.ForEachUpstream([](UpstreamStandIn& u) { u.NameLimit("1"); });
+  int refused = 0;
+  for (int i = 0; i < 50; ++i) {
+    const CallResult result = world.Get(0, "r" + std::to_string(i));
+    if (result.response.status == http_status::kUnavailable) {
+      ++refused;
+      cr_assert(FindHeader(result.response.headers, "Retry-After").has_value());
+      cr_assert_eq(world.RunsOf("r" + std::to_string(i)), 0);
+    }
+  }
+  cr_assert_geq(refused, 20);
+}
+
 }  // namespace
 }  // namespace pathcleat
