--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -224,7 +224,7 @@
 }
 
 std::string OperatorService::RateLimitText(const UpstreamState& upstream,
-                                       Time now) {
+                                           Time now) {
   if (!upstream.limit.IsInForce(now)) {
     return "";
   }
@@ -248,7 +248,8 @@
          << upstream->load.Expected(now) << " of " << upstream->info.slots
          << " slots in use"
          << (state_.upstreams.IsOpen(*upstream) ? "" : ", drained or leaving")
-         << (upstream->IsCold(now) ? ", cold" : "") << RateLimitText(*upstream, now)
+         << (upstream->IsCold(now) ? ", cold" : "")
+         << RateLimitText(*upstream, now)
          << (upstream->health.IsSuspect() ? ", does not answer" : "") << "\n";
   }
   return text.str();
--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "limit_windows.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/routing/limit_exchange.hpp"
 #include "pathcleat/routing/rate_share.hpp"
@@ -20,31 +21,11 @@
 constexpr Duration kStep{5'000};
 constexpr Duration kTick{250'000};
 constexpr Duration kTellEvery{500'000};
-constexpr Duration kWindow{4'000'000};
 constexpr Duration kContact{3'000'000};
 constexpr Duration kToldBefore{500'000};
 // A host that is not heard counts for so long where limits are shared.
 constexpr Duration kSharesFor{4'000'000};
 constexpr Duration kLongestQueue{2'000'000};
-constexpr double kOverage = 0.5;
-constexpr double kSlack = 5;
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-// The most arrivals in one window.
-double MostInWindow(const std::vector<Time>& arrivals) {
-  std::size_t most = 0;
-  std::size_t first = 0;
-  for (std::size_t last = 0; last < arrivals.size(); ++last) {
-    while (arrivals[last] - arrivals[first] >= kWindow) {
-      ++first;
-    }
-    most = std::max(most, last - first + 1);
-  }
-  return static_cast<double>(most);
-}
 
 class LimitPlay {
  public:
@@ -88,14 +69,9 @@
     Time next_tick;
     Time next_tell;
   };
-  struct Arrival {
-    Time at;
-    std::size_t host;
-    bool told;
-  };
   struct Upstream {
     std::vector<Time> free;  ///< when each slot is
-    std::vector<Arrival> arrivals;
+    std::vector<LimitArrival> arrivals;
     Time first_named;
   };
   struct Work {
@@ -110,7 +86,6 @@
     std::size_t to;
     LimitReport report;
   };
-
   static std::size_t Count(int count) {
     return static_cast<std::size_t>(count);
   }
@@ -142,8 +117,7 @@
   }
 
   Duration UpTo(Duration most) {
-    return Duration(
-        std::uniform_int_distribution<std::int64_t>(0, most.count())(random_));
+    return Duration(AnyOf(static_cast<std::size_t>(most.count()) + 1));
   }
   std::size_t AnyOf(std::size_t count) {
     return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
@@ -179,8 +153,9 @@
       }
     }
     senders.SetKnown(static_cast<int>(hosts_.size()));
-    return senders.Rate({limit, kSlack + kOverage * limit * Seconds(kWindow)},
-                        upstream.hash, "r");
+    return senders.Rate(
+        {limit, kLimitSlack + kLimitOverage * limit * Seconds(kLimitWindow)},
+        upstream.hash, "r");
   }
 
   // What others sent is told in rounds.
@@ -191,10 +166,10 @@
         begun_ + (now_ - plan_.one_way - begun_) / kTellEvery * kTellEvery;
     double sent = 0;
     for (auto at = upstream.arrivals.rbegin();
-         at != upstream.arrivals.rend() && now_ - at->at < kWindow; ++at) {
+         at != upstream.arrivals.rend() && now_ - at->at < kLimitWindow; ++at) {
       sent += at->host == host || at->at <= told ? 1 : 0;
     }
-    return sent < state.limit.PerSecond(now_) * Seconds(kWindow);
+    return sent < state.limit.PerSecond(now_) * Seconds(kLimitWindow);
   }
 
   bool MayTake(std::size_t host, std::size_t index) {
@@ -356,10 +331,10 @@
 
   void Restart() {
     const Time middle = begun_ + (plan_.needs_from + plan_.needs_until) / 2;
-    if (plan_.restarts_one_of == 0 || now_ < middle || restarted_) {
+    if (plan_.restarts_one_of == 0 || now_ < middle ||
+        std::exchange(restarted_, true)) {
       return;
     }
-    restarted_ = true;
     for (std::size_t i = 0; i < hosts_.size();
          i += Count(plan_.restarts_one_of)) {
       Start(hosts_[i]);
@@ -368,18 +343,15 @@
 
   void NoteKnownOver() {
     const Time over = begun_ + plan_.needs_until;
-    const bool anybody = std::any_of(
-        hosts_.begin(), hosts_.end(),
-        [](const Host& host) { return !host.exchange->in_force().empty(); });
-    if (now_ > over && anybody) {
-      known_over_ = now_ - over;
+    for (const Host& host : hosts_) {
+      if (now_ > over && !host.exchange->in_force().empty()) {
+        known_over_ = now_ - over;
+      }
     }
   }
 
   LimitModelResult Result() const {
     const double limit = plan_.limit_per_second;
-    const double window = Seconds(kWindow);
-    const double allowed = (1 + kOverage) * limit * window + kSlack;
     const Time over = begun_ + plan_.needs_until;
     LimitModelResult result;
     double used = 0;
@@ -389,21 +361,12 @@
       if (upstream.first_named == Time() || from >= over) {
         continue;
       }
-      std::vector<Time> all;
-      std::vector<Time> told;
-      for (const Arrival& arrival : upstream.arrivals) {
-        if (arrival.at >= from && arrival.at < over) {
-          all.push_back(arrival.at);
-          if (arrival.told) {
-            told.push_back(arrival.at);
-          }
-        }
-      }
+      const LimitUse use = UseOf(upstream.arrivals, {limit, from, over});
       result.worst_of_allowed =
-          std::max(result.worst_of_allowed, MostInWindow(all) / allowed);
+          std::max(result.worst_of_allowed, use.fullest_of_allowed);
       result.worst_of_told =
-          std::max(result.worst_of_told, MostInWindow(told) / allowed);
-      used += static_cast<double>(all.size()) / (limit * Seconds(over - from));
+          std::max(result.worst_of_told, use.fullest_of_told);
+      used += use.used;
     }
     result.used = used / plan_.limited;
     result.refused = refused_ / requests_;
--- a/src/pathcleat/testing/test_world.hpp
+++ b/src/pathcleat/testing/test_world.hpp
@@ -17,26 +17,10 @@
 #include "platform_table.hpp"
 #include "property.hpp"
 #include "rollout_rows.hpp"
+#include "test_world_plan.hpp"
 
 namespace pathcleat {
 
-/// @brief Shape of a small world for tests: one failure domain a region.
-struct TestWorldPlan {
-  std::vector<int> hosts_in_domain{2};
-  int upstreams_in_domain = 2;
-  int slots = 2;
-  std::chrono::milliseconds service_time{2};
-  HttpLimits caller_limits;
-  Duration timeout{5'000'000};
-  Duration stop_grace{2'500'000};
-  bool upstreams_keep_deadlines = false;
-  /// Of both routes: without answers, run times are guessed from it, and so is
-  /// when an upstream counts as silent.
-  Duration target_latency = Route().target_latency;
-  /// Hosts that know other secrets than the rest, so that no host hears them.
-  std::set<std::size_t> lone_hosts;
-};
-
 /// @brief Entry hosts, upstream stand-ins and a stand-in of the platform in
 /// one process and one event loop, over real sockets.
 class TestWorld {
--- /dev/null
+++ b/src/pathcleat/testing/test_world_plan.hpp
@@ -0,0 +1,31 @@
+// Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <set>
+#include <vector>
+
+#include "pathcleat/core/time.hpp"
+#include "pathcleat/http/http_limits.hpp"
+#include "pathcleat/routing/route.hpp"
+
+namespace pathcleat {
+
+/// @brief Shape of a small world for tests: one failure domain a region.
+struct TestWorldPlan {
+  std::vector<int> hosts_in_domain{2};
+  int upstreams_in_domain = 2;
+  int slots = 2;
+  std::chrono::milliseconds service_time{2};
+  HttpLimits caller_limits;
+  Duration timeout{5'000'000};
+  Duration stop_grace{2'500'000};
+  bool upstreams_keep_deadlines = false;
+  /// Without answers, when an upstream counts as silent is guessed from it.
+  Duration target_latency = Route().target_latency;
+  /// Hosts that know other secrets than the rest, so that no host hears them.
+  std::set<std::size_t> lone_hosts;
+};
+
+}  // namespace pathcleat
