--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -96,7 +96,7 @@
     host.exchange = std::make_unique<LimitExchange>(
         *host.table, host.name, "domain-" + std::to_string(host.domain));
     host.exchange->SetOnChange(
-        [this, &host](UpstreamState& upstream, LimitChange change) {
+        [this](UpstreamState& upstream, LimitChange change) {
           if (change == LimitChange::kNamed) {
             upstream.share.SetRate(0, now_);
           }
