--- a/src/pathcleat/routing/kind_regions_test.cpp
+++ b/src/pathcleat/routing/kind_regions_test.cpp
@@ -9,12 +9,12 @@
 
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
+#include "picker_world.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
 namespace {
 
-const Time kStart{Duration(1'000'000)};
 constexpr std::uint64_t kLargeBytes = 90'000;
 constexpr int kRequests = 400;
 
@@ -48,7 +48,8 @@
   std::map<std::string, int> Regions(const Route& route, Time now) {
     std::map<std::string, int> regions;
     for (int i = 0; i < kRequests; ++i) {
-      const Pick pick = picker_.Choose(Request(route, MixHashes(7, i)), now);
+      const Pick pick =
+          picker_.Choose(StickyRequest(route, MixHashes(7, i)), now);
       if (pick.upstream) {
         ++regions[pick.upstream->region];
       }
@@ -68,20 +69,9 @@
     return settings;
   }
 
-  static PickRequest Request(const Route& route, std::uint64_t key) {
-    PickRequest request;
-    request.route = &route;
-    request.service = "service";
-    request.key = key;
-    request.sticky = true;
-    request.time_left = Duration(2'000'000);
-    request.caller_deadline = request.time_left;
-    return request;
-  }
-
   void LearnSize() {
     for (int i = 0; i < kRequests; ++i) {
-      const PickRequest request = Request(download_, MixHashes(9, i));
+      const PickRequest request = StickyRequest(download_, MixHashes(9, i));
       const Pick pick = picker_.Choose(request, kStart);
       picker_.OnAnswer(*pick.upstream, request, pick,
                        {Duration(100'000), kLargeBytes, false}, kStart);
--- a/src/pathcleat/testing/picker_world.hpp
+++ b/src/pathcleat/testing/picker_world.hpp
@@ -10,6 +10,18 @@
 
 inline const Time kStart{Duration(1'000'000)};
 
+/// @brief A request for an object, with two seconds left.
+inline PickRequest StickyRequest(const Route& route, std::uint64_t key) {
+  PickRequest request;
+  request.route = &route;
+  request.service = "service";
+  request.key = key;
+  request.sticky = true;
+  request.time_left = Duration(2'000'000);
+  request.caller_deadline = request.time_left;
+  return request;
+}
+
 /// @brief Two regions of one failure domain each, and one host's view of them.
 class PickerWorld {
  public:
@@ -42,14 +54,7 @@
   }
 
   PickRequest Request(std::uint64_t key) const {
-    PickRequest request;
-    request.route = &route_;
-    request.service = "service";
-    request.key = key;
-    request.sticky = true;
-    request.time_left = Duration(2'000'000);
-    request.caller_deadline = request.time_left;
-    return request;
+    return StickyRequest(route_, key);
   }
 
   Pick Choose(std::uint64_t key, Time now = kStart) {
