--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -90,8 +90,8 @@
   callback(result);
 }
 
-// Another upstream that has the address now speaks for itself; and what was not
-// run may come from where the upstream's state is not known.
+// Another upstream that has the address now speaks for itself. A rejection may
+// name a limit, but does not end one by leaving it out.
 void UpstreamAttempt::NoteLimit(const HttpResponse& response) {
   const Time now = BootClock::now();
   const UpstreamPtr& upstream = pick_.upstream;
