PC1113 tells the Retry-After that an upstream's rejection carried

The record of the incident could not tell whether the refusals asked for a pause, and for how long: PC1309 passes over fields of HTTP, and PC1113 told the status alone.

--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -62,6 +62,7 @@
 constexpr const char* kRefused = "refused";
 constexpr const char* kRepeatable = "repeatable";
 constexpr const char* kReplaces = "replaces";
+constexpr const char* kRetryAfter = "retry_after";
 constexpr const char* kRetryAfterMs = "retry_after_ms";
 constexpr const char* kRoute = "route";
 constexpr const char* kService = "service";
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -55,6 +55,9 @@
                   const std::string& detail,
                   Duration elapsed);
 
+  /// @brief Notes that an upstream has not run the request.
+  void NoteNotRun(const std::string& upstream, const HttpResponse& response);
+
   /// @brief Notes that the request is not sent because it is suspected of
   /// crashing upstreams.
   void NoteSuspected(RequestDigest request, const CrashDecision& decision);
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -257,9 +257,7 @@
       state_.OnAttemptFailed(upstream);
     }
     ++upstream.not_run;
-    trace_.Note(EventCode::kAttemptNotRun,
-                {{field::kUpstream, upstream.info.id},
-                 IntegerField(field::kStatus, result.response.status)});
+    trace_.NoteNotRun(upstream.info.id, result.response);
     RetryOrGiveUp();
     return;
   }
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -96,6 +96,16 @@
         MillisecondsField(field::kElapsedMs, elapsed)});
 }
 
+void RequestTrace::NoteNotRun(const std::string& upstream,
+                              const HttpResponse& response) {
+  EventFields fields = {{field::kUpstream, upstream},
+                        IntegerField(field::kStatus, response.status)};
+  if (const auto retry_after = FindHeader(response.headers, "Retry-After")) {
+    fields.push_back({field::kRetryAfter, *retry_after});
+  }
+  Note(EventCode::kAttemptNotRun, std::move(fields));
+}
+
 void RequestTrace::NoteSuspected(RequestDigest request,
                                  const CrashDecision& decision) {
   EventFields fields = ToEventFields(decision);
