--- a/include/pathcleat/calls/header_names.hpp
+++ b/include/pathcleat/calls/header_names.hpp
@@ -19,6 +19,8 @@
   std::string load = "X-Upstream-Load";  ///< "running,waiting,slots": counts
   std::string rate_limit =
       "X-Upstream-Limit";  ///< requests per second that the upstream accepts
+  std::string leaving =
+      "X-Upstream-Leaving";  ///< "1": the upstream is about to stop
   std::string not_run = "X-Not-Run";
   std::string cold_ms = "X-Cold-Ms";
   std::string signature;  ///< field that every complete answer carries
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -101,6 +101,23 @@
   /// answers from now on; empty: no header.
   void SetLimitHeader(std::string limit) { limit_header_ = std::move(limit); }
 
+  /// @brief Sends this text as the header that announces leaving in all
+  /// answers from now on; empty: no header.
+  void SetLeavingHeader(std::string leaving) {
+    leaving_header_ = std::move(leaving);
+  }
+
+  /// @brief From now on rejects all requests with status 503 and this text as
+  /// Retry-After header; empty: stops.
+  /// @param states_not_run whether the answers state that the request has not
+  /// run.
+  void RejectWithRetryAfter(std::string retry_after,
+                            bool states_not_run = true) {
+    retry_after_ = std::move(retry_after);
+    states_not_run_ = states_not_run;
+    reject_requests_ = !retry_after_.empty();
+  }
+
   /// @brief Called for each request from now on; returns how to handle it.
   using ActionChooser = std::function<UpstreamAction()>;
   void SetActionChooser(ActionChooser chooser) {
@@ -144,13 +161,16 @@
   std::vector<HttpExchangePtr> queue_;
   ActionChooser action_chooser_;
   AnswerCorruption corruption_ = AnswerCorruption::kNone;
-  std::string limit_header_;  ///< rate limit header sent; empty: no header
-  std::string crash_target_;  ///< target that causes a crash; empty: none
+  std::string limit_header_;    ///< rate limit header sent; empty: no header
+  std::string leaving_header_;  ///< leaving header sent; empty: no header
+  std::string retry_after_;     ///< sent with rejections; empty: no header
+  std::string crash_target_;    ///< target that causes a crash; empty: none
   int in_flight_ = 0;
   /// Time up to which ledger_.slot_seconds is summed.
   Time slot_seconds_until_;
   bool hold_answers_ = false;
   bool reject_requests_ = false;
+  bool states_not_run_ = true;  ///< rejections carry the "not run" header
 };
 
 /// @brief The body with which a stand-in answers a request. By comparing it, a
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -64,6 +64,9 @@
   if (!limit_header_.empty()) {
     response.headers.push_back({options_.headers.rate_limit, limit_header_});
   }
+  if (!leaving_header_.empty()) {
+    response.headers.push_back({options_.headers.leaving, leaving_header_});
+  }
 }
 
 void UpstreamStandIn::Handle(const HttpExchangePtr& exchange) {
@@ -167,7 +170,12 @@
                                      int status) {
   ++ledger_.rejected;
   HttpResponse response = TextResponse(status, "not run\n");
-  response.headers.push_back({options_.headers.not_run, "1"});
+  if (states_not_run_) {
+    response.headers.push_back({options_.headers.not_run, "1"});
+  }
+  if (!retry_after_.empty() && status == http_status::kUnavailable) {
+    response.headers.push_back({"Retry-After", retry_after_});
+  }
   AddStateHeaders(response);
   exchange->Respond(std::move(response));
 }
--- a/tools/check_style.sh
+++ b/tools/check_style.sh
@@ -9,7 +9,7 @@
 cd "$root"
 git ls-files '*.cpp' '*.hpp' | xargs clang-format-14 --dry-run -Werror
 # Names of the users' platform may be used in platform/ only.
-words='rows-tx|rows-get|rows-feed|ExpectedRev|TlsKey|TargetVersion|Pathcleat-(Expect|Server|Not|Instance|Cold|Affinity|Deadline|Response)'
+words='rows-tx|rows-get|rows-feed|ExpectedRev|TlsKey|TargetVersion|Server-(Leaving|Limit)|Pathcleat-(Expect|Server|Not|Instance|Cold|Affinity|Deadline|Response)'
 if git grep -nE "$words" -- include src ':!*_test.cpp' ':!src/pathcleat/testing'; then
   echo "the platform's names stand outside platform/" >&2
   exit 1
