LimitExchange is StatementExchange: a report of what upstreams state

Names alone: the report of rate limits between hosts is to carry whatever an upstream states in its answers that concerns all hosts, so that a second statement needs no second exchange beside it. No behaviour changed; message kind and metrics keep their names.

--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -20,7 +20,7 @@
 #include "pathcleat/fleet/heartbeat_plan.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
-#include "pathcleat/routing/limit_report.hpp"
+#include "pathcleat/routing/statement_report.hpp"
 
 namespace pathcleat {
 
@@ -31,7 +31,7 @@
   UsagePublisher& usage;    ///< usage of account limits, in separate messages
   TallyPublisher& tallies;  ///< rollout tallies, in heartbeats and reports
   CrashPublisher& crashes;  ///< crashing requests, in separate messages
-  LimitPublisher& limits;   ///< upstreams' rate limits, in separate messages
+  StatementPublisher& limits;  ///< upstreams' rate limits, in separate messages
 };
 
 /// @brief Exchanges heartbeats with the other hosts of the failure domain and
@@ -81,7 +81,7 @@
   /// @brief Sends recent observations of upstreams' rate limits to the hosts
   /// that receive this host's heartbeats and, if this host reports for its
   /// domain, to the other domains and to the rest of its own.
-  void PublishLimits();
+  void PublishStatements();
 
  private:
   void Tick();
@@ -110,9 +110,9 @@
   void OnCrashReport(const CrashReport& report);
   void SendCrashes(const std::vector<std::string>& receivers,
                    const CrashReport& report);
-  void OnLimitReport(const LimitReport& report);
-  void SendLimits(const std::vector<std::string>& receivers,
-                  const LimitReport& report);
+  void OnStatementReport(const StatementReport& report);
+  void SendStatements(const std::vector<std::string>& receivers,
+                      const StatementReport& report);
   void Send(const std::string& address, const std::string& sealed);
 
   HostTable& hosts_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -22,10 +22,10 @@
 #include "pathcleat/gateway/quota_enforcer.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
-#include "pathcleat/routing/limit_exchange.hpp"
 #include "pathcleat/routing/rate_share.hpp"
 #include "pathcleat/routing/route_table.hpp"
 #include "pathcleat/routing/split_balancer.hpp"
+#include "pathcleat/routing/statement_exchange.hpp"
 #include "pathcleat/routing/upstream_picker.hpp"
 #include "pathcleat/routing/upstream_table.hpp"
 #include "pathcleat/settings/entry_settings.hpp"
@@ -100,7 +100,7 @@
   CrashTracker crashes;
   ListenProbe listen_probe;
   UnknownHeaders unknown_headers;
-  LimitExchange upstream_limits;
+  StatementExchange upstream_statements;
   int in_flight_count = 0;  ///< callers' requests not answered yet
   std::uint64_t next_request = 1;
   bool leaving = false;
--- a/include/pathcleat/routing/limit_exchange.hpp
+++ b/include/pathcleat/routing/statement_exchange.hpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <string>
 
-#include "pathcleat/routing/limit_report.hpp"
+#include "pathcleat/routing/statement_report.hpp"
 #include "pathcleat/routing/upstream_table.hpp"
 
 namespace pathcleat {
@@ -18,13 +18,13 @@
 /// reporters of each failure domain forward them to the other domains. Not
 /// thread-safe.
 /// @ingroup routing
-class LimitExchange final : public LimitPublisher {
+class StatementExchange final : public StatementPublisher {
  public:
   /// @brief Called with each change of the limit in force for an upstream.
   using OnChange = std::function<void(UpstreamState&, LimitChange)>;
 
   /// @param table must outlive this.
-  LimitExchange(UpstreamTable& table, std::string host, std::string domain);
+  StatementExchange(UpstreamTable& table, std::string host, std::string domain);
 
   void SetOnChange(OnChange on_change) { on_change_ = std::move(on_change); }
 
@@ -55,10 +55,10 @@
   /// @param sent when the request of that answer was sent.
   void OnNoLimitReported(const UpstreamPtr& upstream, Time sent, Time now);
 
-  LimitReport OwnLimits(Time now) override;
-  LimitReport DomainLimits(Time now) override;
-  LimitReport LimitSnapshot(Time now) override;
-  void OnLimitReport(const LimitReport& report, Time now) override;
+  StatementReport OwnStatements(Time now) override;
+  StatementReport DomainStatements(Time now) override;
+  StatementReport StatementSnapshot(Time now) override;
+  void OnStatementReport(const StatementReport& report, Time now) override;
 
  private:
   using Upstreams = std::map<std::string, UpstreamPtr>;
@@ -70,7 +70,7 @@
                 const LimitObservation& observation,
                 Time now);
   void RecordChange(const UpstreamPtr& upstream, LimitChange change);
-  LimitReport MakeReport(
+  StatementReport MakeReport(
       bool forward_to_domain,
       const Upstreams& upstreams,
       const std::function<bool(const LimitObservation&)>& is_included,
--- a/include/pathcleat/routing/limit_report.hpp
+++ b/include/pathcleat/routing/statement_report.hpp
@@ -37,7 +37,7 @@
 
 /// @brief Rate limits stated by upstreams, as one host reports them to another.
 /// @ingroup routing
-struct LimitReport {
+struct StatementReport {
   std::string domain;  ///< failure domain of the sender
   std::string host;    ///< name of the sender
   bool forward_to_domain =
@@ -52,30 +52,30 @@
 
 /// @brief Encodes a report in the portable binary format of cereal.
 /// @ingroup routing
-std::string EncodeLimits(const LimitReport& report);
+std::string EncodeStatements(const StatementReport& report);
 
 /// @brief Decodes a report; empty if the bytes are not a valid report.
 /// @ingroup routing
-std::optional<LimitReport> DecodeLimits(std::string_view bytes);
+std::optional<StatementReport> DecodeStatements(std::string_view bytes);
 
 /// @brief Supplies the limits that this host reports to other hosts, and
 /// receives the limits that they report.
 /// @ingroup routing
-class LimitPublisher {
+class StatementPublisher {
  public:
-  virtual ~LimitPublisher() = default;
+  virtual ~StatementPublisher() = default;
 
   /// @brief Limits that this host recently read in answers.
-  virtual LimitReport OwnLimits(Time now) = 0;
+  virtual StatementReport OwnStatements(Time now) = 0;
 
   /// @brief Limits that hosts of this host's failure domain recently read in
   /// answers.
-  virtual LimitReport DomainLimits(Time now) = 0;
+  virtual StatementReport DomainStatements(Time now) = 0;
 
   /// @brief Limits in force, for a host that has just started.
-  virtual LimitReport LimitSnapshot(Time now) = 0;
+  virtual StatementReport StatementSnapshot(Time now) = 0;
 
-  virtual void OnLimitReport(const LimitReport& report, Time now) = 0;
+  virtual void OnStatementReport(const StatementReport& report, Time now) = 0;
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -80,7 +80,7 @@
   }
   PublishUsage();
   PublishCrashes();
-  PublishLimits();
+  PublishStatements();
   timer_.expires_after(kHeartbeatInterval);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -216,9 +216,9 @@
       return;
     }
   } else if (datagram && datagram->kind == DatagramKind::kLimits) {
-    if (const auto report = DecodeLimits(datagram->message)) {
+    if (const auto report = DecodeStatements(datagram->message)) {
       traffic_.OnReceived(PeerMessageKind::kLimits, size);
-      OnLimitReport(*report);
+      OnStatementReport(*report);
       return;
     }
   } else if (datagram) {
@@ -249,8 +249,8 @@
     SendUsageSnapshot(heartbeat.host.peer_address);
     SendCrashes({heartbeat.host.peer_address},
                 publishers_.crashes.CrashSnapshot(BootClock::now()));
-    SendLimits({heartbeat.host.peer_address},
-               publishers_.limits.LimitSnapshot(BootClock::now()));
+    SendStatements({heartbeat.host.peer_address},
+                   publishers_.limits.StatementSnapshot(BootClock::now()));
   }
 }
 
--- a/src/pathcleat/fleet/peer_link_publishers.cpp
+++ b/src/pathcleat/fleet/peer_link_publishers.cpp
@@ -117,38 +117,38 @@
   }
 }
 
-void PeerLink::PublishLimits() {
+void PeerLink::PublishStatements() {
   const Time now = BootClock::now();
-  SendLimits(plan_.Receivers(now), publishers_.limits.OwnLimits(now));
+  SendStatements(plan_.Receivers(now), publishers_.limits.OwnStatements(now));
   if (!reporter_.IsReporter(now)) {
     return;
   }
-  LimitReport report = publishers_.limits.DomainLimits(now);
-  SendLimits(reporter_.Receivers(now), report);
+  StatementReport report = publishers_.limits.DomainStatements(now);
+  SendStatements(reporter_.Receivers(now), report);
   report.forward_to_domain = false;
-  SendLimits(plan_.OwnReportReceivers(now), report);
+  SendStatements(plan_.OwnReportReceivers(now), report);
 }
 
-void PeerLink::SendLimits(const std::vector<std::string>& receivers,
-                          const LimitReport& report) {
+void PeerLink::SendStatements(const std::vector<std::string>& receivers,
+                              const StatementReport& report) {
   if (report.entries.empty()) {
     return;
   }
   const std::string sealed =
-      SealDatagram(DatagramKind::kLimits, EncodeLimits(report), key_);
+      SealDatagram(DatagramKind::kLimits, EncodeStatements(report), key_);
   for (const std::string& address : receivers) {
     traffic_.OnSent(PeerMessageKind::kLimits, sealed.size());
     Send(address, sealed);
   }
 }
 
-void PeerLink::OnLimitReport(const LimitReport& report) {
+void PeerLink::OnStatementReport(const StatementReport& report) {
   const Time now = BootClock::now();
-  publishers_.limits.OnLimitReport(report, now);
+  publishers_.limits.OnStatementReport(report, now);
   if (report.forward_to_domain) {
-    LimitReport forwarded = report;
+    StatementReport forwarded = report;
     forwarded.forward_to_domain = false;
-    SendLimits(plan_.AliveInDomain(now), forwarded);
+    SendStatements(plan_.AliveInDomain(now), forwarded);
   }
 }
 
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -80,7 +80,7 @@
           state_.events,
           state_.peer_traffic,
           {state_.quotas.control(), state_.rollouts, state_.crashes,
-           state_.upstream_limits},
+           state_.upstream_statements},
           [this] { return Versions(); },
           [this](const std::string& from, const HostVersions& versions) {
             commands_.OnPeerVersion(versions.commands);
@@ -115,7 +115,8 @@
       tick_timer_(loop),
       stop_timer_(loop) {
   state_.crashes.SetOnUpdate([this] { peer_link_.PublishCrashes(); });
-  state_.upstream_limits.SetOnUpdate([this] { peer_link_.PublishLimits(); });
+  state_.upstream_statements.SetOnUpdate(
+      [this] { peer_link_.PublishStatements(); });
 }
 
 Result<void> Gateway::ListenAt(HttpServer& server, const std::string& address) {
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -97,8 +97,8 @@
       crashes(settings.domain, settings.host),
       listen_probe(loop),
       unknown_headers(headers),
-      upstream_limits(upstreams, settings.host, settings.domain) {
-  upstream_limits.SetOnChange(
+      upstream_statements(upstreams, settings.host, settings.domain) {
+  upstream_statements.SetOnChange(
       [this](UpstreamState& upstream, LimitChange change) {
         OnLimitChange(upstream, change);
       });
@@ -149,7 +149,7 @@
   UpdateQuotaHosts(now);
   picker.SetPinnedDemand(
       quotas.control().DemandByAllowedRegion(accounts.All(), now));
-  upstream_limits.Tick(now);
+  upstream_statements.Tick(now);
   UpdateRateShares(now);
 }
 
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -175,7 +175,8 @@
   page.Family("pathcleat_upstream_limit_per_second", "gauge",
               "Requests a second that all hosts may send to an upstream that "
               "names a limit.");
-  for (const auto& [id, upstream] : state.upstream_limits.limited_upstreams()) {
+  for (const auto& [id, upstream] :
+       state.upstream_statements.limited_upstreams()) {
     page.Sample("pathcleat_upstream_limit_per_second", {{"upstream", id}},
                 upstream->limit.PerSecond(now));
   }
@@ -193,7 +194,7 @@
   page.Sample("pathcleat_upstreams", {{"state", "open"}}, open);
   page.Sample("pathcleat_upstreams", {{"state", "cold"}}, cold);
   page.Sample("pathcleat_upstreams", {{"state", "limited"}},
-              state.upstream_limits.limited_upstreams().size());
+              state.upstream_statements.limited_upstreams().size());
   page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
 }
 
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -113,10 +113,11 @@
   }
   upstream->limit_unreadable = unreadable;
   if (limit.per_second) {
-    state_.upstream_limits.OnLimitReported(upstream, *limit.per_second, now);
+    state_.upstream_statements.OnLimitReported(upstream, *limit.per_second,
+                                               now);
   } else if (!limit.present && !IsNotRun(state_.headers, response) &&
              IsCompleteAnswer(state_.headers, response)) {
-    state_.upstream_limits.OnNoLimitReported(upstream, sent_at_, now);
+    state_.upstream_statements.OnNoLimitReported(upstream, sent_at_, now);
   }
 }
 
--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -12,8 +12,8 @@
 
 #include "limit_windows.hpp"
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/routing/limit_exchange.hpp"
 #include "pathcleat/routing/rate_share.hpp"
+#include "pathcleat/routing/statement_exchange.hpp"
 
 namespace pathcleat {
 namespace {
@@ -66,7 +66,7 @@
     int domain = 0;
     std::string name;
     std::unique_ptr<UpstreamTable> table;
-    std::unique_ptr<LimitExchange> exchange;
+    std::unique_ptr<StatementExchange> exchange;
     std::vector<UpstreamPtr> upstreams;
     std::vector<Time> informed_at;  ///< time of the first answer with a
                                     ///< limit, by upstream
@@ -88,7 +88,7 @@
   struct Message {
     Time arrives_at;
     std::size_t to;
-    LimitReport report;
+    StatementReport report;
   };
   static std::size_t ToSize(int count) {
     return static_cast<std::size_t>(count);
@@ -97,7 +97,7 @@
   void Start(Host& host) {
     host.table = std::make_unique<UpstreamTable>(
         std::map<std::string, std::string>{{"d", "r"}});
-    host.exchange = std::make_unique<LimitExchange>(
+    host.exchange = std::make_unique<StatementExchange>(
         *host.table, host.name, "domain-" + std::to_string(host.domain));
     host.exchange->SetOnChange(
         [this](UpstreamState& upstream, LimitChange change) {
@@ -280,7 +280,7 @@
   // domains.
   void SendReports(std::size_t from) {
     Host& host = hosts_[from];
-    const LimitReport own_limits = host.exchange->OwnLimits(now_);
+    const StatementReport own_limits = host.exchange->OwnStatements(now_);
     for (std::size_t to = 0; to < hosts_.size(); ++to) {
       if (to != from && hosts_[to].domain == host.domain) {
         PostReport(from, to, own_limits);
@@ -290,7 +290,7 @@
     if (from % in_domain != 0) {
       return;
     }
-    const LimitReport domain_limits = host.exchange->DomainLimits(now_);
+    const StatementReport domain_limits = host.exchange->DomainStatements(now_);
     for (int d = 0; d < plan_.domains; ++d) {
       if (d != host.domain) {
         PostReport(from, ToSize(d) * in_domain + RandomIndex(in_domain),
@@ -299,11 +299,13 @@
     }
   }
 
-  void PostReport(std::size_t from, std::size_t to, const LimitReport& report) {
+  void PostReport(std::size_t from,
+                  std::size_t to,
+                  const StatementReport& report) {
     if (report.entries.empty() || !CanReach(hosts_[from], hosts_[to])) {
       return;
     }
-    bytes_ += static_cast<double>(EncodeLimits(report).size());
+    bytes_ += static_cast<double>(EncodeStatements(report).size());
     messages_.push_back({now_ + plan_.one_way_delay, to, report});
   }
 
@@ -312,11 +314,11 @@
       const Message message = std::move(messages_.front());
       messages_.pop_front();
       Host& host = hosts_[message.to];
-      host.exchange->OnLimitReport(message.report, now_);
+      host.exchange->OnStatementReport(message.report, now_);
       if (!message.report.forward_to_domain) {
         continue;
       }
-      LimitReport forwarded = message.report;
+      StatementReport forwarded = message.report;
       forwarded.forward_to_domain = false;
       for (std::size_t to = 0; to < hosts_.size(); ++to) {
         if (to != message.to && hosts_[to].domain == host.domain) {
--- a/src/pathcleat/lab/limited_upstream_test.cpp
+++ b/src/pathcleat/lab/limited_upstream_test.cpp
@@ -65,7 +65,7 @@
               const std::string& upstream) {
   return cluster.host(host)
       .state()
-      .upstream_limits.limited_upstreams()
+      .upstream_statements.limited_upstreams()
       .contains(upstream);
 }
 
--- a/src/pathcleat/routing/limit_exchange.cpp
+++ b/src/pathcleat/routing/statement_exchange.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/limit_exchange.hpp"
+#include "pathcleat/routing/statement_exchange.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -24,38 +24,38 @@
 
 }  // namespace
 
-LimitExchange::LimitExchange(UpstreamTable& table,
-                             std::string host,
-                             std::string domain)
+StatementExchange::StatementExchange(UpstreamTable& table,
+                                     std::string host,
+                                     std::string domain)
     : table_(table), host_(std::move(host)), domain_(std::move(domain)) {}
 
-void LimitExchange::OnLimitReported(const UpstreamPtr& upstream,
-                                    double per_second,
-                                    Time now) {
+void StatementExchange::OnLimitReported(const UpstreamPtr& upstream,
+                                        double per_second,
+                                        Time now) {
   ApplyOwn(upstream, {per_second, now, host_, domain_}, now);
 }
 
-void LimitExchange::OnNoLimitReported(const UpstreamPtr& upstream,
-                                      Time sent,
-                                      Time now) {
+void StatementExchange::OnNoLimitReported(const UpstreamPtr& upstream,
+                                          Time sent,
+                                          Time now) {
   if (upstream->limit.observation() &&
       upstream->limit.observation()->per_second) {
     ApplyOwn(upstream, {std::nullopt, sent, host_, domain_}, now);
   }
 }
 
-void LimitExchange::ApplyOwn(const UpstreamPtr& upstream,
-                             const LimitObservation& observation,
-                             Time now) {
+void StatementExchange::ApplyOwn(const UpstreamPtr& upstream,
+                                 const LimitObservation& observation,
+                                 Time now) {
   const LimitChange change = Apply(upstream, observation, now);
   if (change != LimitChange::kNone && on_update_) {
     on_update_();
   }
 }
 
-LimitChange LimitExchange::Apply(const UpstreamPtr& upstream,
-                                 const LimitObservation& observation,
-                                 Time now) {
+LimitChange StatementExchange::Apply(const UpstreamPtr& upstream,
+                                     const LimitObservation& observation,
+                                     Time now) {
   const LimitChange change = table_.UpdateLimit(upstream, observation, now);
   const LimitObservation* newest = upstream->limit.observation();
   if (newest != nullptr && newest->observed_at == observation.observed_at) {
@@ -65,8 +65,8 @@
   return change;
 }
 
-void LimitExchange::RecordChange(const UpstreamPtr& upstream,
-                                 LimitChange change) {
+void StatementExchange::RecordChange(const UpstreamPtr& upstream,
+                                     LimitChange change) {
   if (change == LimitChange::kNone) {
     return;
   }
@@ -80,7 +80,7 @@
   }
 }
 
-void LimitExchange::Tick(Time now) {
+void StatementExchange::Tick(Time now) {
   std::vector<UpstreamPtr> expired;
   std::erase_if(limited_upstreams_, [&expired, now](const auto& entry) {
     const bool ended =
@@ -96,12 +96,12 @@
 }
 
 // Entries that do not fit in a report come first in the next one.
-LimitReport LimitExchange::MakeReport(
+StatementReport StatementExchange::MakeReport(
     bool forward_to_domain,
     const Upstreams& upstreams,
     const std::function<bool(const LimitObservation&)>& is_included,
     Time now) {
-  LimitReport report{domain_, host_, forward_to_domain, {}};
+  StatementReport report{domain_, host_, forward_to_domain, {}};
   auto next = upstreams.upper_bound(last_reported_);
   for (std::size_t i = 0; i < upstreams.size(); ++i, ++next) {
     if (next == upstreams.end()) {
@@ -124,7 +124,7 @@
   return report;
 }
 
-LimitReport LimitExchange::OwnLimits(Time now) {
+StatementReport StatementExchange::OwnStatements(Time now) {
   std::erase_if(recently_observed_, [now](const auto& entry) {
     return entry.second->removed ||
            now - entry.second->limit.observation()->observed_at > kReportWindow;
@@ -137,7 +137,7 @@
       now);
 }
 
-LimitReport LimitExchange::DomainLimits(Time now) {
+StatementReport StatementExchange::DomainStatements(Time now) {
   return MakeReport(
       true, recently_observed_,
       [this](const LimitObservation& observation) {
@@ -146,13 +146,14 @@
       now);
 }
 
-LimitReport LimitExchange::LimitSnapshot(Time now) {
+StatementReport StatementExchange::StatementSnapshot(Time now) {
   return MakeReport(
       false, limited_upstreams_, [](const LimitObservation&) { return true; },
       now);
 }
 
-void LimitExchange::OnLimitReport(const LimitReport& report, Time now) {
+void StatementExchange::OnStatementReport(const StatementReport& report,
+                                          Time now) {
   for (const LimitEntry& entry : report.entries) {
     const UpstreamPtr upstream = table_.Find(entry.upstream_id);
     if (!upstream) {
--- a/src/pathcleat/routing/limit_exchange_test.cpp
+++ b/src/pathcleat/routing/statement_exchange_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/limit_exchange.hpp"
+#include "pathcleat/routing/statement_exchange.hpp"
 
 #include "property.hpp"
 
@@ -33,7 +33,7 @@
   }
 
   UpstreamTable table;
-  LimitExchange exchange;
+  StatementExchange exchange;
   std::vector<LimitChange> changes;
   int updates = 0;
 };
@@ -43,16 +43,17 @@
   HostFixture other("b", "d2");
   sender.exchange.OnLimitReported(sender.upstream(), 1.7, kStart);
   cr_assert_eq(sender.updates, 1);
-  const LimitReport report = sender.exchange.OwnLimits(kStart);
+  const StatementReport report = sender.exchange.OwnStatements(kStart);
   cr_assert_eq(report.entries.size(), 1U);
-  other.exchange.OnLimitReport(*DecodeLimits(EncodeLimits(report)), kStart);
+  other.exchange.OnStatementReport(*DecodeStatements(EncodeStatements(report)),
+                                   kStart);
   cr_assert(other.upstream()->limit.IsInForce(kStart));
   cr_assert_float_eq(other.upstream()->limit.PerSecond(kStart), 1.7, 1e-5);
   cr_assert_eq(other.changes.size(), 1U);
   cr_assert_eq(other.updates, 0);
   // The limit was not observed in this host's domain, so the host does not
   // forward it.
-  cr_assert(other.exchange.DomainLimits(kStart).entries.empty());
+  cr_assert(other.exchange.DomainStatements(kStart).entries.empty());
 }
 
 // Guards against a change being reported for each answer of a limited upstream.
@@ -61,8 +62,9 @@
   HostFixture other("b", "d1");
   for (int i = 0; i < 5; ++i) {
     host.exchange.OnLimitReported(host.upstream(), 1.7, kStart + i * kSecond);
-    other.exchange.OnLimitReport(host.exchange.OwnLimits(kStart + i * kSecond),
-                                 kStart + i * kSecond);
+    other.exchange.OnStatementReport(
+        host.exchange.OwnStatements(kStart + i * kSecond),
+        kStart + i * kSecond);
   }
   other.exchange.OnLimitReported(other.upstream(), 1.7, kStart + 5 * kSecond);
   cr_assert_eq(host.changes.size(), 1U);
@@ -78,24 +80,26 @@
   constexpr Duration kTransitTime{50'000};
   Time now = kStart;
   for (int i = 0; i < 40; ++i, now += kSecond / 2) {
-    a.exchange.OwnLimits(now);
-    b.exchange.OwnLimits(now);
-    b.exchange.OnLimitReport(a.exchange.DomainLimits(now), now + kTransitTime);
-    a.exchange.OnLimitReport(b.exchange.DomainLimits(now), now + kTransitTime);
+    a.exchange.OwnStatements(now);
+    b.exchange.OwnStatements(now);
+    b.exchange.OnStatementReport(a.exchange.DomainStatements(now),
+                                 now + kTransitTime);
+    a.exchange.OnStatementReport(b.exchange.DomainStatements(now),
+                                 now + kTransitTime);
   }
   cr_assert_leq(a.upstream()->limit.observation()->observed_at, kStart);
   cr_assert_leq(b.upstream()->limit.observation()->observed_at, kStart);
-  cr_assert(a.exchange.DomainLimits(now).entries.empty());
+  cr_assert(a.exchange.DomainStatements(now).entries.empty());
 }
 
 Test(limit_exchange, end_of_a_limit_is_reported_and_applied) {
   HostFixture a("a", "d1");
   HostFixture b("b", "d1");
   a.exchange.OnLimitReported(a.upstream(), 1, kStart);
-  b.exchange.OnLimitReport(a.exchange.OwnLimits(kStart), kStart);
+  b.exchange.OnStatementReport(a.exchange.OwnStatements(kStart), kStart);
   const Time later = kStart + 3 * kSecond;
   a.exchange.OnNoLimitReported(a.upstream(), kStart + 2 * kSecond, later);
-  b.exchange.OnLimitReport(a.exchange.OwnLimits(later), later);
+  b.exchange.OnStatementReport(a.exchange.OwnStatements(later), later);
   cr_assert_not(b.upstream()->limit.IsInForce(later));
   cr_assert(b.exchange.limited_upstreams().empty());
   cr_assert(b.changes.back() == LimitChange::kEnded);
@@ -121,10 +125,10 @@
     host.exchange.OnLimitReported(host.upstream(i), 1, kStart);
   }
   for (int round = 0; round < 3; ++round) {
-    const LimitReport report = host.exchange.OwnLimits(kStart);
+    const StatementReport report = host.exchange.OwnStatements(kStart);
     cr_assert_leq(report.entries.size(), kMaxLimitEntries);
-    cr_assert_leq(EncodeLimits(report).size(), 1'400U);
-    other.exchange.OnLimitReport(report, kStart);
+    cr_assert_leq(EncodeStatements(report).size(), 1'400U);
+    other.exchange.OnStatementReport(report, kStart);
   }
   cr_assert_eq(other.exchange.limited_upstreams().size(),
                std::size_t{kUpstreams});
@@ -135,8 +139,9 @@
   HostFixture started("b", "d1");
   host.exchange.OnLimitReported(host.upstream(), 1, kStart);
   const Time later = kStart + 5 * kSecond;
-  cr_assert(host.exchange.OwnLimits(later).entries.empty());
-  started.exchange.OnLimitReport(host.exchange.LimitSnapshot(later), later);
+  cr_assert(host.exchange.OwnStatements(later).entries.empty());
+  started.exchange.OnStatementReport(host.exchange.StatementSnapshot(later),
+                                     later);
   cr_assert(started.upstream()->limit.IsInForce(later));
 }
 
--- a/src/pathcleat/routing/limit_report.cpp
+++ b/src/pathcleat/routing/statement_report.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/routing/limit_report.hpp"
+#include "pathcleat/routing/statement_report.hpp"
 
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -8,12 +8,12 @@
 
 namespace pathcleat {
 
-std::string EncodeLimits(const LimitReport& report) {
+std::string EncodeStatements(const StatementReport& report) {
   return EncodeBinary(report);
 }
 
-std::optional<LimitReport> DecodeLimits(std::string_view bytes) {
-  return DecodeBinary<LimitReport>(bytes);
+std::optional<StatementReport> DecodeStatements(std::string_view bytes) {
+  return DecodeBinary<StatementReport>(bytes);
 }
 
 }  // namespace pathcleat
