--- a/include/pathcleat/calls/upstream_protocol.hpp
+++ b/include/pathcleat/calls/upstream_protocol.hpp
@@ -66,6 +66,10 @@
 RateLimitHeader ParseRateLimit(const HeaderNames& names,
                                const HttpResponse& response);
 
+/// @brief Whether the upstream states that it is about to stop.
+/// @ingroup calls
+bool IsLeaving(const HeaderNames& names, const HttpResponse& response);
+
 /// @brief Whether the upstream states that it has not run the request.
 /// @ingroup calls
 bool IsNotRun(const HeaderNames& names, const HttpResponse& response);
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -47,6 +47,8 @@
   kUpstreamLimited = 1310,
   kUpstreamLimitEnded = 1311,
   kUpstreamLimitUnreadable = 1312,
+  kUpstreamAnnouncedLeaving = 1313,
+  kUpstreamLeavingRevoked = 1314,
   kPeerSilent = 1407,
   kPeerHeard = 1408,
   kPlatformDown = 1501,
--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -10,29 +10,31 @@
 namespace pathcleat {
 
 /// @brief Parts of the routing policy that can be switched off one by one, to
-/// measure the benefit of each (tools/ablate.py). Switching off kCrashBlock or
-/// kUpstreamLimits also ends a guarantee to users; no other mechanism affects a
-/// guarantee.
+/// measure the benefit of each (tools/ablate.py). Switching off kCrashBlock,
+/// kUpstreamLimits or kUpstreamLeaving also ends a guarantee
+/// to users; no other mechanism affects a guarantee.
 /// @ingroup core
 enum class Mechanism {
-  kRegionShares,    ///< keys stay in their callers' region while it has
-                    ///< capacity
-  kLearnedWarmth,   ///< run times show which upstreams are warm for a key
-  kKeyPlacement,    ///< a key is routed to a few upstreams only
-  kAdmission,       ///< requests that would wait too long are refused
-                    ///< with a retry time
-  kUsualLoad,       ///< the estimated load by other hosts decays to its
-                    ///< usual value, not to zero
-  kAverageLoad,     ///< an upstream without reports is assumed to have
-                    ///< the average load
-  kPatience,        ///< a repeatable request fails over if its upstream
-                    ///< stays silent
-  kCarryingCost,    ///< the cost of transfers between regions counts in
-                    ///< the choice of upstream
-  kSlowness,        ///< an upstream's speed is estimated from run times
-  kCrashBlock,      ///< requests that crash upstreams are blocked
-  kUpstreamLimits,  ///< rate limits in the answers of upstreams are
-                    ///< enforced
+  kRegionShares,     ///< keys stay in their callers' region while it has
+                     ///< capacity
+  kLearnedWarmth,    ///< run times show which upstreams are warm for a key
+  kKeyPlacement,     ///< a key is routed to a few upstreams only
+  kAdmission,        ///< requests that would wait too long are refused
+                     ///< with a retry time
+  kUsualLoad,        ///< the estimated load by other hosts decays to its
+                     ///< usual value, not to zero
+  kAverageLoad,      ///< an upstream without reports is assumed to have
+                     ///< the average load
+  kPatience,         ///< a repeatable request fails over if its upstream
+                     ///< stays silent
+  kCarryingCost,     ///< the cost of transfers between regions counts in
+                     ///< the choice of upstream
+  kSlowness,         ///< an upstream's speed is estimated from run times
+  kCrashBlock,       ///< requests that crash upstreams are blocked
+  kUpstreamLimits,   ///< rate limits in the answers of upstreams are
+                     ///< enforced
+  kUpstreamLeaving,  ///< an upstream that announces in answers that it leaves
+                     ///< gets no requests
 };
 
 /// @brief Stable name of a mechanism, as used in settings.
--- a/include/pathcleat/fleet/peer_datagram.hpp
+++ b/include/pathcleat/fleet/peer_datagram.hpp
@@ -17,7 +17,7 @@
   kDomainReport = 0x22,
   kUsage = 0x13,    ///< usage of client accounts' limits
   kCrashes = 0x14,  ///< requests that crash upstreams
-  kLimits = 0x15,   ///< rate limits from upstreams' answers
+  kLimits = 0x25,   ///< limits and leaving from upstreams' answers
 };
 
 /// @brief A datagram that carries a valid MAC of this fleet.
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -31,7 +31,8 @@
   UsagePublisher& usage;    ///< usage of account limits, in separate messages
   TallyPublisher& tallies;  ///< rollout tallies, in heartbeats and reports
   CrashPublisher& crashes;  ///< crashing requests, in separate messages
-  StatementPublisher& limits;  ///< upstreams' rate limits, in separate messages
+  StatementPublisher&
+      statements;  ///< upstreams' statements, in separate messages
 };
 
 /// @brief Exchanges heartbeats with the other hosts of the failure domain and
@@ -78,8 +79,8 @@
   /// domain and, if this host reports for its domain, to the other domains.
   void PublishCrashes();
 
-  /// @brief Sends recent observations of upstreams' rate limits to the hosts
-  /// that receive this host's heartbeats and, if this host reports for its
+  /// @brief Sends recent statements of upstreams to the hosts that receive this
+  /// host's heartbeats and, if this host reports for its
   /// domain, to the other domains and to the rest of its own.
   void PublishStatements();
 
--- a/include/pathcleat/fleet/peer_traffic.hpp
+++ b/include/pathcleat/fleet/peer_traffic.hpp
@@ -14,7 +14,7 @@
   kDomainReport,  ///< report on the hosts of a failure domain
   kUsage,         ///< usage of client accounts' limits
   kCrashes,       ///< requests that crash upstreams
-  kLimits,        ///< rate limits from upstreams' answers
+  kLimits,        ///< limits and leaving from upstreams' answers
   kOrders,
   kUpstreams,
 };
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -119,6 +119,8 @@
   std::optional<RateBound> RateBoundOf(const UpstreamState& upstream,
                                        Time now) const;
   void OnLimitChange(UpstreamState& upstream, LimitChange change);
+  void OnLeavingChange(const UpstreamState& upstream,
+                       const LeavingStatement& statement);
   double RetryBurst(Time now) const;
 };
 
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -35,6 +35,7 @@
   std::string Answer(const HelpQuery& query) const;
   std::string ShowHosts() const;
   static std::string RateLimitText(const UpstreamState& upstream, Time now);
+  static std::string StatementText(const UpstreamState& upstream, Time now);
   std::string ShowUpstreams() const;
   std::string ShowShifts() const;
   std::string ShowConfig() const;
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -63,8 +63,8 @@
   void OnFailoverTimeout();
   bool MayFailOver() const;
   void OnOpened();
-  bool MayStillSend(Time now);
-  void Withdraw(Time now);
+  std::string BlockBeforeSending(Time now);
+  void Withdraw(const std::string& reason, Time now);
   void OnResult(const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
   void RecordVersionResult(const Pick& pick, bool bad);
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -50,10 +50,9 @@
   /// yet; the callback is not called.
   void Withdraw();
 
-  /// @brief Whether the request may still be sent to the upstream that was
-  /// picked for it earlier: the upstream must be listed and open, and if its
-  /// rate is bounded by now, this host's share of the rate must have capacity.
-  bool MayStillSend(Time now);
+  /// @brief Why the request may not be sent any more to the upstream that was
+  /// picked for it earlier.
+  SendBlock BlockBeforeSending(Time now);
 
   /// @brief Whether an exchange with an upstream is in flight.
   bool IsInFlight() const { return client_ != nullptr; }
@@ -96,12 +95,10 @@
   bool WasStaleConnection(const CallResult& result) const;
   void CountAbort(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
-  void UpdateRateLimit(const HttpResponse& response);
   void RecordUnknownHeaders(const HttpHeaders& headers);
   void ReportSilentConnection(const HttpClient& client);
   void RecordEnd();
-  bool AcquireRateShare(Time now);
-  void ReleaseRateShare();
+  void OnResponse(const HttpResponse& response);
 
   GatewayState& state_;
   HttpClientPtr client_;  ///< of the attempt in flight
@@ -109,7 +106,7 @@
   Time sent_at_;
   /// How long the connection had been idle; none for a new connection.
   std::optional<Duration> idle_time_;
-  bool has_rate_share_ = false;     ///< one request of the rate is reserved
+  SendReservation reservation_;     ///< at the upstream
   bool connection_silent_ = false;  ///< the attempt's connection is silent
   bool failure_counts_ = true;      ///< a failure counts against the upstream
 };
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -107,6 +107,13 @@
     on_opened_ = std::move(callback);
   }
 
+  /// @brief Sets a callback that is called with the status and headers of the
+  /// next request's answer if its body has not arrived with them. It must not
+  /// call Cancel.
+  void OnHead(std::function<void(const HttpResponse&)> callback) {
+    on_head_ = std::move(callback);
+  }
+
   /// @brief Closes the connection at once; the callback is not called. Bytes of
   /// a request that have not been sent yet are discarded.
   void Cancel();
@@ -172,6 +179,7 @@
   void OnResponseBytes();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
+  void HandleHead();
   void HandleResponse();
   void AwaitNextResponse();
   void OnReadError(const boost::system::error_code& error);
@@ -193,6 +201,7 @@
   bool is_head_request_ = false;
   Callback callback_;
   std::function<void()> on_opened_;
+  std::function<void(const HttpResponse&)> on_head_;
   Matcher matcher_;
   CallTimeouts timeouts_;
   Time total_deadline_;
--- a/include/pathcleat/routing/statement_report.hpp
+++ b/include/pathcleat/routing/statement_report.hpp
@@ -30,23 +30,44 @@
   }
 };
 
-/// @brief Maximum number of entries in a report. This many entries with ids of
-/// 16 bytes fit in one datagram of 1,472 bytes.
+/// @brief The newest statement of one upstream about whether it leaves.
+/// @ingroup routing
+struct LeavingEntry {
+  std::string upstream_id;       ///< id of the upstream
+  std::uint64_t started_ms = 0;  ///< see UpstreamInfo::started_ms
+  bool leaving = true;
+  std::uint32_t age_ms = 0;  ///< time since the statement
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(upstream_id, started_ms, leaving, age_ms);
+  }
+};
+
+/// @brief Maximum numbers of entries in a report. This many limits, or this
+/// many statements and kMaxLimitEntriesWithLeaving limits, with ids of 16 bytes
+/// fit in one datagram of 1,472 bytes.
 /// @ingroup routing
 inline constexpr std::size_t kMaxLimitEntries = 40;
+inline constexpr std::size_t kMaxLimitEntriesWithLeaving = 20;
+inline constexpr std::size_t kMaxLeavingEntries = 16;
 
-/// @brief Rate limits stated by upstreams, as one host reports them to another.
+/// @brief What upstreams stated in their answers, as one host reports it to
+/// another.
 /// @ingroup routing
 struct StatementReport {
   std::string domain;  ///< failure domain of the sender
   std::string host;    ///< name of the sender
   bool forward_to_domain =
-      false;  ///< whether the receiver forwards the limits within its domain
+      false;  ///< whether the receiver forwards the report within its domain
   std::vector<LimitEntry> entries;
+  std::vector<LeavingEntry> leaving;
+
+  bool IsEmpty() const { return entries.empty() && leaving.empty(); }
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(domain, host, forward_to_domain, entries);
+    archive(domain, host, forward_to_domain, entries, leaving);
   }
 };
 
@@ -58,21 +79,21 @@
 /// @ingroup routing
 std::optional<StatementReport> DecodeStatements(std::string_view bytes);
 
-/// @brief Supplies the limits that this host reports to other hosts, and
-/// receives the limits that they report.
+/// @brief Supplies the statements of upstreams that this host reports to other
+/// hosts, and receives those that they report.
 /// @ingroup routing
 class StatementPublisher {
  public:
   virtual ~StatementPublisher() = default;
 
-  /// @brief Limits that this host recently read in answers.
+  /// @brief Statements that this host recently read in answers.
   virtual StatementReport OwnStatements(Time now) = 0;
 
-  /// @brief Limits that hosts of this host's failure domain recently read in
-  /// answers.
+  /// @brief Statements that hosts of this host's failure domain recently read
+  /// in answers.
   virtual StatementReport DomainStatements(Time now) = 0;
 
-  /// @brief Limits in force, for a host that has just started.
+  /// @brief Statements in force, for a host that has just started.
   virtual StatementReport StatementSnapshot(Time now) = 0;
 
   virtual void OnStatementReport(const StatementReport& report, Time now) = 0;
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -37,8 +37,10 @@
   bool limit_unreadable = false;
   /// Whether UpstreamTable::MaybeRateBounded includes the upstream.
   bool may_be_rate_bounded = false;
-  /// Number of times that a choice skipped the upstream because rate_share had
-  /// no token.
+  /// Whether the upstream stated in an answer that it leaves.
+  bool announced_leaving = false;
+  /// Number of times that a choice skipped the upstream because of a SendBlock
+  /// that the upstream itself asked for.
   std::uint64_t passed_over = 0;
   /// Number of requests that the upstream reported as not run.
   std::uint64_t not_run = 0;
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -94,7 +94,7 @@
                   Duration waited,
                   Time now);
 
-  /// @brief Call when a complete answer was received.
+  /// @brief Call when a complete answer without an error was received.
   void OnAnswer(UpstreamState& upstream,
                 const PickRequest& request,
                 const Pick& pick,
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -11,12 +11,33 @@
 #include <vector>
 
 #include "pathcleat/core/mechanism.hpp"
+#include "pathcleat/routing/leaving_ledger.hpp"
 #include "pathcleat/routing/upstream.hpp"
 
 namespace pathcleat {
 
 using UpstreamPtr = std::shared_ptr<UpstreamState>;
 
+/// @brief Why this host may not send a request to an upstream now.
+/// @ingroup routing
+enum class SendBlock {
+  kNone,     ///< the request may be sent
+  kClosed,   ///< the upstream is not listed, listed as leaving, or drained
+  kLeaving,  ///< the upstream stated in an answer that it leaves
+  kVersionNotOpen,  ///< the rollout order of its version may not have arrived
+  kRateShare,       ///< this host's share of its bounded rate is used up
+};
+
+/// @brief Describes a block, for logs.
+/// @ingroup routing
+const char* ToText(SendBlock block);
+
+/// @brief What one request has reserved at its upstream.
+/// @ingroup routing
+struct SendReservation {
+  bool rate_share = false;  ///< one request of this host's share of the rate
+};
+
 /// @brief The listed upstreams by service. Not thread-safe.
 /// @ingroup routing
 class UpstreamTable {
@@ -55,6 +76,16 @@
                           const LimitObservation& update,
                           Time now);
 
+  /// @brief Applies what an upstream stated about whether it leaves. The
+  /// statement applies also if the upstream is listed later, or again.
+  /// @return whether the listed upstream gets requests now and did not before,
+  /// or the reverse.
+  bool UpdateLeaving(const std::string& id, const LeavingStatement& statement);
+  const LeavingLedger& leaving_ledger() const { return leaving_ledger_; }
+
+  /// @brief Drops old statements. Call a few times a second.
+  void DropExpiredStatements(Time now);
+
   /// @brief The listed upstream of an id; null if there is none.
   UpstreamPtr Find(const std::string& id) const;
 
@@ -75,8 +106,32 @@
   /// @brief All listed upstreams.
   std::vector<UpstreamPtr> All() const;
 
-  /// @brief Whether the list entry and the drains permit new requests.
-  bool IsOpen(const UpstreamState& upstream) const;
+  /// @brief Whether the list entry, the drains and the upstream's own statement
+  /// permit new requests. An upstream that is not open stays so for long.
+  bool IsOpen(const UpstreamState& upstream) const {
+    return LastingBlockOf(upstream) == SendBlock::kNone;
+  }
+
+  /// @brief Why a request may not be sent to an upstream now. This is asked
+  /// when an upstream is chosen and again before the first byte is written.
+  /// @param held what the request has reserved at the upstream already.
+  SendBlock BlockOf(const UpstreamState& upstream,
+                    const SendReservation& held,
+                    Time now) const;
+
+  /// @brief Reserves what a request needs that may be sent now.
+  /// @return why it may not be sent; then nothing is reserved.
+  SendBlock Reserve(UpstreamState& upstream,
+                    SendReservation& held,
+                    Time now) const;
+
+  /// @brief Ends the reservations of a request.
+  /// @param was_sent whether bytes of the request may have been sent; if not,
+  /// its part of the bounded rate is available again.
+  void Release(UpstreamState& upstream,
+               SendReservation& held,
+               bool was_sent,
+               Time now) const;
 
   /// @brief Versions of a service's open upstreams.
   std::set<std::string> VersionsOf(std::string_view service) const;
@@ -84,6 +139,7 @@
   std::size_t size() const { return by_id_.size(); }
 
  private:
+  SendBlock LastingBlockOf(const UpstreamState& upstream) const;
   void TrackRateBound(const UpstreamPtr& upstream);
   UpstreamPtr Add(const UpstreamInfo& entry, Time now);
   Time OpenFrom(const UpstreamInfo& entry, Time now);
@@ -100,6 +156,7 @@
   std::map<std::string, std::map<std::string, Time>, std::less<>>
       version_open_times_;
   std::vector<UpstreamPtr> maybe_rate_bounded_;
+  LeavingLedger leaving_ledger_;
   std::set<std::string> lapsed_ids_;  ///< ids of upstreams with lapsed entries
   std::uint64_t revision_ = 0;
   std::set<std::string> drained_domains_;
--- a/src/pathcleat/calls/unknown_headers.cpp
+++ b/src/pathcleat/calls/unknown_headers.cpp
@@ -43,7 +43,7 @@
     : seen_names_(HttpFields()) {
   for (const std::string& name :
        {names.request_id, names.upstream_id, names.load, names.rate_limit,
-        names.not_run, names.cold_ms, names.signature}) {
+        names.leaving, names.not_run, names.cold_ms, names.signature}) {
     seen_names_.insert(to_lower_copy(name));
   }
 }
--- a/src/pathcleat/calls/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -63,8 +63,8 @@
       too_large ? max_milliseconds : std::min(value, max_milliseconds));
 }
 
-// Accepts finite numbers of requests per second that are 0 or more.
-std::optional<double> ParseLimit(std::string_view text) {
+// Accepts finite numbers that are 0 or more.
+std::optional<double> ParseQuantity(std::string_view text) {
   double value = 0;
   const char* end = text.data() + text.size();
   const auto parsed = std::from_chars(text.data(), end, value);
@@ -145,7 +145,7 @@
       continue;
     }
     field.present = true;
-    const auto limit = ParseLimit(header.value);
+    const auto limit = ParseQuantity(header.value);
     if (limit && (!field.per_second || *limit < *field.per_second)) {
       field.per_second = limit;
     }
@@ -153,6 +153,11 @@
   return field;
 }
 
+bool IsLeaving(const HeaderNames& names, const HttpResponse& response) {
+  const auto leaving = FindHeader(response.headers, names.leaving);
+  return !names.leaving.empty() && leaving && *leaving == "1";
+}
+
 bool IsNotRun(const HeaderNames& names, const HttpResponse& response) {
   return response.status == http_status::kMisdirected ||
          FindHeader(response.headers, names.not_run).has_value();
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -250,7 +250,7 @@
     SendCrashes({heartbeat.host.peer_address},
                 publishers_.crashes.CrashSnapshot(BootClock::now()));
     SendStatements({heartbeat.host.peer_address},
-                   publishers_.limits.StatementSnapshot(BootClock::now()));
+                   publishers_.statements.StatementSnapshot(BootClock::now()));
   }
 }
 
--- a/src/pathcleat/fleet/peer_link_publishers.cpp
+++ b/src/pathcleat/fleet/peer_link_publishers.cpp
@@ -1,6 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 // The parts of PeerLink that exchange usage of client accounts' limits,
-// requests that crash upstreams and rate limits of upstreams.
+// requests that crash upstreams and what upstreams state in their answers.
 
 #include <string>
 #include <utility>
@@ -119,11 +119,12 @@
 
 void PeerLink::PublishStatements() {
   const Time now = BootClock::now();
-  SendStatements(plan_.Receivers(now), publishers_.limits.OwnStatements(now));
+  SendStatements(plan_.Receivers(now),
+                 publishers_.statements.OwnStatements(now));
   if (!reporter_.IsReporter(now)) {
     return;
   }
-  StatementReport report = publishers_.limits.DomainStatements(now);
+  StatementReport report = publishers_.statements.DomainStatements(now);
   SendStatements(reporter_.Receivers(now), report);
   report.forward_to_domain = false;
   SendStatements(plan_.OwnReportReceivers(now), report);
@@ -131,7 +132,7 @@
 
 void PeerLink::SendStatements(const std::vector<std::string>& receivers,
                               const StatementReport& report) {
-  if (report.entries.empty()) {
+  if (report.IsEmpty()) {
     return;
   }
   const std::string sealed =
@@ -144,7 +145,7 @@
 
 void PeerLink::OnStatementReport(const StatementReport& report) {
   const Time now = BootClock::now();
-  publishers_.limits.OnStatementReport(report, now);
+  publishers_.statements.OnStatementReport(report, now);
   if (report.forward_to_domain) {
     StatementReport forwarded = report;
     forwarded.forward_to_domain = false;
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -102,6 +102,10 @@
       [this](UpstreamState& upstream, LimitChange change) {
         OnLimitChange(upstream, change);
       });
+  upstream_statements.SetOnLeavingChange(
+      [this](const UpstreamState& upstream, const LeavingStatement& statement) {
+        OnLeavingChange(upstream, statement);
+      });
   crashes.SetOnBlockChange([this](const CrashBlockChange& change) {
     events.Record(change.blocked ? EventCode::kRequestBlocked
                                  : EventCode::kRequestUnblocked,
@@ -150,6 +154,7 @@
   picker.SetPinnedDemand(
       quotas.control().DemandByAllowedRegion(accounts.All(), now));
   upstream_statements.Tick(now);
+  upstreams.DropExpiredStatements(now);
   UpdateRateShares(now);
 }
 
@@ -263,4 +268,17 @@
        MillisecondsField(field::kAgeMs, now - observation.observed_at)});
 }
 
+void GatewayState::OnLeavingChange(const UpstreamState& upstream,
+                                   const LeavingStatement& statement) {
+  if (statement.leaving) {
+    connection_pool.CloseConnections(upstream.info.id);
+  }
+  events.Record(statement.leaving ? EventCode::kUpstreamAnnouncedLeaving
+                                  : EventCode::kUpstreamLeavingRevoked,
+                upstream.info.id, "",
+                {{field::kFrom, statement.host},
+                 MillisecondsField(field::kAgeMs,
+                                   BootClock::now() - statement.stated_at)});
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -163,9 +163,11 @@
     page.Sample("pathcleat_upstream_not_run_total",
                 {{"upstream", upstream->info.id}}, upstream->not_run);
   }
-  page.Family("pathcleat_upstream_passed_over_total", "counter",
-              "Requests that went elsewhere, or nowhere, as this host's share "
-              "of an upstream's bounded rate had no room.");
+  page.Family(
+      "pathcleat_upstream_passed_over_total", "counter",
+      "Requests that went elsewhere, or nowhere, as an upstream leaves, "
+      "wants no requests for a time, or has a bounded rate of which "
+      "this host's share was used up.");
   for (const UpstreamPtr& upstream : state.upstreams.All()) {
     if (upstream->passed_over > 0) {
       page.Sample("pathcleat_upstream_passed_over_total",
@@ -182,10 +184,12 @@
   }
   int open = 0;
   int cold = 0;
+  int announced_leaving = 0;
   int suspect = 0;
   for (const UpstreamPtr& upstream : state.upstreams.All()) {
     open += state.upstreams.IsOpen(*upstream) ? 1 : 0;
     cold += upstream->IsCold(now) ? 1 : 0;
+    announced_leaving += upstream->announced_leaving ? 1 : 0;
     suspect += upstream->health.IsSuspect() ? 1 : 0;
   }
   page.Family("pathcleat_upstreams", "gauge", "Upstreams, by state.");
@@ -195,6 +199,7 @@
   page.Sample("pathcleat_upstreams", {{"state", "cold"}}, cold);
   page.Sample("pathcleat_upstreams", {{"state", "limited"}},
               state.upstream_statements.limited_upstreams().size());
+  page.Sample("pathcleat_upstreams", {{"state", "leaving"}}, announced_leaving);
   page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
 }
 
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -239,6 +239,19 @@
   return text.str();
 }
 
+std::string OperatorService::StatementText(const UpstreamState& upstream,
+                                           Time now) {
+  std::string text;
+  if (upstream.announced_leaving) {
+    text += ", says that it leaves";
+  }
+  const bool is_limited = upstream.limit.IsInForce(now);
+  if (!is_limited && upstream.passed_over > 0) {
+    text += ", " + std::to_string(upstream.passed_over) + " passed over here";
+  }
+  return text;
+}
+
 std::string OperatorService::ShowUpstreams() const {
   const Time now = BootClock::now();
   std::ostringstream text;
@@ -251,7 +264,7 @@
          << upstream->info.slots << " slots in use"
          << (state_.upstreams.IsOpen(*upstream) ? "" : ", drained or leaving")
          << (upstream->IsCold(now) ? ", cold" : "")
-         << RateLimitText(*upstream, now)
+         << RateLimitText(*upstream, now) << StatementText(*upstream, now)
          << (upstream->health.IsSuspect() ? ", does not answer" : "") << "\n";
   }
   return text.str();
--- a/src/pathcleat/gateway/request_handler_connected.cpp
+++ b/src/pathcleat/gateway/request_handler_connected.cpp
@@ -14,23 +14,32 @@
   trace_.NoteOpened(attempt_.pick().upstream->info.id,
                     now - attempt_.sent_at());
   exchange_->CheckConnection();
-  if (attempt_.IsInFlight() && !MayStillSend(now)) {
-    Withdraw(now);
+  if (!attempt_.IsInFlight()) {
+    return;
+  }
+  const std::string reason = BlockBeforeSending(now);
+  if (!reason.empty()) {
+    Withdraw(reason, now);
   }
 }
 
-bool RequestHandler::MayStillSend(Time now) {
+// Returns why the request may not be sent any more; empty if it may.
+std::string RequestHandler::BlockBeforeSending(Time now) {
+  if (!is_crash_trial_ && DecideOnCrashes(now).blocked) {
+    return "upstreams ended under the request";
+  }
   const Rollout* rollout = state_.rollouts.Find(pick_request_.service);
-  const bool blocked = !is_crash_trial_ && DecideOnCrashes(now).blocked;
-  return !blocked && attempt_.MayStillSend(now) &&
-         (rollout == nullptr ||
-          rollout->IsVersionAllowed(attempt_.pick().upstream->info.version));
+  if (rollout != nullptr &&
+      !rollout->IsVersionAllowed(attempt_.pick().upstream->info.version)) {
+    return "the upstream's version gets no new requests any more";
+  }
+  const SendBlock block = attempt_.BlockBeforeSending(now);
+  return block == SendBlock::kNone ? "" : ToText(block);
 }
 
-void RequestHandler::Withdraw(Time now) {
+void RequestHandler::Withdraw(const std::string& reason, Time now) {
   failover_timer_.cancel();
-  trace_.NoteFailed(attempt_.pick().upstream->info.id,
-                    "upstream accepts no new requests any more",
+  trace_.NoteFailed(attempt_.pick().upstream->info.id, reason,
                     now - attempt_.sent_at());
   ++unsent_count_;
   run_tracker_.OnNotRun();
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "pathcleat/calls/upstream_protocol.hpp"
-#include "pathcleat/http/http_status.hpp"
+#include "pathcleat/gateway/answer_statements.hpp"
 
 namespace pathcleat {
 namespace {
@@ -36,8 +36,8 @@
   upstream.keys.Touch(key);
   state_.picker.links().OnSent(upstream.region);
   upstream.health.OnSent(pick.expected_latency, now);
-  has_rate_share_ = false;
-  AcquireRateShare(now);
+  reservation_ = {};
+  state_.upstreams.Reserve(upstream, reservation_, now);
   // A request whose connection fell silent is sent again over a new connection.
   client_ = was_silent ? state_.connection_pool.Create(upstream.info)
                        : state_.connection_pool.Acquire(
@@ -46,6 +46,9 @@
                    ? std::optional(now - client_->idle_since())
                    : std::nullopt;
   client_->OnOpened(std::move(opened));
+  client_->OnHead([this](const HttpResponse& head) {
+    ApplyStatements(state_, {pick_.upstream, head, sent_at_, false});
+  });
   client_->Send(
       MakeUpstreamRequest(state_.headers, request, metadata, upstream.info.id,
                           timeouts.work_timeout),
@@ -62,17 +65,12 @@
   const HttpClientPtr client = std::exchange(client_, nullptr);
   UpstreamState& upstream = *pick_.upstream;
   const bool answered = result.outcome == CallOutcome::kAnswered;
-  if (result.outcome == CallOutcome::kNotSent) {
-    ReleaseRateShare();
-  }
   if (answered) {
-    upstream.health.OnResponse(BootClock::now());
-    if (const auto report = ParseLoadReport(state_.headers, result.response)) {
-      upstream.load.OnReport(*report, BootClock::now());
-    }
-    RecordUnknownHeaders(result.response.headers);
-    UpdateRateLimit(result.response);
+    OnResponse(result.response);
   }
+  state_.upstreams.Release(upstream, reservation_,
+                           result.outcome != CallOutcome::kNotSent,
+                           BootClock::now());
   CountAbort(result);
   if (WasStaleConnection(result)) {
     failure_counts_ = false;
@@ -93,32 +91,15 @@
   callback(result);
 }
 
-// An answer with status 421 comes from another upstream that has taken over the
-// address, so the answer does not state the limit of the upstream that was
-// picked. A "not run" answer may state a limit, but if the answer lacks the
-// header, an earlier limit stays in force.
-void UpstreamAttempt::UpdateRateLimit(const HttpResponse& response) {
+void UpstreamAttempt::OnResponse(const HttpResponse& response) {
   const Time now = BootClock::now();
-  const UpstreamPtr& upstream = pick_.upstream;
-  if (!state_.settings.policy.IsEnabled(Mechanism::kUpstreamLimits) ||
-      response.status == http_status::kMisdirected) {
-    return;
-  }
-  const RateLimitHeader limit = ParseRateLimit(state_.headers, response);
-  const bool unreadable = limit.present && !limit.per_second;
-  if (unreadable && !upstream->limit_unreadable) {
-    state_.events.Record(
-        EventCode::kUpstreamLimitUnreadable, upstream->info.id,
-        FindHeader(response.headers, state_.headers.rate_limit).value_or(""));
-  }
-  upstream->limit_unreadable = unreadable;
-  if (limit.per_second) {
-    state_.upstream_statements.OnLimitReported(upstream, *limit.per_second,
-                                               now);
-  } else if (!limit.present && !IsNotRun(state_.headers, response) &&
-             IsCompleteAnswer(state_.headers, response)) {
-    state_.upstream_statements.OnNoLimitReported(upstream, sent_at_, now);
+  UpstreamState& upstream = *pick_.upstream;
+  upstream.health.OnResponse(now);
+  if (const auto report = ParseLoadReport(state_.headers, response)) {
+    upstream.load.OnReport(*report, now);
   }
+  RecordUnknownHeaders(response.headers);
+  ApplyStatements(state_, {pick_.upstream, response, sent_at_});
 }
 
 void UpstreamAttempt::RecordUnknownHeaders(const HttpHeaders& headers) {
@@ -158,30 +139,14 @@
 }
 
 void UpstreamAttempt::Withdraw() {
-  if (!MayHaveSent()) {
-    ReleaseRateShare();
-  }
+  state_.upstreams.Release(*pick_.upstream, reservation_, MayHaveSent(),
+                           BootClock::now());
   std::exchange(client_, nullptr)->Cancel();
   RecordEnd();
 }
 
-bool UpstreamAttempt::MayStillSend(Time now) {
-  return state_.upstreams.IsOpen(*pick_.upstream) && AcquireRateShare(now);
-}
-
-bool UpstreamAttempt::AcquireRateShare(Time now) {
-  UpstreamState& upstream = *pick_.upstream;
-  if (!has_rate_share_ && upstream.IsRateBounded(now)) {
-    has_rate_share_ = upstream.rate_share.TryAcquire(now);
-    return has_rate_share_;
-  }
-  return true;
-}
-
-void UpstreamAttempt::ReleaseRateShare() {
-  if (std::exchange(has_rate_share_, false)) {
-    pick_.upstream->rate_share.Release(BootClock::now());
-  }
+SendBlock UpstreamAttempt::BlockBeforeSending(Time now) {
+  return state_.upstreams.Reserve(*pick_.upstream, reservation_, now);
 }
 
 bool UpstreamAttempt::DetectSilence() {
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -93,6 +93,7 @@
   }
   callback_ = nullptr;
   on_opened_ = nullptr;
+  on_head_ = nullptr;
   Close();
 }
 
@@ -235,9 +236,25 @@
     HandleResponse();
     return;
   }
+  HandleHead();
   Read();
 }
 
+void HttpClient::HandleHead() {
+  if (!on_head_ || !parser_->is_header_done()) {
+    return;
+  }
+  HttpResponse head;
+  head.status = static_cast<int>(parser_->get().result_int());
+  for (const auto& header : parser_->get()) {
+    head.headers.push_back(
+        {std::string(header.name_string()), std::string(header.value())});
+  }
+  if (head.status >= kFirstFinalStatus && (!matcher_ || matcher_(head))) {
+    std::exchange(on_head_, nullptr)(head);
+  }
+}
+
 void HttpClient::HandleResponse() {
   const bool keep_alive = parser_->get().keep_alive();
   CallResult result;
@@ -369,6 +386,7 @@
   request_bytes_ = std::string();
   matcher_ = nullptr;
   on_opened_ = nullptr;
+  on_head_ = nullptr;
   idle_since_ = BootClock::now();
   result.received_bytes = received_bytes_;
   if (received_bytes_ > 0) {
--- a/src/pathcleat/http/http_client_test.cpp
+++ b/src/pathcleat/http/http_client_test.cpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "event_loop.hpp"
 #include "scripted_server.hpp"
@@ -45,6 +46,23 @@
          "\r\n\r\n" + std::string(bytes, 'x');
 }
 
+// Guards against headers of a long answer that are read only with its last
+// byte, seconds later.
+Test(http_client, head_is_reported_before_the_body_has_arrived) {
+  ClientFixture fixture;
+  std::vector<int> heads;
+  fixture.client->OnHead(
+      [&heads](const HttpResponse& head) { heads.push_back(head.status); });
+  fixture.SendRequest({kLongTimeout, kLongTimeout});
+  fixture.server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx");
+  cr_assert(fixture.Await([&heads] { return heads.size() == 1; }));
+  cr_assert_not(fixture.result.has_value());
+  fixture.server.Send("y");
+  cr_assert(fixture.AwaitEnd());
+  cr_assert_eq(fixture.result->response.body, std::string("xy"));
+  cr_assert_eq(heads.size(), 1U);
+}
+
 // Guards against a progress timeout that ends an answer which still arrives.
 // Fails without setting last_progress_at_ in OnResponseBytes.
 Test(http_client, slow_answer_that_makes_progress_does_not_time_out) {
--- a/src/pathcleat/lab/leaving_upstream_test.cpp
+++ b/src/pathcleat/lab/leaving_upstream_test.cpp
@@ -94,6 +94,16 @@
   opening.ExpectAnswerFromAnother(chosen);
 }
 
+// Guarantee: an upstream that announced in an answer that it leaves receives no
+// new requests.
+Test(promise, upstream_that_announces_leaving_gets_nothing_over_opening_one) {
+  OpeningConnection opening;
+  const UpstreamPtr chosen = opening.SendAndAwaitChoice(kPost);
+  const Time now = BootClock::now();
+  opening.state().upstream_statements.OnLeavingReported(chosen, true, now, now);
+  opening.ExpectAnswerFromAnother(chosen);
+}
+
 // A cold upstream may get few requests, and a request chosen before it became
 // cold counts among them. Fails without AcquireRateShare in
 // UpstreamAttempt::MayStillSend.
--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -302,7 +302,7 @@
   void PostReport(std::size_t from,
                   std::size_t to,
                   const StatementReport& report) {
-    if (report.entries.empty() || !CanReach(hosts_[from], hosts_[to])) {
+    if (report.IsEmpty() || !CanReach(hosts_[from], hosts_[to])) {
       return;
     }
     bytes_ += static_cast<double>(EncodeStatements(report).size());
--- a/src/pathcleat/lab/upstream_statements_test.cpp
+++ b/src/pathcleat/lab/upstream_statements_test.cpp
@@ -64,5 +64,85 @@
   }
 }
 
+TestClusterPlan OneHostPlan(int upstreams = 2) {
+  TestClusterPlan plan;
+  plan.hosts_in_domain = {1};
+  plan.upstreams_in_domain = upstreams;
+  return plan;
+}
+
+// Guards against hosts that learn of the leaving only in answers to their own
+// requests while the store is slow: each of them sends one request at least.
+Test(upstream_statements, hosts_without_answers_are_told_of_the_leaving) {
+  TestClusterPlan plan;
+  plan.hosts_in_domain = {2, 2};
+  plan.upstreams_in_domain = 1;
+  TestCluster cluster(plan);
+  cluster.StartAll();
+  UpstreamStandIn& leaving = cluster.upstream(0);
+  leaving.SetLeavingHeader("1");
+  const auto is_known_to_all = [&cluster, &leaving] {
+    for (std::size_t host = 0; host < 4; ++host) {
+      if (!cluster.host(host)
+               .state()
+               .upstreams.Find(leaving.id())
+               ->announced_leaving) {
+        return false;
+      }
+    }
+    return true;
+  };
+  while (!is_known_to_all()) {
+    SendRequests(cluster, 1, Duration(10'000));
+  }
+  cr_assert(cluster.HasEvent(3, EventCode::kUpstreamAnnouncedLeaving));
+  const std::string shown =
+      cluster.RunCommand(3, "show upstreams").response.body;
+  cr_assert(shown.find("says that it leaves") != std::string::npos);
+}
+
+// Guards against a list that brings the upstream back: the store still lists it
+// as ready, also after its entry was gone.
+Test(upstream_statements, list_does_not_revoke_what_the_upstream_stated) {
+  TestCluster cluster(OneHostPlan());
+  cluster.StartAll();
+  UpstreamStandIn& leaving = cluster.upstream(0);
+  leaving.SetLeavingHeader("1");
+  UpstreamTable& table = cluster.host(0).state().upstreams;
+  while (!table.Find(leaving.id())->announced_leaving) {
+    SendRequests(cluster, 1, Duration(10'000));
+  }
+  const std::size_t known = leaving.ledger().arrivals.size();
+  UpstreamInfo entry = cluster.upstream_info(0);
+  entry.slots = 7;
+  cluster.platform().PutUpstream(entry);
+  cr_assert(
+      cluster.Await([&] { return table.Find(leaving.id())->info.slots == 7; }));
+  SendRequests(cluster, 1, Duration(200'000));
+  table.Remove(leaving.id());
+  table.Put(entry, BootClock::now());
+  SendRequests(cluster, 1, Duration(200'000));
+  cr_assert_eq(leaving.ledger().arrivals.size(), known);
+  // Its next start is another one.
+  leaving.SetLeavingHeader("");
+  entry.started_ms = 5;
+  table.Put(entry, BootClock::now());
+  SendRequests(cluster, 1, Duration(500'000));
+  cr_assert_gt(leaving.ledger().arrivals.size(), known);
+}
+
+// Guards against an upstream that is left out, though it does not leave.
+Test(upstream_statements, other_values_of_the_leaving_header_mean_nothing) {
+  for (const std::string value : {"0", "", "no"}) {
+    TestCluster cluster(OneHostPlan(1));
+    cluster.StartAll();
+    cluster.upstream(0).SetLeavingHeader(value);
+    for (int i = 0; i < 10; ++i) {
+      cr_assert_eq(cluster.Get(0, "r" + std::to_string(i)).response.status,
+                   http_status::kOk);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/query/request_diagnosis.cpp
+++ b/src/pathcleat/query/request_diagnosis.cpp
@@ -66,8 +66,9 @@
     if (line.time > sent.time) {
       return;
     }
-    const bool leaving =
-        line.name == "upstream-leaving" || line.name == "upstream-gone";
+    const bool leaving = line.name == "upstream-leaving" ||
+                         line.name == "upstream-announced-leaving" ||
+                         line.name == "upstream-gone";
     if (leaving && line.Field(field::kUpstream) == upstream) {
       std::ostringstream text;
       text << "sent to " << upstream << ", which " << line.host
--- a/src/pathcleat/routing/statement_exchange.cpp
+++ b/src/pathcleat/routing/statement_exchange.cpp
@@ -22,6 +22,28 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, age));
 }
 
+// Visits the entries of a map in turn, beginning after `last`, until `visit`
+// returns false. Entries that do not fit in a report come first in the next
+// one.
+template <class Map, class Visit>
+void VisitFrom(const Map& entries, const std::string& last, Visit visit) {
+  auto next = entries.upper_bound(last);
+  for (std::size_t i = 0; i < entries.size(); ++i, ++next) {
+    if (next == entries.end()) {
+      next = entries.begin();
+    }
+    if (!visit(*next)) {
+      return;
+    }
+  }
+}
+
+template <class Filter, class Statement>
+bool IsSelected(const Filter& filter, const Statement& statement) {
+  return (filter.host.empty() || statement.host == filter.host) &&
+         (filter.domain.empty() || statement.domain == filter.domain);
+}
+
 }  // namespace
 
 StatementExchange::StatementExchange(UpstreamTable& table,
@@ -95,33 +117,85 @@
   }
 }
 
-// Entries that do not fit in a report come first in the next one.
-StatementReport StatementExchange::MakeReport(
-    bool forward_to_domain,
-    const Upstreams& upstreams,
-    const std::function<bool(const LimitObservation&)>& is_included,
-    Time now) {
-  StatementReport report{domain_, host_, forward_to_domain, {}};
-  auto next = upstreams.upper_bound(last_reported_);
-  for (std::size_t i = 0; i < upstreams.size(); ++i, ++next) {
-    if (next == upstreams.end()) {
-      next = upstreams.begin();
-    }
-    const LimitObservation& observation = *next->second->limit.observation();
-    if (!is_included(observation)) {
-      continue;
+void StatementExchange::OnLeavingReported(const UpstreamPtr& upstream,
+                                          bool leaving,
+                                          Time sent,
+                                          Time now) {
+  const LeavingStatement statement{upstream->info.started_ms, leaving,
+                                   leaving ? now : sent, host_, domain_};
+  if (ApplyLeaving(upstream->info.id, statement) && on_update_) {
+    on_update_();
+  }
+}
+
+bool StatementExchange::ApplyLeaving(const std::string& upstream_id,
+                                     const LeavingStatement& statement) {
+  const bool changed = table_.UpdateLeaving(upstream_id, statement);
+  if (changed && on_leaving_change_) {
+    on_leaving_change_(*table_.Find(upstream_id), statement);
+  }
+  return changed;
+}
+
+StatementReport StatementExchange::MakeReport(bool forward_to_domain,
+                                              const ReportFilter& filter,
+                                              Time now) {
+  StatementReport report{domain_, host_, forward_to_domain, {}, {}};
+  AddLeaving(report, filter, now);
+  AddLimits(report, filter, now);
+  return report;
+}
+
+void StatementExchange::AddLimits(StatementReport& report,
+                                  const ReportFilter& filter,
+                                  Time now) {
+  const std::size_t max_entries =
+      report.leaving.empty() ? kMaxLimitEntries : kMaxLimitEntriesWithLeaving;
+  const Upstreams& upstreams =
+      filter.recent ? recently_observed_ : limited_upstreams_;
+  VisitFrom(upstreams, last_reported_limit_, [&](const auto& entry) {
+    const LimitObservation& observation = *entry.second->limit.observation();
+    if (!IsSelected(filter, observation)) {
+      return true;
     }
-    if (report.entries.size() == kMaxLimitEntries) {
-      last_reported_ = report.entries.back().upstream_id;
-      break;
+    if (report.entries.size() == max_entries) {
+      return false;
     }
     const float per_second = observation.per_second
                                  ? static_cast<float>(*observation.per_second)
                                  : kNoRateLimit;
     report.entries.push_back(
-        {next->first, per_second, AgeMs(observation.observed_at, now)});
+        {entry.first, per_second, AgeMs(observation.observed_at, now)});
+    return true;
+  });
+  if (report.entries.size() == max_entries) {
+    last_reported_limit_ = report.entries.back().upstream_id;
+  }
+}
+
+void StatementExchange::AddLeaving(StatementReport& report,
+                                   const ReportFilter& filter,
+                                   Time now) {
+  const auto& statements = table_.leaving_ledger().statements();
+  VisitFrom(statements, last_reported_leaving_, [&](const auto& entry) {
+    const LeavingStatement& statement = entry.second;
+    const bool is_due = filter.recent
+                            ? now - statement.stated_at <= kReportWindow
+                            : statement.leaving;
+    if (!is_due || !IsSelected(filter, statement)) {
+      return true;
+    }
+    if (report.leaving.size() == kMaxLeavingEntries) {
+      return false;
+    }
+    report.leaving.push_back({entry.first, statement.started_ms,
+                              statement.leaving,
+                              AgeMs(statement.stated_at, now)});
+    return true;
+  });
+  if (report.leaving.size() == kMaxLeavingEntries) {
+    last_reported_leaving_ = report.leaving.back().upstream_id;
   }
-  return report;
 }
 
 StatementReport StatementExchange::OwnStatements(Time now) {
@@ -129,27 +203,15 @@
     return entry.second->removed ||
            now - entry.second->limit.observation()->observed_at > kReportWindow;
   });
-  return MakeReport(
-      false, recently_observed_,
-      [this](const LimitObservation& observation) {
-        return observation.host == host_;
-      },
-      now);
+  return MakeReport(false, {host_, "", true}, now);
 }
 
 StatementReport StatementExchange::DomainStatements(Time now) {
-  return MakeReport(
-      true, recently_observed_,
-      [this](const LimitObservation& observation) {
-        return observation.domain == domain_;
-      },
-      now);
+  return MakeReport(true, {"", domain_, true}, now);
 }
 
 StatementReport StatementExchange::StatementSnapshot(Time now) {
-  return MakeReport(
-      false, limited_upstreams_, [](const LimitObservation&) { return true; },
-      now);
+  return MakeReport(false, {"", "", false}, now);
 }
 
 void StatementExchange::OnStatementReport(const StatementReport& report,
@@ -169,6 +231,12 @@
     observation.domain = report.domain;
     Apply(upstream, observation, now);
   }
+  for (const LeavingEntry& entry : report.leaving) {
+    const Time stated_at =
+        now - std::chrono::milliseconds(entry.age_ms) - kMaxTransitTime;
+    ApplyLeaving(entry.upstream_id, {entry.started_ms, entry.leaving, stated_at,
+                                     report.host, report.domain});
+  }
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/routing/statement_exchange_test.cpp
+++ b/src/pathcleat/routing/statement_exchange_test.cpp
@@ -157,5 +157,94 @@
   cr_assert(host.exchange.limited_upstreams().empty());
 }
 
+Test(statement_exchange, leaving_stated_here_is_applied_by_others) {
+  HostFixture sender("a", "d1");
+  HostFixture other("b", "d2");
+  sender.exchange.OnLeavingReported(sender.upstream(), true, kStart, kStart);
+  sender.exchange.OnLeavingReported(sender.upstream(), true, kStart, kStart);
+  cr_assert_eq(sender.updates, 1);
+  const StatementReport report = sender.exchange.OwnStatements(kStart);
+  other.exchange.OnStatementReport(*DecodeStatements(EncodeStatements(report)),
+                                   kStart);
+  cr_assert_not(other.table.IsOpen(*other.upstream()));
+  cr_assert(other.table.IsOpen(*other.upstream(1)));
+  cr_assert_eq(other.updates, 0);
+  cr_assert(other.exchange.DomainStatements(kStart).IsEmpty());
+}
+
+// Guards against a report about an earlier start, or an unlisted upstream, that
+// takes the wrong one out of use, or is lost.
+Test(statement_exchange, leaving_concerns_one_start_of_an_upstream) {
+  HostFixture sender("a", "d1");
+  HostFixture other("b", "d1");
+  sender.exchange.OnLeavingReported(sender.upstream(), true, kStart, kStart);
+  const StatementReport report = sender.exchange.OwnStatements(kStart);
+  UpstreamInfo entry = other.upstream()->info;
+  UpstreamInfo again = entry;
+  again.started_ms = 7;
+  other.table.Put(again, kStart);
+  other.exchange.OnStatementReport(report, kStart);
+  cr_assert(other.table.IsOpen(*other.upstream()));
+  HostFixture late("c", "d1", 0);
+  late.exchange.OnStatementReport(report, kStart);
+  late.table.Put(entry, kStart);
+  cr_assert_not(late.table.IsOpen(*late.upstream()));
+}
+
+// Guards against a statement that is never taken back: an answer to a later
+// request without it revokes it at all hosts.
+Test(statement_exchange, revoked_leaving_is_reported_and_applied) {
+  HostFixture a("a", "d1");
+  HostFixture b("b", "d1");
+  a.exchange.OnLeavingReported(a.upstream(), true, kStart, kStart);
+  b.exchange.OnStatementReport(a.exchange.OwnStatements(kStart), kStart);
+  const Time later = kStart + 3 * kSecond;
+  a.exchange.OnLeavingReported(a.upstream(), false, kStart + 2 * kSecond,
+                               later);
+  cr_assert(a.table.IsOpen(*a.upstream()));
+  b.exchange.OnStatementReport(a.exchange.OwnStatements(later), later);
+  cr_assert(b.table.IsOpen(*b.upstream()));
+}
+
+// Guards against a report that is larger than a datagram when many upstreams
+// leave and name limits at once.
+Test(statement_exchange, many_statements_are_reported_in_turn) {
+  constexpr int kUpstreams = 60;
+  HostFixture host("a", "d1", kUpstreams);
+  HostFixture other("b", "d1", kUpstreams);
+  for (int i = 0; i < kUpstreams; ++i) {
+    host.exchange.OnLeavingReported(host.upstream(i), true, kStart, kStart);
+    host.exchange.OnLimitReported(host.upstream(i), 1, kStart);
+  }
+  for (int round = 0; round < 4; ++round) {
+    const StatementReport report = host.exchange.OwnStatements(kStart);
+    cr_assert_leq(EncodeStatements(report).size(), 1'400U);
+    other.exchange.OnStatementReport(report, kStart);
+  }
+  for (int i = 0; i < kUpstreams; ++i) {
+    cr_assert_not(other.table.IsOpen(*other.upstream(i)));
+  }
+  cr_assert_eq(other.exchange.limited_upstreams().size(),
+               std::size_t{kUpstreams});
+}
+
+Test(statement_exchange, starting_host_is_told_who_leaves) {
+  HostFixture host("a", "d1");
+  HostFixture started("b", "d1");
+  host.exchange.OnLeavingReported(host.upstream(), true, kStart, kStart);
+  const Time later = kStart + 60 * kSecond;
+  cr_assert(host.exchange.OwnStatements(later).IsEmpty());
+  started.exchange.OnStatementReport(host.exchange.StatementSnapshot(later),
+                                     later);
+  cr_assert_not(started.table.IsOpen(*started.upstream()));
+}
+
+Test(statement_exchange, any_bytes_are_decoded_or_rejected) {
+  cr_assert(Holds("decoding arbitrary bytes never crashes", [] {
+    DecodeStatements(
+        *rc::gen::container<std::string>(rc::gen::inRange<char>(-128, 127)));
+  }));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -49,6 +49,11 @@
   return kLateAnswerValue + (1 - kLateAnswerValue) * on_time;
 }
 
+// Whether an upstream itself asked for the block.
+bool IsOwnRequest(SendBlock block) {
+  return block == SendBlock::kLeaving || block == SendBlock::kRateShare;
+}
+
 // If the limit of an upstream is due for a probe, keeps only that upstream as a
 // candidate. Otherwise it might rarely be chosen, as few hosts send to a
 // limited upstream and few of their keys may belong to it. Only first attempts
@@ -110,14 +115,16 @@
   for (const UpstreamPtr& upstream : table_.ForService(request.service)) {
     const bool reachable = upstream->region == settings_.region ||
                            links_.HasCapacity(upstream->region);
-    if (now < upstream->open_from || !request.MayRunIn(upstream->region) ||
-        !reachable || !table_.IsOpen(*upstream) ||
+    if (!request.MayRunIn(upstream->region) || !reachable ||
         !upstream->health.MayTry(now) ||
         request.excluded.contains(upstream->info.id)) {
       continue;
     }
-    if (upstream->IsRateBounded(now) && !upstream->rate_share.CanAcquire(now)) {
+    const SendBlock block = table_.BlockOf(*upstream, {}, now);
+    if (IsOwnRequest(block)) {
       passed_over.push_back(upstream);
+    }
+    if (block != SendBlock::kNone) {
       continue;
     }
     Candidate candidate;
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -72,6 +72,8 @@
       restarted || listed == by_id_.end() ? Add(entry, now) : listed->second;
   ++revision_;
   upstream->info = entry;
+  upstream->announced_leaving =
+      leaving_ledger_.IsLeaving(entry.id, entry.started_ms);
   upstream->limit.SetCapacity(std::max(1, entry.slots) / kMinRunSeconds);
   upstream->lapse_deadline.reset();
   lapsed_ids_.erase(entry.id);
@@ -148,7 +150,8 @@
 
 bool UpstreamTable::Lapse(const std::string& id, Time until) {
   const auto found = by_id_.find(id);
-  if (found == by_id_.end() || found->second->info.leaving) {
+  if (found == by_id_.end() || found->second->info.leaving ||
+      found->second->announced_leaving) {
     return false;
   }
   if (!found->second->lapse_deadline) {
@@ -222,11 +225,4 @@
   return all;
 }
 
-bool UpstreamTable::IsOpen(const UpstreamState& upstream) const {
-  return !upstream.removed && !upstream.info.leaving &&
-         !drained_domains_.contains(upstream.info.domain) &&
-         !drained_upstreams_.contains(upstream.info.id) &&
-         !drained_regions_.contains(upstream.region);
-}
-
 }  // namespace pathcleat
