An upstream that asks for time without requests gets none in it

Seven upstreams of booking-core answered each request 503 with Retry-After: 3 for 9 s, and hosts went on sending: up to seven requests of one host within the 3 s. Nothing read an upstream's Retry-After, and a rejection frees its slot at once, so that these upstreams got more requests than before.

UpstreamBackoff holds the time, for the host that was told; BlockOf asks it. It ends by time alone, spread over hosts, then by one trial at a time until the upstream accepts a request. Meanwhile its slots are no room for region shares, shifts and times to come back; where all upstreams back off, requests are refused at once, with times spread from the first end on. Values that are no number of seconds are passed over and told once. It says nothing about the upstream's version.

--- a/include/pathcleat/calls/upstream_protocol.hpp
+++ b/include/pathcleat/calls/upstream_protocol.hpp
@@ -66,6 +66,21 @@
 RateLimitHeader ParseRateLimit(const HeaderNames& names,
                                const HttpResponse& response);
 
+/// @brief The Retry-After header of an answer.
+/// @ingroup calls
+struct RetryAfterHeader {
+  bool present = false;
+  std::optional<Duration> delay;  ///< none if absent or invalid
+};
+
+/// @brief Parses how long an upstream that rejects a request (status 503) wants
+/// no requests from this host. Valid are finite numbers of seconds from 0, also
+/// with a fraction. If the answer has several such headers, the longest valid
+/// time applies. Answers with another status are not read: a Retry-After of
+/// status 429 concerns the caller.
+/// @ingroup calls
+RetryAfterHeader ParseRetryAfter(const HttpResponse& response);
+
 /// @brief Whether the upstream states that it is about to stop.
 /// @ingroup calls
 bool IsLeaving(const HeaderNames& names, const HttpResponse& response);
--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -11,7 +11,7 @@
 
 /// @brief Parts of the routing policy that can be switched off one by one, to
 /// measure the benefit of each (tools/ablate.py). Switching off kCrashBlock,
-/// kUpstreamLimits or kUpstreamLeaving also ends a guarantee
+/// kUpstreamLimits, kUpstreamBackoff or kUpstreamLeaving also ends a guarantee
 /// to users; no other mechanism affects a guarantee.
 /// @ingroup core
 enum class Mechanism {
@@ -33,6 +33,8 @@
   kCrashBlock,       ///< requests that crash upstreams are blocked
   kUpstreamLimits,   ///< rate limits in the answers of upstreams are
                      ///< enforced
+  kUpstreamBackoff,  ///< an upstream that rejects requests gets none for the
+                     ///< time that it asks for
   kUpstreamLeaving,  ///< an upstream that announces in answers that it leaves
                      ///< gets no requests
 };
--- a/include/pathcleat/gateway/answer_statements.hpp
+++ b/include/pathcleat/gateway/answer_statements.hpp
@@ -16,7 +16,8 @@
 };
 
 /// @brief Applies what an answer states about the upstream itself: its rate
-/// limit, and whether it leaves.
+/// limit, whether it leaves, and for how long it wants no requests from this
+/// host.
 ///
 /// A rejection may state all of this too. An answer with status 421 states
 /// nothing about the upstream that was picked: another one has taken over its
--- a/include/pathcleat/routing/admission_control.hpp
+++ b/include/pathcleat/routing/admission_control.hpp
@@ -41,7 +41,10 @@
   /// no upstream is available: until the first upstream accepts requests.
   /// @param open upstreams that the request may go to by the list, drains and
   /// allowed regions.
+  /// @param host_share this host's share of the slots that become available,
+  /// as other hosts refuse callers too.
   Duration RetryDelayForAny(const std::vector<UpstreamPtr>& open,
+                            double host_share,
                             const PickRequest& request,
                             const RequestProfile& profile,
                             Time now);
--- a/include/pathcleat/routing/pick.hpp
+++ b/include/pathcleat/routing/pick.hpp
@@ -102,8 +102,8 @@
   /// Whether the upstream is in another region than this host.
   bool leaves_region = false;
   int candidates = 0;  ///< number of upstreams that were compared
-  /// Number of upstreams skipped because they asked for it: they leave or
-  /// have a bounded rate of which this host's share was
+  /// Number of upstreams skipped because they asked for it: they leave, want no
+  /// requests for a time, or have a bounded rate of which this host's share was
   /// used up.
   int passed_over = 0;
 };
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -8,6 +8,7 @@
 #include "pathcleat/routing/recent_keys.hpp"
 #include "pathcleat/routing/retry_scheduler.hpp"
 #include "pathcleat/routing/slowness.hpp"
+#include "pathcleat/routing/upstream_backoff.hpp"
 #include "pathcleat/routing/upstream_health.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 #include "pathcleat/routing/upstream_limit.hpp"
@@ -37,6 +38,11 @@
   bool limit_unreadable = false;
   /// Whether UpstreamTable::MaybeRateBounded includes the upstream.
   bool may_be_rate_bounded = false;
+  UpstreamBackoff backoff;  ///< time without requests that it asked for
+  /// Whether the last Retry-After of the upstream was invalid.
+  bool retry_after_unreadable = false;
+  /// Whether UpstreamTable::BackingOff includes the upstream.
+  bool is_backing_off = false;
   /// Whether the upstream stated in an answer that it leaves.
   bool announced_leaving = false;
   /// Number of times that a choice skipped the upstream because of a SendBlock
@@ -60,8 +66,8 @@
     return IsCold(now) || limit.IsInForce(now);
   }
 
-  /// @brief Slots that requests can use. While a rate limit is in force, these
-  /// are fewer than the upstream has.
+  /// @brief Slots that requests can use. While a rate limit or a backoff is in
+  /// force, these are fewer than the upstream has.
   /// @param run_seconds run time of one request in seconds; 0: unknown.
   double UsableSlots(double run_seconds, Time now) const;
 };
--- a/include/pathcleat/routing/upstream_picker.hpp
+++ b/include/pathcleat/routing/upstream_picker.hpp
@@ -136,6 +136,7 @@
                    Time now);
   RequestProfile& ProfileOf(const Route& route);
   Pick MakeRefusal(PickFailure failure, const PickRequest& request, Time now);
+  double HostShare() const;
   Duration RoundTrip(const UpstreamState& upstream) const;
   double CarryingCost(const UpstreamState& upstream, double bytes) const;
 
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -25,6 +25,7 @@
   kClosed,   ///< the upstream is not listed, listed as leaving, or drained
   kLeaving,  ///< the upstream stated in an answer that it leaves
   kVersionNotOpen,  ///< the rollout order of its version may not have arrived
+  kBackoff,         ///< the upstream asked this host for time without requests
   kRateShare,       ///< this host's share of its bounded rate is used up
 };
 
@@ -36,6 +37,7 @@
 /// @ingroup routing
 struct SendReservation {
   bool rate_share = false;  ///< one request of this host's share of the rate
+  bool trial = false;       ///< the one request while the upstream recovers
 };
 
 /// @brief The listed upstreams by service. Not thread-safe.
@@ -83,8 +85,21 @@
   bool UpdateLeaving(const std::string& id, const LeavingStatement& statement);
   const LeavingLedger& leaving_ledger() const { return leaving_ledger_; }
 
-  /// @brief Drops old statements. Call a few times a second.
-  void DropExpiredStatements(Time now);
+  /// @brief Stops requests to an upstream for a time that it asked for; see
+  /// UpstreamBackoff::Start.
+  /// @return whether the time was extended.
+  bool StartBackoff(const UpstreamPtr& upstream,
+                    Duration delay,
+                    double spread,
+                    Time now);
+
+  /// @brief Upstreams that get no requests for a time that they asked for.
+  const std::vector<UpstreamPtr>& BackingOff() const { return backing_off_; }
+
+  /// @brief Drops old statements, and backoffs that are over. Call a few times
+  /// a second.
+  /// @return upstreams whose backoff is over.
+  std::vector<UpstreamPtr> EndBackoffs(Time now);
 
   /// @brief The listed upstream of an id; null if there is none.
   UpstreamPtr Find(const std::string& id) const;
@@ -156,6 +171,7 @@
   std::map<std::string, std::map<std::string, Time>, std::less<>>
       version_open_times_;
   std::vector<UpstreamPtr> maybe_rate_bounded_;
+  std::vector<UpstreamPtr> backing_off_;
   LeavingLedger leaving_ledger_;
   std::set<std::string> lapsed_ids_;  ///< ids of upstreams with lapsed entries
   std::uint64_t revision_ = 0;
--- a/include/pathcleat/telemetry/metrics.hpp
+++ b/include/pathcleat/telemetry/metrics.hpp
@@ -48,6 +48,10 @@
 
   /// @brief Counts a request whose connection was lost because the process of
   /// its upstream ended.
+  /// @brief Counts a time without requests that an upstream asked for.
+  void OnBackoff() { ++backoffs_; }
+  std::uint64_t backoffs() const { return backoffs_; }
+
   void OnUpstreamCrashed() { ++upstream_crashes_; }
   std::uint64_t upstream_crashes() const { return upstream_crashes_; }
 
@@ -104,6 +108,7 @@
 
  private:
   std::map<std::string, std::uint64_t> refusals_;  ///< by reason
+  std::uint64_t backoffs_ = 0;
   std::uint64_t upstream_crashes_ = 0;
   std::map<AbandonedWork, std::uint64_t> callers_left_;
   std::map<AbortCause, std::uint64_t> aborted_;
--- a/src/pathcleat/calls/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -73,6 +73,20 @@
   return readable ? std::optional(value) : std::nullopt;
 }
 
+// Upper bound of a stated delay; with larger values, sums of times could
+// overflow.
+constexpr Duration kMaxRetryAfter = std::chrono::hours(24);
+
+std::optional<Duration> ParseDelay(std::string_view text) {
+  const auto seconds = ParseQuantity(text);
+  if (!seconds) {
+    return std::nullopt;
+  }
+  const std::chrono::duration<double> delay(*seconds);
+  return delay < kMaxRetryAfter ? std::chrono::duration_cast<Duration>(delay)
+                                : kMaxRetryAfter;
+}
+
 }  // namespace
 
 std::optional<Duration> CallerTimeout(const HeaderNames& names,
@@ -153,6 +167,24 @@
   return field;
 }
 
+RetryAfterHeader ParseRetryAfter(const HttpResponse& response) {
+  RetryAfterHeader field;
+  if (response.status != http_status::kUnavailable) {
+    return field;
+  }
+  for (const HttpHeader& header : response.headers) {
+    if (!iequals(header.name, "Retry-After")) {
+      continue;
+    }
+    field.present = true;
+    const auto delay = ParseDelay(header.value);
+    if (delay && (!field.delay || *delay > *field.delay)) {
+      field.delay = delay;
+    }
+  }
+  return field;
+}
+
 bool IsLeaving(const HeaderNames& names, const HttpResponse& response) {
   const auto leaving = FindHeader(response.headers, names.leaving);
   return !names.leaving.empty() && leaving && *leaving == "1";
--- a/src/pathcleat/calls/upstream_protocol_test.cpp
+++ b/src/pathcleat/calls/upstream_protocol_test.cpp
@@ -67,5 +67,41 @@
   cr_assert_float_eq(ParseLimits({"2", "1", "x"}).per_second.value(), 1, 1e-9);
 }
 
+HttpResponse RejectionWith(const std::vector<std::string>& values,
+                           int status = 503) {
+  HttpResponse response;
+  response.status = status;
+  for (const std::string& value : values) {
+    response.headers.push_back({"Retry-After", value});
+  }
+  return response;
+}
+
+// Guards against a value that stops all sending for good or crashes this host.
+Test(upstream_protocol, invalid_retry_after_differs_from_a_missing_one) {
+  cr_assert_not(ParseRetryAfter(RejectionWith({})).present);
+  for (const std::string bad : {"", "-1", "-0.5", "nan", "inf", "1e999", "soon",
+                                "Thu, 03 Dec 2026 16:00:00 GMT", "3 s"}) {
+    const RetryAfterHeader field = ParseRetryAfter(RejectionWith({bad}));
+    cr_assert(field.present);
+    cr_assert_not(field.delay.has_value(), "%s", bad.c_str());
+  }
+  const auto delay_of = [](const std::vector<std::string>& values) {
+    return ParseRetryAfter(RejectionWith(values)).delay;
+  };
+  cr_assert(delay_of({"0.7"}) == Duration(700'000));
+  cr_assert(delay_of({"0"}) == Duration(0));
+  cr_assert(delay_of({"1", "3", "x"}) == Duration(3'000'000));
+  cr_assert(delay_of({"1e300"}) <= std::chrono::hours(24));
+}
+
+// A caller beyond its limit is told so by status 429, which concerns no other
+// caller.
+Test(upstream_protocol, only_retry_after_of_status_503_is_read) {
+  for (const int status : {200, 429, 500}) {
+    cr_assert_not(ParseRetryAfter(RejectionWith({"3"}, status)).present);
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/core/mechanism.cpp
+++ b/src/pathcleat/core/mechanism.cpp
@@ -23,6 +23,7 @@
     NamedMechanism{Mechanism::kSlowness, "slowness"},
     NamedMechanism{Mechanism::kCrashBlock, "crash_block"},
     NamedMechanism{Mechanism::kUpstreamLimits, "upstream_limits"},
+    NamedMechanism{Mechanism::kUpstreamBackoff, "upstream_backoff"},
     NamedMechanism{Mechanism::kUpstreamLeaving, "upstream_leaving"},
 };
 
--- a/src/pathcleat/gateway/answer_statements.cpp
+++ b/src/pathcleat/gateway/answer_statements.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/gateway/answer_statements.hpp"
 
 #include "pathcleat/calls/upstream_protocol.hpp"
+#include "pathcleat/core/hash.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
@@ -42,6 +43,45 @@
   }
 }
 
+void RecordBackoff(GatewayState& state,
+                   const UpstreamAnswer& answer,
+                   Duration delay,
+                   bool is_renewed) {
+  state.metrics.OnBackoff();
+  state.events.Record(EventCode::kUpstreamBackoff, answer.upstream->info.id, "",
+                      {MillisecondsField(field::kRetryAfterMs, delay),
+                       {field::kRenewed, is_renewed},
+                       {field::kRequest, FindHeader(answer.response.headers,
+                                                    state.headers.request_id)
+                                             .value_or("")}});
+}
+
+void ApplyRetryAfter(GatewayState& state,
+                     const UpstreamAnswer& answer,
+                     Time now) {
+  const UpstreamPtr& upstream = answer.upstream;
+  const RetryAfterHeader retry_after = ParseRetryAfter(answer.response);
+  const bool unreadable = retry_after.present && !retry_after.delay;
+  if (unreadable && !upstream->retry_after_unreadable) {
+    state.events.Record(
+        EventCode::kRetryAfterUnreadable, upstream->info.id,
+        FindHeader(answer.response.headers, "Retry-After").value_or(""));
+  }
+  upstream->retry_after_unreadable = unreadable;
+  if (!retry_after.delay || *retry_after.delay <= Duration::zero()) {
+    return;
+  }
+  const bool was_in_force = upstream->backoff.IsInForce(now);
+  const bool is_renewed = upstream->backoff.IsRecovering(now);
+  const double spread = ToUnitInterval(
+      MixHashes(upstream->hash, StableHash(state.settings.host)));
+  const bool extended =
+      state.upstreams.StartBackoff(upstream, *retry_after.delay, spread, now);
+  if (extended && !was_in_force) {
+    RecordBackoff(state, answer, *retry_after.delay, is_renewed);
+  }
+}
+
 }  // namespace
 
 void ApplyStatements(GatewayState& state, const UpstreamAnswer& answer) {
@@ -56,6 +96,9 @@
   if (policy.IsEnabled(Mechanism::kUpstreamLeaving)) {
     ApplyLeaving(state, answer, now);
   }
+  if (policy.IsEnabled(Mechanism::kUpstreamBackoff)) {
+    ApplyRetryAfter(state, answer, now);
+  }
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -154,7 +154,9 @@
   picker.SetPinnedDemand(
       quotas.control().DemandByAllowedRegion(accounts.All(), now));
   upstream_statements.Tick(now);
-  upstreams.DropExpiredStatements(now);
+  for (const UpstreamPtr& upstream : upstreams.EndBackoffs(now)) {
+    events.Record(EventCode::kUpstreamBackoffEnded, upstream->info.id, "");
+  }
   UpdateRateShares(now);
 }
 
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -182,6 +182,10 @@
     page.Sample("pathcleat_upstream_limit_per_second", {{"upstream", id}},
                 upstream->limit.PerSecond(now));
   }
+  page.Family("pathcleat_upstream_backoffs_total", "counter",
+              "Times without requests that upstreams asked this host for.");
+  page.Sample("pathcleat_upstream_backoffs_total", {},
+              state.metrics.backoffs());
   int open = 0;
   int cold = 0;
   int announced_leaving = 0;
@@ -200,6 +204,8 @@
   page.Sample("pathcleat_upstreams", {{"state", "limited"}},
               state.upstream_statements.limited_upstreams().size());
   page.Sample("pathcleat_upstreams", {{"state", "leaving"}}, announced_leaving);
+  page.Sample("pathcleat_upstreams", {{"state", "backoff"}},
+              state.upstreams.BackingOff().size());
   page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
 }
 
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -245,6 +245,13 @@
   if (upstream.announced_leaving) {
     text += ", says that it leaves";
   }
+  if (upstream.backoff.IsInForce(now)) {
+    text += ", wants nothing from here for " +
+            std::to_string(ToMilliseconds(upstream.backoff.until() - now)) +
+            " ms";
+  } else if (upstream.backoff.IsRecovering(now)) {
+    text += ", tried again by one request at a time";
+  }
   const bool is_limited = upstream.limit.IsInForce(now);
   if (!is_limited && upstream.passed_over > 0) {
     text += ", " + std::to_string(upstream.passed_over) + " passed over here";
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -286,12 +286,14 @@
   Answer(std::move(response), RunOutcome::kAnswered);
 }
 
-// Answers of a rate-bounded upstream (cold, or with a limit of its own) say
+// Answers of an upstream that is cold, states a limit or wants no requests say
 // nothing about its version.
 void RequestHandler::RecordVersionResult(const Pick& pick, bool bad) {
   const UpstreamState& upstream = *pick.upstream;
   Rollout* rollout = state_.rollouts.Find(upstream.info.service);
-  if (rollout != nullptr && !upstream.IsRateBounded(BootClock::now())) {
+  const Time now = BootClock::now();
+  if (rollout != nullptr && !upstream.IsRateBounded(now) &&
+      !upstream.backoff.IsInForce(now)) {
     rollout->OnAnswer(upstream.info.version, StableHash(route_->name), bad);
   }
 }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -6,6 +6,7 @@
 
 #include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/gateway/answer_statements.hpp"
+#include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
 namespace {
@@ -100,6 +101,12 @@
   }
   RecordUnknownHeaders(response.headers);
   ApplyStatements(state_, {pick_.upstream, response, sent_at_});
+  if (response.status == http_status::kMisdirected) {
+    return;
+  }
+  if (response.status != http_status::kUnavailable) {
+    upstream.backoff.OnAccepted(sent_at_);
+  }
 }
 
 void UpstreamAttempt::RecordUnknownHeaders(const HttpHeaders& headers) {
--- a/src/pathcleat/lab/leaving_upstream_test.cpp
+++ b/src/pathcleat/lab/leaving_upstream_test.cpp
@@ -104,6 +104,15 @@
   opening.ExpectAnswerFromAnother(chosen);
 }
 
+// Guarantee: an upstream receives nothing in the time that it asked for.
+Test(promise, upstream_in_backoff_gets_nothing_over_an_opening_connection) {
+  OpeningConnection opening;
+  const UpstreamPtr chosen = opening.SendAndAwaitChoice(kPost);
+  opening.state().upstreams.StartBackoff(chosen, Duration(9'000'000), 0,
+                                         BootClock::now());
+  opening.ExpectAnswerFromAnother(chosen);
+}
+
 // A cold upstream may get few requests, and a request chosen before it became
 // cold counts among them. Fails without AcquireRateShare in
 // UpstreamAttempt::MayStillSend.
--- a/src/pathcleat/lab/upstream_statements_test.cpp
+++ b/src/pathcleat/lab/upstream_statements_test.cpp
@@ -3,6 +3,7 @@
 // is to send them nothing.
 
 #include <algorithm>
+#include <set>
 
 #include "test_cluster.hpp"
 
@@ -144,5 +145,87 @@
   }
 }
 
+// Guards against callers that are told 503 while other upstreams have room: one
+// in three was, as rejections are fast and free the slots.
+Test(upstream_statements, callers_are_served_by_the_upstreams_that_have_room) {
+  for (const bool states_not_run : {true}) {
+    TestCluster cluster(OneHostPlan(3));
+    cluster.StartAll();
+    cluster.upstream(0).RejectWithRetryAfter("1", states_not_run);
+    const Time end = BootClock::now() + Duration(2'500'000);
+    for (int i = 0; BootClock::now() < end; ++i) {
+      const CallResult result = cluster.Get(0, "r" + std::to_string(i));
+      cr_assert_eq(result.response.status, http_status::kOk);
+    }
+  }
+}
+
+// Guards against callers that wait, or requests that are sent, though it is
+// known that no upstream takes them.
+Test(upstream_statements, without_another_upstream_requests_are_refused_once) {
+  TestCluster cluster(OneHostPlan());
+  cluster.StartAll();
+  cluster.ForEachUpstream(
+      [](UpstreamStandIn& u) { u.RejectWithRetryAfter("2"); });
+  const Time start = BootClock::now();
+  while (cluster.host(0).state().upstreams.BackingOff().size() < 2) {
+    SendRequests(cluster, 1, Duration(1'000));
+  }
+  cr_assert(cluster.HasEvent(0, EventCode::kUpstreamBackoff));
+  const auto arrivals = [&cluster] {
+    return cluster.upstream(0).ledger().arrivals.size() +
+           cluster.upstream(1).ledger().arrivals.size();
+  };
+  const std::size_t known = arrivals();
+  std::set<std::string> delays;
+  while (BootClock::now() < start + Duration(1'500'000)) {
+    const CallResult result =
+        cluster.Post(0, "p" + std::to_string(delays.size()));
+    cr_assert_eq(result.response.status, http_status::kUnavailable);
+    cr_assert_eq(TestCluster::OutcomeHeader(result), std::string("not-run"));
+    delays.insert(FindHeader(result.response.headers, "Retry-After").value());
+  }
+  cr_assert_eq(arrivals(), known);
+  cr_assert_gt(delays.size(), 5U);
+  cluster.ForEachUpstream(
+      [](UpstreamStandIn& u) { u.RejectWithRetryAfter(""); });
+  cr_assert(cluster.Await(
+      [&] { return cluster.host(0).state().upstreams.BackingOff().empty(); }));
+  cr_assert_eq(cluster.Get(0, "again").response.status, http_status::kOk);
+  cr_assert(cluster.HasEvent(0, EventCode::kUpstreamBackoffEnded));
+}
+
+// Guards against a value that stops all requests to an upstream for good, or
+// that is logged with each answer.
+Test(upstream_statements, unreadable_retry_after_is_logged_once_and_ignored) {
+  for (const std::string value :
+       {"-1", "nan", "1e999", "soon", "Thu, 03 Dec 2026 16:00:00 GMT"}) {
+    TestCluster cluster(OneHostPlan(1));
+    cluster.StartAll();
+    cluster.upstream(0).RejectWithRetryAfter(value);
+    for (int i = 0; i < 5; ++i) {
+      cluster.Get(0, "r" + std::to_string(i));
+    }
+    cluster.upstream(0).RejectWithRetryAfter("");
+    cr_assert_eq(cluster.Get(0, "after").response.status, http_status::kOk);
+    int logged = 0;
+    for (const Event& event : cluster.host(0).state().events.Snapshot()) {
+      logged += event.code == EventCode::kRetryAfterUnreadable ? 1 : 0;
+    }
+    cr_assert_eq(logged, 1);
+  }
+}
+
+// Guards against a caller's 503 that the upstream's Retry-After of 0 causes.
+Test(upstream_statements, retry_after_of_zero_is_no_time) {
+  TestCluster cluster(OneHostPlan(1));
+  cluster.StartAll();
+  cluster.upstream(0).RejectWithRetryAfter("0");
+  cluster.Get(0, "r");
+  cluster.upstream(0).RejectWithRetryAfter("");
+  cr_assert_eq(cluster.Get(0, "after").response.status, http_status::kOk);
+  cr_assert_not(cluster.HasEvent(0, EventCode::kRetryAfterUnreadable));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/routing/admission_control.cpp
+++ b/src/pathcleat/routing/admission_control.cpp
@@ -52,6 +52,14 @@
   if (const auto retried = upstream.health.RetryTime()) {
     return Availability{*retried - now, usual_run};
   }
+  if (upstream.backoff.IsInForce(now)) {
+    return Availability{
+        upstream.backoff.until() - now,
+        Scale(usual_run, 1.0 / std::max(1, upstream.info.slots))};
+  }
+  if (!upstream.backoff.MaySend(now)) {
+    return Availability{usual_run, usual_run};
+  }
   const auto available_in = upstream.IsRateBounded(now)
                                 ? upstream.rate_share.TimeUntilAvailable(now)
                                 : std::nullopt;
@@ -117,6 +125,7 @@
 
 Duration AdmissionControl::RetryDelayForAny(
     const std::vector<UpstreamPtr>& open,
+    double host_share,
     const PickRequest& request,
     const RequestProfile& profile,
     Time now) {
@@ -129,17 +138,23 @@
   RetryScheduler* scheduler = &service_retries_[request.service];
   double bounded_rate = 0;
   bool earliest_is_bounded = false;
+  int slots_in_backoff = 0;
+  bool earliest_is_backoff = false;
   for (const UpstreamPtr& upstream : open) {
     const bool bounded =
         !upstream->health.RetryTime() && upstream->IsRateBounded(now);
     bounded_rate += bounded ? upstream->rate_share.rate_per_second() : 0;
+    const bool backs_off =
+        !upstream->health.RetryTime() && upstream->backoff.IsInForce(now);
+    slots_in_backoff += backs_off ? std::max(1, upstream->info.slots) : 0;
     const auto availability = AvailabilityOf(*upstream, run, now);
     if (availability && availability->delay < window.earliest) {
       window.earliest = availability->delay;
       window.spacing = availability->interval;
-      earliest_is_bounded = bounded;
-      scheduler = bounded ? &service_retries_[request.service]
-                          : &upstream->retry_scheduler;
+      earliest_is_bounded = bounded && !backs_off;
+      earliest_is_backoff = backs_off;
+      scheduler = bounded || backs_off ? &service_retries_[request.service]
+                                       : &upstream->retry_scheduler;
     }
   }
   if (earliest_is_bounded) {
@@ -147,6 +162,11 @@
     // spacing follows from the sum of their rates.
     window.spacing = Scale(kSecond, 1 / bounded_rate);
   }
+  if (earliest_is_backoff) {
+    // The retry may be sent to any of the upstreams that asked for time without
+    // requests, and their slots come back for all hosts.
+    window.spacing = Scale(run, 1 / (slots_in_backoff * host_share));
+  }
   return scheduler->Reserve(window, now);
 }
 
--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -51,7 +51,8 @@
 
 // Whether an upstream itself asked for the block.
 bool IsOwnRequest(SendBlock block) {
-  return block == SendBlock::kLeaving || block == SendBlock::kRateShare;
+  return block == SendBlock::kLeaving || block == SendBlock::kBackoff ||
+         block == SendBlock::kRateShare;
 }
 
 // If the limit of an upstream is due for a probe, keeps only that upstream as a
@@ -261,7 +262,15 @@
       open.push_back(upstream);
     }
   }
-  return admission_.RetryDelayForAny(open, request, profile, now);
+  return admission_.RetryDelayForAny(open, HostShare(), request, profile, now);
+}
+
+double UpstreamPicker::HostShare() const {
+  int hosts = 0;
+  for (const auto& [region, count] : host_counts_) {
+    hosts += count;
+  }
+  return 1.0 / std::max(1, hosts);
 }
 
 Pick UpstreamPicker::Choose(const PickRequest& request, Time now) {
--- a/src/pathcleat/routing/upstream_picker_limits_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_limits_test.cpp
@@ -1,8 +1,10 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-// The choice among upstreams of which some state a rate limit.
+// The choice among upstreams of which some state a limit, reject requests or
+// answer with errors.
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 #include "pathcleat/core/hash.hpp"
 #include "picker_fixture.hpp"
@@ -121,5 +123,63 @@
   cr_assert(fixture.Choose(key, later).upstream == limited);
 }
 
+// Guards against shifts that advance by slots of upstreams that want no
+// requests.
+Test(upstream_picker, headroom_counts_no_slots_of_upstreams_in_backoff) {
+  PickerFixture fixture(1);
+  fixture.Choose(7);
+  const UpstreamPtr upstream = fixture.table().Find("s0");
+  fixture.table().StartBackoff(upstream, Duration(1'000'000), 0, kStart);
+  const ShiftTargetState state =
+      fixture.picker().TargetStateOf("service", "south", kStart);
+  cr_assert_float_eq(state.headroom, 0, 1e-9);
+}
+
+// Guards against a region whose share of keys still counts the slots of its
+// upstreams in backoff, and against keys that do not come back afterwards.
+Test(upstream_picker, keys_leave_a_region_in_backoff_and_return) {
+  const auto local_share = [](PickerFixture& fixture, Time now) {
+    constexpr int kKeys = 400;
+    int local = 0;
+    for (std::uint64_t key = 1; key <= kKeys; ++key) {
+      const Pick pick = fixture.Choose(MixHashes(key, 1), now);
+      local += pick.upstream && !pick.leaves_region ? 1 : 0;
+    }
+    return local / static_cast<double>(kKeys);
+  };
+  PickerFixture fixture;
+  fixture.picker().SetHostCounts({{"north", 1}, {"south", 1}});
+  const double before = local_share(fixture, kStart);
+  for (int i = 0; i < 4; ++i) {
+    fixture.table().StartBackoff(fixture.table().Find("n" + std::to_string(i)),
+                                 Duration(3'000'000), 0, kStart);
+  }
+  const double meanwhile = local_share(fixture, kStart + Duration(500'000));
+  const Time after = kStart + Duration(4'000'000);
+  cr_assert_eq(fixture.table().EndBackoffs(after).size(), 4U);
+  const double afterwards = local_share(fixture, after);
+  cr_assert_lt(meanwhile, before - 0.2);
+  cr_assert_float_eq(afterwards, before, 1e-9);
+}
+
+// Guards against callers that all come back in the moment in which the first
+// upstream takes requests again, or before.
+Test(upstream_picker, requests_refused_for_backoffs_retry_spread_after_them) {
+  PickerFixture fixture(1);
+  fixture.picker().SetHostCounts({{"north", 3}, {"south", 3}});
+  for (const UpstreamPtr& upstream : fixture.table().All()) {
+    fixture.table().StartBackoff(upstream, Duration(300'000), 0, kStart);
+  }
+  std::set<Duration> delays;
+  for (std::uint64_t key = 0; key < 8; ++key) {
+    const Pick pick = fixture.Choose(key);
+    cr_assert(pick.failure == PickFailure::kNoUpstream);
+    cr_assert_eq(pick.passed_over, 2);
+    delays.insert(pick.retry_after);
+  }
+  cr_assert_geq(*delays.begin(), Duration(300'000));
+  cr_assert_eq(delays.size(), 8U);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -30,6 +30,9 @@
       rate_share(0, kRateShareBurst) {}
 
 double UpstreamState::UsableSlots(double run_seconds, Time now) const {
+  if (backoff.IsInForce(now)) {
+    return 0;
+  }
   const double slots = std::max(1, info.slots);
   const bool limited = run_seconds > 0 && limit.IsInForce(now);
   return limited ? std::min(slots, limit.PerSecond(now) * run_seconds) : slots;
--- a/src/pathcleat/routing/upstream_table_send.cpp
+++ b/src/pathcleat/routing/upstream_table_send.cpp
@@ -15,6 +15,8 @@
       return "the upstream has announced that it leaves";
     case SendBlock::kVersionNotOpen:
       return "the upstream's version is not in use yet";
+    case SendBlock::kBackoff:
+      return "the upstream has asked for time without requests";
     case SendBlock::kRateShare:
       return "this host's share of the upstream's rate is used up";
   }
@@ -41,6 +43,11 @@
   if (now < upstream.open_from) {
     return SendBlock::kVersionNotOpen;
   }
+  const bool backs_off = held.trial ? upstream.backoff.IsInForce(now)
+                                    : !upstream.backoff.MaySend(now);
+  if (backs_off) {
+    return SendBlock::kBackoff;
+  }
   const bool has_share = held.rate_share || !upstream.IsRateBounded(now) ||
                          upstream.rate_share.CanAcquire(now);
   return has_share ? SendBlock::kNone : SendBlock::kRateShare;
@@ -56,6 +63,7 @@
   if (!held.rate_share && upstream.IsRateBounded(now)) {
     held.rate_share = upstream.rate_share.TryAcquire(now);
   }
+  held.trial = held.trial || upstream.backoff.OnSent(now);
   return SendBlock::kNone;
 }
 
@@ -66,12 +74,39 @@
   if (held.rate_share && !was_sent) {
     upstream.rate_share.Release(now);
   }
+  if (held.trial) {
+    upstream.backoff.OnTrialEnded();
+  }
   held = {};
 }
 
-void UpstreamTable::DropExpiredStatements(Time now) {
+bool UpstreamTable::StartBackoff(const UpstreamPtr& upstream,
+                                 Duration delay,
+                                 double spread,
+                                 Time now) {
+  const bool extended = upstream->backoff.Start(delay, spread, now);
+  if (!upstream->is_backing_off) {
+    upstream->is_backing_off = true;
+    backing_off_.push_back(upstream);
+    ++revision_;
+  }
+  return extended;
+}
+
+std::vector<UpstreamPtr> UpstreamTable::EndBackoffs(Time now) {
+  std::vector<UpstreamPtr> ended;
+  std::erase_if(backing_off_, [&ended, now](const UpstreamPtr& upstream) {
+    upstream->is_backing_off =
+        !upstream->removed && upstream->backoff.IsInForce(now);
+    if (!upstream->is_backing_off && !upstream->removed) {
+      ended.push_back(upstream);
+    }
+    return !upstream->is_backing_off;
+  });
+  revision_ += ended.empty() ? 0 : 1;
   leaving_ledger_.DropExpired(
       [this](const std::string& id) { return by_id_.contains(id); }, now);
+  return ended;
 }
 
 bool UpstreamTable::UpdateLeaving(const std::string& id,
