Model of upstreams that ask for time without requests

pathcleat-lab backoffs compares what hosts may do: send on, take it for a failure, keep the time alone (back at once, or spread and by trials), tell the domain, or have the domain avoid the upstream.

--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -14,6 +14,7 @@
 #include "header_names.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
+#include "pathcleat/lab/backoff_model.hpp"
 #include "pathcleat/lab/caller_retry_model.hpp"
 #include "pathcleat/lab/cost_curve.hpp"
 #include "pathcleat/lab/deployment_config.hpp"
@@ -45,6 +46,7 @@
   pathcleat-lab returns [--seeds=N]
   pathcleat-lab quotas [--seeds=N]
   pathcleat-lab limits [--seeds=N]
+  pathcleat-lab backoffs [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
@@ -59,6 +61,8 @@
   returns    What becomes of requests that are told to come back, in the model.
   quotas     How well ways to share an account's limit keep it, in the model.
   limits     How well ways to keep limits that upstreams name do, in the model.
+  backoffs   What becomes of requests while upstreams reject and ask for time
+             without requests, in the model.
   slopes     Measure what the capacity page is reckoned from.
 
 Options:
@@ -269,6 +273,12 @@
   return kDone;
 }
 
+int RunBackoffs(const Arguments& arguments) {
+  std::cout << MeasureBackoffs(
+      static_cast<int>(arguments.at("--seeds").asLong()));
+  return kDone;
+}
+
 int RunSlopes() {
   for (const auto& measure : {MeasureBlockTableCosts, MeasureRoutingCosts,
                               MeasureHeartbeatCosts, MeasureAccountCosts}) {
@@ -284,6 +294,9 @@
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
+  if (arguments.at("backoffs").asBool()) {
+    return RunBackoffs(arguments);
+  }
   if (arguments.at("limits").asBool()) {
     return RunLimits(arguments);
   }
