ablate.py finds the mechanisms again

Its pattern looked for Named{Mechanism, which became NamedMechanism{ in, so that it played the baseline alone.

--- a/tools/ablate.py
+++ b/tools/ablate.py
@@ -28,7 +28,7 @@
 def mechanism_names():
     """Names that the setting policy.off accepts."""
     source = bench_runs.ROOT / "src/pathcleat/core/mechanism.cpp"
-    return re.findall(r'Named\{Mechanism::\w+, "(\w+)"\}', source.read_text())
+    return re.findall(r'NamedMechanism\{Mechanism::\w+, "(\w+)"\}', source.read_text())
 
 
 def measure(copy, name, options, seeds):
