Names that a second reading stopped at

kRan is kCompleted, kPatience kFailover (its printed name stays), candidates for a rate bound are called so, silence times, ReadNextResponse, kSpacingCount.

--- a/include/pathcleat/calls/connection_pool.hpp
+++ b/include/pathcleat/calls/connection_pool.hpp
@@ -78,7 +78,7 @@
 
   boost::asio::io_context& loop_;
   std::map<std::string, Connections> idle_;
-  std::map<std::string, Time> last_silences_;                ///< by upstream id
+  std::map<std::string, Time> silence_times_;                ///< by upstream id
   std::map<std::string, IdleReuseLimit> idle_reuse_limits_;  ///< by service
   std::uint64_t silent_count_ = 0;
 };
--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -25,7 +25,7 @@
                      ///< usual value, not to zero
   kAverageLoad,      ///< an upstream without reports is assumed to have
                      ///< the average load
-  kPatience,         ///< a repeatable request fails over if its upstream
+  kFailover,         ///< a repeatable request fails over if its upstream
                      ///< stays silent
   kCarryingCost,     ///< the cost of transfers between regions counts in
                      ///< the choice of upstream
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -181,7 +181,7 @@
   void Parse();
   void HandleHead();
   void HandleResponse();
-  void AwaitNextResponse();
+  void ReadNextResponse();
   void OnReadError(const boost::system::error_code& error);
   Time CurrentDeadline() const;
   void ArmDeadline();
--- a/include/pathcleat/routing/retry_scheduler.hpp
+++ b/include/pathcleat/routing/retry_scheduler.hpp
@@ -51,7 +51,7 @@
 
   // Number of spacings that are tried: the full spacing, then a half, a quarter
   // and an eighth of it.
-  static constexpr int kMaxSpacings = 4;
+  static constexpr int kSpacingCount = 4;
 
   Duration ChooseDelay(const RetryWindow& window, Time now) const;
   std::optional<Duration> FirstFree(Duration from,
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -37,8 +37,8 @@
   UpstreamLimit limit;     ///< rate limit stated in the upstream's answers
   /// Whether the last answer of the upstream stated an invalid limit.
   bool limit_unreadable = false;
-  /// Whether UpstreamTable::MaybeRateBounded includes the upstream.
-  bool may_be_rate_bounded = false;
+  /// Whether UpstreamTable::RateBoundCandidates includes the upstream.
+  bool is_rate_bound_candidate = false;
   UpstreamBackoff backoff;  ///< time without requests that it asked for
   /// Whether the last Retry-After of the upstream was invalid.
   bool retry_after_unreadable = false;
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -110,7 +110,7 @@
   /// @brief Upstreams whose rate may be bounded. Only these few upstreams are
   /// checked several times a second, so that the cost does not grow with the
   /// list.
-  const std::vector<UpstreamPtr>& MaybeRateBounded(Time now);
+  const std::vector<UpstreamPtr>& RateBoundCandidates(Time now);
 
   /// @brief Upstreams whose entries have lapsed.
   std::vector<UpstreamPtr> LapsedUpstreams() const;
@@ -170,7 +170,7 @@
   /// When each version of a service may first get requests.
   std::map<std::string, std::map<std::string, Time>, std::less<>>
       version_open_times_;
-  std::vector<UpstreamPtr> maybe_rate_bounded_;
+  std::vector<UpstreamPtr> rate_bound_candidates_;
   std::vector<UpstreamPtr> backing_off_;
   LeavingLedger leaving_ledger_;
   std::set<std::string> lapsed_ids_;  ///< ids of upstreams with lapsed entries
--- a/src/pathcleat/calls/connection_pool.cpp
+++ b/src/pathcleat/calls/connection_pool.cpp
@@ -112,11 +112,11 @@
                                         const HttpClient& client,
                                         Time now) {
   ++silent_count_;
-  const auto last = last_silences_.find(upstream_id);
-  if (last != last_silences_.end() && client.opened_at() <= last->second) {
+  const auto last = silence_times_.find(upstream_id);
+  if (last != silence_times_.end() && client.opened_at() <= last->second) {
     return false;
   }
-  last_silences_[upstream_id] = now;
+  silence_times_[upstream_id] = now;
   if (!IsOtherUpstreamSilent(upstream_id, now)) {
     CloseUnresponsive(idle_[upstream_id], now);
     return true;
@@ -129,7 +129,7 @@
 
 bool ConnectionPool::IsOtherUpstreamSilent(const std::string& upstream_id,
                                            Time now) const {
-  return std::any_of(last_silences_.begin(), last_silences_.end(),
+  return std::any_of(silence_times_.begin(), silence_times_.end(),
                      [&upstream_id, now](const auto& silence) {
                        return silence.first != upstream_id &&
                               now - silence.second < kAckTimeout;
@@ -149,7 +149,7 @@
 }
 
 void ConnectionPool::CloseIdle(Time now) {
-  std::erase_if(last_silences_, [now](const auto& silence) {
+  std::erase_if(silence_times_, [now](const auto& silence) {
     return now - silence.second >= kSilenceTtl;
   });
   for (auto entry = idle_.begin(); entry != idle_.end();) {
--- a/src/pathcleat/core/mechanism.cpp
+++ b/src/pathcleat/core/mechanism.cpp
@@ -18,7 +18,7 @@
     NamedMechanism{Mechanism::kAdmission, "admission"},
     NamedMechanism{Mechanism::kUsualLoad, "usual_load"},
     NamedMechanism{Mechanism::kAverageLoad, "average_load"},
-    NamedMechanism{Mechanism::kPatience, "patience"},
+    NamedMechanism{Mechanism::kFailover, "patience"},
     NamedMechanism{Mechanism::kCarryingCost, "carrying_cost"},
     NamedMechanism{Mechanism::kSlowness, "slowness"},
     NamedMechanism{Mechanism::kCrashBlock, "crash_block"},
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -207,7 +207,7 @@
 }
 
 void GatewayState::UpdateRateShares(Time now) {
-  const auto& rate_bounded = upstreams.MaybeRateBounded(now);
+  const auto& rate_bounded = upstreams.RateBoundCandidates(now);
   if (rate_bounded.empty()) {
     return;
   }
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -144,7 +144,7 @@
 // than expected, another upstream can accept the request and time is left.
 // Otherwise the request keeps waiting, as the upstream may still answer.
 void RequestHandler::StartFailoverTimer(Duration timeout) {
-  if (state_.settings.policy.IsEnabled(Mechanism::kPatience)) {
+  if (state_.settings.policy.IsEnabled(Mechanism::kFailover)) {
     StartTimer(failover_timer_, timeout, &RequestHandler::OnFailoverTimeout);
   }
 }
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -261,7 +261,7 @@
   result.outcome = CallOutcome::kAnswered;
   result.response = FromBeast(parser_->release());
   if (result.response.status < kFirstFinalStatus) {
-    AwaitNextResponse();
+    ReadNextResponse();
     return;
   }
   if (matcher_ && !matcher_(result.response)) {
@@ -270,7 +270,7 @@
       Fail(CallOutcome::kConnectionLost, "the answer is another request's");
       return;
     }
-    AwaitNextResponse();
+    ReadNextResponse();
     return;
   }
   keep_alive_timeout_ = KeepAliveTimeout(result.response);
@@ -281,7 +281,7 @@
 
 // Called if the response was interim (1xx) or belonged to another request. The
 // first-byte timeout applies again.
-void HttpClient::AwaitNextResponse() {
+void HttpClient::ReadNextResponse() {
   StartParser();
   response_started_ = buffer_.size() > 0;
   ArmDeadline();
--- a/src/pathcleat/http/http_client_test.cpp
+++ b/src/pathcleat/http/http_client_test.cpp
@@ -128,7 +128,7 @@
 
 // Guards against an interim answer (100) that starts the progress timeout while
 // the peer still works on the request. Fails without resetting
-// response_started_ in AwaitNextResponse.
+// response_started_ in ReadNextResponse.
 Test(http_client, interim_answer_does_not_start_the_progress_timeout) {
   ClientFixture fixture;
   fixture.SendRequest({kLongTimeout, kLongTimeout, kNoTimeout, kShortTimeout});
--- a/src/pathcleat/lab/backoff_model.cpp
+++ b/src/pathcleat/lab/backoff_model.cpp
@@ -250,7 +250,7 @@
                                        one_way, sent = scheduler_.now()] {
       const auto on_done = [=, this, &host](ModelWorkOutcome outcome) {
         Answer(host, request, pick, held, target, sent, one_way,
-               outcome == ModelWorkOutcome::kRan);
+               outcome == ModelWorkOutcome::kCompleted);
       };
       CountArrival(host, pick.upstream->info.id, *target);
       if (IsRejecting(*target)) {
--- a/src/pathcleat/lab/caller_retry_model.cpp
+++ b/src/pathcleat/lab/caller_retry_model.cpp
@@ -240,7 +240,7 @@
       scheduler_.ScheduleAfter(one_way, [=, this, &host] {
         pick.upstream->load.OnReport(report, scheduler_.now());
         pick.upstream->load.OnEnded();
-        if (outcome != ModelWorkOutcome::kRan) {
+        if (outcome != ModelWorkOutcome::kCompleted) {
           RetryElsewhere(host, caller_request, pick_request);
           return;
         }
--- a/src/pathcleat/lab/limit_model.cpp
+++ b/src/pathcleat/lab/limit_model.cpp
@@ -334,7 +334,8 @@
       if (now_ >= host.next_tick) {
         host.next_tick += kTickInterval;
         host.exchange->Tick(now_);
-        for (const UpstreamPtr& upstream : host.table->MaybeRateBounded(now_)) {
+        for (const UpstreamPtr& upstream :
+             host.table->RateBoundCandidates(now_)) {
           upstream->rate_share.SetRate(RateOf(host, *upstream), now_);
         }
       }
--- a/src/pathcleat/lab/simulated_upstream.hpp
+++ b/src/pathcleat/lab/simulated_upstream.hpp
@@ -19,7 +19,7 @@
 /// @brief How a unit of work ended at a simulated upstream.
 /// @ingroup lab
 enum class ModelWorkOutcome {
-  kRan,
+  kCompleted,
   kNotRun,  ///< rejected, or its deadline passed in the queue
   kLost,    ///< the upstream crashed while the work was queued or running
 };
@@ -114,7 +114,7 @@
     }
     const ModelWork work = std::move(found->second);
     running_.erase(found);
-    work.done(ModelWorkOutcome::kRan);
+    work.done(ModelWorkOutcome::kCompleted);
     while (!waiting_.empty() && HasFreeSlot()) {
       const ModelWork next = waiting_.front();
       waiting_.pop_front();
--- a/src/pathcleat/routing/retry_scheduler.cpp
+++ b/src/pathcleat/routing/retry_scheduler.cpp
@@ -46,7 +46,7 @@
   Duration from =
       window.earliest <= window.latest ? window.earliest : Duration::zero();
   Duration spacing = window.spacing;
-  for (int i = 0; i < kMaxSpacings; ++i) {
+  for (int i = 0; i < kSpacingCount; ++i) {
     if (const auto last = LastFree(from, window.latest, spacing, now)) {
       return *last;
     }
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -94,9 +94,9 @@
 }
 
 void UpstreamTable::TrackRateBound(const UpstreamPtr& upstream) {
-  if (!upstream->may_be_rate_bounded) {
-    upstream->may_be_rate_bounded = true;
-    maybe_rate_bounded_.push_back(upstream);
+  if (!upstream->is_rate_bound_candidate) {
+    upstream->is_rate_bound_candidate = true;
+    rate_bound_candidates_.push_back(upstream);
   }
 }
 
@@ -164,17 +164,17 @@
   return true;
 }
 
-const std::vector<UpstreamPtr>& UpstreamTable::MaybeRateBounded(Time now) {
-  const std::size_t count_before = maybe_rate_bounded_.size();
-  std::erase_if(maybe_rate_bounded_, [now](const UpstreamPtr& upstream) {
-    upstream->may_be_rate_bounded =
+const std::vector<UpstreamPtr>& UpstreamTable::RateBoundCandidates(Time now) {
+  const std::size_t count_before = rate_bound_candidates_.size();
+  std::erase_if(rate_bound_candidates_, [now](const UpstreamPtr& upstream) {
+    upstream->is_rate_bound_candidate =
         !upstream->removed && upstream->IsRateBounded(now);
-    return !upstream->may_be_rate_bounded;
+    return !upstream->is_rate_bound_candidate;
   });
   // A rate limit of an upstream dropped above may have ended, which changes the
   // number of usable slots.
-  revision_ += maybe_rate_bounded_.size() < count_before ? 1 : 0;
-  return maybe_rate_bounded_;
+  revision_ += rate_bound_candidates_.size() < count_before ? 1 : 0;
+  return rate_bound_candidates_;
 }
 
 std::vector<UpstreamPtr> UpstreamTable::LapsedUpstreams() const {
--- a/src/pathcleat/routing/upstream_table_test.cpp
+++ b/src/pathcleat/routing/upstream_table_test.cpp
@@ -32,13 +32,13 @@
      periodic_checks_cover_only_rate_bounded_and_lapsed_upstreams) {
   for (const int upstreams : {100, 1'000}) {
     UpstreamTable table = TableOf(upstreams);
-    cr_assert(table.MaybeRateBounded(kStart).empty());
+    cr_assert(table.RateBoundCandidates(kStart).empty());
     UpstreamInfo cold = InfoOf(3);
     cold.cold_remaining = kSecond;
     table.Put(cold, kStart);
     table.Put(cold, kStart);
-    cr_assert_eq(table.MaybeRateBounded(kStart).size(), 1U);
-    cr_assert(table.MaybeRateBounded(kStart + kSecond * 2).empty());
+    cr_assert_eq(table.RateBoundCandidates(kStart).size(), 1U);
+    cr_assert(table.RateBoundCandidates(kStart + kSecond * 2).empty());
     cr_assert(table.LapsedUpstreams().empty());
     table.Lapse("i-4", kStart);
     cr_assert_eq(table.LapsedUpstreams().size(), 1U);
@@ -53,7 +53,7 @@
   cold.cold_remaining = kSecond;
   table.Put(cold, kStart);
   table.Remove("i-0");
-  cr_assert(table.MaybeRateBounded(kStart).empty());
+  cr_assert(table.RateBoundCandidates(kStart).empty());
   table.Lapse("i-1", kStart);
   table.Remove("i-1");
   cr_assert(table.LapsedUpstreams().empty());
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -183,7 +183,7 @@
   copy.Replace(name, "{", "{ \"policy\": { \"off\": [\"patience\"] },");
   const LoadedEntrySettings loaded = LoadEntrySettings(file);
   cr_assert(loaded.faults.empty());
-  cr_assert(!loaded.settings.policy.IsEnabled(Mechanism::kPatience));
+  cr_assert(!loaded.settings.policy.IsEnabled(Mechanism::kFailover));
   cr_assert(loaded.settings.policy.IsEnabled(Mechanism::kSlowness));
   copy.Replace(name, "patience", "patients");
   const LoadedEntrySettings invalid = LoadEntrySettings(file);
