A host that started by its peers' data claims idempotency keys at once

A host knew of the store by the answer to its first watch alone, and that comes at the next change, or after 20 s. The rows that it read from the store before say so too.

follower_key/hosts_that_started_by_their_peers_data_claim_keys failed in 4 of 4 runs before (host 4 of six refused), passes in 3 of 3 now; deadlines/ passes. Ruled out: the store's rate limit (the refusal took 0 ms) and the backoff of upstreams (no attempt was logged for these requests).

--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -180,6 +180,8 @@
 }
 
 void Gateway::OnRowsRead() {
+  // The first watch may take long to tell: it is answered at the next change.
+  state_.store_reachable = true;
   secrets_.OnRowsRead();
   commands_.OnRowsRead();
   peer_link_.Announce();
