A soak of the real programs: signals, a silent store, upstreams that leave or reject

tools/soak.py starts nine hosts, the stand-ins and a load as processes of their own, and plays a seeded schedule of planned stops, kills, freezes, reloads, a silent store, upstreams that announce leaving and groups that reject with Retry-After, in series and overlapping. It judges by what callers and upstreams saw; its checks are functions with tests on hand-made histories. The stand-ins tell their arrivals on the control port, half of the load's callers keep their connections and name objects, so that all upstreams get some of the work.

Not in it: a proxy on the links, clocks, shrinking of schedules.

--- a/include/pathcleat/lab/load_generator.hpp
+++ b/include/pathcleat/lab/load_generator.hpp
@@ -43,6 +43,9 @@
   /// `hosts` throughout.
   std::vector<std::string> locators;
   std::string host_header = "caller";  ///< sent as the Host field
+  /// Field that names the object of each request; empty: not sent.
+  std::string affinity_header;
+  int objects = 500;  ///< number of different objects
   std::uint64_t seed = 1;
 };
 
@@ -54,6 +57,12 @@
   int not_run = 0;
   int unknown = 0;
   int connection_lost = 0;  ///< no answer before the connection ended
+  /// Tries, also repeated ones, whose new connection ended after the request
+  /// was sent and before its answer.
+  int cut_tries = 0;
+  /// The same on a connection that was kept from an earlier request: its end
+  /// may have crossed the request.
+  int cut_kept_tries = 0;
   int corrupt_answers =
       0;  ///< answers that are incomplete or of another request
   std::vector<double>
@@ -73,7 +82,8 @@
 
 /// @brief Sends a load from many local addresses, as callers would: queries a
 /// locator for the entry hosts to use, tries the next host when a host does not
-/// answer, and repeats keyed requests with their key.
+/// answer, and repeats keyed requests with their key. Half of the callers keep
+/// their connections open and use them as long as the hosts do.
 /// @ingroup lab
 class LoadGenerator {
  public:
@@ -92,6 +102,9 @@
     std::vector<std::string> hosts;
     Time hosts_until;
     std::size_t next_locator = 0;
+    bool keeps_connections = false;
+    /// Idle connections by host, used until the host closes them.
+    std::map<std::string, HttpClientPtr> connections;
   };
   struct Request;
   using RequestPtr = std::shared_ptr<Request>;
@@ -103,7 +116,9 @@
   void OnResult(const RequestPtr& request, const CallResult& result);
   void Repeat(const RequestPtr& request, std::chrono::milliseconds wait);
   void Finish(const RequestPtr& request);
+  const std::string& HostFor(const RequestPtr& request) const;
   HttpClientPtr ConnectionFor(const RequestPtr& request);
+  void Keep(const RequestPtr& request, const HttpClientPtr& client);
   HttpClientPtr LocatorFor(const RequestPtr& request);
   void ScheduleAfter(std::chrono::microseconds wait,
                      std::function<void()> callback);
--- a/include/pathcleat/lab/upstream_farm.hpp
+++ b/include/pathcleat/lab/upstream_farm.hpp
@@ -14,7 +14,10 @@
 namespace pathcleat {
 
 /// @brief Stand-ins for all upstreams of a deployment in one process, with a
-/// control port: GET /ledger returns the sum of their ledgers as JSON.
+/// control port: GET /ledger returns the sum of their ledgers as JSON,
+/// /statements the requests that each got since it announced leaving or asked
+/// for time without requests (times in seconds since the boot of the machine),
+/// /set/UPSTREAM/leaving/1 and /set/UPSTREAM/retry-after/SECONDS make it do so.
 /// @ingroup lab
 class UpstreamFarm {
  public:
@@ -29,7 +32,9 @@
 
  private:
   void Handle(const HttpExchangePtr& exchange);
+  bool ApplySetting(const std::string& target);
   std::string LedgerJson() const;
+  std::string StatementsJson() const;
 
   const Deployment& deployment_;
   std::vector<std::unique_ptr<UpstreamStandIn>> upstreams_;
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -30,6 +31,10 @@
   std::map<std::string, int> runs_by_account;  ///< by account name
   int requests_with_authorization = 0;         ///< with an Authorization field
   std::vector<Time> arrivals;  ///< of all requests, also rejected ones
+  /// First answer that announced leaving, and first rejection with Retry-After,
+  /// since the stand-in was last told to send them.
+  std::optional<Time> announced_leaving_at;
+  std::optional<Time> asked_for_time_at;
 };
 
 /// @brief Options of an upstream stand-in.
@@ -105,6 +110,7 @@
   /// answers from now on; empty: no header.
   void SetLeavingHeader(std::string leaving) {
     leaving_header_ = std::move(leaving);
+    ledger_.announced_leaving_at.reset();
   }
 
   /// @brief From now on rejects all requests with status 503 and this text as
@@ -116,6 +122,7 @@
     retry_after_ = std::move(retry_after);
     states_not_run_ = states_not_run;
     reject_requests_ = !retry_after_.empty();
+    ledger_.asked_for_time_at.reset();
   }
 
   /// @brief Called for each request from now on; returns how to handle it.
@@ -150,7 +157,7 @@
   void UpdateSlotSeconds();
   void Answer(const HttpExchangePtr& exchange);
   std::string LoadHeaderValue() const;
-  void AddStateHeaders(HttpResponse& response) const;
+  void AddStateHeaders(HttpResponse& response);
 
   boost::asio::io_context& loop_;
   UpstreamStandInOptions options_;
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -181,6 +181,7 @@
   plan.duration = std::chrono::seconds(arguments.at("--seconds").asLong());
   plan.seed = static_cast<std::uint64_t>(arguments.at("--seed").asLong());
   plan.host_header = HostHeaderOf(deployment);
+  plan.affinity_header = platform::PlatformHeaderNames().affinity_key;
   return plan;
 }
 
--- a/src/pathcleat/lab/deployment_config.cpp
+++ b/src/pathcleat/lab/deployment_config.cpp
@@ -29,6 +29,7 @@
   route.path_prefix = PrefixOf(service, kind);
   route.splits = {{service.name, 1}};
   route.repeatable = kind.repeatable;
+  route.sticky = true;
   route.large_answers = kind.priority == Priority::kDownload;
   route.priority = static_cast<int>(kind.priority);
   route.max_attempts = 2;
--- a/src/pathcleat/lab/load_audit.cpp
+++ b/src/pathcleat/lab/load_audit.cpp
@@ -39,7 +39,9 @@
   for (const auto& [kind, counts] : load.counts()) {
     text << kind << ": sent " << counts.sent << ", answered " << counts.answered
          << ", not-run " << counts.not_run << ", unknown " << counts.unknown
-         << ", connection lost " << counts.connection_lost << ", p50 "
+         << ", connection lost " << counts.connection_lost << ", tries cut "
+         << counts.cut_tries << ", kept connections ended "
+         << counts.cut_kept_tries << ", p50 "
          << Quantile(counts.latency_ms, kMedian) << " ms, p99 "
          << Quantile(counts.latency_ms, kTail) << " ms, refused p99 "
          << Quantile(counts.refusal_ms, kTail) << " ms\n";
--- a/src/pathcleat/lab/load_generator.cpp
+++ b/src/pathcleat/lab/load_generator.cpp
@@ -26,6 +26,7 @@
   Time scheduled;
   std::string id;
   std::string body;
+  int object = 0;
   int tries = 0;
   std::size_t host_index = 0;
   LoadRecord record;
@@ -50,6 +51,9 @@
     callers_.push_back({plan.caller_address_prefixes[region] + "." +
                             std::to_string(i % 250) + ".1",
                         plan.hosts,
+                        {},
+                        0,
+                        i % 2 == 1,
                         {}});
   }
 }
@@ -100,6 +104,8 @@
   request->kind = &plan_.kinds[draw_kind(random_)];
   request->caller = &callers_[draw_caller(random_)];
   request->scheduled = next_arrival_;
+  request->object =
+      std::uniform_int_distribution<int>(0, plan_.objects - 1)(random_);
   request->id = std::to_string(plan_.seed) + "-" + std::to_string(next_id_++);
   if (request->kind->method != "GET") {
     request->body = "entry " + request->id;
@@ -118,16 +124,33 @@
   ScheduleNext();
 }
 
-HttpClientPtr LoadGenerator::ConnectionFor(const RequestPtr& request) {
+const std::string& LoadGenerator::HostFor(const RequestPtr& request) const {
   const auto& hosts = request->caller->hosts;
-  const auto endpoint =
-      ParseTcpEndpoint(hosts[request->host_index % hosts.size()]);
+  return hosts[request->host_index % hosts.size()];
+}
+
+// A connection serves one request at a time: a kept one is taken out while it
+// is in use.
+HttpClientPtr LoadGenerator::ConnectionFor(const RequestPtr& request) {
+  const std::string& host = HostFor(request);
+  auto kept = request->caller->connections.extract(host);
+  if (!kept.empty() && kept.mapped()->IsReusable()) {
+    return kept.mapped();
+  }
+  const auto endpoint = ParseTcpEndpoint(host);
   auto client = std::make_shared<HttpClient>(
       loop_, endpoint.value_or(boost::asio::ip::tcp::endpoint()), HttpLimits());
   client->BindLocalAddress(request->caller->address);
   return client;
 }
 
+void LoadGenerator::Keep(const RequestPtr& request,
+                         const HttpClientPtr& client) {
+  if (request->caller->keeps_connections && client->IsReusable()) {
+    request->caller->connections[HostFor(request)] = client;
+  }
+}
+
 HttpClientPtr LoadGenerator::LocatorFor(const RequestPtr& request) {
   const auto& locators = plan_.locators;
   const std::size_t index = request->caller->next_locator++;
@@ -171,20 +194,33 @@
   // each.
   request->record.run_id = request->id + "." + std::to_string(request->tries);
   request->record.reported_not_run = false;
-  HttpRequest http{request->kind->method,
-                   request->kind->path,
-                   {{"Host", plan_.host_header},
-                    {"Connection", "close"},
-                    {"X-Run-Id", request->record.run_id}},
-                   request->body};
+  HttpRequest http{
+      request->kind->method,
+      request->kind->path,
+      {{"Host", plan_.host_header}, {"X-Run-Id", request->record.run_id}},
+      request->body};
+  if (!request->caller->keeps_connections) {
+    http.headers.push_back({"Connection", "close"});
+  }
+  if (!plan_.affinity_header.empty()) {
+    http.headers.push_back(
+        {plan_.affinity_header, std::to_string(request->object)});
+  }
   if (!request->record.key.empty()) {
     http.headers.push_back({"Idempotency-Key", request->record.key});
   }
   const HttpClientPtr client = ConnectionFor(request);
-  client->Send(http, {kRequestTimeout, kRequestTimeout},
-               [this, request, client](const CallResult& result) {
-                 OnResult(request, result);
-               });
+  client->Send(
+      http, {kRequestTimeout, kRequestTimeout},
+      [this, request, client](const CallResult& result) {
+        if (result.outcome == CallOutcome::kAnswered) {
+          Keep(request, client);
+        } else if (result.outcome != CallOutcome::kNotSent) {
+          LoadCounts& counts = counts_[request->kind->name];
+          ++(client->reused() ? counts.cut_kept_tries : counts.cut_tries);
+        }
+        OnResult(request, result);
+      });
 }
 
 void LoadGenerator::OnResult(const RequestPtr& request,
--- a/src/pathcleat/lab/upstream_farm.cpp
+++ b/src/pathcleat/lab/upstream_farm.cpp
@@ -3,10 +3,21 @@
 #include "pathcleat/http/http_status.hpp"
 
 #include <algorithm>
+#include <boost/algorithm/string/split.hpp>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <vector>
 
 namespace pathcleat {
+namespace {
+
+double ToSeconds(Time time) {
+  return std::chrono::duration<double>(time.time_since_epoch()).count();
+}
+
+}  // namespace
+
 UpstreamFarm::UpstreamFarm(boost::asio::io_context& loop,
                            const Deployment& deployment,
                            const HeaderNames& headers,
@@ -43,7 +54,62 @@
     exchange->Respond(JsonResponse(http_status::kOk, LedgerJson()));
     return;
   }
-  exchange->Respond(TextResponse(http_status::kNotFound, "no such path\n"));
+  if (exchange->request().target == "/statements") {
+    exchange->Respond(JsonResponse(http_status::kOk, StatementsJson()));
+    return;
+  }
+  const bool done = ApplySetting(exchange->request().target);
+  exchange->Respond(done ? TextResponse(http_status::kOk, "done\n")
+                         : TextResponse(http_status::kNotFound,
+                                        "no such path or upstream\n"));
+}
+
+// Targets: /set/UPSTREAM/leaving/VALUE and /set/UPSTREAM/retry-after/VALUE; an
+// empty value stops the statement.
+bool UpstreamFarm::ApplySetting(const std::string& target) {
+  std::vector<std::string> parts;
+  boost::algorithm::split(parts, target,
+                          [](char character) { return character == '/'; });
+  constexpr std::size_t kParts = 5;
+  if (parts.size() != kParts || parts[1] != "set") {
+    return false;
+  }
+  const auto found = std::find_if(
+      upstreams_.begin(), upstreams_.end(),
+      [&parts](const auto& upstream) { return upstream->id() == parts[2]; });
+  if (found == upstreams_.end()) {
+    return false;
+  }
+  if (parts[3] == "leaving") {
+    (*found)->SetLeavingHeader(parts[4]);
+  } else if (parts[3] == "retry-after") {
+    (*found)->RejectWithRetryAfter(parts[4]);
+  } else {
+    return false;
+  }
+  return true;
+}
+
+std::string UpstreamFarm::StatementsJson() const {
+  const auto arrivals_since = [](const UpstreamLedger& ledger,
+                                 const std::optional<Time>& since) {
+    nlohmann::json arrivals = nlohmann::json::array();
+    for (const Time arrival : ledger.arrivals) {
+      if (since && arrival >= *since) {
+        arrivals.push_back(ToSeconds(arrival));
+      }
+    }
+    return nlohmann::json{{"since", since ? ToSeconds(*since) : 0},
+                          {"arrivals", arrivals}};
+  };
+  nlohmann::json statements = nlohmann::json::object();
+  for (const auto& upstream : upstreams_) {
+    const UpstreamLedger& ledger = upstream->ledger();
+    statements[upstream->id()] = {
+        {"leaving", arrivals_since(ledger, ledger.announced_leaving_at)},
+        {"retry_after", arrivals_since(ledger, ledger.asked_for_time_at)}};
+  }
+  return statements.dump();
 }
 
 std::string UpstreamFarm::LedgerJson() const {
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -59,13 +59,15 @@
          "," + std::to_string(options_.slots);
 }
 
-void UpstreamStandIn::AddStateHeaders(HttpResponse& response) const {
+void UpstreamStandIn::AddStateHeaders(HttpResponse& response) {
   response.headers.push_back({options_.headers.load, LoadHeaderValue()});
   if (!limit_header_.empty()) {
     response.headers.push_back({options_.headers.rate_limit, limit_header_});
   }
   if (!leaving_header_.empty()) {
     response.headers.push_back({options_.headers.leaving, leaving_header_});
+    ledger_.announced_leaving_at =
+        ledger_.announced_leaving_at.value_or(BootClock::now());
   }
 }
 
@@ -175,6 +177,8 @@
   }
   if (!retry_after_.empty() && status == http_status::kUnavailable) {
     response.headers.push_back({"Retry-After", retry_after_});
+    ledger_.asked_for_time_at =
+        ledger_.asked_for_time_at.value_or(BootClock::now());
   }
   AddStateHeaders(response);
   exchange->Respond(std::move(response));
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,456 @@
+#!/usr/bin/env python3
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+"""Runs the real programs as separate processes, injects faults from outside, and
+checks the promises by what callers and upstreams saw.
+
+    tools/soak.py --build DIRECTORY [--seed N] [--seconds N] [--rate N]
+        [--planned] [--schedule FILE] [--off NAME] [--keep DIRECTORY]
+
+One seed gives one schedule of faults; it is written to the --keep directory, and
+--schedule plays it again. --off switches one mechanism of the hosts off, to see
+that a check notices. --planned leaves out what may cost callers an answer:
+kills and freezes. Hosts and stand-ins listen on 127.0.0.0/8 at the addresses of
+examples/race_results. Only processes that this program started are ended.
+
+Exit codes: 0 all promises kept, 1 a promise was broken, 2 wrong usage or the
+programs did not start.
+"""
+import argparse
+import dataclasses
+import json
+import os
+import pathlib
+import random
+import re
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+FIRST_CONTROL_PORT = 8600
+# An upstream that announced leaving gets nothing new later than this.
+DRAIN_SECONDS = 2.5
+# A host may send twice within a time that an upstream asked for, and what is on
+# its way in the first half second does not count.
+MAX_IN_BACKOFF_PER_HOST = 2
+BACKOFF_GRACE_SECONDS = 0.5
+# A host that starts or wakes up learns within this time what upstreams stated.
+EXCUSED_SECONDS = 1.0
+STOP_GRACE_SECONDS = 8.0
+START_SECONDS = 30.0
+# Longer than each time-out between hosts.
+FREEZE_SECONDS = 4.0
+MAX_HOST_MEGABYTES = 64
+# Share of the requests that callers must have answered once faults have ended.
+MIN_ANSWERED_AFTERWARDS = 0.95
+
+
+@dataclasses.dataclass
+class Fault:
+    """One fault: a kind, its target by number, and when, in seconds."""
+
+    at: float
+    kind: str
+    target: int
+    value: float = 0
+
+
+@dataclasses.dataclass
+class Excuse:
+    """A span in which a host may not know what upstreams stated."""
+
+    start: float
+    end: float
+
+
+PLANNED_KINDS = ("stop", "reload", "leave", "backoff", "backoff")
+UNPLANNED_KINDS = PLANNED_KINDS + ("kill", "freeze", "store_silent")
+
+
+def make_schedule(seed, seconds, hosts, upstreams, planned):
+    """Draws the faults of a run; they come in series and overlap."""
+    draw = random.Random(seed)
+    kinds = PLANNED_KINDS if planned else UNPLANNED_KINDS
+    faults = []
+    at = 1.0
+    while at < seconds - FREEZE_SECONDS:
+        kind = draw.choice(kinds)
+        count = upstreams if kind in ("leave", "backoff") else hosts
+        value = draw.choice((1.5, 3.0, 3.0))
+        faults.append(Fault(round(at, 2), kind, draw.randrange(count), value))
+        at += draw.choice((0.3, 0.8, 1.5))
+    return faults
+
+
+def late_arrivals(statement, excuses):
+    """Arrivals later than allowed at an upstream that announced leaving."""
+    since = statement["since"]
+    if not since:
+        return []
+    return [
+        arrival - since
+        for arrival in statement["arrivals"]
+        if arrival > since + DRAIN_SECONDS
+        and not any(e.start <= arrival <= e.end for e in excuses)
+    ]
+
+
+def arrivals_in_backoff(statement, seconds, excuses):
+    """Arrivals in the first time without requests that an upstream asked for,
+    from the moment at which they count."""
+    since = statement["since"]
+    if not since:
+        return 0
+    return sum(
+        since + BACKOFF_GRACE_SECONDS < arrival < since + seconds
+        and not any(e.start <= arrival <= e.end for e in excuses)
+        for arrival in statement["arrivals"]
+    )
+
+
+def parse_load_report(text):
+    """The counts of `pathcleat-lab load`, by name, summed over the kinds."""
+    counts = {}
+    for name in ("sent", "answered", "not-run", "unknown", "connection lost",
+                 "tries cut", "kept connections ended"):
+        counts[name] = sum(map(int, re.findall(rf"{name} (\d+)", text)))
+    for name in (
+        "keys run more than once",
+        "reported not-run but run",
+        "upstreams over slots",
+        "corrupt answers",
+    ):
+        found = re.search(rf"{name} (\d+)", text)
+        counts[name] = int(found.group(1)) if found else None
+    return counts
+
+
+def broken_promises(report, planned):
+    """The promises that a load's report shows as broken."""
+    broken = []
+    for name in (
+        "keys run more than once",
+        "reported not-run but run",
+        "upstreams over slots",
+        "corrupt answers",
+    ):
+        if report[name] is None:
+            broken.append(f"the load has no count of: {name}")
+        elif report[name] > 0:
+            broken.append(f"{name}: {report[name]}")
+    if planned and report["tries cut"] > 0:
+        broken.append(f"planned work cut answers: {report['tries cut']}")
+    return broken
+
+
+def boot_seconds():
+    """Seconds on the clock by which the stand-ins tell their arrivals."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Fleet:
+    """The processes of a run: hosts, stand-ins and the load."""
+
+    def __init__(self, build, keep, off):
+        self.off = off
+        self.pathcleat = build / "pathcleat"
+        self.lab = build / "pathcleat-lab"
+        self.keep = keep
+        self.deployment = keep / "deployment.jsonc"
+        # Runs at the same time use different addresses.
+        network = 2 + os.getpid() % 90
+        self.control_port = FIRST_CONTROL_PORT + network
+        example = ROOT / "examples/race_results/deployment.jsonc"
+        self.deployment.write_text(
+            example.read_text().replace('"127.1.', f'"127.{network}.'))
+        self.processes = {}
+        self.logs = {}
+        self.excuses = []
+        self.broken = []
+        text = self.deployment.read_text()
+        self.hosts = re.findall(r'\{"name": "([^"]+)".*?caller_port', text)
+        self.addresses = re.findall(r'"address": "([^"]+)", "caller_port"', text)
+        self.upstreams = [
+            f"{name}-{number}"
+            for name, count in re.findall(
+                r'\{"name": "([^"]+)", "service".*?"count": (\d+)', text
+            )
+            for number in range(1, int(count) + 1)
+        ]
+
+    def start(self, name, *command):
+        """Starts a process whose output goes to a file of its own."""
+        if name not in self.logs:
+            self.logs[name] = open(self.keep / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [str(part) for part in command],
+            stdout=self.logs[name],
+            stderr=subprocess.STDOUT,
+            stdin=subprocess.DEVNULL,
+        )
+        return self.processes[name]
+
+    def start_host(self, index):
+        name = self.hosts[index]
+        self.start(name, self.pathcleat, "entry", self.keep / f"hosts/{name}.jsonc")
+
+    def start_all(self):
+        subprocess.run(
+            [self.lab, "settings", self.deployment, self.keep / "hosts"], check=True
+        )
+        if self.off:
+            self.switch_off()
+        self.start("upstreams", self.lab, "upstreams", self.deployment,
+                   f"--control={self.control_port}")
+        self.start("platform", self.lab, "platform", self.deployment)
+        for index in range(len(self.hosts)):
+            self.start_host(index)
+        until = time.monotonic() + START_SECONDS
+        while not all(self.is_ready(i) for i in range(len(self.hosts))):
+            ended = [n for n, p in self.processes.items() if p.poll() is not None]
+            if ended or time.monotonic() > until:
+                raise RuntimeError(f"not ready within {START_SECONDS} s, "
+                                   f"ended: {ended}; logs in {self.keep}")
+            time.sleep(0.1)
+
+    def switch_off(self):
+        """Switches a mechanism of the hosts off, to see that a check notices."""
+        for path in (self.keep / "hosts").glob("*.jsonc"):
+            text = path.read_text().rstrip()
+            end = text.rindex("}")
+            path.write_text(f'{text[:end].rstrip()},\n'
+                            f'  "policy": {{"off": ["{self.off}"]}}\n}}\n')
+
+    def is_ready(self, index):
+        """Whether a host serves callers: its answer to a request is no refusal."""
+        request = urllib.request.Request(
+            f"http://{self.addresses[index]}:8080/resultat/lookup/item",
+            headers={"Host": "race_results.example", "X-Run-Id": "ready"},
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=1) as answer:
+                return answer.status == 200
+        except (urllib.error.URLError, OSError):
+            return False
+
+    def control(self, target):
+        """Asks the control port of the upstreams."""
+        url = f"http://127.0.0.1:{self.control_port}{target}"
+        with urllib.request.urlopen(url, timeout=10) as answer:
+            return answer.read().decode()
+
+    def start_load(self, seconds, rate, seed):
+        return subprocess.Popen(
+            [str(self.lab), "load", str(self.deployment),
+             f"--control={self.control_port}", f"--seconds={seconds}",
+             f"--rate={rate}", f"--seed={seed}"],
+            stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True,
+        )
+
+    def excuse(self):
+        """A host that starts or wakes now may not know what upstreams stated."""
+        now = boot_seconds()
+        self.excuses.append(Excuse(now, now + EXCUSED_SECONDS))
+
+    def apply(self, fault):
+        """Applies one fault; what it undoes later is returned as (when, step)."""
+        host = self.hosts[fault.target % len(self.hosts)]
+        process = self.processes[host]
+        if fault.kind == "stop":
+            return self.stop(host, process)
+        if fault.kind == "kill":
+            process.kill()
+            process.wait()
+            return [(fault.value, lambda: self.restart(host))]
+        if fault.kind == "freeze":
+            process.send_signal(signal.SIGSTOP)
+            return [(FREEZE_SECONDS, lambda: self.wake(process))]
+        if fault.kind == "store_silent":
+            store = self.processes["platform"]
+            store.send_signal(signal.SIGSTOP)
+            return [(fault.value, lambda: store.send_signal(signal.SIGCONT))]
+        if fault.kind == "reload":
+            process.send_signal(signal.SIGHUP)
+            return []
+        upstream = self.upstreams[fault.target % len(self.upstreams)]
+        if fault.kind == "leave":
+            self.control(f"/set/{upstream}/leaving/1")
+            return []
+        # All upstreams of one service in one failure domain.
+        group = [u for u in self.upstreams
+                 if u.rsplit("-", 1)[0] == upstream.rsplit("-", 1)[0]]
+        for member in group:
+            self.control(f"/set/{member}/retry-after/{fault.value}")
+        return [(fault.value + BACKOFF_GRACE_SECONDS,
+                 lambda: self.end_backoffs(group, fault.value))]
+
+    def stop(self, host, process):
+        """A planned stop: the process must end by itself within its grace."""
+        began = time.monotonic()
+        process.send_signal(signal.SIGTERM)
+
+        def check():
+            # A process that another fault froze meanwhile ends once it runs.
+            self.wake(process)
+            try:
+                code = process.wait(STOP_GRACE_SECONDS)
+                if code not in (0, -signal.SIGKILL):
+                    self.broken.append(f"{host} ended with code {code}")
+            except subprocess.TimeoutExpired:
+                took = time.monotonic() - began
+                self.broken.append(f"{host} had not stopped after {took:.1f} s")
+                process.kill()
+                process.wait()
+            self.restart(host)
+
+        return [(STOP_GRACE_SECONDS, check)]
+
+    def restart(self, host):
+        if self.processes[host].poll() is not None:
+            self.excuse()
+            self.start_host(self.hosts.index(host))
+
+    def wake(self, process):
+        self.excuse()
+        process.send_signal(signal.SIGCONT)
+
+    def end_backoffs(self, group, seconds):
+        statements = json.loads(self.control("/statements"))
+        for upstream in group:
+            count = arrivals_in_backoff(statements[upstream]["retry_after"], seconds,
+                                        self.excuses)
+            if count > MAX_IN_BACKOFF_PER_HOST * len(self.hosts):
+                self.broken.append(f"{upstream} asked for {seconds} s without "
+                                   f"requests and got {count}")
+            self.control(f"/set/{upstream}/retry-after/")
+
+    def check_leaving(self):
+        """Looks for arrivals at upstreams that had announced leaving."""
+        for upstream, statement in json.loads(self.control("/statements")).items():
+            late = late_arrivals(statement["leaving"], self.excuses)
+            if late:
+                self.broken.append(f"{upstream} announced leaving and got {len(late)} "
+                                   f"requests up to {max(late):.1f} s later")
+
+    def check_memory(self):
+        for host in self.hosts:
+            status = pathlib.Path(f"/proc/{self.processes[host].pid}/status")
+            if not status.exists():
+                continue
+            found = re.search(r"VmRSS:\s+(\d+) kB", status.read_text())
+            megabytes = int(found.group(1)) / 1024 if found else 0
+            if megabytes > MAX_HOST_MEGABYTES:
+                self.broken.append(f"{host} uses {megabytes:.0f} MB")
+
+    def end_all(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        for log in self.logs.values():
+            log.close()
+
+
+def play(fleet, faults, load):
+    """Applies the faults at their times until the load has ended and all that
+    they undo later is undone."""
+    start = time.monotonic()
+    steps = [(fault.at, number, fault) for number, fault in enumerate(faults)]
+    number = len(steps)
+    while steps or load.poll() is None:
+        steps.sort(key=lambda step: step[:2])
+        now = time.monotonic() - start
+        if not steps or steps[0][0] > now:
+            time.sleep(0.02)
+            continue
+        action = steps.pop(0)[2]
+        undo = fleet.apply(action) if isinstance(action, Fault) else action() or []
+        for wait, step in undo:
+            number += 1
+            steps.append((time.monotonic() - start + wait, number, step))
+
+
+def check_recovery(fleet, options):
+    """All hosts serve again, and callers are answered."""
+    until = time.monotonic() + START_SECONDS
+    while not all(fleet.is_ready(i) for i in range(len(fleet.hosts))):
+        if time.monotonic() > until:
+            behind = [h for i, h in enumerate(fleet.hosts) if not fleet.is_ready(i)]
+            fleet.broken.append(f"not serving {START_SECONDS} s after: {behind}")
+            return
+        time.sleep(0.2)
+    load = fleet.start_load(3, options.rate, options.seed + 1_000_000)
+    report = parse_load_report(load.communicate()[0])
+    if report["answered"] < MIN_ANSWERED_AFTERWARDS * report["sent"]:
+        fleet.broken.append(f"after the faults {report['answered']} of "
+                            f"{report['sent']} were answered")
+
+
+def run(options):
+    """Plays one schedule. Returns the broken promises."""
+    keep = options.keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+    keep.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(options.build, keep, options.off)
+    try:
+        fleet.start_all()
+        faults = options.faults or make_schedule(
+            options.seed, options.seconds, len(fleet.hosts),
+            len(fleet.upstreams), options.planned)
+        (keep / "schedule.json").write_text(
+            json.dumps([dataclasses.asdict(fault) for fault in faults], indent=1))
+        load = fleet.start_load(options.seconds, options.rate, options.seed)
+        play(fleet, faults, load)
+        text = load.communicate()[0]
+        report = parse_load_report(text)
+        fleet.broken += broken_promises(report, options.planned)
+        fleet.check_leaving()
+        fleet.check_memory()
+        check_recovery(fleet, options)
+        print(f"seed {options.seed}: {len(faults)} faults, "
+              + ", ".join(f"{name} {count}" for name, count in report.items()))
+    finally:
+        fleet.end_all()
+    for line in fleet.broken:
+        print(f"seed {options.seed}: BROKEN: {line}")
+    if fleet.broken:
+        print(f"seed {options.seed}: schedule and logs: {keep}")
+    elif not options.keep:
+        shutil.rmtree(keep)
+    return fleet.broken
+
+
+def main():
+    parser = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--build", type=pathlib.Path, required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=int, default=20)
+    parser.add_argument("--rate", type=int, default=100)
+    parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--schedule", type=pathlib.Path)
+    parser.add_argument("--off", help="a mechanism of policy.off")
+    parser.add_argument("--keep", type=pathlib.Path)
+    options = parser.parse_args()
+    options.faults = None
+    try:
+        if options.schedule:
+            options.faults = [
+                Fault(**fault) for fault in json.loads(options.schedule.read_text())]
+        for program in ("pathcleat", "pathcleat-lab"):
+            if not os.access(options.build / program, os.X_OK):
+                raise RuntimeError(f"{options.build / program} is not built")
+        return 1 if run(options) else 0
+    except (OSError, ValueError, TypeError, RuntimeError) as error:
+        print(f"soak: {error}", file=sys.stderr)
+        return 2
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tools/soak_test.py
@@ -0,0 +1,79 @@
+#!/usr/bin/env python3
+# Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
+"""Tests of the soak's checks on histories that break each promise."""
+import pathlib
+import subprocess
+import sys
+import unittest
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+import soak  # noqa: E402
+
+REPORT = (
+    "a: sent 10, answered 8, not-run 1, unknown 0, connection lost 1, tries cut 1, "
+    "kept connections ended 2, p50 1 ms\n"
+    "b: sent 5, answered 5, not-run 0, unknown 0, connection lost 0, tries cut 0, "
+    "kept connections ended 0, p50 1 ms\n"
+    "keys run more than once 0, reported not-run but run 0, upstreams over "
+    "slots 0, rejected by upstreams 7, corrupt answers 0\n"
+)
+
+
+class SoakChecksTest(unittest.TestCase):
+    """Each check notices the history that breaks its promise."""
+
+    def test_arrival_after_the_drain_time_is_late(self):
+        statement = {"since": 100.0, "arrivals": [100.0, 102.4, 102.6]}
+        self.assertEqual(len(soak.late_arrivals(statement, [])), 1)
+
+    def test_late_arrival_beside_a_restart_is_excused(self):
+        statement = {"since": 100.0, "arrivals": [103.0, 109.0]}
+        excuses = [soak.Excuse(102.0, 105.0)]
+        self.assertEqual(len(soak.late_arrivals(statement, excuses)), 1)
+
+    def test_upstream_that_announced_nothing_has_no_late_arrivals(self):
+        self.assertEqual(soak.late_arrivals({"since": 0, "arrivals": []}, []), [])
+
+    def test_arrivals_in_the_time_asked_for_are_counted(self):
+        statement = {"since": 100.0, "arrivals": [100.0, 100.4, 100.6, 102.9, 103.1]}
+        self.assertEqual(soak.arrivals_in_backoff(statement, 3, []), 2)
+
+    def test_sums_of_a_load_report(self):
+        counts = soak.parse_load_report(REPORT)
+        self.assertEqual(counts["sent"], 15)
+        self.assertEqual(counts["answered"], 13)
+        self.assertEqual(counts["tries cut"], 1)
+        self.assertEqual(counts["kept connections ended"], 2)
+
+    def test_cut_answers_break_a_promise_in_planned_runs_alone(self):
+        report = soak.parse_load_report(REPORT)
+        self.assertEqual(soak.broken_promises(report, False), [])
+        self.assertEqual(len(soak.broken_promises(report, True)), 1)
+
+    def test_each_count_of_the_audit_breaks_a_promise(self):
+        for name in ("keys run more than once", "reported not-run but run",
+                     "upstreams over slots", "corrupt answers"):
+            report = soak.parse_load_report(REPORT.replace(f"{name} 0", f"{name} 2"))
+            self.assertEqual(len(soak.broken_promises(report, False)), 1)
+
+    def test_report_that_cannot_be_read_is_no_success(self):
+        self.assertEqual(
+            len(soak.broken_promises(soak.parse_load_report("killed"), False)), 4)
+
+    def test_one_seed_gives_one_schedule_and_planned_ones_hold_no_kills(self):
+        first = soak.make_schedule(7, 20, 9, 36, False)
+        self.assertEqual(first, soak.make_schedule(7, 20, 9, 36, False))
+        self.assertNotEqual(first, soak.make_schedule(8, 20, 9, 36, False))
+        kinds = {f.kind for f in soak.make_schedule(7, 300, 9, 36, True)}
+        self.assertEqual(kinds, set(soak.PLANNED_KINDS))
+
+    def test_missing_programs_are_one_clear_line(self):
+        tool = pathlib.Path(soak.__file__)
+        done = subprocess.run([sys.executable, tool, "--build", "/nowhere"],
+                              capture_output=True, text=True, check=False)
+        self.assertEqual(done.returncode, 2)
+        self.assertIn("is not built", done.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
