--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -247,7 +247,8 @@
   }
   if (upstream.backoff.IsInForce(now)) {
     text += ", wants nothing from here for " +
-            std::to_string(ToMilliseconds(upstream.backoff.until() - now)) +
+            std::to_string(static_cast<int>(
+                ToMilliseconds(upstream.backoff.until() - now))) +
             " ms";
   } else if (upstream.backoff.IsRecovering(now)) {
     text += ", tried again by one request at a time";
--- a/src/pathcleat/lab/upstream_statements_test.cpp
+++ b/src/pathcleat/lab/upstream_statements_test.cpp
@@ -172,6 +172,13 @@
     SendRequests(cluster, 1, Duration(1'000));
   }
   cr_assert(cluster.HasEvent(0, EventCode::kUpstreamBackoff));
+  const std::string shown =
+      cluster.RunCommand(0, "show upstreams").response.body;
+  const std::string before_time = "wants nothing from here for ";
+  const std::size_t time = shown.find(before_time) + before_time.size();
+  const std::size_t after_time = shown.find_first_not_of("0123456789", time);
+  cr_assert_gt(after_time, time, "%s", shown.c_str());
+  cr_assert_eq(shown.substr(after_time, 3), std::string(" ms"));
   const auto arrivals = [&cluster] {
     return cluster.upstream(0).ledger().arrivals.size() +
            cluster.upstream(1).ledger().arrivals.size();
