Tests of the picker share the share of keys that stay at home

keys_leave_a_region_whose_upstreams_are_limited and keys_leave_a_region_in_backoff_and_return counted it by the same ten lines each.

--- a/src/pathcleat/routing/upstream_picker_limits_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_limits_test.cpp
@@ -20,6 +20,17 @@
   upstream->rate_share.SetRate(limit, kStart);
 }
 
+// Share of many keys whose upstream is in the host's own region.
+double LocalShare(PickerFixture& fixture, Time now) {
+  constexpr int kKeys = 400;
+  int local = 0;
+  for (std::uint64_t key = 1; key <= kKeys; ++key) {
+    const Pick pick = fixture.Choose(MixHashes(key, 1), now);
+    local += pick.upstream && !pick.leaves_region ? 1 : 0;
+  }
+  return local / static_cast<double>(kKeys);
+}
+
 // Guards against a limited upstream that gets as many requests as its queue can
 // hold.
 Test(upstream_picker, limited_upstream_gets_no_more_than_its_share) {
@@ -64,18 +75,9 @@
 // Guards against a region whose share of keys still counts all slots of its
 // limited upstreams: its keys wait while the other region has free slots.
 Test(upstream_picker, keys_leave_a_region_whose_upstreams_are_limited) {
-  const auto local_share = [](PickerFixture& fixture, Time now) {
-    constexpr int kKeys = 400;
-    int local = 0;
-    for (std::uint64_t key = 1; key <= kKeys; ++key) {
-      const Pick pick = fixture.Choose(MixHashes(key, 1), now);
-      local += pick.upstream && !pick.leaves_region ? 1 : 0;
-    }
-    return local / static_cast<double>(kKeys);
-  };
   PickerFixture fixture;
   fixture.picker().SetHostCounts({{"north", 1}, {"south", 1}});
-  const double before = local_share(fixture, kStart);
+  const double before = LocalShare(fixture, kStart);
   for (const UpstreamPtr& upstream : fixture.table().All()) {
     if (upstream->region == "north") {
       SetLimit(fixture, upstream, 1);
@@ -85,7 +87,7 @@
   for (const UpstreamPtr& upstream : fixture.table().All()) {
     upstream->rate_share = TokenBucket(1'000, 1'000);
   }
-  const double after = local_share(fixture, kStart + Duration(500'000));
+  const double after = LocalShare(fixture, kStart + Duration(500'000));
   cr_assert_gt(before, 0.7);
   cr_assert_lt(after, before - 0.2);
 }
@@ -167,26 +169,17 @@
 // Guards against a region whose share of keys still counts the slots of its
 // upstreams in backoff, and against keys that do not come back afterwards.
 Test(upstream_picker, keys_leave_a_region_in_backoff_and_return) {
-  const auto local_share = [](PickerFixture& fixture, Time now) {
-    constexpr int kKeys = 400;
-    int local = 0;
-    for (std::uint64_t key = 1; key <= kKeys; ++key) {
-      const Pick pick = fixture.Choose(MixHashes(key, 1), now);
-      local += pick.upstream && !pick.leaves_region ? 1 : 0;
-    }
-    return local / static_cast<double>(kKeys);
-  };
   PickerFixture fixture;
   fixture.picker().SetHostCounts({{"north", 1}, {"south", 1}});
-  const double before = local_share(fixture, kStart);
+  const double before = LocalShare(fixture, kStart);
   for (int i = 0; i < 4; ++i) {
     fixture.table().StartBackoff(fixture.table().Find("n" + std::to_string(i)),
                                  Duration(3'000'000), 0, kStart);
   }
-  const double meanwhile = local_share(fixture, kStart + Duration(500'000));
+  const double meanwhile = LocalShare(fixture, kStart + Duration(500'000));
   const Time after = kStart + Duration(4'000'000);
   cr_assert_eq(fixture.table().EndBackoffs(after).size(), 4U);
-  const double afterwards = local_share(fixture, after);
+  const double afterwards = LocalShare(fixture, after);
   cr_assert_lt(meanwhile, before - 0.2);
   cr_assert_float_eq(afterwards, before, 1e-9);
 }
