A host judges whether it is cut off from all upstreams, and says so

Callers of cut hosts got 502 and 503, and no log line told whether upstreams or the host had failed. UpstreamReach decides it: new connections to three upstreams in two failure domains failed and none answered in between; silence of open connections, or two failures, bring probes (health checks over new connections). Nothing is decided by it yet. PC1007, PC1008, gauges, show hosts.

--- a/include/pathcleat/calls/connection_pool.hpp
+++ b/include/pathcleat/calls/connection_pool.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/calls/idle_reuse_limit.hpp"
@@ -26,6 +27,12 @@
  public:
   explicit ConnectionPool(boost::asio::io_context& loop) : loop_(loop) {}
 
+  /// @brief Sets the local IP address from which new connections are opened;
+  /// empty: chosen by the operating system.
+  void SetLocalAddress(std::string address) {
+    local_address_ = std::move(address);
+  }
+
   /// @brief Returns a connection for one request: an idle one or a new one that
   /// is not open yet.
   /// @param repeatable whether the request may be sent again if it is lost. If
@@ -77,6 +84,7 @@
   void Discard(const HttpClientPtr& client);
 
   boost::asio::io_context& loop_;
+  std::string local_address_;
   std::map<std::string, Connections> idle_;
   std::map<std::string, Time> silence_times_;                ///< by upstream id
   std::map<std::string, IdleReuseLimit> idle_reuse_limits_;  ///< by service
--- a/include/pathcleat/calls/in_flight_requests.hpp
+++ b/include/pathcleat/calls/in_flight_requests.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <algorithm>
 #include <boost/intrusive/list.hpp>
 #include <boost/intrusive/list_hook.hpp>
 
@@ -25,6 +26,10 @@
   /// @brief Called when the deadline has passed.
   virtual void OnDeadline() = 0;
 
+  /// @brief Whether the upstream of the request in flight may be out of reach:
+  /// bytes stay unacknowledged, or it has answered nothing for far too long.
+  virtual bool IsUpstreamSilent(Time now) const = 0;
+
   InFlightRequest() = default;
   InFlightRequest(const InFlightRequest&) = delete;
   InFlightRequest& operator=(const InFlightRequest&) = delete;
@@ -53,6 +58,14 @@
     });
   }
 
+  /// @brief Whether the upstream of any request is silent.
+  bool IsAnyUpstreamSilent(Time now) const {
+    return std::any_of(requests_.begin(), requests_.end(),
+                       [now](const InFlightRequest& request) {
+                         return request.IsUpstreamSilent(now);
+                       });
+  }
+
  private:
   using List =
       boost::intrusive::list<InFlightRequest,
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -20,6 +20,8 @@
   kHostStoodStill = 1004,
   kSettingsFault = 1005,
   kSettingsReloaded = 1006,
+  kHostIsolated = 1007,
+  kHostReconnected = 1008,
   kRequestRefused = 1101,
   kRequestUnknown = 1102,
   kRequestRetried = 1103,
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -20,6 +20,7 @@
 #include "pathcleat/fleet/peer_traffic.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
 #include "pathcleat/gateway/quota_enforcer.hpp"
+#include "pathcleat/gateway/reach_monitor.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/routing/rate_share.hpp"
@@ -87,6 +88,7 @@
   UpstreamPicker picker;
   SplitBalancer splits;
   ConnectionPool connection_pool;
+  ReachMonitor reach;
   IdempotencyKeyStore idempotency_keys;
   ClientRegions client_regions;
   TraceStore traces;
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -45,6 +45,9 @@
 
   Time deadline() const override { return deadline_; }
   void OnDeadline() override;
+  bool IsUpstreamSilent(Time now) const override {
+    return attempt_.IsUpstreamSilent(now);
+  }
 
  private:
   bool AcquireQuota();
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -69,6 +69,11 @@
   /// sent.
   bool IsBusy() const;
 
+  /// @brief Whether the upstream of the attempt in flight may be out of reach:
+  /// the connection does not open, bytes stay unacknowledged, or the upstream
+  /// has answered no request for far too long.
+  bool IsUpstreamSilent(Time now) const;
+
   /// @brief Checks whether the connection is silent: not even the machine of
   /// the upstream has acknowledged the bytes sent. Once the silence is
   /// detected, this attempt no longer delays later requests to the upstream,
@@ -96,6 +101,7 @@
   void CountAbort(const CallResult& result);
   void OnResult(const CallResult& result, const Callback& callback);
   void RecordUnknownHeaders(const HttpHeaders& headers);
+  void ReportReach(const HttpClient& client, const CallResult& result) const;
   void ReportSilentConnection(const HttpClient& client);
   void RecordEnd();
   void OnResponse(const HttpResponse& response);
@@ -104,6 +110,7 @@
   HttpClientPtr client_;  ///< of the attempt in flight
   Pick pick_;
   Time sent_at_;
+  Duration connect_timeout_{0};
   /// How long the connection had been idle; none for a new connection.
   std::optional<Duration> idle_time_;
   SendReservation reservation_;     ///< at the upstream
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -130,7 +130,7 @@
 
   /// @brief Whether the peer's machine has not acknowledged all sent bytes yet.
   /// A busy peer still acknowledges; a silent connection does not.
-  bool HasUnacknowledgedBytes();
+  bool HasUnacknowledgedBytes() const;
 
   /// @brief Time at which the connection was opened.
   Time opened_at() const { return opened_at_; }
@@ -195,7 +195,8 @@
   boost::asio::ip::tcp::endpoint endpoint_;
   std::string local_address_;
   HttpLimits limits_;
-  boost::asio::ip::tcp::socket socket_;
+  mutable boost::asio::ip::tcp::socket
+      socket_;  ///< asked for its state in const functions
   boost::asio::steady_timer timer_;
   std::string request_bytes_;
   bool is_head_request_ = false;
--- a/src/pathcleat/calls/connection_pool.cpp
+++ b/src/pathcleat/calls/connection_pool.cpp
@@ -80,9 +80,11 @@
 
 HttpClientPtr ConnectionPool::Create(const UpstreamInfo& upstream) {
   const auto endpoint = ParseTcpEndpoint(upstream.address);
-  return std::make_shared<HttpClient>(
+  auto client = std::make_shared<HttpClient>(
       loop_, endpoint.value_or(boost::asio::ip::tcp::endpoint()),
       AnswerLimits());
+  client->BindLocalAddress(local_address_);
+  return client;
 }
 
 void ConnectionPool::Release(const std::string& upstream_id,
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -20,6 +20,8 @@
     EventInfo{kHostStoodStill, "host-stood-still", kWarning, kState, "process"},
     EventInfo{kSettingsFault, "settings-fault", kAlarm, kState, "key"},
     EventInfo{kSettingsReloaded, "settings-reloaded", kInfo, kState, "process"},
+    EventInfo{kHostIsolated, "host-isolated", kAlarm, kState, "process"},
+    EventInfo{kHostReconnected, "host-reconnected", kInfo, kState, "process"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
               "request"},
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -380,6 +380,7 @@
   state_.events.Record(EventCode::kHostStoodStill, state_.settings.host, "",
                        {MillisecondsField(field::kElapsedMs, stall_duration)});
   stall_ended_at_ = now;
+  state_.reach.OnStall(now);
   fleet_sync_.OnStallEnded(now - stall_duration);
 }
 
@@ -392,6 +393,11 @@
   if (now - state_.started_at > kRowReadTimeout) {
     fleet_sync_.Start();
   }
+  state_.reach.Tick(
+      [this, now] {
+        return state_.in_flight_requests.IsAnyUpstreamSilent(now);
+      },
+      now);
   AdvanceShifts(now);
   AdvanceRollouts(now);
   for (const std::string& host : state_.hosts.TakeTimedOutHosts(now)) {
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -209,6 +209,24 @@
   page.Sample("pathcleat_upstreams", {{"state", "suspect"}}, suspect);
 }
 
+void AddReach(Page& page, const ReachMonitor& reach, Time now) {
+  page.Family("pathcleat_host_isolated", "gauge",
+              "1: this host reaches no upstream.");
+  page.Sample("pathcleat_host_isolated", {}, reach.IsIsolated() ? 1 : 0);
+  page.Family("pathcleat_host_isolations_total", "counter",
+              "Times that this host ceased to reach any upstream.");
+  page.Sample("pathcleat_host_isolations_total", {}, reach.isolations());
+  page.Family("pathcleat_reach_probes_total", "counter",
+              "Health checks sent to find out whether this host is isolated.");
+  page.Sample("pathcleat_reach_probes_total", {}, reach.probes());
+  page.Family("pathcleat_upstream_contact_age_seconds", "gauge",
+              "Since any upstream last answered this host.");
+  page.Sample(
+      "pathcleat_upstream_contact_age_seconds", {},
+      std::chrono::duration<double>(reach.reach().Evidence(now).since_contact)
+          .count());
+}
+
 void AddCrashes(Page& page, const GatewayState& state) {
   page.Family("pathcleat_upstream_ends_total", "counter",
               "Requests that an upstream had when its process ended.");
@@ -360,6 +378,7 @@
   AddAccounts(page, state.account_stats);
   AddBudgets(page, state);
   AddUpstreams(page, state, now);
+  AddReach(page, state.reach, now);
   AddCrashes(page, state);
   AddFleet(page, state, inputs.versions, now);
   AddFeeds(page, inputs, now);
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -209,7 +209,8 @@
   std::ostringstream text;
   text << state_.settings.host << ": this host"
        << (state_.leaving ? ", leaving" : "") << ", store "
-       << (state_.store_reachable ? "reached" : "out of reach") << "\n";
+       << (state_.store_reachable ? "reached" : "out of reach")
+       << (state_.reach.IsIsolated() ? ", upstreams out of reach" : "") << "\n";
   for (const HostEntry* host : state_.hosts.Others()) {
     text << host->info.name << ": in " << host->info.domain << ", "
          << (state_.hosts.IsAlive(*host, now) ? "alive" : "silent")
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -46,6 +46,7 @@
   idle_time_ = client_->IsReusable()
                    ? std::optional(now - client_->idle_since())
                    : std::nullopt;
+  connect_timeout_ = std::min(kConnectTimeout, timeouts.work_timeout);
   client_->OnOpened(std::move(opened));
   client_->OnHead([this](const HttpResponse& head) {
     ApplyStatements(state_, {pick_.upstream, head, sent_at_, false});
@@ -53,8 +54,7 @@
   client_->Send(
       MakeUpstreamRequest(state_.headers, request, metadata, upstream.info.id,
                           timeouts.work_timeout),
-      {std::min(kConnectTimeout, timeouts.work_timeout),
-       timeouts.response_timeout},
+      {connect_timeout_, timeouts.response_timeout},
       [this, callback = std::move(callback)](const CallResult& result) {
         OnResult(result, callback);
       },
@@ -69,6 +69,7 @@
   if (answered) {
     OnResponse(result.response);
   }
+  ReportReach(*client, result);
   state_.upstreams.Release(upstream, reservation_,
                            result.outcome != CallOutcome::kNotSent,
                            BootClock::now());
@@ -92,6 +93,26 @@
   callback(result);
 }
 
+// A connection attempt that ended early because the request had little time
+// left shows nothing.
+void UpstreamAttempt::ReportReach(const HttpClient& client,
+                                  const CallResult& result) const {
+  const Time now = BootClock::now();
+  if (result.outcome == CallOutcome::kAnswered) {
+    state_.reach.OnContact(client.opened_at(), now);
+    return;
+  }
+  const bool had_little_time =
+      connect_timeout_ < kMinSilence && now - sent_at_ >= connect_timeout_;
+  const bool failed =
+      (result.outcome == CallOutcome::kNotSent && !had_little_time) ||
+      (result.outcome == CallOutcome::kConnectionLost &&
+       result.received_bytes == 0);
+  if (!idle_time_ && failed) {
+    state_.reach.OnConnectionFailed(pick_.upstream->info, now);
+  }
+}
+
 void UpstreamAttempt::OnResponse(const HttpResponse& response) {
   const Time now = BootClock::now();
   UpstreamState& upstream = *pick_.upstream;
@@ -163,6 +184,14 @@
   return state_.upstreams.Reserve(*pick_.upstream, reservation_, now);
 }
 
+bool UpstreamAttempt::IsUpstreamSilent(Time now) const {
+  if (!client_ || now - sent_at_ < kMinSilence) {
+    return false;
+  }
+  return !client_->MayHaveSent() || client_->HasUnacknowledgedBytes() ||
+         pick_.upstream->health.IsSilent(now);
+}
+
 bool UpstreamAttempt::DetectSilence() {
   if (connection_silent_ || !client_) {
     return connection_silent_;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -150,7 +150,7 @@
   Write();
 }
 
-bool HttpClient::HasUnacknowledgedBytes() {
+bool HttpClient::HasUnacknowledgedBytes() const {
   tcp_info info{};
   socklen_t size = sizeof info;
   return connected_ &&
