--- a/src/pathcleat/testing/tcp_proxy.hpp
+++ b/src/pathcleat/testing/tcp_proxy.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <utility>
@@ -23,6 +24,13 @@
   kStopForwarding,  ///< data is acknowledged but no longer forwarded
 };
 
+/// @brief How the connections of one caller are cut.
+enum class CutMode {
+  kHang,       ///< bytes stand still; new connections open and say nothing
+  kReset,      ///< open connections and new ones are reset
+  kRefuseNew,  ///< open connections live on; new ones are reset
+};
+
 /// @brief Forwards TCP connections to another address. Open connections can be
 /// made silent permanently, without a close or a reset; connections accepted
 /// later are forwarded as usual.
@@ -64,6 +72,33 @@
     return forwarding_count;
   }
 
+  /// @brief Cuts the connections that come from an IP address, the open ones
+  /// and those accepted later.
+  void Cut(const std::string& caller, CutMode mode) {
+    cuts_[caller] = mode;
+    for (const auto& link : links_) {
+      if (link->caller_ip != caller || link->closed) {
+        continue;
+      }
+      if (mode == CutMode::kHang) {
+        link->silent = true;
+      } else if (mode == CutMode::kReset) {
+        Reset(*link);
+      }
+    }
+  }
+
+  /// @brief Ends the cut. Connections that stood still are reset: the bytes
+  /// that they held are lost.
+  void EndCut(const std::string& caller) {
+    cuts_.erase(caller);
+    for (const auto& link : links_) {
+      if (link->caller_ip == caller && link->silent) {
+        Reset(*link);
+      }
+    }
+  }
+
   void SilenceConnections(SilenceMode mode) {
     for (const auto& link : links_) {
       link->silent = true;
@@ -79,13 +114,17 @@
 
   struct Link {
     Link(Socket from, boost::asio::io_context& loop)
-        : caller(std::move(from)), target(loop) {}
+        : caller(std::move(from)), target(loop) {
+      boost::system::error_code error;
+      caller_ip = caller.remote_endpoint(error).address().to_string();
+    }
     void Close() {
       closed = true;
       boost::system::error_code error;
       caller.close(error);
       target.close(error);
     }
+    std::string caller_ip;
     Socket caller;
     Socket target;
     std::array<char, 16384> to_target{};
@@ -115,8 +154,22 @@
         });
   }
 
+  static void Reset(Link& link) {
+    boost::system::error_code error;
+    link.caller.set_option(boost::asio::socket_base::linger(true, 0), error);
+    link.Close();
+  }
+
   void Open(const LinkPtr& link) {
     links_.push_back(link);
+    const auto cut = cuts_.find(link->caller_ip);
+    if (cut != cuts_.end()) {
+      link->silent = true;
+      if (cut->second != CutMode::kHang) {
+        Reset(*link);
+      }
+      return;
+    }
     link->target.async_connect(
         target_, [link](const boost::system::error_code& error) {
           if (error) {
@@ -158,6 +211,7 @@
   boost::asio::ip::tcp::endpoint target_;
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<LinkPtr> links_;
+  std::map<std::string, CutMode> cuts_;  ///< by the caller's IP address
   int accepted_count_ = 0;
 };
 
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -17,6 +17,7 @@
 #include "platform_table.hpp"
 #include "property.hpp"
 #include "rollout_status_table.hpp"
+#include "tcp_proxy.hpp"
 #include "test_cluster_plan.hpp"
 
 namespace pathcleat {
@@ -71,6 +72,8 @@
     host.gateway = std::make_unique<Gateway>(
         loop_, host.settings, platform::PlatformHeaderNames(), *host.table,
         *host.feed, *host.rollouts, *host.digester);
+    host.gateway->state().connection_pool.SetLocalAddress(
+        UpstreamClientAddress(index));
     host.gateway->SetProcessStats({nullptr, &host.store_calls});
     const bool started = TryOr(
         [&]() -> Result<bool> {
@@ -120,6 +123,24 @@
     return "127.200.0." + std::to_string(host + 1);
   }
 
+  /// @brief Local IP address from which a host connects to upstreams.
+  static std::string UpstreamClientAddress(std::size_t host) {
+    return "127.201.0." + std::to_string(host + 1);
+  }
+
+  /// @brief Cuts a host off from all upstreams. Callers, the platform and the
+  /// other hosts still reach the host.
+  void CutHost(std::size_t index, CutMode mode) {
+    for (const auto& proxy : proxies_) {
+      proxy->Cut(UpstreamClientAddress(index), mode);
+    }
+  }
+  void EndCut(std::size_t index) {
+    for (const auto& proxy : proxies_) {
+      proxy->EndCut(UpstreamClientAddress(index));
+    }
+  }
+
   Gateway& host(std::size_t index) { return *hosts_[index]->gateway; }
   UpstreamStandIn& upstream(std::size_t i) { return *upstreams_[i]; }
   const UpstreamInfo& upstream_info(std::size_t i) const { return infos_[i]; }
@@ -350,6 +371,11 @@
         options.enforces_deadlines = plan_.upstreams_enforce_deadlines;
         upstreams_.push_back(std::make_unique<UpstreamStandIn>(loop_, options));
         AssertListening(upstreams_.back()->Listen(address_, next_port_++));
+        if (plan_.upstreams_behind_proxies) {
+          proxies_.push_back(std::make_unique<TcpProxy>(
+              loop_, address_, *ParseTcpEndpoint(info.address)));
+          info.address = proxies_.back()->address();
+        }
         infos_.push_back(info);
         platform_.PutUpstream(info);
       }
@@ -387,6 +413,7 @@
   RoutingConfig config_;
   std::vector<UpstreamInfo> infos_;
   std::vector<std::unique_ptr<UpstreamStandIn>> upstreams_;
+  std::vector<std::unique_ptr<TcpProxy>> proxies_;
   std::vector<std::unique_ptr<Host>> hosts_;
 };
 
--- a/src/pathcleat/testing/test_cluster_plan.hpp
+++ b/src/pathcleat/testing/test_cluster_plan.hpp
@@ -25,6 +25,9 @@
   /// The time after which an upstream counts as silent is estimated from this
   /// target while the upstream has not responded yet.
   Duration target_latency = Route().target_latency;
+  /// Whether a proxy stands before each upstream, by which hosts can be cut off
+  /// from it (TestCluster::CutHost).
+  bool upstreams_behind_proxies = false;
   /// Indices of hosts with other secrets than the rest, so that the rest accept
   /// no messages from them.
   std::set<std::size_t> isolated_hosts;
