Heartbeats and reports tell which hosts reach no upstream

Other hosts need it to choose where a request may be forwarded to, and callers are not sent to such hosts: Locate leaves them out while their region has a host that reaches upstreams. The flag takes a spare bit of an observation and one byte after a heartbeat, so that hosts of the version before read the messages; no bytes are added while no host is cut off.

--- a/include/pathcleat/core/binary_codec.hpp
+++ b/include/pathcleat/core/binary_codec.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cereal/archives/portable_binary.hpp>
+#include <cstddef>
 #include <exception>
 #include <optional>
 #include <sstream>
@@ -23,15 +24,20 @@
 }
 
 /// @brief Deserializes a value; std::nullopt if the bytes do not encode a
-/// Value.
+/// Value. Bytes after the value are ignored.
+/// @param used if not null, receives the number of bytes that encode the value.
 /// @ingroup core
 template <class Value>
-std::optional<Value> DecodeBinary(std::string_view bytes) {
+std::optional<Value> DecodeBinary(std::string_view bytes,
+                                  std::size_t* used = nullptr) {
   std::istringstream stream{std::string(bytes)};
   try {
     cereal::PortableBinaryInputArchive archive(stream);
     Value value;
     archive(value);
+    if (used != nullptr) {
+      *used = static_cast<std::size_t>(stream.tellg());
+    }
     return value;
   } catch (const std::exception&) {
     return std::nullopt;
--- a/include/pathcleat/fleet/domain_report.hpp
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,27 +25,34 @@
 /// @ingroup fleet
 struct MemberObservation {
   std::uint64_t id = 0;      ///< IncarnationId
-  std::uint16_t age_ms = 0;  ///< of the last heartbeat, at most 32,767 ms
+  std::uint16_t age_ms = 0;  ///< of the last heartbeat, at most 16,383 ms
   bool leaving = false;
+  bool isolated = false;  ///< the host reaches no upstream
 
-  // The age and the flag share two bytes, as every byte of an observation is
+  // The age and the flags share two bytes, as every byte of an observation is
   // sent to every host of the fleet.
   template <class Archive>
   void save(Archive& archive) const {  // NOLINT: named by cereal
-    const unsigned flag = leaving ? kLeavingFlag : 0U;
-    archive(id, static_cast<std::uint16_t>((age_ms & kMaxAgeMs) | flag));
+    const unsigned flags =
+        (leaving ? kLeavingFlag : 0U) | (isolated ? kIsolatedFlag : 0U);
+    const unsigned age = std::min<unsigned>(age_ms, kMaxAgeMs);
+    archive(id, static_cast<std::uint16_t>(age | flags));
   }
   template <class Archive>
   void load(Archive& archive) {  // NOLINT: named by cereal
-    std::uint16_t age_and_flag = 0;
-    archive(id, age_and_flag);
-    age_ms = age_and_flag & kMaxAgeMs;
-    leaving = (age_and_flag & kLeavingFlag) != 0;
+    std::uint16_t age_and_flags = 0;
+    archive(id, age_and_flags);
+    age_ms = age_and_flags & kMaxAgeMs;
+    leaving = (age_and_flags & kLeavingFlag) != 0;
+    isolated = (age_and_flags & kIsolatedFlag) != 0;
   }
 
  private:
   static constexpr unsigned kLeavingFlag = 0x8000;
-  static constexpr unsigned kMaxAgeMs = 0x7fff;
+  // To a host of an older version, which reads this flag as part of the age, an
+  // isolated host looks silent.
+  static constexpr unsigned kIsolatedFlag = 0x4000;
+  static constexpr unsigned kMaxAgeMs = 0x3fff;
 };
 
 /// @brief Hosts of a failure domain that have the same versions in force.
--- a/include/pathcleat/fleet/host_info.hpp
+++ b/include/pathcleat/fleet/host_info.hpp
@@ -18,6 +18,9 @@
   std::string peer_address;    ///< IP number and port, UDP
   bool leaving = false;
   double link_mbps = 0;  ///< capacity of the host's link, Mbit/s
+  /// Whether the host reaches no upstream. Heartbeats and reports tell it; the
+  /// host's row in the store does not.
+  bool isolated = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -38,6 +38,7 @@
 
   const HostInfo& self() const { return self_; }
   void SetLeaving() { self_.leaving = true; }
+  void SetIsolated(bool isolated) { self_.isolated = isolated; }
 
   /// @brief Detects that this host was stalled since the last call. Call this
   /// a few times a second, and before any decision that depends on which hosts
@@ -118,6 +119,7 @@
   Duration TimeSinceSeen(const HostEntry& host, Time now) const;
   void Store(const HostEntry& host);
   std::vector<HostInfo> HostsAcceptingCallers(Time now) const;
+  static void RemoveIsolated(std::vector<HostInfo>& hosts);
 
   HostInfo self_;
   Duration heartbeat_timeout_;
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -164,7 +164,8 @@
   head.domain = hosts_.self().domain;
   head.forward_to_domain = true;
   ReportPacker packer(head);
-  packer.Add({IncarnationId(hosts_.self()), 0, hosts_.self().leaving},
+  packer.Add({IncarnationId(hosts_.self()), 0, hosts_.self().leaving,
+              hosts_.self().isolated},
              versions);
   for (const HostEntry* host : hosts_.Others()) {
     if (host->info.domain != head.domain || !hosts_.IsAlive(*host, now)) {
@@ -174,7 +175,7 @@
     HostVersions aged = host->versions;
     aged.config_age_ms += age;
     packer.Add({IncarnationId(host->info), static_cast<std::uint16_t>(age),
-                host->info.leaving},
+                host->info.leaving, host->info.isolated},
                aged);
   }
   std::vector<DomainReport> member_reports = packer.Take();
--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -8,12 +8,29 @@
 
 namespace pathcleat {
 
+namespace {
+
+// Follows the heartbeat of an isolated host. Hosts of an older version ignore
+// bytes after a heartbeat.
+constexpr char kIsolatedMark = 'I';
+
+}  // namespace
+
 std::string EncodeHeartbeat(const Heartbeat& heartbeat) {
-  return EncodeBinary(heartbeat);
+  std::string bytes = EncodeBinary(heartbeat);
+  if (heartbeat.host.isolated) {
+    bytes += kIsolatedMark;
+  }
+  return bytes;
 }
 
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
-  return DecodeBinary<Heartbeat>(bytes);
+  std::size_t used = 0;
+  auto heartbeat = DecodeBinary<Heartbeat>(bytes, &used);
+  if (heartbeat && used < bytes.size()) {
+    heartbeat->host.isolated = bytes[used] == kIsolatedMark;
+  }
+  return heartbeat;
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/fleet/host_table.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace pathcleat {
@@ -117,6 +118,7 @@
   host.last_seen = last_heartbeat;
   host.has_heartbeat = true;
   host.info.leaving = member.leaving;
+  host.info.isolated = member.isolated;
   host.versions = versions;
   const bool is_back = !was_alive && IsAlive(host, now);
   host.alive_at_last_check = host.alive_at_last_check || is_back;
@@ -212,11 +214,26 @@
   return accepting;
 }
 
+// Keeps the isolated hosts of a region in which every host is isolated: callers
+// of that region may be bound to it.
+void HostTable::RemoveIsolated(std::vector<HostInfo>& hosts) {
+  std::set<std::string> connected_regions;
+  for (const HostInfo& host : hosts) {
+    if (!host.isolated) {
+      connected_regions.insert(host.region);
+    }
+  }
+  std::erase_if(hosts, [&connected_regions](const HostInfo& host) {
+    return host.isolated && connected_regions.contains(host.region);
+  });
+}
+
 std::vector<std::string> HostTable::Locate(const std::string& region,
                                            const std::string& domain,
                                            std::size_t max_count,
                                            Time now) const {
   std::vector<HostInfo> accepting = HostsAcceptingCallers(now);
+  RemoveIsolated(accepting);
   const auto distance = [&](const HostInfo& host) {
     if (host.domain == domain) {
       return 0;
