A host that does not reach the upstreams forwards requests to one that does

Cause: each host sends to upstreams itself, and nothing carried a request from a host without links to them to one that has some. Now such a host forwards each request, once, to a living host that reaches upstreams: of its own region first, the one with the fewest requests in flight from here, a bounded number each; only into regions that the route's homes allow. A token (MAC over context, method, target, body) carries what the first host knows: the caller's address and account, its time and attempts. The first host counts the account's limit and holds the key's claim, the second counts shifts, links, crashes and versions. Requests in flight are moved when the host is judged isolated: repeatable ones whose upstream is silent, with a reset, others only if nothing was written. Ruled out: un-naming cut hosts alone, as callers keep answers for up to three times their lifetime and open connections for longer.

--- a/include/pathcleat/accounts/account_table.hpp
+++ b/include/pathcleat/accounts/account_table.hpp
@@ -30,6 +30,14 @@
   /// @brief The account with this name; null if there is none.
   const Account* FindByName(std::string_view name) const;
 
+  /// @brief As FindByName; the pointer keeps the whole list of accounts alive.
+  std::shared_ptr<const Account> ShareByName(std::string_view name) const {
+    const Account* account = FindByName(name);
+    return account == nullptr
+               ? nullptr
+               : std::shared_ptr<const Account>(accounts_, account);
+  }
+
   /// @brief All accounts, in the order of the configuration.
   const std::vector<Account>& All() const;
 
--- a/include/pathcleat/calls/in_flight_requests.hpp
+++ b/include/pathcleat/calls/in_flight_requests.hpp
@@ -30,6 +30,9 @@
   /// bytes stay unacknowledged, or it has answered nothing for far too long.
   virtual bool IsUpstreamSilent(Time now) const = 0;
 
+  /// @brief Called when the host has become isolated from the upstreams.
+  virtual void OnHostIsolated() = 0;
+
   InFlightRequest() = default;
   InFlightRequest(const InFlightRequest&) = delete;
   InFlightRequest& operator=(const InFlightRequest&) = delete;
@@ -58,6 +61,12 @@
     });
   }
 
+  /// @brief Notifies each request that the host has become isolated from the
+  /// upstreams. Requests may be removed during the call.
+  void OnHostIsolated() {
+    ForEach([](InFlightRequest& request) { request.OnHostIsolated(); });
+  }
+
   /// @brief Whether the upstream of any request is silent.
   bool IsAnyUpstreamSilent(Time now) const {
     return std::any_of(requests_.begin(), requests_.end(),
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -60,6 +60,7 @@
 constexpr const char* kOutcome = "outcome";
 constexpr const char* kPassedOver = "passed_over";
 constexpr const char* kPath = "path";
+constexpr const char* kPeer = "peer";
 constexpr const char* kPhase = "phase";
 constexpr const char* kProbes = "probes";
 constexpr const char* kReason = "reason";
--- a/include/pathcleat/core/mechanism.hpp
+++ b/include/pathcleat/core/mechanism.hpp
@@ -39,6 +39,10 @@
                      ///< gets no requests
   kErrorShare,       ///< an upstream that answers with errors or rejects
                      ///< requests is chosen less
+  kForwarding,       ///< a host that does not reach the upstreams forwards
+                     ///< requests to a host that does
+  kIsolationNews,  ///< a host that does not reach the upstreams says so to the
+                   ///< others, and callers are not sent to it
 };
 
 /// @brief Stable name of a mechanism, as used in settings.
--- a/include/pathcleat/core/run_outcome.hpp
+++ b/include/pathcleat/core/run_outcome.hpp
@@ -17,4 +17,8 @@
 /// @ingroup core
 const char* ToString(RunOutcome outcome);
 
+/// @brief Header that states the outcome in each answer to a caller.
+/// @ingroup core
+inline constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
+
 }  // namespace pathcleat
--- a/include/pathcleat/feeds/peer_feed.hpp
+++ b/include/pathcleat/feeds/peer_feed.hpp
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/core/event_log.hpp"
@@ -63,6 +64,16 @@
 
   Result<void> Open(const std::string& address, std::uint16_t port);
 
+  /// @brief Sets what handles the requests that carry a header, in place of
+  /// this object.
+  void SetHandler(std::string header, HttpExchangeHandler handler) {
+    handled_header_ = std::move(header);
+    handler_ = std::move(handler);
+  }
+
+  /// @brief Sets the limits for requests that start from now on.
+  void SetLimits(const HttpLimits& limits) { server_.SetLimits(limits); }
+
   /// @brief Sets the key that authenticates answers. Without a key no answer is
   /// sent or accepted.
   void SetKey(const std::string& key) {
@@ -132,6 +143,8 @@
   boost::asio::steady_timer sweep_timer_;
   std::vector<WaitingRequest> waiting_;
   std::vector<CachedAnswer> cached_answers_;  ///< encoded and authenticated
+  std::string handled_header_;
+  HttpExchangeHandler handler_;
   std::string key_;
   bool watching_store_ = false;
   bool needs_full_config_ = false;  ///< the last delta did not apply
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "pathcleat/calls/forward_token.hpp"
 #include "pathcleat/feeds/change_journal.hpp"
 #include "pathcleat/feeds/config_history.hpp"
 #include "pathcleat/feeds/config_lag.hpp"
@@ -39,6 +40,14 @@
   /// @brief Sets the key that authenticates messages between hosts.
   void SetKey(const std::string& key) { peer_feed_.SetKey(key); }
 
+  /// @brief Sets what handles callers' requests that other hosts forward.
+  void SetForwardHandler(HttpExchangeHandler handler) {
+    peer_feed_.SetHandler(kForwardHeader, std::move(handler));
+  }
+
+  /// @brief Sets the limits of requests that other hosts send.
+  void SetPeerLimits(const HttpLimits& limits) { peer_feed_.SetLimits(limits); }
+
   /// @brief Whether a configuration and a list of upstreams are loaded, so that
   /// requests can be served.
   bool IsLoaded() const;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -77,9 +77,14 @@
   HostVersions Versions() const;
 
  private:
+  static constexpr const char* kConfigBehind = "a newer configuration is due";
+
   void HandleStall(Time now);
   bool IsTooFarBehind() const;
   void HandleCaller(const HttpExchangePtr& exchange);
+  void HandleForwarded(const HttpExchangePtr& exchange);
+  std::string ReasonToDecline(const Route* route) const;
+  void OnReachChange();
   Duration RetryDelayWithoutConfig(const HttpExchange& exchange) const;
   void RefuseApiKey(const HttpExchangePtr& exchange,
                     const Route& route,
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -38,6 +38,23 @@
 
 namespace pathcleat {
 
+/// @brief Requests that this host forwards to other hosts, or that other hosts
+/// forward to it.
+/// @ingroup gateway
+struct ForwardState {
+  explicit ForwardState(boost::asio::io_context& loop) : connections(loop) {}
+
+  ConnectionPool connections;            ///< to other hosts, by their names
+  std::map<std::string, int> in_flight;  ///< sent from here, by host
+  int received_in_flight = 0;
+  std::uint64_t sent = 0;
+  std::uint64_t received = 0;
+  std::uint64_t declined = 0;  ///< received, but declined by this host
+  /// Until when requests for a service are not forwarded while this host is not
+  /// isolated, as other hosts do not reach the service either.
+  std::map<std::string, Time> useless_until;
+};
+
 /// @brief The state of one host. All access happens in the thread of its event
 /// loop, so no locks are needed.
 /// @ingroup gateway
@@ -89,6 +106,8 @@
   SplitBalancer splits;
   ConnectionPool connection_pool;
   ReachMonitor reach;
+  ForwardState forwards;
+  std::string fleet_key;  ///< authenticates the hosts to each other
   IdempotencyKeyStore idempotency_keys;
   ClientRegions client_regions;
   TraceStore traces;
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -4,11 +4,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "pathcleat/calls/in_flight_requests.hpp"
 #include "pathcleat/calls/run_tracker.hpp"
+#include "pathcleat/gateway/forward_attempt.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/idempotency_guard.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
@@ -24,6 +26,11 @@
 /// said that it did not run the request. Only under the same condition is
 /// the caller answered with "not run" (status 503). With an Idempotency-Key
 /// header, such a request claims the key in the store before it is sent.
+///
+/// A host that does not reach the upstreams forwards the request to one that
+/// does, once only. The first host identifies the caller, counts the request in
+/// its account's limit and holds the claim of its key; the second host chooses
+/// the upstream and counts shifts, links, crashes and versions.
 /// @ingroup gateway
 class RequestHandler final
     : public std::enable_shared_from_this<RequestHandler>,
@@ -32,8 +39,9 @@
   RequestHandler(GatewayState& state,
                  HttpExchangePtr exchange,
                  std::shared_ptr<const Route> route,
-                 std::shared_ptr<const Account> account);
-  ~RequestHandler() override { --state_.in_flight_count; }
+                 std::shared_ptr<const Account> account,
+                 std::optional<ForwardContext> forwarded = std::nullopt);
+  ~RequestHandler() override;
   RequestHandler(const RequestHandler&) = delete;
   RequestHandler& operator=(const RequestHandler&) = delete;
 
@@ -48,8 +56,12 @@
   bool IsUpstreamSilent(Time now) const override {
     return attempt_.IsUpstreamSilent(now);
   }
+  void OnHostIsolated() override;
 
  private:
+  static constexpr int kMaxUnsentAttempts = 3;
+  static constexpr Duration kMinTimeLeft{10'000};
+
   bool AcquireQuota();
   void ReleaseQuota();
   bool MayClaim() const;
@@ -83,6 +95,18 @@
   bool MayRetry();
   bool RetryRejected(const HttpResponse& response);
   void RetryOrGiveUp();
+  void GiveUp(const Pick& next);
+  bool MayForward() const;
+  const HostEntry* ChooseForwardTarget() const;
+  bool LacksReachableUpstream() const;
+  bool IsForwardingUseless() const;
+  bool ForwardIfIsolated();
+  bool ForwardAfterFailure();
+  bool TryForward(const char* reason);
+  void ForwardTo(const HostInfo& target, const char* reason);
+  void OnForwardResult(const CallResult& result);
+  void AnswerForwarded(HttpResponse response, RunOutcome outcome);
+  void NoteForwardFailed(const std::string& detail);
   void Retry(const Pick& next);
   void Refuse(Duration retry_after,
               const std::string& reason,
@@ -92,6 +116,10 @@
   void Answer(HttpResponse response, RunOutcome outcome);
   bool IsUnusual(RunOutcome outcome, Duration latency) const;
   void CancelAttempt(AbortCause cause);
+  void CancelForward();
+  bool IsAnyInFlight() const {
+    return attempt_.IsInFlight() || forward_.IsInFlight();
+  }
   void OnCallerLeft();
   void EndAfterCallerLeft();
   Duration TimeLeft() const;
@@ -104,6 +132,10 @@
   boost::asio::steady_timer deadline_timer_;
   boost::asio::steady_timer failover_timer_;  ///< for the attempt in flight
   UpstreamAttempt attempt_;  ///< the attempt in flight, or the last attempt
+  ForwardAttempt forward_;
+  std::set<std::string> forward_targets_;  ///< names of hosts that were tried
+  /// Set if another host forwarded the request to this one.
+  std::optional<ForwardContext> forwarded_;
   IdempotencyGuard idempotency_guard_;
   RequestTrace trace_;
   std::string request_id_;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -46,6 +46,10 @@
   /// @brief Ends the exchange at the upstream; the callback is not called.
   void Cancel(AbortCause cause);
 
+  /// @brief Ends the exchange with a reset, as the host does not reach the
+  /// upstream: bytes that are still on their way do not reach it later.
+  void AbortUnreachable();
+
   /// @brief Cancels the exchange without counting an abort, as nothing was sent
   /// yet; the callback is not called.
   void Withdraw();
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -118,6 +118,10 @@
   /// a request that have not been sent yet are discarded.
   void Cancel();
 
+  /// @brief Makes the connection end with a reset: bytes that the network still
+  /// holds up do not reach the peer later.
+  void ResetOnClose();
+
   /// @brief Whether bytes of the current request may have been sent.
   bool MayHaveSent() const { return connected_; }
 
--- a/include/pathcleat/http/http_exchange.hpp
+++ b/include/pathcleat/http/http_exchange.hpp
@@ -26,6 +26,10 @@
 
   const HttpRequest& request() const { return request_; }
   const std::string& caller_ip() const { return caller_ip_; }
+
+  /// @brief Sets the IP address of the caller of a request that another host
+  /// forwarded.
+  void SetCallerIp(const std::string& caller_ip) { caller_ip_ = caller_ip; }
   Time received_at() const { return received_at_; }
 
   /// @brief Sends the answer. Only the first call has an effect.
--- a/include/pathcleat/http/http_status.hpp
+++ b/include/pathcleat/http/http_status.hpp
@@ -8,6 +8,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kUnauthorized = 401;
+constexpr int kForbidden = 403;
 constexpr int kNotFound = 404;
 constexpr int kMethodNotAllowed = 405;
 constexpr int kRequestTimeout = 408;
--- a/include/pathcleat/routing/upstream_health.hpp
+++ b/include/pathcleat/routing/upstream_health.hpp
@@ -42,6 +42,9 @@
   }
   void OnFailure(Time now);
 
+  /// @brief Forgets the failures, as they were not the upstream's.
+  void ForgetFailures() { OnSuccess(); }
+
   bool IsSuspect() const { return failures_ >= kFailuresToSuspect; }
 
   /// @brief Whether requests have been in flight for far longer than expected
--- a/src/pathcleat/calls/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/calls/upstream_protocol.hpp"
 
+#include "pathcleat/calls/forward_token.hpp"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -106,6 +108,7 @@
     return iequals(header.name, names.deadline_ms) ||
            iequals(header.name, names.expect_upstream) ||
            iequals(header.name, names.account) ||
+           iequals(header.name, kForwardHeader) ||
            (metadata.strips_authorization &&
             iequals(header.name, "Authorization")) ||
            iequals(header.name, "Expect");
--- a/src/pathcleat/core/mechanism.cpp
+++ b/src/pathcleat/core/mechanism.cpp
@@ -26,6 +26,8 @@
     NamedMechanism{Mechanism::kUpstreamBackoff, "upstream_backoff"},
     NamedMechanism{Mechanism::kUpstreamLeaving, "upstream_leaving"},
     NamedMechanism{Mechanism::kErrorShare, "error_share"},
+    NamedMechanism{Mechanism::kForwarding, "forwarding"},
+    NamedMechanism{Mechanism::kIsolationNews, "isolation_news"},
 };
 
 }  // namespace
--- a/src/pathcleat/feeds/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -137,6 +137,10 @@
 }
 
 void PeerFeed::Handle(const HttpExchangePtr& exchange) {
+  if (handler_ && FindHeader(exchange->request().headers, handled_header_)) {
+    handler_(exchange);
+    return;
+  }
   const auto request = ParseRequest(exchange->request().target);
   if (!request || key_.empty()) {
     exchange->Respond(TextResponse(http_status::kNotFound, "nothing here\n"));
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -37,7 +37,6 @@
 constexpr Duration kRowReadTimeout{3'000'000};
 
 constexpr const char* kNoConfig = "no configuration yet";
-constexpr const char* kConfigBehind = "a newer configuration is due";
 
 // File descriptors that are not available to callers: 200 for files and the
 // runtime, the rest for the store, other hosts, readiness, metrics and
@@ -47,6 +46,13 @@
 // is below kReservedDescriptors.
 constexpr rlim_t kMinCallerConnections = 64;
 
+// A forwarded request carries a token besides the caller's headers.
+HttpLimits ForwardLimits(HttpLimits caller_limits) {
+  constexpr std::uint32_t kTokenBytes = 1'024;
+  caller_limits.max_header_bytes += kTokenBytes;
+  return caller_limits;
+}
+
 // Half of the remaining descriptors, as each request in flight holds a second
 // connection, to its upstream. 0 means no limit.
 std::size_t MaxCallerConnections() {
@@ -91,6 +97,7 @@
           source,
           [this](const RoutingConfig& config) {
             caller_server_.SetLimits(config.caller_limits);
+            fleet_sync_.SetPeerLimits(ForwardLimits(config.caller_limits));
           },
           [this] { peer_link_.PublishHeartbeat(); }),
       startup_loader_(
@@ -114,6 +121,9 @@
                       [this](const HttpExchangePtr& e) { HandleMetrics(e); }),
       tick_timer_(loop),
       stop_timer_(loop) {
+  fleet_sync_.SetForwardHandler(
+      [this](const HttpExchangePtr& e) { HandleForwarded(e); });
+  state_.reach.SetOnChange([this] { OnReachChange(); });
   state_.crashes.SetOnUpdate([this] { peer_link_.PublishCrashes(); });
   state_.upstream_statements.SetOnUpdate(
       [this] { peer_link_.PublishStatements(); });
@@ -191,6 +201,7 @@
 void Gateway::OnSecrets() {
   peer_link_.SetKey(secrets_.peer_key());
   fleet_sync_.SetKey(secrets_.peer_key());
+  state_.fleet_key = secrets_.peer_key();
   account_key_hasher_.SetSecret(secrets_.peer_key());
   state_.request_hasher.SetSecret(secrets_.peer_key());
   peer_link_.Announce();
@@ -414,6 +425,7 @@
   }
   state_.TickCrashes(now);
   state_.connection_pool.CloseIdle(now);
+  state_.forwards.connections.CloseIdle(now);
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -227,6 +227,19 @@
           .count());
 }
 
+void AddForwards(Page& page, const ForwardState& forwards) {
+  page.Family(
+      "pathcleat_forwarded_requests_total", "counter",
+      "Requests passed between hosts, as one of them does not reach the "
+      "upstreams, by direction.");
+  page.Sample("pathcleat_forwarded_requests_total", {{"direction", "sent"}},
+              forwards.sent);
+  page.Sample("pathcleat_forwarded_requests_total", {{"direction", "taken"}},
+              forwards.received);
+  page.Sample("pathcleat_forwarded_requests_total", {{"direction", "declined"}},
+              forwards.declined);
+}
+
 void AddCrashes(Page& page, const GatewayState& state) {
   page.Family("pathcleat_upstream_ends_total", "counter",
               "Requests that an upstream had when its process ended.");
@@ -379,6 +392,7 @@
   AddBudgets(page, state);
   AddUpstreams(page, state, now);
   AddReach(page, state.reach, now);
+  AddForwards(page, state.forwards);
   AddCrashes(page, state);
   AddFleet(page, state, inputs.versions, now);
   AddFeeds(page, inputs, now);
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -214,7 +214,8 @@
   for (const HostEntry* host : state_.hosts.Others()) {
     text << host->info.name << ": in " << host->info.domain << ", "
          << (state_.hosts.IsAlive(*host, now) ? "alive" : "silent")
-         << (host->info.leaving ? ", leaving" : "");
+         << (host->info.leaving ? ", leaving" : "")
+         << (host->info.isolated ? ", upstreams out of reach" : "");
     if (host->has_heartbeat) {
       text << ", heard " << AgeText(host->last_seen, now)
            << ", routes at version " << host->versions.config
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -14,11 +14,9 @@
 namespace pathcleat {
 namespace {
 
-constexpr int kMaxUnsentAttempts = 3;
 // Interval at which a request past its failover time-out checks again for
 // another upstream.
 constexpr Duration kFailoverRecheckInterval{250'000};
-constexpr Duration kMinTimeLeft{10'000};
 // A request whose answer takes longer than this multiple of the route's target
 // latency is logged with its trace.
 constexpr int kSlowMultiple = 3;
@@ -27,14 +25,14 @@
 // worth no more to the caller than a failure. Run times of requests of the same
 // kind vary by half.
 constexpr int kFailedColdMultiple = 2;
-constexpr const char* kOutcomeHeader = "Pathcleat-Outcome";
 
 }  // namespace
 
 RequestHandler::RequestHandler(GatewayState& state,
                                HttpExchangePtr exchange,
                                std::shared_ptr<const Route> route,
-                               std::shared_ptr<const Account> account)
+                               std::shared_ptr<const Account> account,
+                               std::optional<ForwardContext> forwarded)
     : state_(state),
       exchange_(std::move(exchange)),
       route_(std::move(route)),
@@ -42,6 +40,8 @@
       deadline_timer_(state.loop),
       failover_timer_(state.loop),
       attempt_(state),
+      forward_(state),
+      forwarded_(std::move(forwarded)),
       idempotency_guard_(state),
       trace_(state) {
   ++state_.in_flight_count;
@@ -55,11 +55,24 @@
   pick_request_ =
       MakePickRequest(state_.headers, *exchange_, *route_, request_id_);
   pick_request_.account = account_.get();
-  const Duration time_allowed =
+  Duration time_allowed =
       std::min(route_->timeout, pick_request_.caller_timeout);
+  if (forwarded_) {
+    ++state_.forwards.received_in_flight;
+    pick_request_.caller_timeout = Duration(forwarded_->caller_timeout_us);
+    time_allowed =
+        std::min(route_->timeout, Duration(forwarded_->time_left_us));
+    attempt_count_ =
+        std::max(0, route_->max_attempts - forwarded_->attempts_left);
+  }
   deadline_ = exchange_->received_at() + time_allowed;
 }
 
+RequestHandler::~RequestHandler() {
+  --state_.in_flight_count;
+  state_.forwards.received_in_flight -= forwarded_ ? 1 : 0;
+}
+
 void RequestHandler::Start() {
   const auto on_caller_left = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
@@ -70,17 +83,28 @@
   exchange_->OnCallerHalfClosed(on_caller_left);
   StartTimer(deadline_timer_, deadline_ - BootClock::now(),
              &RequestHandler::OnDeadline);
-  pick_request_.service =
-      state_.splits.Choose(*route_, ToUnitInterval(pick_request_.key));
-  state_.RetryBudgetOf(pick_request_.service).OnFirstAttempt();
+  if (forwarded_) {
+    pick_request_.service = forwarded_->service;
+  } else {
+    pick_request_.service =
+        state_.splits.Choose(*route_, ToUnitInterval(pick_request_.key));
+    state_.RetryBudgetOf(pick_request_.service).OnFirstAttempt();
+  }
   trace_.NoteAccepted(*exchange_, pick_request_, TimeLeft());
+  if (forwarded_) {
+    trace_.Note(EventCode::kForwardTaken,
+                {{field::kPeer, forwarded_->from_host},
+                 IntegerField(field::kAttempt, attempt_count_),
+                 MillisecondsField(field::kLeftMs, TimeLeft())});
+  }
   // On an overloaded host, callers may have given up before their requests are
   // read.
   exchange_->CheckConnection();
   if (caller_left_ || !AcquireQuota()) {
     return;
   }
-  if (!route_->repeatable && IdempotencyGuard::HasKey(exchange_->request())) {
+  if (!forwarded_ && !route_->repeatable &&
+      IdempotencyGuard::HasKey(exchange_->request())) {
     ClaimKey();
   } else {
     Attempt();
@@ -132,11 +156,17 @@
 }
 
 void RequestHandler::Attempt() {
+  if (ForwardIfIsolated()) {
+    return;
+  }
   const Pick pick = ChooseUpstream();
   if (pick.failure == PickFailure::kNone) {
     Send(pick);
     return;
   }
+  if (pick.failure == PickFailure::kNoUpstream && ForwardAfterFailure()) {
+    return;
+  }
   Refuse(pick.retry_after, ReasonOf(pick.failure), &pick);
 }
 
@@ -292,12 +322,13 @@
 }
 
 // Answers of an upstream that is cold, states a limit or wants no requests say
-// nothing about its version.
+// nothing about its version, nor do failures while this host may be isolated.
 void RequestHandler::RecordVersionResult(const Pick& pick, bool bad) {
   const UpstreamState& upstream = *pick.upstream;
   Rollout* rollout = state_.rollouts.Find(upstream.info.service);
   const Time now = BootClock::now();
-  if (rollout != nullptr && !upstream.IsRateBounded(now) &&
+  const bool counts = state_.reach.reach().state() == ReachState::kReachable;
+  if (rollout != nullptr && counts && !upstream.IsRateBounded(now) &&
       !upstream.backoff.IsInForce(now)) {
     rollout->OnAnswer(upstream.info.version, StableHash(route_->name), bad);
   }
@@ -351,11 +382,35 @@
     EndAfterCallerLeft();
     return;
   }
+  if (ForwardIfIsolated()) {
+    return;
+  }
   const Pick next = ChooseUpstream();
   if (next.upstream && MayRetry()) {
     Retry(next);
     return;
   }
+  const bool out_of_reach =
+      next.upstream || next.failure == PickFailure::kNoUpstream;
+  if (out_of_reach && ForwardAfterFailure()) {
+    return;
+  }
+  GiveUp(next);
+}
+
+// Answers the caller, as no further attempt is made.
+// @param next the best pick that is left.
+void RequestHandler::GiveUp(const Pick& next) {
+  if (done_) {
+    idempotency_guard_.RecordOutcome({}, run_tracker_.MayHaveRun()
+                                             ? RunOutcome::kUnknown
+                                             : RunOutcome::kNotRun);
+    return;
+  }
+  if (caller_left_) {
+    EndAfterCallerLeft();
+    return;
+  }
   const bool crashes = next.failure == PickFailure::kCrashesUpstreams;
   if (!run_tracker_.MayHaveRun()) {
     Refuse(RetryDelayFor(next),
@@ -372,7 +427,11 @@
   state_.metrics.OnRefused(reason);
   trace_.NoteRefused(reason, retry_after, *route_, TimeLeft(), best);
   ReleaseQuota();
-  Answer(NotRunResponse(reason, retry_after), RunOutcome::kNotRun);
+  HttpResponse response = NotRunResponse(reason, retry_after);
+  if (forwarded_ && reason == ReasonOf(PickFailure::kNoUpstream)) {
+    response.headers.push_back({kForwardDeclinedHeader, "1"});
+  }
+  Answer(std::move(response), RunOutcome::kNotRun);
 }
 
 void RequestHandler::AnswerUnknown(int status, const std::string& reason) {
--- a/src/pathcleat/gateway/request_handler_caller_left.cpp
+++ b/src/pathcleat/gateway/request_handler_caller_left.cpp
@@ -11,6 +11,7 @@
 // upstream has received in full run to their end: if such a request were
 // cancelled, nobody could tell how much of its work was done.
 void RequestHandler::CancelAttempt(AbortCause cause) {
+  CancelForward();
   if (attempt_.IsInFlight() &&
       (route_->repeatable || !attempt_.IsFullySent())) {
     if (!attempt_.MayHaveSent()) {
@@ -20,6 +21,17 @@
   }
 }
 
+void RequestHandler::CancelForward() {
+  if (!forward_.IsInFlight() ||
+      (!route_->repeatable && forward_.IsFullySent())) {
+    return;
+  }
+  if (!forward_.MayHaveSent()) {
+    run_tracker_.OnNotRun();
+  }
+  forward_.Cancel();
+}
+
 // Cancels the attempt if possible and starts no further attempt. A caller that
 // has only closed its sending side still gets an answer with the outcome as far
 // as it is known.
@@ -29,9 +41,9 @@
   }
   caller_left_ = true;
   trace_.Note(EventCode::kCallerLeft, {});
-  const bool was_sent = attempt_.MayHaveSent();
+  const bool was_sent = attempt_.MayHaveSent() || forward_.MayHaveSent();
   CancelAttempt(AbortCause::kCallerLeft);
-  if (attempt_.IsInFlight()) {
+  if (IsAnyInFlight()) {
     state_.metrics.OnCallerLeft(AbandonedWork::kRunsOn);
     trace_.Flush();
     return;
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -173,6 +173,14 @@
   Withdraw();
 }
 
+void UpstreamAttempt::AbortUnreachable() {
+  if (MayHaveSent()) {
+    state_.metrics.OnAborted(AbortCause::kSilentConnection);
+  }
+  client_->ResetOnClose();
+  Withdraw();
+}
+
 void UpstreamAttempt::Withdraw() {
   state_.upstreams.Release(*pick_.upstream, reservation_, MayHaveSent(),
                            BootClock::now());
@@ -230,7 +238,7 @@
 }
 
 void UpstreamAttempt::CountMissingAnswer() {
-  if (IsBusy()) {
+  if (IsBusy() || state_.reach.IsIsolated()) {
     return;
   }
   const Time now = BootClock::now();
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -84,12 +84,16 @@
   local_address_ = local_address;
 }
 
+void HttpClient::ResetOnClose() {
+  error_code ignored;
+  socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
 void HttpClient::Cancel() {
   if (callback_ && connected_ && !request_written_) {
     // Closes the socket with a reset: otherwise the operating system would
     // still send the rest of the body from its buffers.
-    error_code ignored;
-    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    ResetOnClose();
   }
   callback_ = nullptr;
   on_opened_ = nullptr;
