Probes for isolation end where few upstreams are listed

In the run of all tests after two test clusters with two upstreams (promise/planned_stop_answers_what_its_upstream_never_does is one, found with a debugger in ReachMonitor::SendDueProbes) sent probes without end and took 9.6 GB. Cause: the number of probes that are due at once was read off the set of probed upstreams, which is emptied when all have been probed. Now it is counted down. upstream_reach/few_listed_upstreams_get_few_probes_at_once guards it; that the test fails on the former code was not run, the loop itself was seen.

--- a/include/pathcleat/calls/upstream_reach.hpp
+++ b/include/pathcleat/calls/upstream_reach.hpp
@@ -101,6 +101,7 @@
   Time last_contact_;
   Time suspected_at_;
   Time last_probe_at_;
+  int initial_probes_left_ = 0;  ///< that are due at once
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/calls/upstream_reach.cpp
+++ b/src/pathcleat/calls/upstream_reach.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kFailureTtl{2'000'000};
 // A suspicion that no further failure or silence confirms is dropped.
 constexpr Duration kSuspicionTtl{2'000'000};
-constexpr std::size_t kInitialProbes = 3;
+constexpr int kInitialProbes = 3;
 constexpr Duration kProbeInterval{250'000};
 
 }  // namespace
@@ -74,6 +74,7 @@
   if (state_ == ReachState::kReachable &&
       listed_upstreams_ >= kMinListedUpstreams) {
     state_ = ReachState::kSuspected;
+    initial_probes_left_ = kInitialProbes;
   }
 }
 
@@ -107,8 +108,7 @@
   }
   return state_ == ReachState::kSuspected &&
          now - suspected_at_ < kSuspicionTtl &&
-         (probed_.size() < kInitialProbes ||
-          now - last_probe_at_ >= kProbeInterval);
+         (initial_probes_left_ > 0 || now - last_probe_at_ >= kProbeInterval);
 }
 
 const UpstreamInfo& UpstreamReach::ChooseProbe(
@@ -133,6 +133,7 @@
                          return rank(a) < rank(b);
                        });
   probed_.insert(best->id);
+  initial_probes_left_ = std::max(0, initial_probes_left_ - 1);
   last_probe_at_ = now;
   return *best;
 }
--- a/src/pathcleat/calls/upstream_reach_test.cpp
+++ b/src/pathcleat/calls/upstream_reach_test.cpp
@@ -151,6 +151,22 @@
   cr_assert_eq(probed.size(), 3U);
 }
 
+// Guards against probes without end where fewer upstreams are listed than
+// probes are sent at once.
+Test(upstream_reach, few_listed_upstreams_get_few_probes_at_once) {
+  for (int count = 2; count < 5; ++count) {
+    UpstreamReach reach = MakeReach(count, 1);
+    reach.OnSilence(kStart);
+    const auto upstreams = MakeUpstreams(count);
+    int probes = 0;
+    while (reach.IsProbeDue(kStart) && probes < 100) {
+      reach.ChooseProbe(upstreams, 7, kStart);
+      ++probes;
+    }
+    cr_assert_eq(probes, 3, "%d probes", probes);
+  }
+}
+
 Test(upstream_reach, isolated_host_probes_all_upstreams_in_turn) {
   UpstreamReach reach = MakeReach();
   FailFirst(reach, 3, kStart);
