A cut is no crash of an upstream: another one must answer

A lost connection whose port then refuses counted as a crash under its request. A host that is cut off is refused everywhere, so that requests which many callers send would be blocked at all hosts. Now another upstream is probed first (one probe at a time, one for all losses that wait for it), and the crash counts only if that one answers. cut_hosts/refusals_by_all_upstreams_are_no_crash_of_one failed before (crashes not empty); the other tests of cut_hosts are of forwarding, its end, the list for callers, callers that leave, and work that runs once.

--- a/include/pathcleat/gateway/reach_monitor.hpp
+++ b/include/pathcleat/gateway/reach_monitor.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "pathcleat/calls/connection_pool.hpp"
 #include "pathcleat/calls/upstream_reach.hpp"
@@ -50,6 +51,13 @@
   /// UpstreamReach::OnConnectionFailed.
   void OnConnectionFailed(const UpstreamInfo& upstream, Time now);
 
+  /// @brief Verifies by a probe that this host reaches upstreams, before a
+  /// failure is blamed on one of them.
+  /// @param suspect id of the upstream that failed; it is not probed.
+  /// @param reached called if another upstream answers, or if there is no other
+  /// upstream.
+  void Verify(const std::string& suspect, std::function<void()> reached);
+
   void OnStall(Time now) { reach_.OnStall(now); }
 
   /// @brief Sends the probes that are due.
@@ -70,7 +78,10 @@
  private:
   void CountListed();
   void SendDueProbes(Time now);
+  std::vector<UpstreamInfo> OpenUpstreams() const;
+  std::uint64_t NextSalt() const;
   void Probe(const UpstreamInfo& upstream);
+  void FinishVerification(bool reached);
   void OnProbeResult(const UpstreamInfo& upstream,
                      const HttpClient& client,
                      const CallResult& result);
@@ -85,6 +96,9 @@
   std::function<void()> on_change_;
   std::map<std::uint64_t, HttpClientPtr> in_flight_;  ///< by number of probe
   std::optional<std::uint64_t> listed_revision_;
+  /// Callbacks of Verify that wait for the probe verification_.
+  std::vector<std::function<void()>> on_verified_;
+  std::uint64_t verification_ = 0;  ///< number of the probe; 0: none in flight
   std::uint64_t probes_ = 0;
   std::uint64_t isolations_ = 0;
 };
--- a/src/pathcleat/gateway/reach_monitor.cpp
+++ b/src/pathcleat/gateway/reach_monitor.cpp
@@ -93,18 +93,56 @@
   reach_.SetListed(all.size(), domains.size());
 }
 
-void ReachMonitor::SendDueProbes(Time now) {
-  if (!reach_.IsProbeDue(now)) {
-    return;
-  }
+std::vector<UpstreamInfo> ReachMonitor::OpenUpstreams() const {
   std::vector<UpstreamInfo> open;
   for (const UpstreamPtr& upstream : upstreams_.All()) {
     if (upstreams_.IsOpen(*upstream)) {
       open.push_back(upstream->info);
     }
   }
+  return open;
+}
+
+std::uint64_t ReachMonitor::NextSalt() const {
+  return MixHashes(StableHash(host_), probes_);
+}
+
+void ReachMonitor::SendDueProbes(Time now) {
+  if (!reach_.IsProbeDue(now)) {
+    return;
+  }
+  const std::vector<UpstreamInfo> open = OpenUpstreams();
   while (!open.empty() && reach_.IsProbeDue(now)) {
-    Probe(reach_.ChooseProbe(open, MixHashes(StableHash(host_), probes_), now));
+    Probe(reach_.ChooseProbe(open, NextSalt(), now));
+  }
+}
+
+void ReachMonitor::Verify(const std::string& suspect,
+                          std::function<void()> reached) {
+  on_verified_.push_back(std::move(reached));
+  if (verification_ != 0) {
+    return;
+  }
+  std::vector<UpstreamInfo> open = OpenUpstreams();
+  std::erase_if(open, [&suspect](const UpstreamInfo& upstream) {
+    return upstream.id == suspect;
+  });
+  if (open.empty()) {
+    FinishVerification(true);
+    return;
+  }
+  const UpstreamInfo& other =
+      reach_.ChooseProbe(open, NextSalt(), BootClock::now());
+  verification_ = probes_ + 1;
+  Probe(other);
+}
+
+void ReachMonitor::FinishVerification(bool reached) {
+  verification_ = 0;
+  for (const auto& callback : std::exchange(on_verified_, {})) {
+    if (reached) {
+      callback();
+    }
   }
 }
 
@@ -123,6 +161,9 @@
                  const HttpClientPtr probe = std::move(in_flight_[number]);
                  in_flight_.erase(number);
                  OnProbeResult(upstream, *probe, result);
+                 if (number == verification_) {
+                   FinishVerification(result.outcome == CallOutcome::kAnswered);
+                 }
                });
 }
 
--- a/src/pathcleat/gateway/request_handler_crash.cpp
+++ b/src/pathcleat/gateway/request_handler_crash.cpp
@@ -62,7 +62,8 @@
 
 // A lost connection does not prove a crash: the connection may have been reset,
 // or idle for too long. The upstream has crashed only if no process listens on
-// its port any more, so the port is probed.
+// its port any more, so the port is probed. A host that is cut off is refused
+// everywhere, so another upstream must answer.
 void RequestHandler::ProbeForCrash(const CallResult& result) {
   const bool lost_by_peer = result.outcome == CallOutcome::kConnectionLost &&
                             !result.closed_locally && !result.connection_silent;
@@ -74,9 +75,11 @@
   may_have_crashed_upstream_ = true;
   state_.listen_probe.Probe(
       *endpoint, kProbeTimeout,
-      [&state = state_, request = Digest(), id = StableHash(upstream.id)] {
-        state.metrics.OnUpstreamCrashed();
-        state.crashes.OnCrash(request, id, BootClock::now());
+      [&state = state_, request = Digest(), id = upstream.id] {
+        state.reach.Verify(id, [&state, request, id] {
+          state.metrics.OnUpstreamCrashed();
+          state.crashes.OnCrash(request, StableHash(id), BootClock::now());
+        });
       });
 }
 
