Isolated hosts stay named where their region has fewer than two others

Left out in any case, callers of a region with one connected host were sent to hosts of other regions, although the isolated hosts serve them by forwarding and routes may have homes. TestClusterPlan has the switches of the policy.

--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -2,7 +2,6 @@
 #include "pathcleat/fleet/host_table.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace pathcleat {
@@ -214,17 +213,16 @@
   return accepting;
 }
 
-// Keeps the isolated hosts of a region in which every host is isolated: callers
-// of that region may be bound to it.
+// Keeps the isolated hosts of a region that has too few others: callers may be
+// bound to their region, and an isolated host still serves them by forwarding.
 void HostTable::RemoveIsolated(std::vector<HostInfo>& hosts) {
-  std::set<std::string> connected_regions;
+  std::map<std::string, std::size_t> connected_counts;  // by region
   for (const HostInfo& host : hosts) {
-    if (!host.isolated) {
-      connected_regions.insert(host.region);
-    }
+    connected_counts[host.region] += host.isolated ? 0 : 1;
   }
-  std::erase_if(hosts, [&connected_regions](const HostInfo& host) {
-    return host.isolated && connected_regions.contains(host.region);
+  std::erase_if(hosts, [&connected_counts](const HostInfo& host) {
+    return host.isolated &&
+           connected_counts.at(host.region) >= kMinLocatedHosts;
   });
 }
 
--- a/src/pathcleat/fleet/host_table_test.cpp
+++ b/src/pathcleat/fleet/host_table_test.cpp
@@ -29,6 +29,23 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+// Guards against callers who are sent to a host that reaches no upstream while
+// its region has others, or out of their region while it has none.
+Test(host_table, isolated_hosts_are_named_only_where_others_are_few) {
+  HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
+  HostInfo cut = MakeHost("cut", "n1", "north");
+  cut.isolated = true;
+  table.OnHeartbeat(cut, {}, kStart);
+  table.OnHeartbeat(MakeHost("far", "s1", "south"), {}, kStart);
+  auto found = table.Locate("north", "n1", 16, kStart);
+  cr_assert(Contains(found, "cut") && Contains(found, "self"));
+  cr_assert_not(Contains(found, "far"));
+  table.OnHeartbeat(MakeHost("beside", "n2", "north"), {}, kStart);
+  found = table.Locate("north", "n1", 16, kStart);
+  cr_assert_not(Contains(found, "cut"));
+  cr_assert_eq(found.size(), 2U);
+}
+
 Test(host_table, near_hosts_come_first_dead_and_leaving_hosts_never) {
   HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
   table.OnHeartbeat(MakeHost("near", "n1", "north"), {}, kStart);
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -396,6 +396,7 @@
     settings.peer_address = address_;
     settings.peer_port = next_port_++;
     settings.store_address = store_address_;
+    settings.policy = plan_.policy;
     settings.bounds.stop_grace = plan_.stop_grace;
     return settings;
   }
--- a/src/pathcleat/testing/test_cluster_plan.hpp
+++ b/src/pathcleat/testing/test_cluster_plan.hpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <vector>
 
+#include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/http/http_limits.hpp"
 #include "pathcleat/routing/route.hpp"
@@ -28,6 +29,7 @@
   /// Whether a proxy stands before each upstream, by which hosts can be cut off
   /// from it (TestCluster::CutHost).
   bool upstreams_behind_proxies = false;
+  PolicySwitches policy;  ///< of all hosts
   /// Indices of hosts with other secrets than the rest, so that the rest accept
   /// no messages from them.
   std::set<std::size_t> isolated_hosts;
