--- a/include/pathcleat/gateway/reach_monitor.hpp
+++ b/include/pathcleat/gateway/reach_monitor.hpp
@@ -51,6 +51,10 @@
   /// UpstreamReach::OnConnectionFailed.
   void OnConnectionFailed(const UpstreamInfo& upstream, Time now);
 
+  /// @brief A request that was sent at `sent_at` got no answer in its time.
+  /// Probes follow if no upstream has answered any request since.
+  void OnNoAnswer(Time sent_at, Time now);
+
   /// @brief Verifies by a probe that this host reaches upstreams, before a
   /// failure is blamed on one of them.
   /// @param suspect id of the upstream that failed; it is not probed.
--- a/src/pathcleat/gateway/reach_monitor.cpp
+++ b/src/pathcleat/gateway/reach_monitor.cpp
@@ -52,6 +52,15 @@
   }
 }
 
+void ReachMonitor::OnNoAnswer(Time sent_at, Time now) {
+  if (reach_.IsIsolated() || reach_.last_contact() > sent_at) {
+    return;
+  }
+  CountListed();
+  reach_.OnSilence(now);
+  SendDueProbes(now);
+}
+
 void ReachMonitor::NotifyOnChange(bool was_isolated,
                                   const ReachEvidence& evidence) {
   if (was_isolated == reach_.IsIsolated()) {
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -475,6 +475,7 @@
   }
   if (attempt_.IsInFlight()) {
     attempt_.CountMissingAnswer();
+    state_.reach.OnNoAnswer(attempt_.sent_at(), BootClock::now());
   }
   CancelAttempt(AbortCause::kDeadline);
   if (run_tracker_.MayHaveRun()) {
--- a/src/pathcleat/lab/cut_hosts_test.cpp
+++ b/src/pathcleat/lab/cut_hosts_test.cpp
@@ -123,6 +123,18 @@
   CheckServedDuringCut(CutMode::kRefuseNew);
 }
 
+// Guards against a host with few requests that never notices that connections
+// hang: each request ends by its deadline before the upstream counts as silent.
+Test(cut_hosts, host_with_few_requests_notices_that_connections_hang) {
+  TestCluster cluster(ThreeRegions());
+  cluster.StartAll();
+  cluster.CutHost(0, CutMode::kHang);
+  cr_assert_neq(cluster.Get(0, "first").response.status, http_status::kOk);
+  cr_assert(cluster.Await(
+      [&] { return cluster.host(0).state().reach.IsIsolated(); }));
+  cr_assert_eq(cluster.Get(0, "second").response.status, http_status::kOk);
+}
+
 // Guards against requests in flight that wait for their whole time at the
 // beginning of a cut, although other hosts reach the upstreams.
 Test(cut_hosts, lookup_in_flight_is_moved_when_connections_hang) {
