Connections between hosts keep time limits of their own

Read, not seen: the server for other hosts took over the callers' idle time-out, so that a short one could close a connection under a forwarded request that may not be repeated. Only the sizes are taken over now.

--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -46,11 +46,15 @@
 // is below kReservedDescriptors.
 constexpr rlim_t kMinCallerConnections = 64;
 
-// A forwarded request carries a token besides the caller's headers.
-HttpLimits ForwardLimits(HttpLimits caller_limits) {
+// A forwarded request is as large as a caller's, and carries a token besides.
+// The time limits for callers do not apply between hosts: a connection that was
+// closed as idle would lose the request that is sent next.
+HttpLimits ForwardLimits(const HttpLimits& caller_limits) {
   constexpr std::uint32_t kTokenBytes = 1'024;
-  caller_limits.max_header_bytes += kTokenBytes;
-  return caller_limits;
+  HttpLimits limits;
+  limits.max_header_bytes = caller_limits.max_header_bytes + kTokenBytes;
+  limits.max_body_bytes = caller_limits.max_body_bytes;
+  return limits;
 }
 
 // Half of the remaining descriptors, as each request in flight holds a second
--- a/src/pathcleat/lab/cut_hosts_test.cpp
+++ b/src/pathcleat/lab/cut_hosts_test.cpp
@@ -92,6 +92,19 @@
   }
 };
 
+// Sends a request to host 0 and does not wait for its answer.
+HttpClientPtr SendToFirstHost(TestCluster& cluster,
+                              const HttpRequest& request,
+                              HttpClient::Callback callback) {
+  constexpr Duration kTimeout{20'000'000};
+  auto client = std::make_shared<HttpClient>(
+      cluster.loop(),
+      *ParseTcpEndpoint(cluster.host(0).state().settings.listen.callers),
+      HttpLimits());
+  client->Send(request, {kTimeout, kTimeout}, std::move(callback));
+  return client;
+}
+
 // Guards against callers of hosts that are cut off from all upstreams being
 // served less than two thirds as often as the callers of other hosts. Fails
 // with the mechanism kForwarding switched off.
@@ -236,14 +249,10 @@
   CutFixture fixture;
   TestCluster& cluster = fixture.cluster;
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
-  const auto client = std::make_shared<HttpClient>(
-      cluster.loop(),
-      *ParseTcpEndpoint(cluster.host(0).state().settings.listen.callers),
-      HttpLimits());
   std::optional<CallResult> result;
-  client->Send(cluster.PostRequest("held"),
-               {std::chrono::seconds(20), std::chrono::seconds(20)},
-               [&](const CallResult& call_result) { result = call_result; });
+  const HttpClientPtr client = SendToFirstHost(
+      cluster, cluster.PostRequest("held"),
+      [&](const CallResult& call_result) { result = call_result; });
   cr_assert(cluster.Await([&] { return cluster.RunsOf("held") == 1; }));
   fixture.Cut(CutMode::kReset);
   cr_assert(cluster.Await([&] { return result.has_value(); }));
@@ -263,13 +272,8 @@
     return cluster.host(0).state().reach.IsIsolated();
   }));
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
-  const auto client = std::make_shared<HttpClient>(
-      cluster.loop(),
-      *ParseTcpEndpoint(cluster.host(0).state().settings.listen.callers),
-      HttpLimits());
-  client->Send(cluster.GetRequest("left"),
-               {std::chrono::seconds(20), std::chrono::seconds(20)},
-               [](const CallResult&) {});
+  const HttpClientPtr client = SendToFirstHost(
+      cluster, cluster.GetRequest("left"), [](const CallResult&) {});
   cr_assert(cluster.Await([&] { return cluster.InFlight() == 1; }));
   client->Cancel();
   cr_assert(cluster.Await([&] { return cluster.InFlight() == 0; }));
@@ -297,13 +301,8 @@
   TestCluster cluster(plan);
   cluster.StartAll();
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
-  const auto client = std::make_shared<HttpClient>(
-      cluster.loop(),
-      *ParseTcpEndpoint(cluster.host(0).state().settings.listen.callers),
-      HttpLimits());
-  client->Send(cluster.GetRequest("lost"),
-               {std::chrono::seconds(20), std::chrono::seconds(20)},
-               [](const CallResult&) {});
+  const HttpClientPtr client = SendToFirstHost(
+      cluster, cluster.GetRequest("lost"), [](const CallResult&) {});
   cr_assert(cluster.Await([&] { return cluster.InFlight() == 1; }));
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.Crash(); });
   const ReachMonitor& reach = cluster.host(0).state().reach;
