--- a/src/pathcleat/lab/cut_hosts_test.cpp
+++ b/src/pathcleat/lab/cut_hosts_test.cpp
@@ -43,6 +43,13 @@
     }
   }
 
+  void AwaitFirstHostIsolated() {
+    cr_assert(cluster.Await([this] {
+      Send(0);
+      return cluster.host(0).state().reach.IsIsolated();
+    }));
+  }
+
   void EndCut() {
     for (std::size_t host = 0; host < 6; ++host) {
       cluster.EndCut(host);
@@ -173,10 +180,7 @@
   CutFixture fixture;
   TestCluster& cluster = fixture.cluster;
   fixture.Cut(CutMode::kReset);
-  cr_assert(cluster.Await([&] {
-    fixture.Send(0);
-    return cluster.host(0).state().reach.IsIsolated();
-  }));
+  fixture.AwaitFirstHostIsolated();
   fixture.EndCut();
   cr_assert(cluster.Await(
       [&] { return !cluster.host(0).state().reach.IsIsolated(); }));
@@ -267,10 +271,7 @@
   CutFixture fixture;
   TestCluster& cluster = fixture.cluster;
   fixture.Cut(CutMode::kReset);
-  cr_assert(cluster.Await([&] {
-    fixture.Send(0);
-    return cluster.host(0).state().reach.IsIsolated();
-  }));
+  fixture.AwaitFirstHostIsolated();
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.HoldAnswers(); });
   const HttpClientPtr client = SendToFirstHost(
       cluster, cluster.GetRequest("left"), [](const CallResult&) {});
