No work for isolation on hot paths while no host is isolated

Found by reading: each answer of an upstream gathered evidence that only the end of an isolation reports, and each locate answer counted hosts by region though none was isolated. Behaviour is unchanged.

--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -216,6 +216,10 @@
 // Keeps the isolated hosts of a region that has too few others: callers may be
 // bound to their region, and an isolated host still serves them by forwarding.
 void HostTable::RemoveIsolated(std::vector<HostInfo>& hosts) {
+  const auto is_isolated = [](const HostInfo& host) { return host.isolated; };
+  if (std::none_of(hosts.begin(), hosts.end(), is_isolated)) {
+    return;
+  }
   std::map<std::string, std::size_t> connected_counts;  // by region
   for (const HostInfo& host : hosts) {
     connected_counts[host.region] += host.isolated ? 0 : 1;
--- a/src/pathcleat/gateway/reach_monitor.cpp
+++ b/src/pathcleat/gateway/reach_monitor.cpp
@@ -36,10 +36,13 @@
 }
 
 void ReachMonitor::OnContact(Time connection_opened_at, Time now) {
-  const bool was_isolated = reach_.IsIsolated();
+  if (!reach_.IsIsolated()) {
+    reach_.OnContact(connection_opened_at, now);
+    return;
+  }
   const ReachEvidence before = reach_.Evidence(now);
   reach_.OnContact(connection_opened_at, now);
-  NotifyOnChange(was_isolated, before);
+  NotifyOnChange(true, before);
 }
 
 void ReachMonitor::OnConnectionFailed(const UpstreamInfo& upstream, Time now) {
