Bounds of rollouts come from the settings

The share of requests that a version on trial may get was a constant, so that a deployment with another ExposureShare had its bound broken by the first order. Now settings state it (rollout_exposure_share, rollout_exposure_slack, rollback_ms); without them an order is refused, with the reason in the log. The trial uses 0.8 of the share, as 0.08 of 0.1 before; the rest stays for hosts that have not got the order yet. Ruled out: a default share, as it would be a bound that nobody stated. order_without_bounds_is_refused and bounds_of_rollouts_are_all_given_or_none are new; the property of the exposure now covers shares of 0.01 to 0.5.

--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -9,6 +9,7 @@
 
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/rollouts/canary_limiter.hpp"
+#include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/rollouts/tally_table.hpp"
 #include "pathcleat/rollouts/version_evaluator.hpp"
@@ -30,7 +31,10 @@
 /// @ingroup rollouts
 class Rollout {
  public:
-  Rollout(const RolloutOrder& order, std::uint64_t incarnation);
+  /// @param bounds of the deployment; if missing, the order is refused.
+  Rollout(const RolloutOrder& order,
+          const std::optional<RolloutBounds>& bounds,
+          std::uint64_t incarnation);
 
   const RolloutOrder& order() const { return order_; }
 
@@ -95,6 +99,7 @@
       std::string& reason) const;
 
   RolloutOrder order_;
+  std::optional<RolloutBounds> bounds_;
   std::uint64_t incarnation_;
   std::optional<RolloutState> state_;
   CanaryLimiter canary_limiter_;
--- a/include/pathcleat/rollouts/rollout_control.hpp
+++ b/include/pathcleat/rollouts/rollout_control.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,8 +36,13 @@
  public:
   /// @param domain failure domain of this host.
   /// @param incarnation differs at each start of a host.
-  RolloutControl(std::string domain, std::uint64_t incarnation)
-      : domain_(std::move(domain)), incarnation_(incarnation) {}
+  /// @param bounds of the deployment; if missing, all orders are refused.
+  RolloutControl(std::string domain,
+                 std::uint64_t incarnation,
+                 const std::optional<RolloutBounds>& bounds)
+      : domain_(std::move(domain)),
+        incarnation_(incarnation),
+        bounds_(bounds) {}
 
   /// @brief Sets all orders that are active.
   void SetOrders(const std::vector<RolloutOrder>& orders);
@@ -69,6 +75,7 @@
 
   std::string domain_;
   std::uint64_t incarnation_;
+  std::optional<RolloutBounds> bounds_;
   std::vector<RolloutOrder> orders_;
   RolloutStates states_;
   std::map<std::string, Rollout> rollouts_;  ///< by service
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -3,12 +3,14 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pathcleat/accounts/quota_bounds.hpp"
 #include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/settings/settings_fault.hpp"
 
 namespace pathcleat {
@@ -43,6 +45,8 @@
   /// apply an older configuration.
   Duration config_apply{3'000'000};
   QuotaBounds quota;  ///< how far client accounts may exceed their limits
+  /// Missing: this deployment has no rollouts, and orders are refused.
+  std::optional<RolloutBounds> rollout;
 };
 
 /// @brief Cost of transferring a gigabyte; 1 is the value of one answer.
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -7,10 +7,9 @@
 namespace pathcleat {
 namespace {
 
-// A requirement of the users: a bad version gets at most a tenth of a service's
-// requests plus 50 requests. The margin below a tenth is for requests sent by
-// hosts that have not received the order yet.
-constexpr double kCanaryShare = 0.08;
+// Part of the allowed exposure that a canary uses. The rest is for requests
+// sent by hosts that have not received the order yet.
+constexpr double kUsedExposure = 0.8;
 // Parts of the order's timeout. No version is promoted before kMinTrialRatio,
 // so that a version that fails late is still detected. A version that has not
 // been found good by kMaxTrialRatio is rolled back. The old version's work must
@@ -32,6 +31,10 @@
           now.bad - std::min(now.bad, before.bad)};
 }
 
+double CanaryShare(const std::optional<RolloutBounds>& bounds) {
+  return bounds ? bounds->exposure_share * kUsedExposure : 0;
+}
+
 VersionRulePtr RequireVersion(const std::string& version,
                               double upstream_share) {
   VersionRule rule;
@@ -48,12 +51,15 @@
 
 }  // namespace
 
-Rollout::Rollout(const RolloutOrder& order, std::uint64_t incarnation)
+Rollout::Rollout(const RolloutOrder& order,
+                 const std::optional<RolloutBounds>& bounds,
+                 std::uint64_t incarnation)
     : order_(order),
+      bounds_(bounds),
       incarnation_(incarnation),
-      canary_limiter_(kCanaryShare),
+      canary_limiter_(CanaryShare(bounds)),
       tally_table_(order.id),
-      canary_rule_(RequireVersion(order.version, kCanaryShare)),
+      canary_rule_(RequireVersion(order.version, CanaryShare(bounds))),
       other_versions_rule_(ExcludeVersions({order.version})) {
   own_tally_.order_id = order.id;
 }
@@ -181,6 +187,10 @@
     reason = "the order was withdrawn";
     return StepTo(RolloutPhase::kRolledBack);
   }
+  if (!bounds_) {
+    reason = "the settings lack rollout_exposure_share";
+    return StepTo(RolloutPhase::kRolledBack);
+  }
   if (IsBad()) {
     reason = "its answers are bad more often than those of other versions";
     return StepTo(RolloutPhase::kRolledBack);
--- a/src/pathcleat/rollouts/rollout_control.cpp
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -25,7 +25,8 @@
     if (found != rollouts_.end() && found->second.order().id >= order.id) {
       continue;
     }
-    rollouts_.insert_or_assign(order.service, Rollout(order, incarnation_));
+    rollouts_.insert_or_assign(order.service,
+                               Rollout(order, bounds_, incarnation_));
   }
   SetStates(states_);
 }
--- a/src/pathcleat/rollouts/rollout_test.cpp
+++ b/src/pathcleat/rollouts/rollout_test.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kPeriod{250'000};
 constexpr std::uint64_t kRoute = 7;
 constexpr double kMaxCanaryShare = 0.1;
+const RolloutBounds kBounds{kMaxCanaryShare, 50, Duration(5'000'000)};
 
 RolloutOrder MakeOrder(std::uint64_t id = 5) {
   return {"s", "v2", kTimeout, id};
@@ -33,7 +34,7 @@
  public:
   Fleet(int hosts, std::uint64_t seed) : random_(seed) {
     for (int i = 0; i < hosts; ++i) {
-      controls_.emplace_back("d", ++incarnations_);
+      controls_.emplace_back("d", ++incarnations_, kBounds);
       controls_.back().SetOrders({MakeOrder()});
     }
   }
@@ -82,7 +83,7 @@
   }
 
   void Kill(std::size_t index) {
-    controls_[index] = RolloutControl("d", ++incarnations_);
+    controls_[index] = RolloutControl("d", ++incarnations_, kBounds);
     controls_[index].SetOrders({MakeOrder()});
     controls_[index].SetStates(states_);
   }
@@ -124,15 +125,15 @@
   int sent_at_rollback_ = 0;
 };
 
-// Promise: no decision sends more than a tenth of a service's requests to a
-// version on trial, regardless of the reports that hosts have received
-// from each other. Fails if the comparison in CanaryLimiter::MaySend is
-// removed.
+// Promise: no decision sends more than the share of the deployment's bounds to
+// a version on trial, regardless of the reports that hosts have received from
+// each other. Fails if the comparison in CanaryLimiter::MaySend is removed.
 Test(promise, canary_version_gets_its_share_at_most) {
-  cr_assert(Holds("fresh <= 0.1 * sent, over deaths and starts", [] {
+  cr_assert(Holds("new <= share * sent, over deaths and starts", [] {
     const int hosts = *rc::gen::inRange(1, 8);
+    const double share = *rc::gen::inRange(1, 51) / 100.0;
     std::vector<CanaryLimiter> limiters(static_cast<std::size_t>(hosts),
-                                        CanaryLimiter(0.08));
+                                        CanaryLimiter(share));
     const auto steps =
         *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, hosts * 20));
     int sent = 0;
@@ -140,14 +141,14 @@
     for (const int step : steps) {
       CanaryLimiter& limiter = limiters[static_cast<std::size_t>(step % hosts)];
       if (step < hosts) {
-        limiter = CanaryLimiter(0.08);
+        limiter = CanaryLimiter(share);
         continue;
       }
       const bool to_new_version = limiter.MaySend();
       limiter.OnSent(to_new_version);
       ++sent;
       new_version += to_new_version ? 1 : 0;
-      RC_ASSERT(new_version <= kMaxCanaryShare * sent);
+      RC_ASSERT(new_version <= share * sent);
     }
   }));
 }
@@ -262,7 +263,7 @@
 }
 
 Test(rollout, withdrawn_order_is_rolled_back_and_a_new_one_starts) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   RolloutStates states;
   const auto evaluate = [&](Time now) {
     RolloutContext fleet;
@@ -287,7 +288,7 @@
 // Work in flight at an old version delays that version's end. Fails without the
 // check of other_versions_in_flight in Rollout::ProposeStepWhilePromoted.
 Test(promise, old_version_does_not_end_while_work_runs_on_it) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   RolloutStates states;
   RolloutContext fleet;
   const auto evaluate = [&](Time now, std::uint32_t in_flight) {
@@ -326,7 +327,7 @@
 // and concludes that no other version runs. Such a host sent requests to the
 // version on trial without a limit.
 Test(promise, missing_list_allows_no_version_on_trial) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   control.SetOrders({MakeOrder()});
   Rollout& rollout = *control.Find("s");
   rollout.SetLocalState({}, 0);
@@ -345,7 +346,7 @@
 // opened, the version on trial was rolled back, or the old version was
 // replaced.
 Test(promise, decision_applies_to_versions_chosen_earlier) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   control.SetOrders({MakeOrder()});
   Rollout& rollout = *control.Find("s");
   rollout.SetLocalState({"v1", "v2"}, 0);
@@ -358,7 +359,7 @@
 }
 
 Test(promise, promotion_excludes_an_old_version_chosen_earlier) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   control.SetOrders({MakeOrder()});
   Rollout& rollout = *control.Find("s");
   rollout.SetLocalState({"v1", "v2"}, 0);
@@ -367,11 +368,30 @@
   cr_assert(rollout.IsVersionAllowed("v2"));
 }
 
+// Guards against a canary with an exposure that the deployment never allowed.
+Test(rollout, order_without_bounds_is_refused) {
+  RolloutControl control("d", 1, std::nullopt);
+  control.SetOrders({MakeOrder()});
+  RolloutStates states;
+  std::string reason;
+  for (int i = 0; i < 2; ++i) {
+    control.Find("s")->SetLocalState({"v1", "v2"}, 0);
+    for (const ProposedStep& due : control.Evaluate({1, {}}, kStart)) {
+      Apply(states, due.step, {});
+      reason = due.reason;
+    }
+    control.SetStates(states);
+    cr_assert_not(control.Find("s")->RuleFor(true)->Allows("v2"));
+  }
+  cr_assert(states["s"].phase == RolloutPhase::kRolledBack);
+  cr_assert_neq(reason.find("rollout_exposure_share"), std::string::npos);
+}
+
 // If the list of upstreams has only one version, that version gets the
 // requests, also after a rollback; an old version that is the only one listed
 // does not count as ended.
 Test(rollout, only_listed_version_gets_requests) {
-  RolloutControl control("d", 1);
+  RolloutControl control("d", 1, kBounds);
   control.SetOrders({MakeOrder()});
   Rollout& rollout = *control.Find("s");
   SetPhase(control, RolloutPhase::kRolledBack);
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -1,6 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/settings/entry_settings.hpp"
 
+#include <algorithm>
+#include <map>
+
 #include "json_reader.hpp"
 #include "pathcleat/http/endpoint.hpp"
 
@@ -51,6 +54,37 @@
   return listen;
 }
 
+// The bounds of rollouts are all given or all missing.
+std::optional<RolloutBounds> ReadRolloutBounds(JsonReader& reader) {
+  constexpr const char* kShareKey = "rollout_exposure_share";
+  constexpr const char* kSlackKey = "rollout_exposure_slack";
+  constexpr const char* kRollbackKey = "rollback_ms";
+  constexpr Bounds kShare{0, 1};
+  constexpr double kMissing = -1;
+  RolloutBounds bounds;
+  bounds.exposure_share = reader.NumberOr(kShareKey, kShare, kMissing);
+  bounds.exposure_slack = reader.NumberOr(kSlackKey, kCount, kMissing);
+  const double rollback =
+      reader.NumberOr(kRollbackKey, kMilliseconds, kMissing);
+  bounds.rollback = Milliseconds(rollback);
+  const std::map<const char*, double> values = {
+      {kShareKey, bounds.exposure_share},
+      {kSlackKey, bounds.exposure_slack},
+      {kRollbackKey, rollback}};
+  const auto is_missing = [](const auto& value) {
+    return value.second == kMissing;
+  };
+  if (std::all_of(values.begin(), values.end(), is_missing)) {
+    return std::nullopt;
+  }
+  for (const auto& [key, value] : values) {
+    if (value == kMissing) {
+      reader.AddFault(key, "missing beside other bounds of rollouts");
+    }
+  }
+  return bounds;
+}
+
 FleetBounds ReadBounds(JsonReader& reader) {
   FleetBounds bounds;
   bounds.retry_ratio =
@@ -76,6 +110,7 @@
       reader.NumberOr("quota_overage", kRatio, bounds.quota.overage);
   bounds.quota.slack =
       reader.NumberOr("quota_slack", kCount, bounds.quota.slack);
+  bounds.rollout = ReadRolloutBounds(reader);
   return bounds;
 }
 
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -210,5 +210,28 @@
   cr_assert_float_eq(LinkMbpsWith("\"link_mbps\": 1e30, "), default_mbps, 0.01);
 }
 
+LoadedEntrySettings WithBounds(const std::string& bounds) {
+  const ExampleCopy copy("race_results");
+  copy.Replace(kHostFile,
+               "\"links\":", "\"bounds\": {" + bounds + "}, \"links\":");
+  return LoadEntrySettings(copy.HostFile(kHost));
+}
+
+// Guards against an exposure that no setting allowed.
+Test(settings, bounds_of_rollouts_are_all_given_or_none) {
+  const LoadedEntrySettings none = WithBounds("");
+  cr_assert(none.faults.empty());
+  cr_assert_not(none.settings.bounds.rollout.has_value());
+  const LoadedEntrySettings all = WithBounds(
+      "\"rollout_exposure_share\": 0.02, \"rollout_exposure_slack\": 30, "
+      "\"rollback_ms\": 4000");
+  cr_assert(all.faults.empty());
+  cr_assert_float_eq(all.settings.bounds.rollout->exposure_share, 0.02, 1e-9);
+  cr_assert_float_eq(all.settings.bounds.rollout->exposure_slack, 30, 1e-9);
+  cr_assert(all.settings.bounds.rollout->rollback == Duration(4'000'000));
+  cr_assert(HasFault(WithBounds("\"rollout_exposure_share\": 0.02").faults,
+                     "/bounds/rollback_ms", "missing beside other bounds"));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/testing/test_cluster_plan.hpp
+++ b/src/pathcleat/testing/test_cluster_plan.hpp
@@ -9,6 +9,7 @@
 #include "pathcleat/core/mechanism.hpp"
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/http/http_limits.hpp"
+#include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/routing/route.hpp"
 
 namespace pathcleat {
@@ -30,6 +31,7 @@
   /// from it (TestCluster::CutHost).
   bool upstreams_behind_proxies = false;
   PolicySwitches policy;  ///< of all hosts
+  RolloutBounds rollout_bounds{0.1, 50, Duration(5'000'000)};
   /// Indices of hosts with other secrets than the rest, so that the rest accept
   /// no messages from them.
   std::set<std::size_t> isolated_hosts;
