Status of a rollout never goes back

A host that had missed decisions, for instance because it was paused, read the status row, compared it with the decisions that it knew, and replaced "completed" by "running", or the status of a newer order by that of a replaced one. The condition on the row's version does not prevent this, as the row had been read after the newer status was stored.

The command log is now read between the read of the row and its write. A newer decision that was published before the row was read is then known; one that is published later changes the row's version, and the write fails. A read that joins a scan in flight would not do, as that scan may have begun earlier, so CommandLog::ReadNewer begins a scan of its own. Ruled out: comparing the phases of the row and of the decision, as a newer order reopens the row by right.

rollout_races_test is new: 11 cases of killed writers, lost and late writes of both rows, two writers, a store that is down or refuses half of the hosts, and two services. host_that_is_behind_reopens_no_final_status, host_that_is_behind_names_no_replaced_order and late_status_write_reopens_nothing failed before; the other cases passed. records_test: 16 of 16 pass.

--- a/include/pathcleat/records/command_log.hpp
+++ b/include/pathcleat/records/command_log.hpp
@@ -48,6 +48,11 @@
   /// in force.
   void OnPeerVersion(std::uint64_t version);
 
+  /// @brief Reads newer commands from the store, with a read that begins after
+  /// this call.
+  /// @param done called once, after the commands have come into force.
+  void ReadNewer(std::function<void(StoreOutcome)> done);
+
   /// @brief Writes a command to the store as the next change.
   /// @param callback called once with the outcome.
   void Submit(const ConfigOperation& operation,
--- a/include/pathcleat/records/rollout_writer.hpp
+++ b/include/pathcleat/records/rollout_writer.hpp
@@ -45,6 +45,7 @@
   void Publish(const std::string& service, const RolloutState& state);
   bool IsCurrent(const RolloutStatus& wanted) const;
   void OnRead(const RolloutStatus& wanted, const RolloutStatusReadResult& read);
+  void Store(const RolloutStatus& wanted, std::uint64_t expected_version);
 
   std::string host_;
   CommandLog& commands_;
--- a/src/pathcleat/records/command_log.cpp
+++ b/src/pathcleat/records/command_log.cpp
@@ -74,6 +74,16 @@
   }
 }
 
+void CommandLog::ReadNewer(std::function<void(StoreOutcome)> done) {
+  if (scan_callbacks_.empty()) {
+    Scan(std::move(done));
+    return;
+  }
+  // The scan that is in flight may have begun before the caller's last event.
+  scan_callbacks_.push_back(
+      [this, done = std::move(done)](StoreOutcome) { Scan(done); });
+}
+
 void CommandLog::Scan(Done done) {
   scan_callbacks_.push_back(std::move(done));
   if (scan_callbacks_.size() == 1) {
--- a/src/pathcleat/records/rollout_writer.cpp
+++ b/src/pathcleat/records/rollout_writer.cpp
@@ -100,6 +100,11 @@
          StatusOf(wanted.service, state->second) == wanted;
 }
 
+// The command log is read after the status row. A newer decision whose status
+// was stored before the row was read is then known here, and a status stored
+// later changes the row's version, so that the write below fails. So a host
+// that missed decisions, for instance because it was paused, never replaces a
+// newer status by an older one.
 void RolloutWriter::OnRead(const RolloutStatus& wanted,
                            const RolloutStatusReadResult& read) {
   PublishedStatus& status = published_[wanted.service];
@@ -109,8 +114,20 @@
     status.published = answered && IsCurrent(wanted);
     return;
   }
+  commands_.ReadNewer(
+      [this, wanted, version = read.version](StoreOutcome outcome) {
+        if (outcome == StoreOutcome::kDone && IsCurrent(wanted)) {
+          Store(wanted, version);
+        } else {
+          published_[wanted.service].in_flight = false;
+        }
+      });
+}
+
+void RolloutWriter::Store(const RolloutStatus& wanted,
+                          std::uint64_t expected_version) {
   // The next read shows whether the write succeeded.
-  statuses_.Write(wanted, read.version,
+  statuses_.Write(wanted, expected_version,
                   [this, wanted](const TableWriteResult& write) {
                     PublishedStatus& status = published_[wanted.service];
                     status.in_flight = false;
