Drained upstreams still run their version

VersionsOf left out drained upstreams. While the failure domains with the old version's upstreams were drained or evacuated, hosts therefore took the old version for gone: they sent everything to the version on trial, promoted it untested as "no other version runs", and completed the rollout with no version recorded as replaced, so that the old one got requests again after the drain.

Only leaving upstreams are left out now.

--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -148,7 +148,8 @@
                bool was_sent,
                Time now) const;
 
-  /// @brief Versions of a service's open upstreams.
+  /// @brief Versions of a service's upstreams that are not leaving. Drained
+  /// upstreams count.
   std::set<std::string> VersionsOf(std::string_view service) const;
 
   std::size_t size() const { return by_id_.size(); }
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -208,11 +208,13 @@
   return found == by_service_.end() ? none : found->second;
 }
 
+// Drained upstreams count: a drain may end at any time, so it does not mean
+// that their version no longer runs.
 std::set<std::string> UpstreamTable::VersionsOf(
     std::string_view service) const {
   std::set<std::string> versions;
   for (const UpstreamPtr& upstream : ForService(service)) {
-    if (IsOpen(*upstream)) {
+    if (!upstream->info.leaving && !upstream->announced_leaving) {
       versions.insert(upstream->info.version);
     }
   }
--- a/src/pathcleat/routing/upstream_table_test.cpp
+++ b/src/pathcleat/routing/upstream_table_test.cpp
@@ -71,5 +71,19 @@
   cr_assert(table.ForService("s").back()->open_from <= kStart + kSecond);
 }
 
+// Guards against a rollout that takes the old version for gone while the
+// failure domain with its upstreams is drained, promotes the new version
+// untested, and completes while the old version may still be used. Fails if
+// VersionsOf leaves out the upstreams that IsOpen leaves out.
+Test(upstream_table, drained_version_still_runs) {
+  UpstreamTable table = TableOf(1);
+  table.SetDomainDrained(InfoOf(0).domain, true);
+  cr_assert_eq(table.VersionsOf("s").size(), 1U);
+  UpstreamInfo leaving = InfoOf(0);
+  leaving.leaving = true;
+  table.Put(leaving, kStart);
+  cr_assert(table.VersionsOf("s").empty());
+}
+
 }  // namespace
 }  // namespace pathcleat
