Versions that may serve are part of a rollout's decisions

A rollout knew only its own order, so that the following got requests without a limit: the version of an order that another order replaced; after a completed order, the replaced version once the next order arrived; a third version, started during the rollout; and any version at a host that started after the order's row was deleted. A host with an older order than the newest decision followed the older one. A host whose list lacked the old version for a moment promoted the new version untested.

The state of a rollout now records the versions that served when its order started: those that the decision before it left in service, or the listed ones for a first order. It follows from the command log alone, so all hosts agree and restarted hosts too; the format of the log's rows is unchanged. Requests go to these versions, or to the new one, and to no other version. Decisions whose order a host lacks are followed, and rolled back if the order stays missing for 12 s. A host that proposes a rollback stops its own trial at once, also while the store is down. Decisions are proposed only after the lists and the log have been read.

Ruled out: a set of excluded versions, as a version that appears later would not be in it; and taking the serving versions from the list of the host that starts an order, as that host may be behind an earlier order's completion.

--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -40,6 +40,10 @@
 
   /// @brief Sets the last decision that this host has received.
   void SetState(const RolloutState& state);
+
+  /// @brief Sets the state that an earlier order of the service was left in. It
+  /// decides which versions serve until this order starts.
+  void SetEarlierState(const RolloutState& state);
   const std::optional<RolloutState>& state() const { return state_; }
 
   /// @brief Versions that the next request may go to.
@@ -51,6 +55,15 @@
   /// be sent to that version. Decisions made after the choice may exclude it.
   bool IsVersionAllowed(const std::string& version) const;
 
+  /// @brief Whether the order moves requests away from a version. It does not
+  /// concern versions that were first listed after its start.
+  bool IsReplaced(const std::string& version) const;
+
+  /// @brief Stops sending requests to the version on trial, for good. Called
+  /// when this host proposes a rollback, which takes effect elsewhere only once
+  /// the store has it.
+  void SuspendTrial() { is_trial_suspended_ = true; }
+
   /// @brief Counts a request sent to an upstream.
   void OnSent(const std::string& version);
 
@@ -87,9 +100,13 @@
   bool IsNewVersion(const std::string& version) const {
     return version == order_.version;
   }
+  bool IsTrial() const;
+  std::set<std::string> ServingVersions() const;
+  void UpdateServingRule();
   bool IsBadShareHigh() const;
   bool IsBad() const;
   bool IsGood() const;
+  std::set<std::string> OtherVersions() const;
   RolloutStep StepTo(RolloutPhase phase) const;
   std::optional<RolloutStep> ProposeStepWhileRunning(const RolloutInput& input,
                                                      std::string& reason) const;
@@ -105,18 +122,15 @@
   CanaryLimiter canary_limiter_;
   RolloutTally own_tally_;
   std::set<std::string> versions_;
-  // Until the list of upstreams is received, the new version and some other
-  // version are assumed to run, so that the version rules apply.
-  bool other_versions_run_ = true;
-  bool new_version_runs_ = true;
+  std::optional<RolloutState> earlier_state_;
+  bool is_trial_suspended_ = false;
   TallyTable tally_table_;
   RolloutTally
       evaluated_tally_;  ///< answers that the sequential tests already include
   VersionEvaluator all_routes_;
   std::map<std::uint64_t, VersionEvaluator> by_route_;
   VersionRulePtr canary_rule_;
-  VersionRulePtr other_versions_rule_;
-  VersionRulePtr promoted_rule_;
+  VersionRulePtr serving_rule_;  ///< for requests that are not part of a trial
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/rollouts/rollout_control.hpp
+++ b/include/pathcleat/rollouts/rollout_control.hpp
@@ -72,6 +72,7 @@
 
  private:
   bool IsOrdered(const Rollout& rollout) const;
+  bool IsOrderMissing(const Rollout& rollout, Time now);
 
   std::string domain_;
   std::uint64_t incarnation_;
@@ -79,6 +80,9 @@
   std::vector<RolloutOrder> orders_;
   RolloutStates states_;
   std::map<std::string, Rollout> rollouts_;  ///< by service
+  /// By service: since when there is a decision on an order that this host has
+  /// not received.
+  std::map<std::string, Time> order_missing_since_;
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/rollouts/version_rule.hpp
+++ b/include/pathcleat/rollouts/version_rule.hpp
@@ -10,7 +10,9 @@
 /// @brief Versions of a service's upstreams that a request may go to.
 /// @ingroup rollouts
 struct VersionRule {
-  std::string required_version;  ///< empty: any version that is not excluded
+  std::string required_version;  ///< empty: the sets below apply
+  /// With an empty required_version; empty: any version that is not excluded.
+  std::set<std::string> allowed_versions;
   std::set<std::string> excluded_versions;
   /// With required_version: the share of that version's upstreams, in each
   /// region, that get requests. The few requests of a trial are not spread over
@@ -19,8 +21,11 @@
   double upstream_share = 1;
 
   bool Allows(const std::string& version) const {
-    return required_version.empty() ? !excluded_versions.contains(version)
-                                    : version == required_version;
+    if (!required_version.empty()) {
+      return version == required_version;
+    }
+    return (allowed_versions.empty() || allowed_versions.contains(version)) &&
+           !excluded_versions.contains(version);
   }
 };
 
--- a/include/pathcleat/steer/rollout_step.hpp
+++ b/include/pathcleat/steer/rollout_step.hpp
@@ -32,8 +32,8 @@
       0;  ///< order that the step belongs to; 0: the current order
   std::string version;  ///< version that the order asks for
   RolloutPhase phase = RolloutPhase::kRunning;
-  std::set<std::string>
-      replaced_versions;  ///< for kPromoted: versions that get no new requests
+  /// Versions other than the new one that the deciding host has listed.
+  std::set<std::string> replaced_versions;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -48,6 +48,8 @@
   std::string version;
   RolloutPhase phase = RolloutPhase::kRunning;
   HybridTime start_time;
+  /// Versions that served the service when the order started. Empty if none was
+  /// listed. The new version alone if it was the one that served.
   std::set<std::string> replaced_versions;
 
   bool IsFinal() const {
@@ -55,6 +57,14 @@
            phase == RolloutPhase::kRolledBack;
   }
 
+  /// @brief Versions that serve requests without a limit in this phase; empty
+  /// if they are not known.
+  std::set<std::string> ServingVersions() const {
+    const bool is_replaced =
+        phase == RolloutPhase::kPromoted || phase == RolloutPhase::kCompleted;
+    return is_replaced ? std::set<std::string>{version} : replaced_versions;
+  }
+
   template <class Archive>
   void serialize(Archive& archive) {
     archive(order_id, version, phase, start_time, replaced_versions);
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -263,6 +263,9 @@
     return;
   }
   state_.RefreshRollouts();
+  if (!fleet_sync_.IsLoaded() || !commands_.IsLoaded()) {
+    return;  // the versions that run, or earlier decisions, are not known yet
+  }
   const RolloutContext fleet{state_.hosts.LimitSharerCount(now),
                              state_.events.clock().Tick(WallMicros())};
   const auto proposed_steps = state_.rollouts.Evaluate(fleet, now);
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -181,10 +181,9 @@
   for (auto& [service, rollout] : rollouts.All()) {
     int in_flight_on_others = 0;
     for (const UpstreamPtr& upstream : upstreams.ForService(service)) {
-      const bool is_new_version =
-          upstream->info.version == rollout.order().version;
-      in_flight_on_others +=
-          is_new_version ? 0 : upstream->load.own_in_flight();
+      in_flight_on_others += rollout.IsReplaced(upstream->info.version)
+                                 ? upstream->load.own_in_flight()
+                                 : 0;
     }
     rollout.SetLocalState(upstreams.VersionsOf(service),
                           static_cast<std::uint32_t>(in_flight_on_others));
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace pathcleat {
 namespace {
@@ -43,6 +44,12 @@
   return std::make_shared<const VersionRule>(rule);
 }
 
+VersionRulePtr AllowVersions(const std::set<std::string>& versions) {
+  VersionRule rule;
+  rule.allowed_versions = versions;
+  return std::make_shared<const VersionRule>(rule);
+}
+
 VersionRulePtr ExcludeVersions(const std::set<std::string>& versions) {
   VersionRule rule;
   rule.excluded_versions = versions;
@@ -60,37 +67,80 @@
       canary_limiter_(CanaryShare(bounds)),
       tally_table_(order.id),
       canary_rule_(RequireVersion(order.version, CanaryShare(bounds))),
-      other_versions_rule_(ExcludeVersions({order.version})) {
+      serving_rule_(ExcludeVersions({order.version})) {
   own_tally_.order_id = order.id;
 }
 
 void Rollout::SetState(const RolloutState& state) {
   state_ = state;
-  promoted_rule_ = ExcludeVersions(state.replaced_versions);
+  UpdateServingRule();
 }
 
-// No request goes to the new version before this host has received the start of
-// the rollout.
-VersionRulePtr Rollout::RuleFor(bool is_first_attempt) const {
-  if (!other_versions_run_ || !new_version_runs_) {
-    return nullptr;  // only one version runs
+void Rollout::SetEarlierState(const RolloutState& state) {
+  earlier_state_ = state;
+  UpdateServingRule();
+}
+
+std::set<std::string> Rollout::ServingVersions() const {
+  if (state_) {
+    return state_->ServingVersions();
   }
-  if (!state_ || state_->phase == RolloutPhase::kRolledBack) {
-    return other_versions_rule_;
+  if (!earlier_state_) {
+    return {};
   }
-  if (state_->phase != RolloutPhase::kRunning) {
-    return promoted_rule_;
+  std::set<std::string> serving = earlier_state_->ServingVersions();
+  if (serving.size() > 1) {
+    serving.erase(order_.version);
   }
-  return is_first_attempt && canary_limiter_.MaySend() ? canary_rule_
-                                                       : other_versions_rule_;
+  return serving;
 }
 
-bool Rollout::IsVersionAllowed(const std::string& version) const {
-  if (!state_ || state_->phase == RolloutPhase::kRunning) {
-    return true;
+// If the list names only one side of the rollout, that side serves, whatever
+// was decided. A version of neither side serves only if it is alone.
+void Rollout::UpdateServingRule() {
+  const std::set<std::string> serving = ServingVersions();
+  serving_rule_ = serving.empty() ? ExcludeVersions({order_.version})
+                                  : AllowVersions(serving);
+  const auto is_served = [this](const std::string& version) {
+    return serving_rule_->Allows(version);
+  };
+  if (versions_.empty() ||
+      std::any_of(versions_.begin(), versions_.end(), is_served)) {
+    return;
   }
-  const VersionRulePtr rule = RuleFor(true);
-  return !rule || rule->Allows(version);
+  std::set<std::string> listed;
+  std::copy_if(versions_.begin(), versions_.end(),
+               std::inserter(listed, listed.end()),
+               [this](const std::string& version) {
+                 return IsNewVersion(version) || IsReplaced(version);
+               });
+  const bool all = listed.empty() || listed.size() == versions_.size();
+  serving_rule_ = all ? nullptr : AllowVersions(listed);
+}
+
+bool Rollout::IsTrial() const {
+  return state_ && state_->phase == RolloutPhase::kRunning &&
+         !is_trial_suspended_ && versions_.contains(order_.version) &&
+         serving_rule_ && !serving_rule_->Allows(order_.version);
+}
+
+// No request goes to the new version before this host has received the start of
+// the rollout.
+VersionRulePtr Rollout::RuleFor(bool is_first_attempt) const {
+  return is_first_attempt && IsTrial() && canary_limiter_.MaySend()
+             ? canary_rule_
+             : serving_rule_;
+}
+
+bool Rollout::IsVersionAllowed(const std::string& version) const {
+  return !serving_rule_ || serving_rule_->Allows(version) ||
+         (IsNewVersion(version) && IsTrial());
+}
+
+bool Rollout::IsReplaced(const std::string& version) const {
+  const bool is_known = state_ && !state_->replaced_versions.empty();
+  return !IsNewVersion(version) &&
+         (!is_known || state_->replaced_versions.contains(version));
 }
 
 void Rollout::OnSent(const std::string& version) {
@@ -100,10 +150,7 @@
 void Rollout::SetLocalState(const std::set<std::string>& versions,
                             std::uint32_t other_versions_in_flight) {
   versions_ = versions;
-  if (!versions.empty()) {
-    new_version_runs_ = versions.contains(order_.version);
-    other_versions_run_ = versions.size() > versions.count(order_.version);
-  }
+  UpdateServingRule();
   own_tally_.other_versions_in_flight = other_versions_in_flight;
   own_tally_.promoted_host_count =
       state_ && state_->phase == RolloutPhase::kPromoted ? 1 : 0;
@@ -161,6 +208,12 @@
          });
 }
 
+std::set<std::string> Rollout::OtherVersions() const {
+  std::set<std::string> others = versions_;
+  others.erase(order_.version);
+  return others;
+}
+
 RolloutStep Rollout::StepTo(RolloutPhase phase) const {
   RolloutStep step;
   step.service = order_.service;
@@ -178,7 +231,9 @@
       return std::nullopt;
     }
     reason = "an operator's order";
-    return StepTo(RolloutPhase::kRunning);
+    RolloutStep start = StepTo(RolloutPhase::kRunning);
+    start.replaced_versions = OtherVersions();
+    return start;
   }
   if (state_->IsFinal()) {
     return std::nullopt;
@@ -204,10 +259,13 @@
     const RolloutInput& input,
     std::string& reason) const {
   RolloutStep promote = StepTo(RolloutPhase::kPromoted);
-  promote.replaced_versions = versions_;
-  promote.replaced_versions.erase(order_.version);
+  promote.replaced_versions = OtherVersions();
   const bool new_version_runs = versions_.contains(order_.version);
-  if (new_version_runs && promote.replaced_versions.empty()) {
+  // The list of one host is not enough to decide this: it may lack upstreams.
+  const bool ran_alone = state_->replaced_versions.contains(order_.version);
+  const bool is_alone =
+      state_->replaced_versions.empty() && promote.replaced_versions.empty();
+  if (new_version_runs && (ran_alone || is_alone)) {
     reason = "no other version runs";
     return promote;
   }
@@ -232,7 +290,8 @@
     Time now,
     std::string& reason) const {
   const RolloutTally fleet = tally_table_.FleetTally(now);
-  if (new_version_runs_ && fleet.other_versions_in_flight == 0 &&
+  if (versions_.contains(order_.version) &&
+      fleet.other_versions_in_flight == 0 &&
       fleet.promoted_host_count >=
           static_cast<std::uint32_t>(input.host_count)) {
     reason = "nothing runs at other versions";
--- a/src/pathcleat/rollouts/rollout_control.cpp
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -6,6 +6,10 @@
 namespace pathcleat {
 namespace {
 
+// An order that a host has not received this long after the decision on it has
+// been withdrawn. Twice as long as orders take while the store is disrupted.
+constexpr Duration kOrderWait{12'000'000};
+
 RolloutTally TallyIn(const RolloutTallies& tallies,
                      const std::string& service) {
   const auto found = tallies.find(service);
@@ -22,7 +26,8 @@
   orders_ = orders;
   for (const RolloutOrder& order : orders) {
     const auto found = rollouts_.find(order.service);
-    if (found != rollouts_.end() && found->second.order().id >= order.id) {
+    if (found != rollouts_.end() && (found->second.order().id > order.id ||
+                                     found->second.order() == order)) {
       continue;
     }
     rollouts_.insert_or_assign(order.service,
@@ -33,10 +38,20 @@
 
 void RolloutControl::SetStates(const RolloutStates& states) {
   states_ = states;
-  for (auto& [service, rollout] : rollouts_) {
-    const auto state = states.find(service);
-    if (state != states.end() && state->second.order_id == rollout.order().id) {
-      rollout.SetState(state->second);
+  for (const auto& [service, state] : states) {
+    const auto found = rollouts_.find(service);
+    if (found == rollouts_.end() || found->second.order().id < state.order_id) {
+      // A host that has not received the order, or that started after the order
+      // was withdrawn, follows the decisions on it all the same.
+      const RolloutOrder order{service, state.version, {}, state.order_id};
+      rollouts_.insert_or_assign(service,
+                                 Rollout(order, bounds_, incarnation_));
+    }
+    Rollout& rollout = rollouts_.at(service);
+    if (rollout.order().id == state.order_id) {
+      rollout.SetState(state);
+    } else {
+      rollout.SetEarlierState(state);
     }
   }
 }
@@ -95,6 +110,19 @@
                      });
 }
 
+// Whether to wait for the order of a rollout that is known only by its
+// decisions: the order may be on its way.
+bool RolloutControl::IsOrderMissing(const Rollout& rollout, Time now) {
+  const std::string& service = rollout.order().service;
+  if (rollout.order().timeout != Duration::zero()) {
+    order_missing_since_.erase(service);
+    return false;
+  }
+  const Time since =
+      order_missing_since_.try_emplace(service, now).first->second;
+  return now - since < kOrderWait;
+}
+
 std::vector<ProposedStep> RolloutControl::Evaluate(const RolloutContext& fleet,
                                                    Time now) {
   std::vector<ProposedStep> due_steps;
@@ -103,6 +131,9 @@
       continue;
     }
     rollout.Evaluate(now);
+    if (IsOrderMissing(rollout, now)) {
+      continue;
+    }
     RolloutInput input;
     input.is_order_active = IsOrdered(rollout);
     input.host_count = fleet.host_count;
@@ -111,6 +142,9 @@
     }
     std::string reason;
     if (const auto step = rollout.ProposeStep(input, now, reason)) {
+      if (step->phase == RolloutPhase::kRolledBack) {
+        rollout.SuspendTrial();
+      }
       due_steps.push_back({*step, reason});
     }
   }
--- a/src/pathcleat/steer/rollout_step.cpp
+++ b/src/pathcleat/steer/rollout_step.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/steer/rollout_step.hpp"
 
+#include <algorithm>
+
 namespace pathcleat {
 namespace {
 
@@ -19,6 +21,30 @@
   return false;
 }
 
+// Versions that serve when an order starts. After an earlier order these are
+// the versions that it left in service: not the ones that it replaced, whose
+// upstreams may have ended, nor one that was not found good. The listed
+// versions count only if there was no earlier order, or if nothing that it left
+// in service is listed any more.
+std::set<std::string> VersionsServingAt(const RolloutStep& start,
+                                        const RolloutState* earlier) {
+  const std::set<std::string>& listed = start.replaced_versions;
+  if (earlier == nullptr || earlier->ServingVersions().empty()) {
+    return listed;
+  }
+  std::set<std::string> serving = earlier->ServingVersions();
+  if (serving == std::set<std::string>{start.version}) {
+    return serving;
+  }
+  serving.erase(start.version);
+  const bool is_listed =
+      listed.empty() || std::any_of(serving.begin(), serving.end(),
+                                    [&listed](const std::string& version) {
+                                      return listed.contains(version);
+                                    });
+  return is_listed ? serving : listed;
+}
+
 }  // namespace
 
 const char* ToString(RolloutPhase phase) {
@@ -41,8 +67,10 @@
     if (found != states.end() && found->second.order_id >= step.order_id) {
       return false;
     }
-    states[step.service] = {step.order_id, step.version, step.phase, time,
-                            step.replaced_versions};
+    states[step.service] = {
+        step.order_id, step.version, step.phase, time,
+        VersionsServingAt(step,
+                          found == states.end() ? nullptr : &found->second)};
     return true;
   }
   if (found == states.end()) {
@@ -55,7 +83,8 @@
     return false;
   }
   state.phase = step.phase;
-  if (step.phase == RolloutPhase::kPromoted) {
+  if (step.phase == RolloutPhase::kPromoted &&
+      state.replaced_versions.empty()) {
     state.replaced_versions = step.replaced_versions;
   }
   return true;
