Traces name the version of an upstream and the rule that chose it

An operator could not tell from 'why' or the request log whether a request went to a version on trial, nor why. PC1111 now has the upstream's version and the rule of the choice (canary, other_versions, promoted, only_version), but only for services that have or had an order for a rollout, so the lines of other services stay as they are.

Ruled out: a pointer comparison with the rollout's own rules, as these are replaced whenever the state changes; the name follows from the rule's content.

--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -79,6 +79,7 @@
 constexpr const char* kTransferMs = "transfer_ms";
 constexpr const char* kUpstream = "upstream";
 constexpr const char* kVersion = "version";
+constexpr const char* kVersionRule = "version_rule";
 constexpr const char* kWaitMs = "wait_ms";
 constexpr const char* kWarm = "warm";
 }  // namespace field
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -43,8 +43,14 @@
                      Duration retry_after);
 
   /// @brief Notes that the request is sent to the upstream that was picked.
+  /// If the service has or had an order for a rollout, the upstream's version
+  /// and the rule by which it was chosen are included.
+  /// @param versions rule of the choice; null: any version.
   /// @param attempt number of the attempt, counted from 1.
-  void NoteSent(const Pick& pick, int attempt, Time now);
+  void NoteSent(const Pick& pick,
+                const VersionRulePtr& versions,
+                int attempt,
+                Time now);
 
   /// @brief Notes that the connection to the upstream has opened.
   /// @param elapsed time since the upstream was picked.
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -228,7 +228,8 @@
     return;
   }
   const std::string& upstream = pick.upstream->info.id;
-  trace_.NoteSent(pick, attempt_count_ + unsent_count_ + 1, BootClock::now());
+  trace_.NoteSent(pick, pick_request_.versions,
+                  attempt_count_ + unsent_count_ + 1, BootClock::now());
   state_.metrics.OnSent(pick.expected_wait);
   pick_request_.excluded.insert(upstream);
   run_tracker_.OnSent();
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "pathcleat/calls/upstream_protocol.hpp"
+#include "pathcleat/rollouts/version_rule_name.hpp"
 
 namespace pathcleat {
 namespace {
@@ -63,19 +64,30 @@
         MillisecondsField(field::kRetryAfterMs, retry_after)});
 }
 
-void RequestTrace::NoteSent(const Pick& pick, int attempt, Time now) {
-  Note(EventCode::kRequestSent,
-       {{field::kUpstream, pick.upstream->info.id},
-        {field::kDomain, pick.upstream->info.domain},
-        IntegerField(field::kAttempt, attempt),
-        IntegerField(field::kCandidates, pick.candidates),
-        IntegerField(field::kPassedOver, pick.passed_over),
-        MillisecondsField(field::kExpectedMs, pick.expected_latency),
-        MillisecondsField(field::kWaitMs, pick.expected_wait),
-        {field::kWarm, pick.warm},
-        IntegerField(field::kListVersion, state_.upstream_list_version),
-        MillisecondsField(field::kListAgeMs,
-                          now - state_.upstream_list_changed_at)});
+void RequestTrace::NoteSent(const Pick& pick,
+                            const VersionRulePtr& versions,
+                            int attempt,
+                            Time now) {
+  const UpstreamInfo& upstream = pick.upstream->info;
+  EventFields fields = {
+      {field::kUpstream, upstream.id},
+      {field::kDomain, upstream.domain},
+      IntegerField(field::kAttempt, attempt),
+      IntegerField(field::kCandidates, pick.candidates),
+      IntegerField(field::kPassedOver, pick.passed_over),
+      MillisecondsField(field::kExpectedMs, pick.expected_latency),
+      MillisecondsField(field::kWaitMs, pick.expected_wait),
+      {field::kWarm, pick.warm},
+      IntegerField(field::kListVersion, state_.upstream_list_version),
+      MillisecondsField(field::kListAgeMs,
+                        now - state_.upstream_list_changed_at)};
+  if (const Rollout* rollout = state_.rollouts.Find(upstream.service)) {
+    fields.push_back({field::kVersion, upstream.version});
+    fields.push_back(
+        {field::kVersionRule,
+         std::string(NameOf(versions.get(), rollout->order().version))});
+  }
+  Note(EventCode::kRequestSent, std::move(fields));
 }
 
 void RequestTrace::NoteOpened(const std::string& upstream, Duration elapsed) {
