Metrics by version, for services with a rollout

The metrics page had no figure by version, so a monitoring system could not compare the versions of a rollout. It now has the requests sent, their outcomes and the durations of their answers by service and version. An attempt is counted only if its service has or had an order when it is sent: the pages of fleets without rollouts are unchanged.

The page's writer moves to a file of its own (metrics_text), with labels as a vector, as histograms now have two labels.

--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -35,6 +35,7 @@
 #include "pathcleat/telemetry/metrics.hpp"
 #include "pathcleat/telemetry/request_log.hpp"
 #include "pathcleat/telemetry/trace_store.hpp"
+#include "pathcleat/telemetry/version_stats.hpp"
 
 namespace pathcleat {
 
@@ -113,6 +114,7 @@
   TraceStore traces;
   RequestLog request_log;
   Metrics metrics;
+  VersionStats version_stats;
   PeerTraffic peer_traffic;
   std::map<std::string, RetryBudget> retry_budgets;  ///< by service
   InFlightRequests in_flight_requests;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -108,6 +108,7 @@
   void ReportReach(const HttpClient& client, const CallResult& result) const;
   void ReportSilentConnection(const HttpClient& client);
   void RecordEnd();
+  void RecordVersionOutcome(AttemptOutcome outcome);
   void OnResponse(const HttpResponse& response);
 
   GatewayState& state_;
@@ -120,6 +121,8 @@
   SendReservation reservation_;     ///< at the upstream
   bool connection_silent_ = false;  ///< the attempt's connection is silent
   bool failure_counts_ = true;      ///< a failure counts against the upstream
+  /// Whether the attempt in flight is counted by the upstream's version.
+  bool is_version_counted_ = false;
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -3,73 +3,12 @@
 
 #include <sys/resource.h>
 
-#include <initializer_list>
-#include <sstream>
+#include "pathcleat/gateway/metrics_text.hpp"
 
 namespace pathcleat {
 namespace {
 
-struct Label {
-  const char* name;
-  std::string value;
-};
-using Labels = std::initializer_list<Label>;
-
-// Writes metric families and their samples; escapes label values.
-class Page {
- public:
-  void Family(const char* name, const char* type, const char* help) {
-    text_ << "# HELP " << name << " " << help << "\n# TYPE " << name << " "
-          << type << "\n";
-  }
-
-  template <class Number>
-  void Sample(const std::string& name, Labels labels, Number value) {
-    text_ << name;
-    const char* separator = "{";
-    for (const Label& label : labels) {
-      text_ << separator << label.name << "=\"" << Escaped(label.value) << "\"";
-      separator = ",";
-    }
-    text_ << (labels.size() > 0 ? "} " : " ") << value << "\n";
-  }
-
-  void Buckets(const std::string& name,
-               const Label& label,
-               const Histogram& histogram) {
-    for (std::size_t i = 0; i < Histogram::kBucketBounds.size(); ++i) {
-      std::ostringstream bound;
-      bound << Histogram::kBucketBounds.at(i);
-      Sample(name + "_bucket", {label, {"le", bound.str()}},
-             histogram.CountUpTo(i));
-    }
-    const std::uint64_t all =
-        histogram.CountUpTo(Histogram::kBucketBounds.size());
-    Sample(name + "_bucket", {label, {"le", "+Inf"}}, all);
-    Sample(name + "_sum", {label}, histogram.sum_seconds());
-    Sample(name + "_count", {label}, all);
-  }
-
-  std::string Text() const { return text_.str(); }
-
- private:
-  static std::string Escaped(const std::string& value) {
-    std::string escaped;
-    for (const char c : value) {
-      if (c == '\n') {
-        escaped += "\\n";
-        continue;
-      }
-      if (c == '"' || c == '\\') {
-        escaped += '\\';
-      }
-      escaped += c;
-    }
-    return escaped;
-  }
-
-  std::ostringstream text_;
-};
+using Page = MetricsText;
 
 void AddRequests(Page& page, const GatewayState& state) {
   page.Family("pathcleat_requests_total", "counter",
@@ -85,12 +24,12 @@
   page.Family("pathcleat_request_duration_seconds", "histogram",
               "From a request's last byte to its answer, by route.");
   for (const auto& [route, kind] : state.metrics.by_route()) {
-    page.Buckets("pathcleat_request_duration_seconds", {"route", route},
+    page.Buckets("pathcleat_request_duration_seconds", {{"route", route}},
                  kind.buckets);
   }
   page.Family("pathcleat_expected_wait_seconds", "histogram",
               "Wait for a slot at the chosen upstream, as expected.");
-  page.Buckets("pathcleat_expected_wait_seconds", {"at", "sending"},
+  page.Buckets("pathcleat_expected_wait_seconds", {{"at", "sending"}},
                state.metrics.expected_waits());
   page.Family("pathcleat_refusals_total", "counter",
               "Requests refused as not run, by reason.");
@@ -253,6 +192,43 @@
   page.Sample("pathcleat_crash_requests", {{"state", "blocked"}}, blocked);
 }
 
+void AddVersions(Page& page, const VersionStats& stats) {
+  if (stats.by_service().empty()) {
+    return;
+  }
+  page.Family("pathcleat_version_requests_sent_total", "counter",
+              "Requests sent to upstreams, by version, of services that have "
+              "or had an order for a rollout.");
+  for (const auto& [service, versions] : stats.by_service()) {
+    for (const auto& [version, counts] : versions) {
+      page.Sample("pathcleat_version_requests_sent_total",
+                  {{"service", service}, {"version", version}}, counts.sent);
+    }
+  }
+  page.Family("pathcleat_version_attempts_total", "counter",
+              "Requests sent that ended, by version and outcome.");
+  for (const auto& [service, versions] : stats.by_service()) {
+    for (const auto& [version, counts] : versions) {
+      for (const AttemptOutcome outcome : kAttemptOutcomes) {
+        page.Sample("pathcleat_version_attempts_total",
+                    {{"service", service},
+                     {"version", version},
+                     {"outcome", ToString(outcome)}},
+                    counts.CountOf(outcome));
+      }
+    }
+  }
+  page.Family("pathcleat_version_answer_duration_seconds", "histogram",
+              "From the choice of an upstream to its answer, by version.");
+  for (const auto& [service, versions] : stats.by_service()) {
+    for (const auto& [version, counts] : versions) {
+      page.Buckets("pathcleat_version_answer_duration_seconds",
+                   {{"service", service}, {"version", version}},
+                   counts.latency);
+    }
+  }
+}
+
 void AddStore(Page& page, const StoreCallStats& stats) {
   page.Family("pathcleat_store_calls_total", "counter",
               "Calls to the platform's store, by call and outcome.");
@@ -263,7 +239,7 @@
   }
   page.Family("pathcleat_store_call_duration_seconds", "histogram",
               "Calls to the store that do not wait for changes.");
-  page.Buckets("pathcleat_store_call_duration_seconds", {"call", "all"},
+  page.Buckets("pathcleat_store_call_duration_seconds", {{"call", "all"}},
                stats.latency);
 }
 
@@ -394,6 +370,7 @@
   AddReach(page, state.reach, now);
   AddForwards(page, state.forwards);
   AddCrashes(page, state);
+  AddVersions(page, state.version_stats);
   AddFleet(page, state, inputs.versions, now);
   AddFeeds(page, inputs, now);
   AddPeerTraffic(page, state.peer_traffic);
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -13,6 +13,27 @@
 
 constexpr Duration kConnectTimeout{600'000};
 
+AttemptOutcome OutcomeOf(const HeaderNames& headers, const CallResult& result) {
+  switch (result.outcome) {
+    case CallOutcome::kNotSent:
+      return AttemptOutcome::kNotRun;
+    case CallOutcome::kConnectionLost:
+    case CallOutcome::kTimedOut:
+      return AttemptOutcome::kUnknown;
+    case CallOutcome::kAnswered:
+      break;
+  }
+  if (IsNotRun(headers, result.response)) {
+    return AttemptOutcome::kNotRun;
+  }
+  if (!IsCompleteAnswer(headers, result.response)) {
+    return AttemptOutcome::kUnknown;
+  }
+  return result.response.status >= http_status::kInternalError
+             ? AttemptOutcome::kFailed
+             : AttemptOutcome::kAnswered;
+}
+
 }  // namespace
 
 void UpstreamAttempt::Start(const Pick& pick,
@@ -31,6 +52,9 @@
   upstream.load.OnSent();
   if (Rollout* rollout = state_.rollouts.Find(upstream.info.service)) {
     rollout->OnSent(upstream.info.version);
+    state_.version_stats.OnSent(upstream.info.service, upstream.info.version,
+                                now);
+    is_version_counted_ = true;
   }
   // An upstream counts as having warm caches for an affinity key from the start
   // of the first run of a request with that key.
@@ -66,6 +90,7 @@
   const HttpClientPtr client = std::exchange(client_, nullptr);
   UpstreamState& upstream = *pick_.upstream;
   const bool answered = result.outcome == CallOutcome::kAnswered;
+  RecordVersionOutcome(OutcomeOf(state_.headers, result));
   if (answered) {
     OnResponse(result.response);
   }
@@ -185,6 +210,7 @@
   state_.upstreams.Release(*pick_.upstream, reservation_, MayHaveSent(),
                            BootClock::now());
   std::exchange(client_, nullptr)->Cancel();
+  RecordVersionOutcome(AttemptOutcome::kWithdrawn);
   RecordEnd();
 }
 
@@ -220,6 +246,14 @@
       pick_.upstream->info.id, client, BootClock::now());
 }
 
+void UpstreamAttempt::RecordVersionOutcome(AttemptOutcome outcome) {
+  if (std::exchange(is_version_counted_, false)) {
+    const UpstreamInfo& upstream = pick_.upstream->info;
+    state_.version_stats.OnEnded(upstream.service, upstream.version, outcome,
+                                 BootClock::now() - sent_at_);
+  }
+}
+
 void UpstreamAttempt::RecordEnd() {
   if (connection_silent_) {
     pick_.upstream->health.OnEndReverted();
