Operators hold a rollout and resume it

An operator could only let a rollout run or roll it back. 'hold rollout SERVICE' now forbids promotion and completion until 'resume rollout SERVICE'. A hold is an operation of its own at the end of ConfigOperation, so that rows of earlier versions are still read, and sets a flag in the rollout's state. It names the order that it was given for.

While held, the canary keeps its share (evidence is what a hold waits for), a version that is found bad is rolled back, and the deadline binds: what would be promoted or completed after the cutoff of its phase (0.75 and 0.97 of the time) is rolled back. A promotion or completion that a host wrote before it received the hold is not applied.

A host of an earlier version cannot read a row with a hold and applies no commands after it: the commands are for fleets in which all hosts have this version.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -70,6 +70,8 @@
   kTransferFailed = 1607,
   kRolloutStep = 1608,
   kRolloutTold = 1609,
+  kRolloutHeld = 1610,
+  kRolloutResumed = 1611,
   kPeerRejected = 1701,
   kOperatorRejected = 1702,
   kLogDropped = 1901,
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -27,12 +27,14 @@
   bool IsOperator(const HttpRequest& request) const;
   ValidNames CurrentNames() const;
   void Query(const HttpExchangePtr& exchange);
-  void Submit(const HttpExchangePtr& exchange, const ChangeCommand& command);
+  void Submit(const HttpExchangePtr& exchange,
+              const ConfigOperation& operation);
   std::string Answer(const WhereQuery& query);
   std::string Answer(const WhyQuery& query) const;
   std::string Answer(const ShowQuery& query) const;
   std::string Answer(const AccountQuery& query) const;
   std::string Answer(const HelpQuery& query) const;
+  Result<ConfigOperation> BindToOrder(const ConfigOperation& operation) const;
   std::string ShowHosts() const;
   static std::string RateLimitText(const UpstreamState& upstream, Time now);
   static std::string StatementText(const UpstreamState& upstream, Time now);
--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -77,7 +77,12 @@
   /// @brief Updates the sequential tests with the answers since the last call.
   void Evaluate(Time now);
 
-  /// @brief The next decision, if one is due.
+  /// @brief Time after the start from which a rollout in this phase is rolled
+  /// back instead of advancing.
+  Duration CutoffOf(RolloutPhase phase) const;
+
+  /// @brief The next decision, if one is due, while the rollout is not held.
+  /// RestrictHeldStep gives the decision for a held rollout.
   /// @param reason set to the cause of the decision, for the log.
   std::optional<RolloutStep> ProposeStep(const RolloutInput& input,
                                          Time now,
--- a/include/pathcleat/rollouts/rollout_control.hpp
+++ b/include/pathcleat/rollouts/rollout_control.hpp
@@ -50,6 +50,9 @@
   /// @brief Sets all decisions made so far, by any host.
   void SetStates(const RolloutStates& states);
 
+  /// @brief The decisions that were last set, by service.
+  const RolloutStates& states() const { return states_; }
+
   /// @brief The newest rollout of a service, running or finished; null if there
   /// is none.
   Rollout* Find(const std::string& service);
--- a/include/pathcleat/steer/config_change.hpp
+++ b/include/pathcleat/steer/config_change.hpp
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "pathcleat/core/hybrid_clock.hpp"
+#include "pathcleat/steer/rollout_hold.hpp"
 #include "pathcleat/steer/rollout_step.hpp"
 #include "pathcleat/steer/shift.hpp"
 
@@ -74,12 +75,16 @@
   }
 };
 
+/// @brief The operation of a command. Stored commands name it by its position,
+/// so new operations are added at the end.
+/// @ingroup steer
 using ConfigOperation = std::variant<SetUpstreamDrain,
                                      SetRegionDrain,
                                      StartShift,
                                      StopShift,
                                      AssignClientBlock,
-                                     RolloutStep>;
+                                     RolloutStep,
+                                     SetRolloutHold>;
 
 /// @brief One accepted change of the configuration.
 /// @ingroup steer
--- a/include/pathcleat/steer/rollout_step.hpp
+++ b/include/pathcleat/steer/rollout_step.hpp
@@ -49,15 +49,17 @@
   RolloutPhase phase = RolloutPhase::kRunning;
   HybridTime start_time;
   std::set<std::string> replaced_versions;
+  bool held = false;  ///< by an operator: neither promoted nor completed
 
   bool IsFinal() const {
     return phase == RolloutPhase::kCompleted ||
            phase == RolloutPhase::kRolledBack;
   }
+  bool IsHeld() const { return held && !IsFinal(); }
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(order_id, version, phase, start_time, replaced_versions);
+    archive(order_id, version, phase, start_time, replaced_versions, held);
   }
 };
 
@@ -67,7 +69,8 @@
 
 /// @brief Applies a decision if it is a valid successor of the current state: a
 /// newer order starts a new rollout, and a final phase never changes. Of two
-/// contradicting decisions the first is kept.
+/// contradicting decisions the first is kept; a hold contradicts a later
+/// promotion or completion.
 /// @return whether the decision was applied.
 /// @ingroup steer
 bool Apply(RolloutStates& states, const RolloutStep& step, HybridTime time);
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -84,6 +84,8 @@
     EventInfo{kTransferFailed, "transfer-failed", kWarning, kState, "peer"},
     EventInfo{kRolloutStep, "rollout-step", kInfo, kState, "service"},
     EventInfo{kRolloutTold, "rollout-told", kInfo, kState, "service"},
+    EventInfo{kRolloutHeld, "rollout-held", kInfo, kState, "service"},
+    EventInfo{kRolloutResumed, "rollout-resumed", kInfo, kState, "service"},
     EventInfo{kPeerRejected, "peer-rejected", kAlarm, kState, "peer"},
     EventInfo{kOperatorRejected, "operator-rejected", kAlarm, kState, "caller"},
     EventInfo{kLogDropped, "log-dropped", kWarning, kState, "topic"},
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/gateway/hold_events.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_handler.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
@@ -217,6 +218,7 @@
                                      state.drained_regions);
   state_.picker.shifts().Sync(state, BootClock::now());
   state_.client_regions.Assign(state.blocks);
+  RecordHoldChanges(state_.events, state_.rollouts.states(), state.rollouts);
   state_.rollouts.SetStates(state.rollouts);
   state_.RefreshRollouts();
   peer_link_.PublishHeartbeat();
--- a/src/pathcleat/gateway/operator_rollouts.cpp
+++ b/src/pathcleat/gateway/operator_rollouts.cpp
@@ -36,4 +36,28 @@
   return rollouts.empty() ? "no rollout was ordered\n" : rollouts;
 }
 
+// A hold names the order that it is meant for, so that it never applies to a
+// later order.
+Result<ConfigOperation> OperatorService::BindToOrder(
+    const ConfigOperation& operation) const {
+  const auto* hold = std::get_if<SetRolloutHold>(&operation);
+  if (hold == nullptr) {
+    return operation;
+  }
+  const RolloutStates& rollouts = commands_.state().rollouts;
+  const auto found = rollouts.find(hold->service);
+  if (found == rollouts.end() || found->second.IsFinal()) {
+    return Fail({ErrorCode::kInvalid, "read command", "operator",
+                 "no rollout of " + hold->service + " is under way"});
+  }
+  if (found->second.held == hold->held) {
+    return Fail({ErrorCode::kInvalid, "read command", "operator",
+                 "the rollout of " + hold->service +
+                     (hold->held ? " is held already" : " is not held")});
+  }
+  SetRolloutHold bound = *hold;
+  bound.order_id = found->second.order_id;
+  return ConfigOperation(bound);
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -93,12 +93,15 @@
       [&]() -> Result<void> {
         BOOST_LEAF_AUTO(command,
                         ParseCommand(CurrentNames(), exchange->request().body));
+        if (const auto* change = std::get_if<ChangeCommand>(&command)) {
+          BOOST_LEAF_AUTO(operation, BindToOrder(change->operation));
+          Submit(exchange, operation);
+          return {};
+        }
         std::visit(
             [&](const auto& query) {
               using Query = std::decay_t<decltype(query)>;
-              if constexpr (std::is_same_v<Query, ChangeCommand>) {
-                Submit(exchange, query);
-              } else {
+              if constexpr (!std::is_same_v<Query, ChangeCommand>) {
                 exchange->Respond(
                     TextResponse(http_status::kOk, Answer(query)));
               }
@@ -118,10 +121,9 @@
 }
 
 void OperatorService::Submit(const HttpExchangePtr& exchange,
-                             const ChangeCommand& command) {
+                             const ConfigOperation& operation) {
   commands_.Submit(
-      command.operation, NextCommandId(),
-      [exchange](const CommandResult& result) {
+      operation, NextCommandId(), [exchange](const CommandResult& result) {
         if (result.accepted) {
           exchange->Respond(TextResponse(
               http_status::kOk, "accepted as configuration version " +
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -22,6 +22,8 @@
     "10m)\n"
     "stop shift SERVICE from REGION\n"
     "roll back SERVICE   (takes a version that is being rolled out back)\n"
+    "hold rollout SERVICE   (no promotion, no completion; time runs on)\n"
+    "resume rollout SERVICE\n"
     "assign CLIENT-BLOCK to REGION   (CLIENT-BLOCK: 10.1.0.0/16)\n"
     "help\n";
 
@@ -84,6 +86,9 @@
     if (verb == "roll") {
       return ParseRollBack();
     }
+    if (verb == "hold" || verb == "resume") {
+      return ParseRolloutHold(verb == "hold");
+    }
     if (verb == "assign") {
       return ParseAssign();
     }
@@ -138,6 +143,14 @@
     return MakeChange(step);
   }
 
+  Result<OperatorCommand> ParseRolloutHold(bool held) {
+    BOOST_LEAF_CHECK(ExpectKeyword("rollout"));
+    SetRolloutHold hold;
+    BOOST_LEAF_ASSIGN(hold.service, ParseService());
+    hold.held = held;
+    return MakeChange(hold);
+  }
+
   Result<OperatorCommand> ParseAccount() {
     BOOST_LEAF_AUTO(name, NextWord("the name of a client account"));
     return OperatorCommand(AccountQuery{name});
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -161,6 +161,12 @@
          });
 }
 
+Duration Rollout::CutoffOf(RolloutPhase phase) const {
+  return std::chrono::duration_cast<Duration>(
+      order_.timeout *
+      (phase == RolloutPhase::kRunning ? kMaxTrialRatio : kFinishRatio));
+}
+
 RolloutStep Rollout::StepTo(RolloutPhase phase) const {
   RolloutStep step;
   step.service = order_.service;
--- a/src/pathcleat/rollouts/rollout_control.cpp
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "pathcleat/rollouts/rollout_hold_filter.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -110,7 +112,13 @@
       input.elapsed = ElapsedBetween(rollout.state()->start_time, fleet.time);
     }
     std::string reason;
-    if (const auto step = rollout.ProposeStep(input, now, reason)) {
+    auto step = rollout.ProposeStep(input, now, reason);
+    if (rollout.state()) {
+      const RolloutState& state = *rollout.state();
+      step = RestrictHeldStep(std::move(step), state, input.elapsed,
+                              rollout.CutoffOf(state.phase), reason);
+    }
+    if (step) {
       due_steps.push_back({*step, reason});
     }
   }
--- a/src/pathcleat/steer/config_state.cpp
+++ b/src/pathcleat/steer/config_state.cpp
@@ -43,6 +43,9 @@
   void operator()(const RolloutStep& operation) const {
     pathcleat::Apply(state_.rollouts, operation, time_);
   }
+  void operator()(const SetRolloutHold& operation) const {
+    pathcleat::Apply(state_.rollouts, operation);
+  }
 
  private:
   ConfigState& state_;
--- a/src/pathcleat/steer/rollout_step.cpp
+++ b/src/pathcleat/steer/rollout_step.cpp
@@ -41,8 +41,8 @@
     if (found != states.end() && found->second.order_id >= step.order_id) {
       return false;
     }
-    states[step.service] = {step.order_id, step.version, step.phase, time,
-                            step.replaced_versions};
+    states[step.service] = {step.order_id, step.version,           step.phase,
+                            time,          step.replaced_versions, false};
     return true;
   }
   if (found == states.end()) {
@@ -51,7 +51,9 @@
   RolloutState& state = found->second;
   const bool is_for_order =
       step.order_id == 0 || step.order_id == state.order_id;
-  if (!is_for_order || !IsValidTransition(state.phase, step.phase)) {
+  // A host that has not received the hold yet may have written the step.
+  const bool is_held = state.held && step.phase != RolloutPhase::kRolledBack;
+  if (!is_for_order || is_held || !IsValidTransition(state.phase, step.phase)) {
     return false;
   }
   state.phase = step.phase;
