Queries 'rollouts' and 'rollout SERVICE'

'show rollouts' gives neither the time that is left, nor the share and exposure against what is allowed, nor the verdict, nor answers by route, nor how old the figures are. 'rollouts' gives a line for each service; 'rollout SERVICE' all of these, the attempts of the asked host by version, and during a promotion how many hosts have handed over. 'show rollouts' stays as it is.

The rollouts layer gains accessors only: the verdict, the canary's share, the bounds, and the ages of the reports in the sum over the fleet. The exposure of all hosts is counted by answers, as hosts do not report the requests that they sent.

--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -33,6 +33,8 @@
   std::string Answer(const WhyQuery& query) const;
   std::string Answer(const ShowQuery& query) const;
   std::string Answer(const AccountQuery& query) const;
+  std::string Answer(const RolloutsQuery& query) const;
+  std::string Answer(const RolloutQuery& query) const;
   std::string Answer(const HelpQuery& query) const;
   Result<ConfigOperation> BindToOrder(const ConfigOperation& operation) const;
   std::string ShowHosts() const;
--- a/include/pathcleat/query/command.hpp
+++ b/include/pathcleat/query/command.hpp
@@ -50,6 +50,16 @@
   ShowTopic topic = ShowTopic::kHosts;
 };
 
+/// @brief The command "rollouts".
+/// @ingroup query
+struct RolloutsQuery {};
+
+/// @brief The command "rollout SERVICE".
+/// @ingroup query
+struct RolloutQuery {
+  std::string service;
+};
+
 /// @brief The command "account NAME".
 /// @ingroup query
 struct AccountQuery {
@@ -72,6 +82,8 @@
                                      WhyQuery,
                                      ShowQuery,
                                      AccountQuery,
+                                     RolloutsQuery,
+                                     RolloutQuery,
                                      HelpQuery,
                                      ChangeCommand>;
 
--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -14,6 +14,7 @@
 #include "pathcleat/rollouts/tally_table.hpp"
 #include "pathcleat/rollouts/version_evaluator.hpp"
 #include "pathcleat/rollouts/version_rule.hpp"
+#include "pathcleat/rollouts/version_verdict.hpp"
 #include "pathcleat/steer/rollout_step.hpp"
 
 namespace pathcleat {
@@ -74,6 +75,13 @@
   /// @brief Answers of the whole fleet at the last evaluation.
   const RolloutTally& evaluated_tally() const { return evaluated_tally_; }
 
+  /// @brief Verdict of the test at the last evaluation.
+  VersionVerdict verdict() const;
+
+  /// @brief Largest share of the requests of this host that its canary gets.
+  double canary_share() const { return canary_rule_->upstream_share; }
+  const std::optional<RolloutBounds>& bounds() const { return bounds_; }
+
   /// @brief Updates the sequential tests with the answers since the last call.
   void Evaluate(Time now);
 
--- a/include/pathcleat/rollouts/tally_table.hpp
+++ b/include/pathcleat/rollouts/tally_table.hpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/rollouts/report_ages.hpp"
 #include "pathcleat/rollouts/rollout_tally.hpp"
 
 namespace pathcleat {
@@ -41,6 +42,10 @@
   /// @brief Sum over the whole fleet.
   RolloutTally FleetTally(Time now) const;
 
+  /// @brief Ages of the reports in FleetTally. Reports of an earlier start of a
+  /// host count as overdue.
+  ReportAges AgesOfReports(Time now) const;
+
  private:
   struct Received {
     RolloutTally tally;
--- a/src/pathcleat/gateway/operator_rollouts.cpp
+++ b/src/pathcleat/gateway/operator_rollouts.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "pathcleat/gateway/operator_service.hpp"
+#include "pathcleat/gateway/rollout_report.hpp"
 
 namespace pathcleat {
 namespace {
@@ -36,6 +37,17 @@
   return rollouts.empty() ? "no rollout was ordered\n" : rollouts;
 }
 
+std::string OperatorService::Answer(const RolloutsQuery&) const {
+  return SummarizeRollouts(state_,
+                           {commands_.state(), WallMicros(), BootClock::now()});
+}
+
+std::string OperatorService::Answer(const RolloutQuery& query) const {
+  return DescribeRollout(state_,
+                         {commands_.state(), WallMicros(), BootClock::now()},
+                         query.service);
+}
+
 // A hold names the order that it is meant for, so that it never applies to a
 // later order.
 Result<ConfigOperation> OperatorService::BindToOrder(
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -22,6 +22,7 @@
     "10m)\n"
     "stop shift SERVICE from REGION\n"
     "roll back SERVICE   (takes a version that is being rolled out back)\n"
+    "rollouts | rollout SERVICE   (what rollouts do and rest on)\n"
     "hold rollout SERVICE   (no promotion, no completion; time runs on)\n"
     "resume rollout SERVICE\n"
     "assign CLIENT-BLOCK to REGION   (CLIENT-BLOCK: 10.1.0.0/16)\n"
@@ -86,6 +87,12 @@
     if (verb == "roll") {
       return ParseRollBack();
     }
+    if (verb == "rollouts") {
+      return OperatorCommand(RolloutsQuery{});
+    }
+    if (verb == "rollout") {
+      return ParseRollout();
+    }
     if (verb == "hold" || verb == "resume") {
       return ParseRolloutHold(verb == "hold");
     }
@@ -143,6 +150,11 @@
     return MakeChange(step);
   }
 
+  Result<OperatorCommand> ParseRollout() {
+    BOOST_LEAF_AUTO(service, ParseService());
+    return OperatorCommand(RolloutQuery{service});
+  }
+
   Result<OperatorCommand> ParseRolloutHold(bool held) {
     BOOST_LEAF_CHECK(ExpectKeyword("rollout"));
     SetRolloutHold hold;
--- a/src/pathcleat/query/command_test.cpp
+++ b/src/pathcleat/query/command_test.cpp
@@ -37,7 +37,7 @@
        {"where booking from 10.0.0.1", "why 5f3a-1c", "show hosts",
         "show config", "drain upstream core-1", "undrain region north",
         "stop shift booking from north", "assign 10.1.0.0/16 to south",
-        "roll back booking",
+        "roll back booking", "rollouts", "rollout booking",
         "hold rollout booking", "resume rollout booking", "help"}) {
     cr_assert_eq(ParseErrorOf(text).size(), 0U, "%s: %s", text,
                  ParseErrorOf(text).c_str());
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -161,6 +161,13 @@
          });
 }
 
+VersionVerdict Rollout::verdict() const {
+  if (IsBad()) {
+    return VersionVerdict::kBad;
+  }
+  return IsGood() ? VersionVerdict::kGood : VersionVerdict::kUndecided;
+}
+
 Duration Rollout::CutoffOf(RolloutPhase phase) const {
   return std::chrono::duration_cast<Duration>(
       order_.timeout *
--- a/src/pathcleat/rollouts/tally_table.cpp
+++ b/src/pathcleat/rollouts/tally_table.cpp
@@ -26,6 +26,15 @@
   }
 }
 
+void AddAge(ReportAges& ages, Duration age) {
+  if (age > kInFlightTtl) {
+    ++ages.overdue;
+    return;
+  }
+  ages.newest = std::min(ages.newest.value_or(age), age);
+  ages.oldest = std::max(ages.oldest.value_or(age), age);
+}
+
 }  // namespace
 
 void TallyTable::Update(Received& kept, const RolloutTally& tally, Time now) {
@@ -84,6 +93,20 @@
   return direct;
 }
 
+ReportAges TallyTable::AgesOfReports(Time now) const {
+  ReportAges ages;
+  for (const auto& [incarnation, host] : hosts_) {
+    AddAge(ages, now - host.received_at);
+  }
+  for (const auto& [name, domain] : domains_) {
+    AddAge(ages, now - domain.received_at);
+  }
+  if (own_domain_.received_at != Time()) {
+    AddAge(ages, now - own_domain_.received_at);
+  }
+  return ages;
+}
+
 RolloutTally TallyTable::FleetTally(Time now) const {
   RolloutTally sum = DomainTally(now);
   for (const auto& [name, domain] : domains_) {
