--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -14,6 +14,7 @@
 #include "pathcleat/rollouts/tally_table.hpp"
 #include "pathcleat/rollouts/version_evaluator.hpp"
 #include "pathcleat/rollouts/version_rule.hpp"
+#include "pathcleat/rollouts/version_verdict.hpp"
 #include "pathcleat/steer/rollout_step.hpp"
 
 namespace pathcleat {
@@ -87,10 +88,22 @@
   /// @brief Answers of the whole fleet at the last evaluation.
   const RolloutTally& evaluated_tally() const { return evaluated_tally_; }
 
+  /// @brief Verdict of the test at the last evaluation.
+  VersionVerdict verdict() const;
+
+  /// @brief Largest share of the requests of this host that its canary gets.
+  double canary_share() const { return canary_rule_->upstream_share; }
+  const std::optional<RolloutBounds>& bounds() const { return bounds_; }
+
   /// @brief Updates the sequential tests with the answers since the last call.
   void Evaluate(Time now);
 
-  /// @brief The next decision, if one is due.
+  /// @brief Time after the start from which a rollout in this phase is rolled
+  /// back instead of advancing.
+  Duration CutoffOf(RolloutPhase phase) const;
+
+  /// @brief The next decision, if one is due, while the rollout is not held.
+  /// RestrictHeldStep gives the decision for a held rollout.
   /// @param reason set to the cause of the decision, for the log.
   std::optional<RolloutStep> ProposeStep(const RolloutInput& input,
                                          Time now,
--- a/src/pathcleat/gateway/operator_rollouts.cpp
+++ b/src/pathcleat/gateway/operator_rollouts.cpp
@@ -4,6 +4,7 @@
 #include <sstream>
 
 #include "pathcleat/gateway/operator_service.hpp"
+#include "pathcleat/gateway/rollout_report.hpp"
 
 namespace pathcleat {
 namespace {
@@ -36,4 +37,39 @@
   return rollouts.empty() ? "no rollout was ordered\n" : rollouts;
 }
 
+std::string OperatorService::Answer(const RolloutsQuery&) const {
+  return SummarizeRollouts(state_,
+                           {commands_.state(), WallMicros(), BootClock::now()});
+}
+
+std::string OperatorService::Answer(const RolloutQuery& query) const {
+  return DescribeRollout(state_,
+                         {commands_.state(), WallMicros(), BootClock::now()},
+                         query.service);
+}
+
+// A hold names the order that it is meant for, so that it never applies to a
+// later order.
+Result<ConfigOperation> OperatorService::BindToOrder(
+    const ConfigOperation& operation) const {
+  const auto* hold = std::get_if<SetRolloutHold>(&operation);
+  if (hold == nullptr) {
+    return operation;
+  }
+  const RolloutStates& rollouts = commands_.state().rollouts;
+  const auto found = rollouts.find(hold->service);
+  if (found == rollouts.end() || found->second.IsFinal()) {
+    return Fail({ErrorCode::kInvalid, "read command", "operator",
+                 "no rollout of " + hold->service + " is under way"});
+  }
+  if (found->second.held == hold->held) {
+    return Fail({ErrorCode::kInvalid, "read command", "operator",
+                 "the rollout of " + hold->service +
+                     (hold->held ? " is held already" : " is not held")});
+  }
+  SetRolloutHold bound = *hold;
+  bound.order_id = found->second.order_id;
+  return ConfigOperation(bound);
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -214,6 +214,19 @@
   return others;
 }
 
+VersionVerdict Rollout::verdict() const {
+  if (IsBad()) {
+    return VersionVerdict::kBad;
+  }
+  return IsGood() ? VersionVerdict::kGood : VersionVerdict::kUndecided;
+}
+
+Duration Rollout::CutoffOf(RolloutPhase phase) const {
+  return std::chrono::duration_cast<Duration>(
+      order_.timeout *
+      (phase == RolloutPhase::kRunning ? kMaxTrialRatio : kFinishRatio));
+}
+
 RolloutStep Rollout::StepTo(RolloutPhase phase) const {
   RolloutStep step;
   step.service = order_.service;
