A rollout completes once no host sends to the old versions

Completion compared the number of hosts that report the promotion with the number of hosts heard within 4 s. A host that restarted counts twice for 2.5 s, and one that has left counts for that long, so that either hid a host that still sent to the old versions. A host that was not heard for 4 s was not waited for, though it may return with work in flight; and a host that was cut off or paused sent to the old versions without regard to the time, also after they had ended, and went on with the trial of a version that others had rolled back.

Every host that was heard within 4 s must now have the promotion in its command log (the version that heartbeats and reports already carry), and silent hosts are waited for up to 0.85 of the order's time. A host that cannot have the newest decisions tries nothing, and sends nothing to the old versions from 0.8 of the order's time; it reads the command log twice a second. The end of a rollout moves from 0.97 to 0.9 of the order's time: at 13 s the old limit left 0.4 s for a start up to 0.5 s after the order, the decision and the status row.

Ruled out: identities in the tallies, as the command log's version by host says the same without a larger heartbeat; waiting for silent hosts without a limit, as one killed host then rolls a good version back; and leave for each request.

--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -102,6 +102,8 @@
   void OnCommands();
   void AdvanceShifts(Time now);
   void AdvanceRollouts(Time now);
+  void UpdateDecisionFreshness(const std::vector<PeerDecisions>& peers,
+                               Time now);
   int CountHostsAhead(Time now) const;
   Result<void> ListenAt(HttpServer& server, const std::string& address);
 
@@ -109,6 +111,7 @@
   KeyedHasher& account_key_hasher_;
   FleetSecrets secrets_;
   CommandLog commands_;
+  Time decisions_read_at_;  ///< begin of the last read for freshness
   RolloutWriter rollout_writer_;
   PeerLink peer_link_;
   FleetSync fleet_sync_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -22,6 +22,7 @@
 #include "pathcleat/gateway/quota_enforcer.hpp"
 #include "pathcleat/gateway/reach_monitor.hpp"
 #include "pathcleat/http/listen_probe.hpp"
+#include "pathcleat/rollouts/decision_freshness.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/routing/rate_share.hpp"
 #include "pathcleat/routing/route_table.hpp"
@@ -89,6 +90,20 @@
   /// with the number of requests in flight at upstreams of other versions.
   void RefreshRollouts();
 
+  /// @brief What the other hosts follow; without hosts that have stopped.
+  std::vector<PeerDecisions> DecisionsOfPeers(Time now) const;
+
+  /// @brief Versions that a request to a service may go to now.
+  VersionRulePtr VersionRuleFor(const std::string& service,
+                                bool is_first_attempt,
+                                Time now);
+
+  /// @brief Whether a request for which a version was chosen earlier may be
+  /// sent to it now.
+  bool MaySendToVersion(const std::string& service,
+                        const std::string& version,
+                        Time now);
+
   boost::asio::io_context& loop;
   const Time started_at = BootClock::now();
   EntrySettings settings;
@@ -118,6 +133,7 @@
   InFlightRequests in_flight_requests;
   ShutdownSchedule shutdown;
   RolloutControl rollouts;
+  DecisionFreshness decision_freshness;
   CrashTracker crashes;
   ListenProbe listen_probe;
   UnknownHeaders unknown_headers;
--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -6,9 +6,11 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "pathcleat/core/time.hpp"
 #include "pathcleat/rollouts/canary_limiter.hpp"
+#include "pathcleat/rollouts/peer_decisions.hpp"
 #include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/rollouts/tally_table.hpp"
@@ -24,6 +26,7 @@
   bool is_order_active = true;  ///< false: the order was withdrawn
   Duration elapsed{0};          ///< time since the start of the rollout
   int host_count = 1;  ///< hosts that may send requests, this host included
+  std::vector<PeerDecisions> peers;  ///< all other hosts that are listed
 };
 
 /// @brief Carries out and evaluates, at this host, one order to move a service
@@ -64,6 +67,14 @@
   /// the store has it.
   void SuspendTrial() { is_trial_suspended_ = true; }
 
+  /// @brief Sets until when the old versions cannot have ended without this
+  /// host's knowledge.
+  void SetOldVersionsUntil(Time until) { old_versions_until_ = until; }
+
+  /// @brief Whether the old versions may have ended without this host's
+  /// knowledge, if this host cannot know the newest decisions.
+  bool MayHaveEnded(Time now) const;
+
   /// @brief Counts a request sent to an upstream.
   void OnSent(const std::string& version);
 
@@ -107,6 +118,7 @@
   bool IsBad() const;
   bool IsGood() const;
   std::set<std::string> OtherVersions() const;
+  bool MaySendToOldVersions(const RolloutInput& input) const;
   RolloutStep StepTo(RolloutPhase phase) const;
   std::optional<RolloutStep> ProposeStepWhileRunning(const RolloutInput& input,
                                                      std::string& reason) const;
@@ -124,6 +136,7 @@
   std::set<std::string> versions_;
   std::optional<RolloutState> earlier_state_;
   bool is_trial_suspended_ = false;
+  Time old_versions_until_ = Time::max();
   TallyTable tally_table_;
   RolloutTally
       evaluated_tally_;  ///< answers that the sequential tests already include
--- a/include/pathcleat/rollouts/rollout_control.hpp
+++ b/include/pathcleat/rollouts/rollout_control.hpp
@@ -26,6 +26,7 @@
 struct RolloutContext {
   int host_count = 1;  ///< hosts that may send requests, this host included
   HybridTime time;
+  std::vector<PeerDecisions> peers;  ///< all other hosts that are listed
 };
 
 /// @brief All rollouts at this host: the orders, the decisions, and the counts
@@ -66,12 +67,19 @@
                        const RolloutTallies& tallies,
                        Time now) override;
 
+  /// @brief Call instead of Evaluate while this host has not read the decisions
+  /// that were made before it started.
+  void OnDecisionsUnknown(Time now);
+
   /// @brief Evaluates the answers since the last call and returns the decisions
   /// that are due. Call a few times a second.
   std::vector<ProposedStep> Evaluate(const RolloutContext& fleet, Time now);
 
  private:
   bool IsOrdered(const Rollout& rollout) const;
+  Duration ElapsedSinceStart(const Rollout& rollout,
+                             const RolloutContext& fleet,
+                             Time now);
   bool IsOrderMissing(const Rollout& rollout, Time now);
 
   std::string domain_;
@@ -83,6 +91,7 @@
   /// By service: since when there is a decision on an order that this host has
   /// not received.
   std::map<std::string, Time> order_missing_since_;
+  std::map<std::string, Time> order_seen_at_;  ///< orders without a decision
 };
 
 }  // namespace pathcleat
--- a/include/pathcleat/rollouts/version_rule.hpp
+++ b/include/pathcleat/rollouts/version_rule.hpp
@@ -20,7 +20,12 @@
   /// as busy as those of other versions.
   double upstream_share = 1;
 
+  bool allows_nothing = false;  ///< no version may get the request
+
   bool Allows(const std::string& version) const {
+    if (allows_nothing) {
+      return false;
+    }
     if (!required_version.empty()) {
       return version == required_version;
     }
--- a/include/pathcleat/steer/rollout_step.hpp
+++ b/include/pathcleat/steer/rollout_step.hpp
@@ -51,6 +51,7 @@
   /// Versions that served the service when the order started. Empty if none was
   /// listed. The new version alone if it was the one that served.
   std::set<std::string> replaced_versions;
+  std::uint64_t log_version = 0;  ///< version of the log with the last decision
 
   bool IsFinal() const {
     return phase == RolloutPhase::kCompleted ||
@@ -67,7 +68,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(order_id, version, phase, start_time, replaced_versions);
+    archive(order_id, version, phase, start_time, replaced_versions,
+            log_version);
   }
 };
 
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -258,16 +258,38 @@
   return ahead;
 }
 
+// A host that does not hear most of the others reads the command log itself.
+void Gateway::UpdateDecisionFreshness(const std::vector<PeerDecisions>& peers,
+                                      Time now) {
+  constexpr Duration kReadInterval{500'000};
+  state_.decision_freshness.OnPeers(peers, commands_.version(), now);
+  if (state_.decision_freshness.IsFresh(now) ||
+      now - decisions_read_at_ < kReadInterval) {
+    return;
+  }
+  decisions_read_at_ = now;
+  commands_.ReadNewer([this, now](StoreOutcome outcome) {
+    if (outcome == StoreOutcome::kDone) {
+      state_.decision_freshness.OnLogRead(now);
+    }
+  });
+}
+
 void Gateway::AdvanceRollouts(Time now) {
   if (state_.rollouts.All().empty() && commands_.state().rollouts.empty()) {
     return;
   }
   state_.RefreshRollouts();
+  RolloutContext fleet;
+  fleet.host_count = state_.hosts.LimitSharerCount(now);
+  fleet.time = state_.events.clock().Tick(WallMicros());
+  fleet.peers = state_.DecisionsOfPeers(now);
+  UpdateDecisionFreshness(fleet.peers, now);
   if (!fleet_sync_.IsLoaded() || !commands_.IsLoaded()) {
-    return;  // the versions that run, or earlier decisions, are not known yet
+    // The versions that run, or earlier decisions, are not known yet.
+    state_.rollouts.OnDecisionsUnknown(now);
+    return;
   }
-  const RolloutContext fleet{state_.hosts.LimitSharerCount(now),
-                             state_.events.clock().Tick(WallMicros())};
   const auto proposed_steps = state_.rollouts.Evaluate(fleet, now);
   rollout_writer_.Tick(proposed_steps, CountHostsAhead(now), now);
 }
--- a/src/pathcleat/gateway/request_handler_connected.cpp
+++ b/src/pathcleat/gateway/request_handler_connected.cpp
@@ -28,9 +28,8 @@
   if (!is_crash_trial_ && DecideOnCrashes(now).blocked) {
     return "upstreams ended under the request";
   }
-  const Rollout* rollout = state_.rollouts.Find(pick_request_.service);
-  if (rollout != nullptr &&
-      !rollout->IsVersionAllowed(attempt_.pick().upstream->info.version)) {
+  if (!state_.MaySendToVersion(pick_request_.service,
+                               attempt_.pick().upstream->info.version, now)) {
     return "the upstream's version gets no new requests any more";
   }
   const SendBlock block = attempt_.BlockBeforeSending(now);
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -31,16 +31,16 @@
     return *blocked_pick;
   }
   pick_request_.time_left = TimeLeft();
-  Rollout* rollout = state_.rollouts.Find(pick_request_.service);
-  pick_request_.versions =
-      rollout == nullptr ? nullptr : rollout->RuleFor(attempt_count_ == 0);
   const Time now = BootClock::now();
+  const std::string& service = pick_request_.service;
+  pick_request_.versions =
+      state_.VersionRuleFor(service, attempt_count_ == 0, now);
   Pick pick = state_.picker.Choose(pick_request_, now);
   if (!pick.upstream && pick_request_.versions &&
       !pick_request_.versions->required_version.empty()) {
     // Upstreams of the version under trial have no free capacity. The request
     // is not refused for that reason: any allowed version may serve it.
-    pick_request_.versions = rollout->RuleFor(false);
+    pick_request_.versions = state_.VersionRuleFor(service, false, now);
     pick = state_.picker.Choose(pick_request_, now);
   }
   const ShutdownSchedule& schedule = state_.shutdown;
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <iterator>
 
+#include "pathcleat/rollouts/completion_check.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -14,10 +16,13 @@
 // Parts of the order's timeout. No version is promoted before kMinTrialRatio,
 // so that a version that fails late is still detected. A version that has not
 // been found good by kMaxTrialRatio is rolled back. The old version's work must
-// end by kFinishRatio, otherwise the new version is rolled back.
+// end by kFinishRatio, otherwise the new version is rolled back. The rest is
+// for the decision and the status in the store: the time counts from the start
+// of the rollout, which is up to 0.5 s later than the order, and both take 0.5
+// s.
 constexpr double kMinTrialRatio = 0.5;
 constexpr double kMaxTrialRatio = 0.75;
-constexpr double kFinishRatio = 0.97;
+constexpr double kFinishRatio = 0.9;
 // Minimum number of bad answers at which the share of bad answers is checked
 // too. It is below 50, the number of bad answers from which the users' limit
 // applies.
@@ -281,6 +286,23 @@
   return std::nullopt;
 }
 
+bool Rollout::MayHaveEnded(Time now) const {
+  const bool may_be_replaced =
+      !state_ || state_->phase == RolloutPhase::kRunning;
+  return may_be_replaced && now >= old_versions_until_;
+}
+
+// Whether other hosts may send to the old versions. A host that is silent may
+// be cut off from this host and return; a host that stays silent stops sending
+// to the old versions on its own before SilentHostWait ends.
+bool Rollout::MaySendToOldVersions(const RolloutInput& input) const {
+  const RemainingSenders remaining =
+      CountRemainingSenders(input.peers, state_->log_version, order_.timeout);
+  return remaining.behind > 0 ||
+         (remaining.silent > 0 &&
+          input.elapsed < SilentHostWait(order_.timeout));
+}
+
 // Upstreams of the old version may end at once when the rollout is completed.
 // So before that, all hosts that may send requests must have reported that they
 // no longer send to the old version, and the old version's work must have
@@ -293,7 +315,8 @@
   if (versions_.contains(order_.version) &&
       fleet.other_versions_in_flight == 0 &&
       fleet.promoted_host_count >=
-          static_cast<std::uint32_t>(input.host_count)) {
+          static_cast<std::uint32_t>(input.host_count) &&
+      !MaySendToOldVersions(input)) {
     reason = "nothing runs at other versions";
     return StepTo(RolloutPhase::kCompleted);
   }
--- a/src/pathcleat/rollouts/rollout_control.cpp
+++ b/src/pathcleat/rollouts/rollout_control.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "pathcleat/rollouts/completion_check.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -123,13 +125,35 @@
   return now - since < kOrderWait;
 }
 
+void RolloutControl::OnDecisionsUnknown(Time now) {
+  for (auto& [service, rollout] : rollouts_) {
+    rollout.SetOldVersionsUntil(now);
+  }
+}
+
+// Until the start of a rollout is known, the time is counted from the arrival
+// of its order.
+Duration RolloutControl::ElapsedSinceStart(const Rollout& rollout,
+                                           const RolloutContext& fleet,
+                                           Time now) {
+  const std::string& service = rollout.order().service;
+  if (rollout.state()) {
+    order_seen_at_.erase(service);
+    return ElapsedBetween(rollout.state()->start_time, fleet.time);
+  }
+  return now - order_seen_at_.try_emplace(service, now).first->second;
+}
+
 std::vector<ProposedStep> RolloutControl::Evaluate(const RolloutContext& fleet,
                                                    Time now) {
   std::vector<ProposedStep> due_steps;
   for (auto& [service, rollout] : rollouts_) {
+    const Duration elapsed = ElapsedSinceStart(rollout, fleet, now);
     if (rollout.state() && rollout.state()->IsFinal()) {
       continue;
     }
+    rollout.SetOldVersionsUntil(
+        now + OldVersionsWithoutNews(rollout.order().timeout) - elapsed);
     rollout.Evaluate(now);
     if (IsOrderMissing(rollout, now)) {
       continue;
@@ -137,9 +161,8 @@
     RolloutInput input;
     input.is_order_active = IsOrdered(rollout);
     input.host_count = fleet.host_count;
-    if (rollout.state()) {
-      input.elapsed = ElapsedBetween(rollout.state()->start_time, fleet.time);
-    }
+    input.elapsed = elapsed;
+    input.peers = fleet.peers;
     std::string reason;
     if (const auto step = rollout.ProposeStep(input, now, reason)) {
       if (step->phase == RolloutPhase::kRolledBack) {
--- a/src/pathcleat/steer/config_state.cpp
+++ b/src/pathcleat/steer/config_state.cpp
@@ -41,7 +41,9 @@
     state_.blocks.push_back(operation);
   }
   void operator()(const RolloutStep& operation) const {
-    pathcleat::Apply(state_.rollouts, operation, time_);
+    if (pathcleat::Apply(state_.rollouts, operation, time_)) {
+      state_.rollouts[operation.service].log_version = state_.version;
+    }
   }
 
  private:
--- a/src/pathcleat/steer/rollout_step.cpp
+++ b/src/pathcleat/steer/rollout_step.cpp
@@ -68,9 +68,13 @@
       return false;
     }
     states[step.service] = {
-        step.order_id, step.version, step.phase, time,
+        step.order_id,
+        step.version,
+        step.phase,
+        time,
         VersionsServingAt(step,
-                          found == states.end() ? nullptr : &found->second)};
+                          found == states.end() ? nullptr : &found->second),
+        0};
     return true;
   }
   if (found == states.end()) {
