--- a/include/pathcleat/steer/rollout_step.hpp
+++ b/include/pathcleat/steer/rollout_step.hpp
@@ -52,6 +52,7 @@
   /// listed. The new version alone if it was the one that served.
   std::set<std::string> replaced_versions;
   bool held = false;  ///< by an operator: neither promoted nor completed
+  std::uint64_t log_version = 0;  ///< version of the log with the last decision
 
   bool IsFinal() const {
     return phase == RolloutPhase::kCompleted ||
@@ -69,7 +70,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(order_id, version, phase, start_time, replaced_versions, held);
+    archive(order_id, version, phase, start_time, replaced_versions, held,
+            log_version);
   }
 };
 
--- a/src/pathcleat/steer/rollout_step.cpp
+++ b/src/pathcleat/steer/rollout_step.cpp
@@ -69,12 +69,13 @@
     }
     const RolloutState* earlier =
         found == states.end() ? nullptr : &found->second;
-    states[step.service] = {step.order_id,
-                            step.version,
-                            step.phase,
-                            time,
-                            VersionsServingAt(step, earlier),
-                            false};
+    RolloutState started;
+    started.order_id = step.order_id;
+    started.version = step.version;
+    started.phase = step.phase;
+    started.start_time = time;
+    started.replaced_versions = VersionsServingAt(step, earlier);
+    states[step.service] = started;
     return true;
   }
   if (found == states.end()) {
