--- a/include/pathcleat/lab/upstream_farm.hpp
+++ b/include/pathcleat/lab/upstream_farm.hpp
@@ -18,6 +18,8 @@
 /// /statements the requests that each got since it announced leaving or asked
 /// for time without requests (times in seconds since the boot of the machine),
 /// /set/UPSTREAM/leaving/1 and /set/UPSTREAM/retry-after/SECONDS make it do so.
+/// /arrivals returns the times of all requests, and
+/// /set/UPSTREAM/failing/PERCENT makes so many answers of an upstream fail.
 /// @ingroup lab
 class UpstreamFarm {
  public:
@@ -35,6 +37,7 @@
   bool ApplySetting(const std::string& target);
   std::string LedgerJson() const;
   std::string StatementsJson() const;
+  std::string ArrivalsJson() const;
 
   const Deployment& deployment_;
   std::vector<std::unique_ptr<UpstreamStandIn>> upstreams_;
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -102,6 +102,10 @@
   /// @brief Rejects all requests as not run from now on.
   void RejectRequests(bool reject) { reject_requests_ = reject; }
 
+  /// @brief Runs requests, but answers this share of them with status 500 from
+  /// now on.
+  void FailAnswers(double share) { failed_share_ = share; }
+
   /// @brief Sends this text as the rate limit header (requests a second) in all
   /// answers from now on; empty: no header.
   void SetLimitHeader(std::string limit) { limit_header_ = std::move(limit); }
@@ -172,6 +176,7 @@
   std::string leaving_header_;  ///< leaving header sent; empty: no header
   std::string retry_after_;     ///< sent with rejections; empty: no header
   std::string crash_target_;    ///< target that causes a crash; empty: none
+  double failed_share_ = 0;     ///< of the answers
   int in_flight_ = 0;
   /// Time up to which ledger_.slot_seconds is summed.
   Time slot_seconds_until_;
--- a/src/pathcleat/lab/upstream_farm.cpp
+++ b/src/pathcleat/lab/upstream_farm.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/algorithm/string/split.hpp>
+#include <charconv>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -16,6 +17,21 @@
   return std::chrono::duration<double>(time.time_since_epoch()).count();
 }
 
+// @param percent of the answers that fail from now on.
+// @return whether the text is a valid percentage.
+bool SetFailing(UpstreamStandIn& upstream, const std::string& percent) {
+  constexpr double kMaxPercent = 100;
+  double value = 0;
+  const char* end = percent.data() + percent.size();
+  const auto parsed = std::from_chars(percent.data(), end, value);
+  if (parsed.ec != std::errc() || parsed.ptr != end || value < 0 ||
+      value > kMaxPercent) {
+    return false;
+  }
+  upstream.FailAnswers(value / kMaxPercent);
+  return true;
+}
+
 }  // namespace
 
 UpstreamFarm::UpstreamFarm(boost::asio::io_context& loop,
@@ -58,6 +74,10 @@
     exchange->Respond(JsonResponse(http_status::kOk, StatementsJson()));
     return;
   }
+  if (exchange->request().target == "/arrivals") {
+    exchange->Respond(JsonResponse(http_status::kOk, ArrivalsJson()));
+    return;
+  }
   const bool done = ApplySetting(exchange->request().target);
   exchange->Respond(done ? TextResponse(http_status::kOk, "done\n")
                          : TextResponse(http_status::kNotFound,
@@ -65,7 +85,8 @@
 }
 
 // Targets: /set/UPSTREAM/leaving/VALUE and /set/UPSTREAM/retry-after/VALUE; an
-// empty value stops the statement.
+// empty value stops the statement. /set/UPSTREAM/failing/PERCENT makes so many
+// of its answers fail.
 bool UpstreamFarm::ApplySetting(const std::string& target) {
   std::vector<std::string> parts;
   boost::algorithm::split(parts, target,
@@ -84,6 +105,8 @@
     (*found)->SetLeavingHeader(parts[4]);
   } else if (parts[3] == "retry-after") {
     (*found)->RejectWithRetryAfter(parts[4]);
+  } else if (parts[3] == "failing") {
+    return SetFailing(**found, parts[4]);
   } else {
     return false;
   }
@@ -112,6 +135,18 @@
   return statements.dump();
 }
 
+std::string UpstreamFarm::ArrivalsJson() const {
+  nlohmann::json arrivals = nlohmann::json::object();
+  for (const auto& upstream : upstreams_) {
+    nlohmann::json& times = arrivals[upstream->id()];
+    times = nlohmann::json::array();
+    for (const Time arrival : upstream->ledger().arrivals) {
+      times.push_back(ToSeconds(arrival));
+    }
+  }
+  return arrivals.dump();
+}
+
 std::string UpstreamFarm::LedgerJson() const {
   UpstreamLedger total;
   int over_slots = 0;
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -269,9 +269,14 @@
     return;
   }
   const HttpRequest& request = exchange->request();
-  HttpResponse response = TextResponse(
-      http_status::kOk, ExpectedAnswer(HeaderValue(exchange, "X-Run-Id"),
-                                       request.target, request.body));
+  // Nothing is drawn while no answer fails, so that the times of runs with the
+  // same seed stay the same.
+  const bool fails =
+      failed_share_ > 0 && std::bernoulli_distribution(failed_share_)(random_);
+  HttpResponse response =
+      TextResponse(fails ? http_status::kInternalError : http_status::kOk,
+                   ExpectedAnswer(HeaderValue(exchange, "X-Run-Id"),
+                                  request.target, request.body));
   const HeaderNames& names = options_.headers;
   const std::string id = HeaderValue(exchange, names.request_id);
   const bool wrong_id = corruption_ == AnswerCorruption::kWrongRequestId;
