--- a/src/pathcleat/gateway/rollout_report.cpp
+++ b/src/pathcleat/gateway/rollout_report.cpp
@@ -5,6 +5,7 @@
 #include <iomanip>
 #include <map>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 #include "pathcleat/core/hash.hpp"
@@ -162,6 +163,7 @@
   std::string RouteLines(
       const std::map<std::uint64_t, AnswerCounts>& by_route) const {
     std::vector<std::pair<std::string, AnswerCounts>> routes;
+    routes.reserve(by_route.size());
     for (const auto& [hash, answers] : by_route) {
       routes.emplace_back(RouteName(hash), answers);
     }
--- a/src/pathcleat/rollouts/rollout_hold_test.cpp
+++ b/src/pathcleat/rollouts/rollout_hold_test.cpp
@@ -1,8 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 // Held rollouts at one host, which decides alone.
 
-#include "pathcleat/rollouts/rollout_control.hpp"
 #include "pathcleat/steer/rollout_hold.hpp"
+#include "pathcleat/rollouts/rollout_control.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
