Versions are compared like for like, by route, window, region and warmth

Cause: the base rate of bad responses was one number over all routes and the whole time, and a response was slow only beyond twice the expected cold run plus the expected wait, so failures at both versions on one route or from some time on rolled back good versions, and versions 2 to 5 times slower with warm keys were completed.

Bad is a cumulative sum of conditional likelihood ratios (Fisher's noncentral hypergeometric distribution given the margins of each stratum); evidence from few upstreams is divided by its dispersion, must remain without the worst quarter of the upstreams, and lets all upstreams be tried. Good is a sequential test against the base of the same window; the evidence that it requires falls until the decision cutoff. The picker does not learn run times of a version on trial. Heartbeats and domain reports have new kinds.

--- a/include/pathcleat/fleet/peer_datagram.hpp
+++ b/include/pathcleat/fleet/peer_datagram.hpp
@@ -13,8 +13,8 @@
 /// authenticated payload.
 /// @ingroup fleet
 enum class DatagramKind : std::uint8_t {
-  kHeartbeat = 0x21,
-  kDomainReport = 0x22,
+  kHeartbeat = 0x31,
+  kDomainReport = 0x32,
   kUsage = 0x13,    ///< usage of client accounts' limits
   kCrashes = 0x14,  ///< requests that crash upstreams
   kLimits = 0x25,   ///< limits and leaving from upstreams' answers
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -16,6 +16,7 @@
 #include "pathcleat/gateway/request_trace.hpp"
 #include "pathcleat/gateway/upstream_attempt.hpp"
 #include "pathcleat/http/http_exchange.hpp"
+#include "pathcleat/rollouts/version_response.hpp"
 
 namespace pathcleat {
 
@@ -82,7 +83,9 @@
   void Withdraw(const std::string& reason, Time now);
   void OnResult(const CallResult& result);
   void OnAnswer(const Pick& pick, Time sent, const CallResult& result);
-  void RecordVersionResult(const Pick& pick, bool bad);
+  bool IsOnTrial(const UpstreamState& upstream) const;
+  /// @param response without what follows from the pick and the route.
+  void RecordVersionResult(const Pick& pick, VersionResponse response);
   void OnFailure(const CallResult& result);
   RequestDigest Digest();
   bool TracksCrashes() const;
--- a/include/pathcleat/rollouts/canary_limiter.hpp
+++ b/include/pathcleat/rollouts/canary_limiter.hpp
@@ -24,8 +24,9 @@
   }
 
   /// @brief Whether the next request may go to the new version.
-  bool MaySend() const {
-    return static_cast<double>(new_version_sent_ + 1) <=
+  /// @param reserve number of requests that must be left for later.
+  bool MaySend(std::uint64_t reserve = 0) const {
+    return static_cast<double>(new_version_sent_ + reserve + 1) <=
            share_ * static_cast<double>(sent_ + 1);
   }
 
--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -1,19 +1,22 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
 
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/rollouts/canary_keys.hpp"
 #include "pathcleat/rollouts/canary_limiter.hpp"
+#include "pathcleat/rollouts/latency_reference.hpp"
 #include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/rollouts/tally_table.hpp"
-#include "pathcleat/rollouts/version_evaluator.hpp"
+#include "pathcleat/rollouts/version_response.hpp"
 #include "pathcleat/rollouts/version_rule.hpp"
+#include "pathcleat/rollouts/version_verdict.hpp"
 #include "pathcleat/steer/rollout_step.hpp"
 
 namespace pathcleat {
@@ -45,14 +48,22 @@
   /// @brief Versions that the next request may go to.
   /// @param is_first_attempt false for a retry, which is never sent to a
   /// version on trial.
-  VersionRulePtr RuleFor(bool is_first_attempt) const;
+  /// @param key hash of the request's key.
+  VersionRulePtr RuleFor(bool is_first_attempt, std::uint64_t key = 0) const;
 
   /// @brief Whether a request for which a version was chosen earlier may still
   /// be sent to that version. Decisions made after the choice may exclude it.
   bool IsVersionAllowed(const std::string& version) const;
 
+  /// @brief Whether a version is the new one, and neither promoted nor rolled
+  /// back yet.
+  bool IsOnTrial(const std::string& version) const {
+    return IsNewVersion(version) && state_ &&
+           state_->phase == RolloutPhase::kRunning;
+  }
+
   /// @brief Counts a request sent to an upstream.
-  void OnSent(const std::string& version);
+  void OnSent(const std::string& version, std::uint64_t key = 0);
 
   /// @brief Sets the state of this host. Call before each report to other
   /// hosts, a few times a second.
@@ -62,7 +73,10 @@
   void SetLocalState(const std::set<std::string>& versions,
                      std::uint32_t other_versions_in_flight);
 
-  void OnAnswer(const std::string& version, std::uint64_t route, bool bad);
+  /// @brief Counts a response, or a failed attempt, of an upstream.
+  void OnAnswer(const VersionResponse& response);
+
+  const VersionVerdict& verdict() const { return verdict_; }
 
   /// @brief The counts of this host only.
   const RolloutTally& OwnTally() const { return own_tally_; }
@@ -87,9 +101,10 @@
   bool IsNewVersion(const std::string& version) const {
     return version == order_.version;
   }
-  bool IsBadShareHigh() const;
-  bool IsBad() const;
-  bool IsGood() const;
+  bool IsBad() const { return verdict_.IsBad(); }
+  bool IsGood(const RolloutInput& input) const;
+  bool MaySendCanary(std::uint64_t key) const;
+  bool IsLong(const VersionResponse& response, std::size_t kind) const;
   RolloutStep StepTo(RolloutPhase phase) const;
   std::optional<RolloutStep> ProposeStepWhileRunning(const RolloutInput& input,
                                                      std::string& reason) const;
@@ -103,6 +118,7 @@
   std::uint64_t incarnation_;
   std::optional<RolloutState> state_;
   CanaryLimiter canary_limiter_;
+  CanaryKeys canary_keys_;
   RolloutTally own_tally_;
   std::set<std::string> versions_;
   // Until the list of upstreams is received, the new version and some other
@@ -110,11 +126,11 @@
   bool other_versions_run_ = true;
   bool new_version_runs_ = true;
   TallyTable tally_table_;
-  RolloutTally
-      evaluated_tally_;  ///< answers that the sequential tests already include
-  VersionEvaluator all_routes_;
-  std::map<std::uint64_t, VersionEvaluator> by_route_;
+  RolloutTally evaluated_tally_;  ///< answers that the verdict includes
+  VersionVerdict verdict_;
+  LatencyReference latency_reference_;
   VersionRulePtr canary_rule_;
+  VersionRulePtr wide_canary_rule_;  ///< all upstreams of the new version
   VersionRulePtr other_versions_rule_;
   VersionRulePtr promoted_rule_;
 };
--- a/include/pathcleat/rollouts/version_evaluator.hpp
+++ b/include/pathcleat/rollouts/version_evaluator.hpp
@@ -1,45 +1,47 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include "pathcleat/rollouts/rollout_tally.hpp"
+#include <algorithm>
+
+#include "pathcleat/rollouts/response_counts.hpp"
 
 namespace pathcleat {
 
-/// @brief Sequential test of whether a version's answers are bad more often
-/// than usual. The usual share is the share of bad answers of the other
-/// versions. The hypotheses are a share of at most the usual share plus 2
-/// percentage points (good) and a share of 1.5 times the usual share plus 7
-/// percentage points (bad).
-///
-/// "Good" is decided by Wald's sequential probability ratio test (1945) over
-/// all answers, "bad" by Page's cumulative sum (1954). The cumulative sum
-/// discards earlier good answers, so that a version that becomes bad later is
-/// found equally fast. Both tests have an error probability of 1 in 1,000. Not
-/// thread-safe.
+/// @brief Shares of events up to which a version is good and from which it is
+/// bad, relative to the usual share.
+/// @ingroup rollouts
+struct ShareHypotheses {
+  double good_excess;  ///< good: up to 1.2 times the usual share plus this
+  double bad_excess;   ///< bad: from 1.5 times the usual share plus this on
+  /// Evidence of good beyond this is not kept, so that a version that becomes
+  /// bad later soon lacks it.
+  double max_evidence;
+};
+
+/// @brief Wald's sequential probability ratio test (1945) of whether a version
+/// is good. The usual share is that of the other versions in the same window
+/// and strata. Not thread-safe.
 /// @ingroup rollouts
 class VersionEvaluator {
  public:
-  /// @brief Adds the answers since the last call.
-  /// @param usual share of bad answers at the other versions since the last
-  /// call.
-  void Add(const AnswerCounts& answers, double usual);
+  explicit VersionEvaluator(const ShareHypotheses& hypotheses)
+      : hypotheses_(hypotheses) {}
 
-  bool IsBad() const;
-  bool IsGood() const;
+  /// @brief Adds the responses of one window.
+  /// @param usual share of events at the other versions.
+  void Add(const ResponseCounts& responses, double usual);
 
-  /// @brief A weaker condition than IsGood: the version is more likely good
-  /// than bad, and its cumulative sum is below half of the threshold for bad.
-  bool IsLikelyGood() const;
+  /// @brief Discards evidence that the version is not good.
+  void DiscardEvidenceOfBad() {
+    evidence_of_good_ = std::max(0.0, evidence_of_good_);
+  }
+
+  /// @brief Log likelihood ratio of good to bad.
+  double evidence_of_good() const { return evidence_of_good_; }
 
  private:
-  double log_ratio_ =
-      0;  ///< log likelihood ratio of bad to good; negative: good
-  double cumulative_sum_ = 0;  ///< at least 0
+  ShareHypotheses hypotheses_;
+  double evidence_of_good_ = 0;
 };
 
-/// @brief The expected share of bad answers. A prior is included, so that a few
-/// answers suffice for the estimate.
-/// @ingroup rollouts
-double ExpectedBadRatio(const AnswerCounts& answers);
-
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/operator_rollouts.cpp
+++ b/src/pathcleat/gateway/operator_rollouts.cpp
@@ -8,9 +8,9 @@
 namespace pathcleat {
 namespace {
 
-std::string CountsText(const AnswerCounts& answers) {
-  return std::to_string(answers.bad) + " bad of " +
-         std::to_string(answers.total());
+std::string CountsText(const ResponseCounts& responses) {
+  return std::to_string(responses.events) + " failed of " +
+         std::to_string(responses.total);
 }
 
 std::string PhaseText(const Rollout& rollout) {
@@ -23,10 +23,11 @@
   std::ostringstream text;
   for (const auto& [service, rollout] : state_.rollouts.All()) {
     const RolloutTally& fleet = rollout.evaluated_tally();
+    const StratumCounts total = fleet.Total();
     text << service << " to " << rollout.order().version << ": "
          << PhaseText(rollout) << "; answers of all hosts, as told within the "
-         << "last second: " << CountsText(fleet.new_version)
-         << " at the new version, " << CountsText(fleet.other_versions)
+         << "last second: " << CountsText(total.new_version)
+         << " at the new version, " << CountsText(total.other_versions)
          << " at others; tried here "
          << rollout.canary_limiter().new_version_sent() << " of "
          << rollout.canary_limiter().sent() << " requests; under way at others "
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -20,11 +20,12 @@
 // A request whose answer takes longer than this multiple of the route's target
 // latency is logged with its trace.
 constexpr int kSlowMultiple = 3;
-// An answer that takes longer than this multiple of the expected latency of a
-// cold run counts as a failure of the upstream's version, as such an answer is
-// worth no more to the caller than a failure. Run times of requests of the same
-// kind vary by half.
-constexpr int kFailedColdMultiple = 2;
+
+VersionResponse FailedResponse() {
+  VersionResponse response;
+  response.failed = true;
+  return response;
+}
 
 }  // namespace
 
@@ -209,7 +210,7 @@
                     BootClock::now() - attempt_.sent_at());
   ++attempt_count_;
   attempt_.CountMissingAnswer();
-  RecordVersionResult(attempt_.pick(), true);
+  RecordVersionResult(attempt_.pick(), FailedResponse());
   CancelAttempt(AbortCause::kFailoverTimeout);
   Retry(next);
 }
@@ -266,7 +267,7 @@
     case CallOutcome::kTimedOut:
       ++attempt_count_;
       ProbeForCrash(result);
-      RecordVersionResult(pick, true);
+      RecordVersionResult(pick, FailedResponse());
       attempt_.CountFailure();
       OnFailure(result);
       return;
@@ -293,7 +294,7 @@
   }
   if (!IsCompleteAnswer(state_.headers, result.response)) {
     state_.OnAttemptFailed(upstream);
-    RecordVersionResult(pick, true);
+    RecordVersionResult(pick, FailedResponse());
     OnFailure(
         {CallOutcome::kConnectionLost, {}, "the answer lacks its signature"});
     return;
@@ -303,35 +304,55 @@
   }
   ReportNoCrash();
   upstream.health.OnSuccess();
-  RecordVersionResult(
-      pick,
-      result.response.status >= http_status::kInternalError ||
-          now - sent > pick.expected_latency_if_cold * kFailedColdMultiple);
+  const auto report = ParseLoadReport(state_.headers, result.response);
+  VersionResponse response;
+  response.failed = result.response.status >= http_status::kInternalError;
+  response.full =
+      pick.expected_wait > Duration::zero() ||
+      (report && (report->waiting > 0 ||
+                  (report->slots > 0 && report->running >= report->slots)));
+  response.took = now - sent;
+  RecordVersionResult(pick, response);
   if (RetryRejected(result.response)) {
     return;
   }
   if (!IsErrorStatus(result.response.status)) {
-    const auto report = ParseLoadReport(state_.headers, result.response);
+    // Run times of a version on trial are not learned, so that expected
+    // latencies are those of the versions that it is compared with.
     const AnswerMeasurements measurements{
-        now - sent, result.response.body.size(), report && report->waiting > 0};
+        now - sent, result.response.body.size(),
+        (report && report->waiting > 0) || IsOnTrial(upstream)};
     state_.picker.OnAnswer(upstream, pick_request_, pick, measurements, now);
   }
-  HttpResponse response = result.response;
-  response.headers = EndToEndHeaders(response.headers);
-  Answer(std::move(response), RunOutcome::kAnswered);
+  HttpResponse answer = result.response;
+  answer.headers = EndToEndHeaders(answer.headers);
+  Answer(std::move(answer), RunOutcome::kAnswered);
+}
+
+bool RequestHandler::IsOnTrial(const UpstreamState& upstream) const {
+  const Rollout* rollout = state_.rollouts.Find(upstream.info.service);
+  return rollout != nullptr && rollout->IsOnTrial(upstream.info.version);
 }
 
 // Answers of an upstream that is cold, states a limit or wants no requests say
 // nothing about its version, nor do failures while this host may be isolated.
-void RequestHandler::RecordVersionResult(const Pick& pick, bool bad) {
+void RequestHandler::RecordVersionResult(const Pick& pick,
+                                         VersionResponse response) {
   const UpstreamState& upstream = *pick.upstream;
   Rollout* rollout = state_.rollouts.Find(upstream.info.service);
   const Time now = BootClock::now();
   const bool counts = state_.reach.reach().state() == ReachState::kReachable;
-  if (rollout != nullptr && counts && !upstream.IsRateBounded(now) &&
-      !upstream.backoff.IsInForce(now)) {
-    rollout->OnAnswer(upstream.info.version, StableHash(route_->name), bad);
+  if (rollout == nullptr || !counts || upstream.IsRateBounded(now) ||
+      upstream.backoff.IsInForce(now)) {
+    return;
   }
+  response.version = upstream.info.version;
+  response.route = StableHash(route_->name);
+  response.upstream = StableHash(upstream.info.id);
+  response.leaves_region = pick.leaves_region;
+  response.warm = pick.warmth_evidence.sent_recently;
+  response.cold_run = pick.expected_latency_if_cold - pick.expected_wait;
+  rollout->OnAnswer(response);
 }
 
 void RequestHandler::OnFailure(const CallResult& result) {
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -33,7 +33,9 @@
   pick_request_.time_left = TimeLeft();
   Rollout* rollout = state_.rollouts.Find(pick_request_.service);
   pick_request_.versions =
-      rollout == nullptr ? nullptr : rollout->RuleFor(attempt_count_ == 0);
+      rollout == nullptr
+          ? nullptr
+          : rollout->RuleFor(attempt_count_ == 0, pick_request_.key);
   const Time now = BootClock::now();
   Pick pick = state_.picker.Choose(pick_request_, now);
   if (!pick.upstream && pick_request_.versions &&
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -30,7 +30,7 @@
   failure_counts_ = true;
   upstream.load.OnSent();
   if (Rollout* rollout = state_.rollouts.Find(upstream.info.service)) {
-    rollout->OnSent(upstream.info.version);
+    rollout->OnSent(upstream.info.version, key);
   }
   // An upstream counts as having warm caches for an affinity key from the start
   // of the first run of a request with that key.
--- a/src/pathcleat/lab/rollout_path_test.cpp
+++ b/src/pathcleat/lab/rollout_path_test.cpp
@@ -13,10 +13,10 @@
 // answers take 6 s.
 constexpr Duration kRolloutTimeout{14'000'000};
 
-// A cluster of four upstreams, of which the last two run version "v2".
+// A cluster of four upstreams, of which the second half runs version "v2".
 class RolloutFixture {
  public:
-  RolloutFixture() : cluster(MakePlan()) {
+  explicit RolloutFixture(int upstreams = 4) : cluster(MakePlan(upstreams)) {
     for (std::size_t i = 0; i < cluster.upstream_count(); ++i) {
       PutUpstream(i, i < cluster.upstream_count() / 2 ? "v1" : "v2");
     }
@@ -55,10 +55,10 @@
   TestCluster cluster;
 
  private:
-  static TestClusterPlan MakePlan() {
+  static TestClusterPlan MakePlan(int upstreams) {
     TestClusterPlan plan;
     plan.hosts_in_domain = {kHosts};
-    plan.upstreams_in_domain = 4;
+    plan.upstreams_in_domain = upstreams;
     return plan;
   }
 
@@ -101,6 +101,92 @@
   cr_assert_eq(rollout.RunsOf(true), new_runs);
 }
 
+// Run times of an upstream whose keys are warm or cold.
+constexpr std::chrono::milliseconds kWarmRun{2};
+constexpr std::chrono::milliseconds kColdRun{7};
+constexpr int kUpstreams = 8;
+constexpr int kPopularKeys = 10;
+
+// Sends requests for keys, of which a part is requested often, to upstreams
+// that are slower for keys that they have not served yet. The new version takes
+// a multiple of the old version's time.
+class SlowVersionFixture {
+ public:
+  // @param popular of 100 requests, those for one of the popular keys.
+  SlowVersionFixture(int factor, int popular)
+      : popular_(popular), rollout_(kUpstreams) {
+    for (std::size_t i = 0; i < rollout_.cluster.upstream_count(); ++i) {
+      const bool is_new = i >= rollout_.cluster.upstream_count() / 2;
+      rollout_.cluster.upstream(i).SetActionChooser(
+          [this, factor = is_new ? factor : 1,
+           served = std::set<std::string>()]() mutable {
+            const bool warm = !served.insert(key_).second;
+            return UpstreamAction{UpstreamAction::Kind::kAnswer,
+                                  (warm ? kWarmRun : kColdRun) * factor};
+          });
+    }
+  }
+
+  std::string RunUntilDecided() {
+    while (rollout_.Status() != "completed" &&
+           rollout_.Status() != "rolled_back") {
+      SendOne();
+    }
+    return rollout_.Status();
+  }
+
+  int NewVersionRuns() { return rollout_.RunsOf(true); }
+
+ private:
+  void SendOne() {
+    ++sent_;
+    key_ = sent_ * 37 % 100 < popular_
+               ? "k" + std::to_string(sent_ % kPopularKeys)
+               : "once" + std::to_string(sent_);
+    HttpRequest request =
+        rollout_.cluster.GetRequest("k" + std::to_string(sent_));
+    request.headers.push_back(
+        {platform::PlatformHeaderNames().affinity_key, key_});
+    rollout_.cluster.SendToHost(static_cast<std::size_t>(sent_ / 10) % kHosts,
+                                request);
+  }
+
+  int popular_;
+  int sent_ = 0;
+  std::string key_;
+  RolloutFixture rollout_;
+};
+
+// Guards against a version that is several times slower for warm keys, but not
+// slower than the expected run with a cold key, and was completed with no bad
+// answer.
+Test(rollout_path, slower_version_is_rolled_back) {
+  constexpr int kPopularShare = 80;
+  for (const int factor : {2, 3, 5}) {
+    SlowVersionFixture fixture(factor, kPopularShare);
+    const std::string status = fixture.RunUntilDecided();
+    cr_assert_str_eq(status.c_str(), "rolled_back", "%d times slower: %s",
+                     factor, status.c_str());
+  }
+}
+
+Test(rollout_path, version_slower_with_all_keys_warm_is_rolled_back) {
+  for (const int factor : {2, 3, 5}) {
+    SlowVersionFixture fixture(factor, 100);
+    const std::string status = fixture.RunUntilDecided();
+    cr_assert_str_eq(status.c_str(), "rolled_back", "%d times slower: %s",
+                     factor, status.c_str());
+  }
+}
+
+// Guards against a good version that is rolled back because its keys are cold.
+Test(rollout_path, version_with_colder_keys_is_completed) {
+  constexpr int kPopularShare = 80;
+  SlowVersionFixture fixture(1, kPopularShare);
+  const std::string status = fixture.RunUntilDecided();
+  cr_assert_str_eq(status.c_str(), "completed");
+}
+
 Test(rollout_path, operators_roll_a_version_back_and_see_its_status) {
   RolloutFixture rollout;
   cr_assert(rollout.SendUntil("running"));
--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -2,7 +2,7 @@
 #include "pathcleat/rollouts/rollout.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <chrono>
 
 namespace pathcleat {
 namespace {
@@ -17,24 +17,23 @@
 constexpr double kMinTrialRatio = 0.5;
 constexpr double kMaxTrialRatio = 0.75;
 constexpr double kFinishRatio = 0.97;
-// Minimum number of bad answers at which the share of bad answers is checked
-// too. It is below 50, the number of bad answers from which the users' limit
-// applies.
-constexpr std::uint64_t kMinBadForShareCheck = 25;
-// Number of standard errors by which the share of bad answers may exceed the
-// usual share. By chance, 3.1 standard errors are exceeded once in 1,000
-// checks, and a rollout has a few dozen checks.
-constexpr double kMaxStandardErrors = 4;
-
-AnswerCounts Since(const AnswerCounts& now, const AnswerCounts& before) {
-  return {now.good - std::min(now.good, before.good),
-          now.bad - std::min(now.bad, before.bad)};
-}
+// A request with a key that this host has not sent to the new version leaves
+// this many requests of the limit for keys that it has sent.
+constexpr std::uint64_t kRepeatReserve = 1;
+// A latency counts as long from this multiple of the typical latency on. Run
+// times of one kind vary by 15%; a bad version takes at least twice as long.
+// Both versions are counted alike, so a multiple that is too low or too high
+// only makes the comparison slower.
+constexpr double kLongMultiple = 1.4;
+// The same for keys that may be cold, in multiples of the expected cold run.
+constexpr int kLongColdMultiple = 2;
 
 double CanaryShare(const std::optional<RolloutBounds>& bounds) {
   return bounds ? bounds->exposure_share * kUsedExposure : 0;
 }
 
+constexpr Duration kMinColdRun{1'000};
+
 VersionRulePtr RequireVersion(const std::string& version,
                               double upstream_share) {
   VersionRule rule;
@@ -49,6 +48,13 @@
   return std::make_shared<const VersionRule>(rule);
 }
 
+// Routes differ in their run times, and most hosts see too few responses of a
+// route to learn its latency within a trial.
+double RelativeLatency(const VersionResponse& response) {
+  const std::chrono::duration<double, std::micro> took = response.took;
+  return took / std::max(response.cold_run, kMinColdRun);
+}
+
 }  // namespace
 
 Rollout::Rollout(const RolloutOrder& order,
@@ -60,6 +66,7 @@
       canary_limiter_(CanaryShare(bounds)),
       tally_table_(order.id),
       canary_rule_(RequireVersion(order.version, CanaryShare(bounds))),
+      wide_canary_rule_(RequireVersion(order.version, 1)),
       other_versions_rule_(ExcludeVersions({order.version})) {
   own_tally_.order_id = order.id;
 }
@@ -71,7 +78,8 @@
 
 // No request goes to the new version before this host has received the start of
 // the rollout.
-VersionRulePtr Rollout::RuleFor(bool is_first_attempt) const {
+VersionRulePtr Rollout::RuleFor(bool is_first_attempt,
+                                std::uint64_t key) const {
   if (!other_versions_run_ || !new_version_runs_) {
     return nullptr;  // only one version runs
   }
@@ -81,8 +89,16 @@
   if (state_->phase != RolloutPhase::kRunning) {
     return promoted_rule_;
   }
-  return is_first_attempt && canary_limiter_.MaySend() ? canary_rule_
-                                                       : other_versions_rule_;
+  if (!is_first_attempt || !MaySendCanary(key)) {
+    return other_versions_rule_;
+  }
+  return verdict_.NeedsMoreUpstreams() ? wide_canary_rule_ : canary_rule_;
+}
+
+bool Rollout::MaySendCanary(std::uint64_t key) const {
+  const bool has_sent = canary_limiter_.new_version_sent() > 0;
+  const bool waits = has_sent && !canary_keys_.IsRepeat(key);
+  return canary_limiter_.MaySend(waits ? kRepeatReserve : 0);
 }
 
 bool Rollout::IsVersionAllowed(const std::string& version) const {
@@ -93,8 +109,11 @@
   return !rule || rule->Allows(version);
 }
 
-void Rollout::OnSent(const std::string& version) {
+void Rollout::OnSent(const std::string& version, std::uint64_t key) {
   canary_limiter_.OnSent(IsNewVersion(version));
+  if (IsNewVersion(version)) {
+    canary_keys_.OnSent(key);
+  }
 }
 
 void Rollout::SetLocalState(const std::set<std::string>& versions,
@@ -109,56 +128,56 @@
       state_ && state_->phase == RolloutPhase::kPromoted ? 1 : 0;
 }
 
-void Rollout::OnAnswer(const std::string& version,
-                       std::uint64_t route,
-                       bool bad) {
-  const AnswerCounts one{bad ? 0U : 1U, bad ? 1U : 0U};
-  if (!IsNewVersion(version)) {
-    own_tally_.other_versions.Add(one);
-    return;
+bool Rollout::IsLong(const VersionResponse& response, std::size_t kind) const {
+  if (!response.warm) {
+    return response.took > response.cold_run * kLongColdMultiple;
   }
-  own_tally_.new_version.Add(one);
-  own_tally_.new_version_by_route[route].Add(one);
+  const auto usual = latency_reference_.Find(response.route, kind);
+  return usual && RelativeLatency(response) > *usual * kLongMultiple;
 }
 
-void Rollout::Evaluate(Time now) {
-  tally_table_.OnHostTally(incarnation_, own_tally_, now);
-  const RolloutTally fleet = tally_table_.FleetTally(now);
-  const double usual = ExpectedBadRatio(fleet.other_versions);
-  all_routes_.Add(Since(fleet.new_version, evaluated_tally_.new_version),
-                  usual);
-  for (const auto& [route, answers] : fleet.new_version_by_route) {
-    by_route_[route].Add(
-        Since(answers, evaluated_tally_.new_version_by_route[route]), usual);
+void Rollout::OnAnswer(const VersionResponse& response) {
+  const bool is_new = IsNewVersion(response.version);
+  const auto side = [is_new](StratumCounts& stratum) -> ResponseCounts& {
+    return is_new ? stratum.new_version : stratum.other_versions;
+  };
+  const std::size_t away = response.leaves_region ? 1 : 0;
+  const std::size_t route = response.route % RolloutTally::kRouteGroups;
+  side(own_tally_.failures.at(route * 2 + away)).Count(response.failed);
+  bool is_long = false;
+  // The kind is the order of the strata that RolloutTally::IsWarm relies on.
+  const std::size_t kind =
+      away * 4 + (response.full ? 2U : 0U) + (response.warm ? 1U : 0U);
+  const bool has_reference =
+      !response.warm || latency_reference_.Find(response.route, kind);
+  if (!response.failed && has_reference) {
+    constexpr std::size_t kKinds = 8;
+    const std::size_t group =
+        response.route % RolloutTally::kLatencyRouteGroups;
+    is_long = IsLong(response, kind);
+    side(own_tally_.latencies.at(group * kKinds + kind)).Count(is_long);
   }
-  evaluated_tally_ = fleet;
-}
-
-bool Rollout::IsBadShareHigh() const {
-  if (evaluated_tally_.new_version.bad < kMinBadForShareCheck) {
-    return false;
+  if (is_new) {
+    own_tally_.new_version_upstreams
+        .at(response.upstream % RolloutTally::kUpstreamGroups)
+        .Count(response.failed || is_long);
+  } else if (!response.failed && response.warm) {
+    latency_reference_.Add(response.route, kind, RelativeLatency(response));
   }
-  const auto answers =
-      static_cast<double>(evaluated_tally_.new_version.total());
-  const double usual = ExpectedBadRatio(evaluated_tally_.other_versions);
-  const double error = std::sqrt(usual * (1 - usual) / answers);
-  return static_cast<double>(evaluated_tally_.new_version.bad) / answers >
-         usual + kMaxStandardErrors * error;
 }
 
-bool Rollout::IsBad() const {
-  return IsBadShareHigh() || all_routes_.IsBad() ||
-         std::any_of(by_route_.begin(), by_route_.end(),
-                     [](const auto& route) { return route.second.IsBad(); });
+void Rollout::Evaluate(Time now) {
+  tally_table_.OnHostTally(incarnation_, own_tally_, now);
+  evaluated_tally_ = tally_table_.FleetTally(now);
+  verdict_.Update(evaluated_tally_, now);
 }
 
-// A version is good only if its answers on each single route are likely good as
-// well.
-bool Rollout::IsGood() const {
-  return all_routes_.IsGood() &&
-         std::all_of(by_route_.begin(), by_route_.end(), [](const auto& route) {
-           return route.second.IsLikelyGood();
-         });
+// The evidence that is required decreases until the decision cutoff.
+bool Rollout::IsGood(const RolloutInput& input) const {
+  const std::chrono::duration<double, std::micro> timeout = order_.timeout;
+  const double elapsed = input.elapsed / timeout;
+  return verdict_.IsGood((elapsed - kMinTrialRatio) /
+                         (kMaxTrialRatio - kMinTrialRatio));
 }
 
 RolloutStep Rollout::StepTo(RolloutPhase phase) const {
@@ -212,7 +231,7 @@
     return promote;
   }
   if (new_version_runs && input.elapsed >= order_.timeout * kMinTrialRatio &&
-      IsGood()) {
+      IsGood(input)) {
     reason = "its answers are as good as those of other versions";
     return promote;
   }
--- a/src/pathcleat/rollouts/rollout_test.cpp
+++ b/src/pathcleat/rollouts/rollout_test.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kPeriod{250'000};
 constexpr std::uint64_t kRoute = 7;
 constexpr double kMaxCanaryShare = 0.1;
+constexpr std::uint64_t kUpstreams = 10;
 const RolloutBounds kBounds{kMaxCanaryShare, 50, Duration(5'000'000)};
 
 RolloutOrder MakeOrder(std::uint64_t id = 5) {
@@ -109,7 +110,12 @@
     std::bernoulli_distribution draw(affected ? answers.bad : 0);
     const bool bad = draw(random_);
     rollout.OnSent(version);
-    rollout.OnAnswer(version, route, bad);
+    VersionResponse response;
+    response.version = version;
+    response.route = route;
+    response.upstream = random_() % kUpstreams;
+    response.failed = bad;
+    rollout.OnAnswer(response);
     ++sent_;
     new_version_sent_ += version == "v2" ? 1 : 0;
     new_version_bad_answers_ += version == "v2" && bad ? 1 : 0;
--- a/src/pathcleat/rollouts/tally_table.cpp
+++ b/src/pathcleat/rollouts/tally_table.cpp
@@ -10,33 +10,17 @@
 // may be from a dead host, so its requests in flight no longer count.
 constexpr Duration kInFlightTtl{2'500'000};
 
-void MergeMaxAnswers(RolloutTally& kept, const RolloutTally& received) {
-  kept.other_versions.MergeMax(received.other_versions);
-  kept.new_version.MergeMax(received.new_version);
-  for (const auto& [route, answers] : received.new_version_by_route) {
-    kept.new_version_by_route[route].MergeMax(answers);
-  }
-}
-
-void AddAnswers(RolloutTally& sum, const RolloutTally& received) {
-  sum.other_versions.Add(received.other_versions);
-  sum.new_version.Add(received.new_version);
-  for (const auto& [route, answers] : received.new_version_by_route) {
-    sum.new_version_by_route[route].Add(answers);
-  }
-}
-
 }  // namespace
 
 void TallyTable::Update(Received& kept, const RolloutTally& tally, Time now) {
-  MergeMaxAnswers(kept.tally, tally);
+  kept.tally.MergeMaxCounts(tally);
   kept.tally.other_versions_in_flight = tally.other_versions_in_flight;
   kept.tally.promoted_host_count = tally.promoted_host_count;
   kept.received_at = now;
 }
 
 void TallyTable::Add(RolloutTally& sum, const Received& received, Time now) {
-  AddAnswers(sum, received.tally);
+  sum.AddCounts(received.tally);
   if (now - received.received_at <= kInFlightTtl) {
     sum.other_versions_in_flight += received.tally.other_versions_in_flight;
     sum.promoted_host_count += received.tally.promoted_host_count;
@@ -76,7 +60,7 @@
   }
   RolloutTally relayed;
   Add(relayed, own_domain_, now);
-  MergeMaxAnswers(direct, relayed);
+  direct.MergeMaxCounts(relayed);
   direct.other_versions_in_flight = std::max(direct.other_versions_in_flight,
                                              relayed.other_versions_in_flight);
   direct.promoted_host_count =
