A host that finds a version bad stops its trial at once

Cause: a host sent trial requests until the decision was stored, so a store that does not answer kept a bad version exposed. The limit of the trial is unchanged.

rollout/host_stops_trial_before_the_decision_is_stored fails without IsBad in RuleFor.

--- a/src/pathcleat/rollouts/rollout.cpp
+++ b/src/pathcleat/rollouts/rollout.cpp
@@ -89,7 +89,9 @@
   if (state_->phase != RolloutPhase::kRunning) {
     return promoted_rule_;
   }
-  if (!is_first_attempt || !MaySendCanary(key)) {
+  // A version that this host has found bad gets nothing more, also while the
+  // decision cannot be stored.
+  if (!is_first_attempt || IsBad() || !MaySendCanary(key)) {
     return other_versions_rule_;
   }
   return verdict_.NeedsMoreUpstreams() ? wide_canary_rule_ : canary_rule_;
@@ -102,7 +104,7 @@
 }
 
 bool Rollout::IsVersionAllowed(const std::string& version) const {
-  if (!state_ || state_->phase == RolloutPhase::kRunning) {
+  if (!state_ || (state_->phase == RolloutPhase::kRunning && !IsBad())) {
     return true;
   }
   const VersionRulePtr rule = RuleFor(true);
--- a/src/pathcleat/rollouts/rollout_model_test.cpp
+++ b/src/pathcleat/rollouts/rollout_model_test.cpp
@@ -144,6 +144,45 @@
   }
 }
 
+VersionResponse FailedResponseOf(std::uint64_t upstream) {
+  VersionResponse response;
+  response.version = "v2";
+  response.upstream = upstream;
+  response.failed = true;
+  return response;
+}
+
+// Guards against further requests to a version that this host has found bad
+// while the decision cannot be stored: the phase stays kRunning. Fails without
+// the check of IsBad in Rollout::RuleFor or in IsVersionAllowed.
+Test(rollout, host_stops_trial_before_the_decision_is_stored) {
+  constexpr int kResponses = 400;
+  constexpr int kFailures = 16;
+  Rollout rollout({"s", "v2", Duration(12'000'000), 1},
+                  RolloutBounds{0.1, 50, Duration(5'000'000)}, 1);
+  RolloutState state;
+  state.order_id = 1;
+  state.version = "v2";
+  rollout.SetState(state);
+  rollout.SetLocalState({"v1", "v2"}, 0);
+  VersionResponse good;
+  good.version = "v1";
+  for (int i = 0; i < kResponses; ++i) {
+    rollout.OnSent("v1");
+    rollout.OnAnswer(good);
+  }
+  cr_assert(rollout.RuleFor(true)->Allows("v2"));
+  cr_assert(rollout.IsVersionAllowed("v2"));
+  for (int i = 0; i < kFailures; ++i) {
+    rollout.OnAnswer(FailedResponseOf(static_cast<std::uint64_t>(i)));
+  }
+  rollout.Evaluate(Time(Duration(1'000'000)));
+  cr_assert(rollout.verdict().IsBad());
+  cr_assert_not(rollout.RuleFor(true)->Allows("v2"));
+  cr_assert_not(rollout.IsVersionAllowed("v2"));
+  cr_assert(rollout.IsVersionAllowed("v1"));
+}
+
 // The ratio of one failed response among one new and nine other responses: the
 // odds ratio over its mean under equal odds.
 Test(rollout, conditional_likelihood_matches_a_small_case) {
