--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -21,6 +21,7 @@
 #include "pathcleat/gateway/client_regions.hpp"
 #include "pathcleat/gateway/quota_enforcer.hpp"
 #include "pathcleat/gateway/reach_monitor.hpp"
+#include "pathcleat/gateway/version_request.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/decision_freshness.hpp"
 #include "pathcleat/rollouts/rollout_control.hpp"
@@ -96,7 +97,7 @@
 
   /// @brief Versions that a request to a service may go to now.
   VersionRulePtr VersionRuleFor(const std::string& service,
-                                bool is_first_attempt,
+                                const VersionRequest& request,
                                 Time now);
 
   /// @brief Whether a request for which a version was chosen earlier may be
--- a/include/pathcleat/rollouts/rollout.hpp
+++ b/include/pathcleat/rollouts/rollout.hpp
@@ -1,20 +1,23 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/rollouts/canary_keys.hpp"
 #include "pathcleat/rollouts/canary_limiter.hpp"
+#include "pathcleat/rollouts/latency_reference.hpp"
 #include "pathcleat/rollouts/peer_decisions.hpp"
 #include "pathcleat/rollouts/rollout_bounds.hpp"
 #include "pathcleat/rollouts/rollout_order.hpp"
 #include "pathcleat/rollouts/tally_table.hpp"
-#include "pathcleat/rollouts/version_evaluator.hpp"
+#include "pathcleat/rollouts/verdict_state.hpp"
+#include "pathcleat/rollouts/version_response.hpp"
 #include "pathcleat/rollouts/version_rule.hpp"
 #include "pathcleat/rollouts/version_verdict.hpp"
 #include "pathcleat/steer/rollout_step.hpp"
@@ -53,7 +56,8 @@
   /// @brief Versions that the next request may go to.
   /// @param is_first_attempt false for a retry, which is never sent to a
   /// version on trial.
-  VersionRulePtr RuleFor(bool is_first_attempt) const;
+  /// @param key hash of the request's key.
+  VersionRulePtr RuleFor(bool is_first_attempt, std::uint64_t key = 0) const;
 
   /// @brief Whether a request for which a version was chosen earlier may still
   /// be sent to that version. Decisions made after the choice may exclude it.
@@ -76,8 +80,15 @@
   /// knowledge, if this host cannot know the newest decisions.
   bool MayHaveEnded(Time now) const;
 
+  /// @brief Whether a version is the new one, and neither promoted nor rolled
+  /// back yet.
+  bool IsOnTrial(const std::string& version) const {
+    return IsNewVersion(version) && state_ &&
+           state_->phase == RolloutPhase::kRunning;
+  }
+
   /// @brief Counts a request sent to an upstream.
-  void OnSent(const std::string& version);
+  void OnSent(const std::string& version, std::uint64_t key = 0);
 
   /// @brief Sets the state of this host. Call before each report to other
   /// hosts, a few times a second.
@@ -87,7 +98,10 @@
   void SetLocalState(const std::set<std::string>& versions,
                      std::uint32_t other_versions_in_flight);
 
-  void OnAnswer(const std::string& version, std::uint64_t route, bool bad);
+  /// @brief Counts a response, or a failed attempt, of an upstream.
+  void OnAnswer(const VersionResponse& response);
+
+  const VersionVerdict& verdict() const { return verdict_; }
 
   /// @brief The counts of this host only.
   const RolloutTally& OwnTally() const { return own_tally_; }
@@ -99,8 +113,9 @@
   /// @brief Answers of the whole fleet at the last evaluation.
   const RolloutTally& evaluated_tally() const { return evaluated_tally_; }
 
-  /// @brief Verdict of the test at the last evaluation.
-  VersionVerdict verdict() const;
+  /// @brief Verdict at the last evaluation.
+  /// @param elapsed time since the start of the rollout.
+  VerdictState StateOfVerdict(Duration elapsed) const;
 
   /// @brief Largest share of the requests of this host that its canary gets.
   double canary_share() const { return canary_rule_->upstream_share; }
@@ -127,9 +142,10 @@
   bool IsTrial() const;
   std::set<std::string> ServingVersions() const;
   void UpdateServingRule();
-  bool IsBadShareHigh() const;
-  bool IsBad() const;
-  bool IsGood() const;
+  bool IsBad() const { return verdict_.IsBad(); }
+  bool IsGood(Duration elapsed) const;
+  bool MaySendCanary(std::uint64_t key) const;
+  bool IsLong(const VersionResponse& response, std::size_t kind) const;
   std::set<std::string> OtherVersions() const;
   bool MaySendToOldVersions(const RolloutInput& input) const;
   RolloutStep StepTo(RolloutPhase phase) const;
@@ -145,17 +161,18 @@
   std::uint64_t incarnation_;
   std::optional<RolloutState> state_;
   CanaryLimiter canary_limiter_;
+  CanaryKeys canary_keys_;
   RolloutTally own_tally_;
   std::set<std::string> versions_;
   std::optional<RolloutState> earlier_state_;
   bool is_trial_suspended_ = false;
   Time old_versions_until_ = Time::max();
   TallyTable tally_table_;
-  RolloutTally
-      evaluated_tally_;  ///< answers that the sequential tests already include
-  VersionEvaluator all_routes_;
-  std::map<std::uint64_t, VersionEvaluator> by_route_;
+  RolloutTally evaluated_tally_;  ///< answers that the verdict includes
+  VersionVerdict verdict_;
+  LatencyReference latency_reference_;
   VersionRulePtr canary_rule_;
+  VersionRulePtr wide_canary_rule_;  ///< all upstreams of the new version
   VersionRulePtr serving_rule_;  ///< for requests that are not part of a trial
 };
 
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -33,14 +33,14 @@
   pick_request_.time_left = TimeLeft();
   const Time now = BootClock::now();
   const std::string& service = pick_request_.service;
-  pick_request_.versions =
-      state_.VersionRuleFor(service, attempt_count_ == 0, now);
+  pick_request_.versions = state_.VersionRuleFor(
+      service, {attempt_count_ == 0, pick_request_.key}, now);
   Pick pick = state_.picker.Choose(pick_request_, now);
   if (!pick.upstream && pick_request_.versions &&
       !pick_request_.versions->required_version.empty()) {
     // Upstreams of the version under trial have no free capacity. The request
     // is not refused for that reason: any allowed version may serve it.
-    pick_request_.versions = state_.VersionRuleFor(service, false, now);
+    pick_request_.versions = state_.VersionRuleFor(service, {}, now);
     pick = state_.picker.Choose(pick_request_, now);
   }
   const ShutdownSchedule& schedule = state_.shutdown;
--- a/src/pathcleat/gateway/rollout_report.cpp
+++ b/src/pathcleat/gateway/rollout_report.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <iomanip>
-#include <map>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -13,9 +12,10 @@
 namespace pathcleat {
 namespace {
 
-// A service can have over 100 routes; only those with the most bad answers are
-// listed.
-constexpr std::size_t kMaxRoutes = 12;
+// A service can have over 100 routes, which are counted in groups. Only the
+// groups with the most failures, and the first names of each, are listed.
+constexpr std::size_t kMaxRouteGroups = 12;
+constexpr std::size_t kMaxNames = 2;
 
 std::string SecondsText(Duration duration) {
   std::ostringstream text;
@@ -31,9 +31,20 @@
   return text.str();
 }
 
-std::string CountsText(const AnswerCounts& answers) {
-  return std::to_string(answers.bad) + " bad of " +
-         std::to_string(answers.total());
+std::string CountsText(const ResponseCounts& responses) {
+  return std::to_string(responses.events) + " failed of " +
+         std::to_string(responses.total);
+}
+
+// Responses on one group of routes.
+StratumCounts OnRoutes(const RolloutTally& tally, std::size_t group) {
+  constexpr std::size_t kStrata =
+      RolloutTally::kFailureStrata / RolloutTally::kRouteGroups;
+  StratumCounts sum;
+  for (std::size_t i = 0; i < kStrata; ++i) {
+    sum.Add(tally.failures.at(group * kStrata + i));
+  }
+  return sum;
 }
 
 std::string PhaseText(const RolloutState& state) {
@@ -60,11 +71,10 @@
   }
 
   std::string Summary() const {
-    const RolloutTally& fleet = rollout_.evaluated_tally();
-    return Headline() + ", " + ShareText() + "; test " +
-           ToString(rollout_.verdict()) + ": " + CountsText(fleet.new_version) +
-           " at the new version, " + CountsText(fleet.other_versions) +
-           " at others, " + AgesText();
+    const StratumCounts fleet = rollout_.evaluated_tally().Total();
+    return Headline() + ", " + ShareText() + "; test " + VerdictText() + ": " +
+           CountsText(fleet.new_version) + " at the new version, " +
+           CountsText(fleet.other_versions) + " at others, " + AgesText();
   }
 
   std::string Details() const {
@@ -132,15 +142,15 @@
              "refused\n";
     }
     const CanaryLimiter& own = rollout_.canary_limiter();
-    const RolloutTally& fleet = rollout_.evaluated_tally();
+    const StratumCounts fleet = rollout_.evaluated_tally().Total();
     const std::uint64_t answers =
-        fleet.new_version.total() + fleet.other_versions.total();
+        fleet.new_version.total + fleet.other_versions.total;
     std::ostringstream text;
     text << std::fixed << std::setprecision(0)
          << "exposure here: " << own.new_version_sent() << " of " << own.sent()
          << " requests sent since the order was known, at most "
          << PercentText(rollout_.canary_share()) << " while it is running\n"
-         << "exposure of all hosts: " << fleet.new_version.total() << " of "
+         << "exposure of all hosts: " << fleet.new_version.total << " of "
          << bounds->exposure_share * static_cast<double>(answers) +
                 bounds->exposure_slack
          << " allowed for a bad version ("
@@ -150,48 +160,70 @@
   }
 
   std::string TestLines() const {
-    const RolloutTally& fleet = rollout_.evaluated_tally();
+    const StratumCounts fleet = rollout_.evaluated_tally().Total();
     std::ostringstream text;
-    text << "test: " << ToString(rollout_.verdict()) << "\n"
+    text << "test: " << VerdictText() << "\n"
          << "answers of all hosts, " << AgesText() << ": "
          << CountsText(fleet.new_version) << " at the new version, "
          << CountsText(fleet.other_versions) << " at others\n"
-         << RouteLines(fleet.new_version_by_route);
+         << RouteLines();
     return text.str();
   }
 
-  std::string RouteLines(
-      const std::map<std::uint64_t, AnswerCounts>& by_route) const {
-    std::vector<std::pair<std::string, AnswerCounts>> routes;
-    routes.reserve(by_route.size());
-    for (const auto& [hash, answers] : by_route) {
-      routes.emplace_back(RouteName(hash), answers);
+  std::string VerdictText() const {
+    const auto& state = rollout_.state();
+    return ToString(rollout_.StateOfVerdict(
+        state ? ElapsedSince(*state, inputs_.wall_micros) : Duration(0)));
+  }
+
+  std::string RouteLines() const {
+    std::vector<std::pair<std::size_t, StratumCounts>> groups;
+    for (std::size_t i = 0; i < RolloutTally::kRouteGroups; ++i) {
+      const StratumCounts counts = OnRoutes(rollout_.evaluated_tally(), i);
+      if (counts.new_version.total > 0) {
+        groups.emplace_back(i, counts);
+      }
     }
-    std::sort(routes.begin(), routes.end(), [](const auto& a, const auto& b) {
-      return std::pair(b.second.bad, b.second.total()) <
-             std::pair(a.second.bad, a.second.total());
+    std::sort(groups.begin(), groups.end(), [](const auto& a, const auto& b) {
+      const ResponseCounts& first = a.second.new_version;
+      const ResponseCounts& second = b.second.new_version;
+      return std::pair(second.events, second.total) <
+             std::pair(first.events, first.total);
     });
     std::string text;
-    for (std::size_t i = 0; i < std::min(routes.size(), kMaxRoutes); ++i) {
-      text += "  new version on " + routes[i].first + ": " +
-              CountsText(routes[i].second) + "\n";
+    for (std::size_t i = 0; i < std::min(groups.size(), kMaxRouteGroups); ++i) {
+      const auto& [group, counts] = groups[i];
+      text += "  new version on " + RouteNames(group) + ": " +
+              CountsText(counts.new_version) + ", others " +
+              CountsText(counts.other_versions) + "\n";
     }
-    if (routes.size() > kMaxRoutes) {
-      text += "  and on " + std::to_string(routes.size() - kMaxRoutes) +
-              " other routes\n";
+    if (groups.size() > kMaxRouteGroups) {
+      text += "  and on " + std::to_string(groups.size() - kMaxRouteGroups) +
+              " other groups of routes\n";
     }
     return text;
   }
 
-  std::string RouteName(std::uint64_t hash) const {
+  std::string RouteNames(std::size_t group) const {
+    std::vector<std::string> names;
     if (state_.routes.IsLoaded()) {
       for (const Route& route : state_.routes.config().routes) {
-        if (StableHash(route.name) == hash) {
-          return route.name;
+        if (StableHash(route.name) % RolloutTally::kRouteGroups == group) {
+          names.push_back(route.name);
         }
       }
     }
-    return "a route that is not in force here";
+    if (names.empty()) {
+      return "routes that are not in force here";
+    }
+    std::string text = names.front();
+    for (std::size_t i = 1; i < std::min(names.size(), kMaxNames); ++i) {
+      text += ", " + names[i];
+    }
+    return names.size() > kMaxNames
+               ? text + " and " + std::to_string(names.size() - kMaxNames) +
+                     " others"
+               : text;
   }
 
   std::string AttemptLines() const {
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -51,7 +51,7 @@
   failure_counts_ = true;
   upstream.load.OnSent();
   if (Rollout* rollout = state_.rollouts.Find(upstream.info.service)) {
-    rollout->OnSent(upstream.info.version);
+    rollout->OnSent(upstream.info.version, key);
     state_.version_stats.OnSent(upstream.info.service, upstream.info.version,
                                 now);
     is_version_counted_ = true;
--- a/src/pathcleat/gateway/version_choice.cpp
+++ b/src/pathcleat/gateway/version_choice.cpp
@@ -36,7 +36,7 @@
 // A host that cannot know the newest decisions tries no version, as the trial
 // may have ended, and sends nothing to versions that may have been replaced.
 VersionRulePtr GatewayState::VersionRuleFor(const std::string& service,
-                                            bool is_first_attempt,
+                                            const VersionRequest& request,
                                             Time now) {
   const Rollout* rollout = rollouts.Find(service);
   if (rollout == nullptr) {
@@ -46,7 +46,7 @@
   if (!is_fresh && rollout->MayHaveEnded(now)) {
     return AllowNothing();
   }
-  return rollout->RuleFor(is_first_attempt && is_fresh);
+  return rollout->RuleFor(request.is_first_attempt && is_fresh, request.key);
 }
 
 bool GatewayState::MaySendToVersion(const std::string& service,
@@ -56,7 +56,7 @@
   if (rollout == nullptr) {
     return true;
   }
-  const VersionRulePtr rule = VersionRuleFor(service, false, now);
+  const VersionRulePtr rule = VersionRuleFor(service, {}, now);
   const bool is_serving = !rule || rule->Allows(version);
   return is_serving || (decision_freshness.IsFresh(now) &&
                         rollout->IsVersionAllowed(version));
--- a/src/pathcleat/rollouts/rollout_completion_test.cpp
+++ b/src/pathcleat/rollouts/rollout_completion_test.cpp
@@ -33,6 +33,7 @@
                           RolloutPhase::kPromoted,
                           ToHybridTime(kStart),
                           {"v1"},
+                          false,
                           kPromotion}}});
   }
 
--- a/src/pathcleat/rollouts/version_rule_name_test.cpp
+++ b/src/pathcleat/rollouts/version_rule_name_test.cpp
@@ -43,6 +43,8 @@
   rollout.SetState(StateIn(RolloutPhase::kRolledBack));
   cr_assert(name(true) == "other_versions");
   rollout.SetLocalState({"v1"}, 0);
+  cr_assert(name(true) == "other_versions");
+  rollout.SetLocalState({"v2"}, 0);
   cr_assert(name(true) == "only_version");
 }
 
