The key of the last account is refused once the account is removed

Without accounts in the configuration a host asks for no keys. Where the settings state a bound on revocation (revoke_ms, from the platform's Revoke), routes that are not public now need a key in any case. Without the setting nothing changes. Ruled out: remembering that there were accounts, as a host that starts later does not know it.

--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -86,6 +86,7 @@
   std::string ReasonToDecline(const Route* route) const;
   void OnReachChange();
   Duration RetryDelayWithoutConfig(const HttpExchange& exchange) const;
+  bool RequiresKeys() const;
   void RefuseApiKey(const HttpExchangePtr& exchange,
                     const Route& route,
                     ApiKeyFault fault);
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -44,6 +44,10 @@
   /// Time from the acknowledgement of a configuration after which no host may
   /// apply an older configuration.
   Duration config_apply{3'000'000};
+  /// Time from the acknowledgement of a configuration after which no host may
+  /// accept a key that the configuration lacks. Missing: this deployment may
+  /// have no client accounts, and then needs no keys.
+  std::optional<Duration> revoke;
   QuotaBounds quota;  ///< how far client accounts may exceed their limits
   /// Missing: this deployment has no rollouts, and orders are refused.
   std::optional<RolloutBounds> rollout;
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -348,7 +348,7 @@
     return;
   }
   CallerIdentity caller;
-  if (state_.accounts.RequiresKeys()) {
+  if (RequiresKeys()) {
     caller = IdentifyCaller(request.headers, state_.accounts,
                             state_.account_key_hasher);
     if (!caller.account && route->needs_account_key) {
@@ -361,6 +361,14 @@
       ->Start();
 }
 
+// A deployment that states a bound on revocation has client accounts. There a
+// configuration without accounts has revoked all keys. Without this rule, the
+// removal of the last account would let every caller in.
+bool Gateway::RequiresKeys() const {
+  return state_.accounts.RequiresKeys() ||
+         state_.settings.bounds.revoke.has_value();
+}
+
 // While a newer configuration version is due, a key that this host does not
 // list may be valid, so the request is refused as not run instead of with the
 // status 401.
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -85,6 +85,13 @@
   return bounds;
 }
 
+std::optional<Duration> ReadRevoke(JsonReader& reader) {
+  constexpr double kMissing = -1;
+  const double revoke = reader.NumberOr("revoke_ms", kMilliseconds, kMissing);
+  return revoke == kMissing ? std::nullopt
+                            : std::optional<Duration>(Milliseconds(revoke));
+}
+
 FleetBounds ReadBounds(JsonReader& reader) {
   FleetBounds bounds;
   bounds.retry_ratio =
@@ -104,6 +111,7 @@
       MillisecondsOr(reader, "stop_grace_ms", bounds.stop_grace);
   bounds.config_apply =
       MillisecondsOr(reader, "config_apply_ms", bounds.config_apply);
+  bounds.revoke = ReadRevoke(reader);
   bounds.quota.window =
       MillisecondsOr(reader, "quota_window_ms", bounds.quota.window);
   bounds.quota.overage =
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -233,5 +233,12 @@
                      "/bounds/rollback_ms", "missing beside other bounds"));
 }
 
+// A missing bound must not require keys of callers.
+Test(settings, bound_on_revocation_is_optional) {
+  cr_assert_not(WithBounds("").settings.bounds.revoke.has_value());
+  const auto bounds = WithBounds("\"revoke_ms\": 5000").settings.bounds;
+  cr_assert(bounds.revoke == Duration(5'000'000));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/testing/test_cluster_plan.hpp
+++ b/src/pathcleat/testing/test_cluster_plan.hpp
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -31,6 +32,8 @@
   /// from it (TestCluster::CutHost).
   bool upstreams_behind_proxies = false;
   PolicySwitches policy;  ///< of all hosts
+  /// Bound on the revocation of keys; missing: none is stated.
+  std::optional<Duration> revoke;
   RolloutBounds rollout_bounds{0.1, 50, Duration(5'000'000)};
   /// Indices of hosts with other secrets than the rest, so that the rest accept
   /// no messages from them.
