show accounts names the least-served tenth of the accounts

Only the busiest accounts and those most refused beyond their limit were shown, so an account that was crowded out for other reasons stayed unseen. Requests that are admitted by the limit and refused later as not run are counted now, and show accounts ends with the tenth of the accounts with the lowest served share at this host. Ruled out: the fleet's figures from usage reports, as they cover the limit alone. tenth_with_the_lowest_share_is_named is new.

--- a/include/pathcleat/telemetry/account_stats.hpp
+++ b/include/pathcleat/telemetry/account_stats.hpp
@@ -14,6 +14,11 @@
 struct AccountCounts {
   std::uint64_t accepted = 0;
   std::uint64_t over_limit = 0;  ///< refused above the account's limit
+  std::uint64_t not_run = 0;     ///< accepted, then refused for other reasons
+
+  /// @brief Share of the requests that were neither refused above the limit nor
+  /// refused later as not run; 1 without requests.
+  double ServedShare() const;
 };
 
 /// @brief Counts requests by client account. Counts only a limited number of
@@ -26,6 +31,13 @@
   void OnAccepted(const std::string& account);
   void OnOverLimit(const std::string& account);
 
+  /// @brief Counts an accepted request that was refused later and has not run.
+  void OnNotRun(const std::string& account);
+
+  /// @brief The tenth of the counted accounts with the lowest served share, the
+  /// lowest first; at least one account.
+  std::vector<Row> LeastServed() const;
+
   /// @brief Counts of one account; all zero if the account is not counted.
   AccountCounts CountsOf(const std::string& account) const;
 
--- a/src/pathcleat/gateway/operator_accounts.cpp
+++ b/src/pathcleat/gateway/operator_accounts.cpp
@@ -28,6 +28,19 @@
   return text.str();
 }
 
+// The tenth of the accounts with the lowest share of served requests.
+std::string LeastServedText(const AccountStats& stats) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3);
+  for (const auto& [name, counts] : stats.LeastServed()) {
+    text << "least served: " << name << " " << counts.ServedShare() << " of "
+         << counts.accepted + counts.over_limit << " requests here, "
+         << counts.over_limit << " refused beyond the limit, " << counts.not_run
+         << " refused for other reasons\n";
+  }
+  return text.str();
+}
+
 }  // namespace
 
 std::string OperatorService::ShowAccounts() const {
@@ -44,7 +57,7 @@
   }
   const std::string accounts = text.str();
   return accounts.empty() ? "no client accounts: callers need no keys\n"
-                          : accounts;
+                          : accounts + LeastServedText(state_.account_stats);
 }
 
 std::string OperatorService::Answer(const AccountQuery& query) const {
--- a/src/pathcleat/gateway/request_handler_account.cpp
+++ b/src/pathcleat/gateway/request_handler_account.cpp
@@ -31,6 +31,7 @@
 void RequestHandler::ReleaseQuota() {
   if (std::exchange(counted_in_quota_, false)) {
     state_.quotas.control().Release(*account_, BootClock::now());
+    state_.account_stats.OnNotRun(account_->name);
   }
 }
 
--- a/src/pathcleat/lab/accounts_test.cpp
+++ b/src/pathcleat/lab/accounts_test.cpp
@@ -321,6 +321,8 @@
   const std::string all = cluster.RunCommand(0, "show accounts").response.body;
   cr_assert(all.find("runners: 5 requests a second") != std::string::npos);
   cr_assert(all.find("clubs: no limit") != std::string::npos);
+  cr_assert(all.find("least served: runners 1.000 of 1 requests") !=
+            std::string::npos);
   const std::string one =
       cluster.RunCommand(0, "account runners").response.body;
   cr_assert(one.find("here: taken 1, refused") != std::string::npos);
--- a/src/pathcleat/telemetry/account_stats.cpp
+++ b/src/pathcleat/telemetry/account_stats.cpp
@@ -22,6 +22,14 @@
 
 }  // namespace
 
+double AccountCounts::ServedShare() const {
+  const auto offered = static_cast<double>(accepted + over_limit);
+  return offered == 0
+             ? 1
+             : static_cast<double>(accepted - std::min(accepted, not_run)) /
+                   offered;
+}
+
 AccountCounts* AccountStats::Find(const std::string& account) {
   const auto found = counts_.find(account);
   if (found != counts_.end()) {
@@ -46,6 +54,23 @@
   }
 }
 
+void AccountStats::OnNotRun(const std::string& account) {
+  const auto found = counts_.find(account);
+  if (found != counts_.end()) {
+    ++found->second.not_run;
+  }
+}
+
+std::vector<AccountStats::Row> AccountStats::LeastServed() const {
+  constexpr std::size_t kTenth = 10;
+  std::vector<Row> rows(counts_.begin(), counts_.end());
+  std::stable_sort(rows.begin(), rows.end(), [](const Row& a, const Row& b) {
+    return a.second.ServedShare() < b.second.ServedShare();
+  });
+  rows.resize((rows.size() + kTenth - 1) / kTenth);
+  return rows;
+}
+
 AccountCounts AccountStats::CountsOf(const std::string& account) const {
   const auto found = counts_.find(account);
   return found == counts_.end() ? AccountCounts() : found->second;
--- a/src/pathcleat/telemetry/account_stats_test.cpp
+++ b/src/pathcleat/telemetry/account_stats_test.cpp
@@ -29,5 +29,29 @@
   cr_assert_eq(small_stats.CountsOf("unknown").accepted, 0U);
 }
 
+// Guards against accounts that starve unseen among well-served ones, because
+// only their count of refusals beyond the limit was shown.
+Test(account_stats, tenth_with_the_lowest_share_is_named) {
+  AccountStats stats;
+  for (int i = 0; i < 20; ++i) {
+    for (int k = 0; k < 10; ++k) {
+      stats.OnAccepted("served-" + std::to_string(i));
+    }
+  }
+  stats.OnAccepted("over");
+  stats.OnOverLimit("over");
+  stats.OnAccepted("crowded-out");
+  stats.OnAccepted("crowded-out");
+  stats.OnAccepted("crowded-out");
+  stats.OnNotRun("crowded-out");
+  const auto rows = stats.LeastServed();
+  cr_assert_eq(rows.size(), 3U);
+  cr_assert_eq(rows[0].first, "over");
+  cr_assert_float_eq(rows[0].second.ServedShare(), 0.5, 1e-9);
+  cr_assert_eq(rows[1].first, "crowded-out");
+  cr_assert_float_eq(rows[1].second.ServedShare(), 2.0 / 3, 1e-9);
+  cr_assert(AccountStats().LeastServed().empty());
+}
+
 }  // namespace
 }  // namespace pathcleat
