Hosts report their capacity and how many callers they keep; locate, forwarding and relaying use it

Cause: HostTable::Locate sorted by distance alone, so a host with 0.1 core and 10 Mbit/s was named as often as one with 0.5 core and 200 Mbit/s.

Capacity follows the record in rows (6 bytes), heartbeats (9 bytes with utilization and load step) and domain reports (6 bytes a record, two bits a member while one has a load step). Hosts of older versions ignore these bytes.

Ruled out: a fixed number of hosts by weighted rendezvous, as each change of a weight moves other addresses; raw utilization in reports, as hosts would judge it at different times; weights from the cost of a request, which differs by deployment.

Hosts that are alike or state no capacity: answers as before (test).

Settings: cpu_cores, cpu_share (their product counts) and max_descriptors. A host measures processor time and connections; show hosts and two gauges tell capacity, utilization and load step.

--- a/include/pathcleat/fleet/domain_report.hpp
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -28,6 +28,8 @@
   std::uint16_t age_ms = 0;  ///< of the last heartbeat, at most 16,383 ms
   bool leaving = false;
   bool isolated = false;  ///< the host reaches no upstream
+  /// See LoadStepControl. Encoded after the report, two bits a member.
+  std::uint8_t load_step = 0;
 
   // The age and the flags share two bytes, as every byte of an observation is
   // sent to every host of the fleet.
@@ -90,7 +92,9 @@
   }
 };
 
-/// @brief Encodes a report (cereal, portable binary).
+/// @brief Encodes a report (cereal, portable binary). The capacities of
+/// `host_infos` and the load steps follow if a host states a capacity or has a
+/// load step; hosts of an older version ignore these bytes.
 /// @ingroup fleet
 std::string EncodeDomainReport(const DomainReport& report);
 
--- a/include/pathcleat/fleet/forward_target.hpp
+++ b/include/pathcleat/fleet/forward_target.hpp
@@ -29,7 +29,7 @@
 /// @brief Chooses the host to which this host forwards a request that it cannot
 /// send to an upstream itself: a living host that reaches the upstreams, of the
 /// own region if one of these has room, and of these the one with the fewest
-/// requests in flight from here.
+/// requests in flight from here for its capacity and load step.
 /// @return null if there is none.
 /// @ingroup fleet
 const HostEntry* ChooseForwardTarget(const HostTable& hosts,
--- a/include/pathcleat/fleet/host_info.hpp
+++ b/include/pathcleat/fleet/host_info.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "pathcleat/fleet/host_capacity.hpp"
+
 namespace pathcleat {
 
 /// @brief A host's description of itself, sent to other hosts and stored in
@@ -21,6 +23,11 @@
   /// Whether the host reaches no upstream. Heartbeats and reports tell it; the
   /// host's row in the store does not.
   bool isolated = false;
+  /// Encoded after the record (capacity_codec.hpp), as hosts of an older
+  /// version read the fields of `serialize` and ignore the bytes after them.
+  HostCapacity capacity;
+  double utilization = 0;      ///< share of the capacity in use; 0: unknown
+  std::uint8_t load_step = 0;  ///< see LoadStepControl
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/include/pathcleat/fleet/host_rank.hpp
+++ b/include/pathcleat/fleet/host_rank.hpp
@@ -9,8 +9,8 @@
 namespace pathcleat {
 
 /// @brief Whether host `a` ranks ahead of host `b` for work done on behalf of
-/// other hosts: by link capacity, then by a hash of the name, which every host
-/// computes with the same result.
+/// other hosts: by link capacity, then by processor cores, then by a hash of
+/// the name; every host computes the same result.
 /// @ingroup fleet
 bool RanksAhead(const HostInfo& a, const HostInfo& b);
 
--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -1,7 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -39,6 +38,12 @@
   const HostInfo& self() const { return self_; }
   void SetLeaving() { self_.leaving = true; }
   void SetIsolated(bool isolated) { self_.isolated = isolated; }
+  /// @brief Sets the utilization and load step that heartbeats of this host
+  /// report.
+  void SetLoad(double utilization, std::uint8_t load_step) {
+    self_.utilization = utilization;
+    self_.load_step = load_step;
+  }
 
   /// @brief Detects that this host was stalled since the last call. Call this
   /// a few times a second, and before any decision that depends on which hosts
@@ -106,20 +111,15 @@
   /// configuration version, or a newer one, in force.
   bool OtherHasConfig(std::uint64_t version, Time now) const;
 
-  /// @brief Addresses that a caller should use: hosts of its failure domain;
-  /// if these are fewer than two, also hosts of its region; if these are still
-  /// too few, also hosts of other regions.
-  /// @param max_count maximum number of addresses.
-  std::vector<std::string> Locate(const std::string& region,
-                                  const std::string& domain,
-                                  std::size_t max_count,
-                                  Time now) const;
+  /// @brief Hosts that callers may be sent to: living hosts that are not
+  /// leaving, without isolated ones where their region has enough others. The
+  /// pointers are valid until the table changes.
+  std::vector<const HostInfo*> HostsAcceptingCallers(Time now) const;
 
  private:
   Duration TimeSinceSeen(const HostEntry& host, Time now) const;
   void Store(const HostEntry& host);
-  std::vector<HostInfo> HostsAcceptingCallers(Time now) const;
-  static void RemoveIsolated(std::vector<HostInfo>& hosts);
+  static void RemoveIsolated(std::vector<const HostInfo*>& hosts);
 
   HostInfo self_;
   Duration heartbeat_timeout_;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -3,13 +3,16 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <utility>
 
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/core/error.hpp"
+#include "pathcleat/fleet/load_step_control.hpp"
 #include "pathcleat/fleet/peer_link.hpp"
+#include "pathcleat/fleet/utilization_meter.hpp"
 #include "pathcleat/gateway/fleet_sync.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
@@ -92,6 +95,7 @@
   void HandleReadiness(const HttpExchangePtr& exchange);
   void HandleLocate(const HttpExchangePtr& exchange);
   void HandleMetrics(const HttpExchangePtr& exchange);
+  void UpdateLoad(Time now);
   void Tick();
   void FinishStop();
   void WaitUntilIdle();
@@ -120,6 +124,9 @@
   HttpServer operator_server_;
   HttpServer metrics_server_;
   ProcessStats process_stats_;
+  UtilizationMeter cpu_utilization_;
+  LoadStepControl load_steps_;
+  std::size_t max_caller_connections_ = 0;  ///< 0: no limit
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -17,6 +17,7 @@
 #include "pathcleat/core/event_log.hpp"
 #include "pathcleat/crashes/crash_tracker.hpp"
 #include "pathcleat/fleet/host_table.hpp"
+#include "pathcleat/fleet/locate_directory.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
 #include "pathcleat/gateway/quota_enforcer.hpp"
@@ -95,6 +96,7 @@
   const HeaderNames headers;
   EventLog events;
   HostTable hosts;
+  LocateDirectory locate;
   RouteTable routes;
   const KeyedHasher& account_key_hasher;
   KeyedHasher request_hasher{kRequestDigestPurpose};
--- a/include/pathcleat/gateway/operator_service.hpp
+++ b/include/pathcleat/gateway/operator_service.hpp
@@ -34,6 +34,7 @@
   std::string Answer(const AccountQuery& query) const;
   std::string Answer(const HelpQuery& query) const;
   std::string ShowHosts() const;
+  static std::string LoadText(const HostInfo& host);
   static std::string RateLimitText(const UpstreamState& upstream, Time now);
   static std::string StatementText(const UpstreamState& upstream, Time now);
   std::string ShowUpstreams() const;
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -84,6 +84,8 @@
   /// setting is missing or out of range. The default is low, so that the host
   /// relays for other hosts only if no host has a faster link.
   double link_mbps = 10;
+  double cpu_cores = 0;               ///< that this host may use; 0: not stated
+  std::uint32_t max_descriptors = 0;  ///< of files and sockets; 0: not stated
   FleetBounds bounds;
   TransferCosts transfer_costs;
   RequestLogSettings request_log;
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -165,7 +165,7 @@
   head.forward_to_domain = true;
   ReportPacker packer(head);
   packer.Add({IncarnationId(hosts_.self()), 0, hosts_.self().leaving,
-              hosts_.self().isolated},
+              hosts_.self().isolated, hosts_.self().load_step},
              versions);
   for (const HostEntry* host : hosts_.Others()) {
     if (host->info.domain != head.domain || !hosts_.IsAlive(*host, now)) {
@@ -175,7 +175,7 @@
     HostVersions aged = host->versions;
     aged.config_age_ms += age;
     packer.Add({IncarnationId(host->info), static_cast<std::uint16_t>(age),
-                host->info.leaving, host->info.isolated},
+                host->info.leaving, host->info.isolated, host->info.load_step},
                aged);
   }
   std::vector<DomainReport> member_reports = packer.Take();
--- a/src/pathcleat/fleet/domain_reporter_test.cpp
+++ b/src/pathcleat/fleet/domain_reporter_test.cpp
@@ -227,6 +227,28 @@
   cr_assert_eq(members, 120U);
 }
 
+// Guards against reports in several datagrams where all hosts state their
+// capacity and have load steps.
+Test(domain_report, reports_with_load_steps_and_capacities_fit_datagrams) {
+  constexpr std::size_t kMaxDatagramBytes = 1'472;
+  for (const int hosts : {14, 52, 120, 250}) {
+    const auto make_host = [](int index) {
+      HostInfo host = MakeHostInfo(0, index);
+      host.capacity = {0.1, 4'100};
+      host.load_step = 3;
+      return host;
+    };
+    HostTable table(make_host(0), kHeartbeatTimeout);
+    for (int i = 1; i < hosts; ++i) {
+      table.OnHeartbeat(make_host(i), {}, kStart);
+    }
+    DomainReporter reporter(table, kStart);
+    for (const DomainReport& report : reporter.MakeReports({}, kStart)) {
+      cr_assert_lt(EncodeDomainReport(report).size(), kMaxDatagramBytes);
+    }
+  }
+}
+
 Test(domain_report, any_bytes_are_decoded_or_rejected) {
   cr_assert(Holds("decoding arbitrary bytes never crashes", [] {
     const auto bytes =
--- a/src/pathcleat/fleet/forward_target_test.cpp
+++ b/src/pathcleat/fleet/forward_target_test.cpp
@@ -35,6 +35,10 @@
            std::uint64_t config = 5) {
     HostInfo host = MakeHost(name, region);
     host.isolated = isolated;
+    Add(host, config);
+  }
+
+  void Add(const HostInfo& host, std::uint64_t config = 5) {
     HostVersions versions;
     versions.config = config;
     table.OnHeartbeat(host, versions, kStart);
@@ -97,6 +101,42 @@
   cr_assert_geq(fleet.in_flight["far-b"], 24);
 }
 
+// Guards against small hosts that get as many forwarded requests as large ones.
+// Without capacities, each of the four hosts gets 16.
+Test(forward_target, hosts_get_requests_in_proportion_to_their_capacity) {
+  Fleet fleet;
+  for (const std::string name : {"large-a", "large-b", "small-a", "small-b"}) {
+    HostInfo host = MakeHost(name, "north");
+    const bool large = name.starts_with("large");
+    host.capacity = {large ? 0.5 : 0.1, large ? 8'192U : 4'100U};
+    host.link_mbps = large ? 200 : 50;
+    fleet.Add(host);
+  }
+  for (int i = 0; i < 30; ++i) {
+    ++fleet.in_flight[fleet.Choose()];
+  }
+  cr_assert_geq(fleet.in_flight["large-a"], 12);
+  cr_assert_geq(fleet.in_flight["large-b"], 12);
+  cr_assert_leq(fleet.in_flight["small-a"], 3);
+  cr_assert_leq(fleet.in_flight["small-b"], 3);
+}
+
+// Guards against a fleet whose smallest hosts never take a request although all
+// larger ones are gone or full.
+Test(forward_target, smallest_host_takes_a_request) {
+  Fleet fleet;
+  HostInfo large = MakeHost("large", "north");
+  large.capacity = {4, 0};
+  fleet.Add(large);
+  HostInfo small = MakeHost("small", "north");
+  small.capacity = {0.01, 0};
+  fleet.Add(small);
+  for (int i = 0; i < 65; ++i) {
+    ++fleet.in_flight[fleet.Choose()];
+  }
+  cr_assert_eq(fleet.in_flight["small"], 1);
+}
+
 Test(forward_target, none_when_every_host_has_its_most) {
   Fleet fleet;
   fleet.Add("near", "north");
--- a/src/pathcleat/fleet/heartbeat_test.cpp
+++ b/src/pathcleat/fleet/heartbeat_test.cpp
@@ -5,8 +5,10 @@
 
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/fleet/capacity_codec.hpp"
 #include "pathcleat/fleet/domain_report.hpp"
 #include "property.hpp"
 
@@ -42,6 +44,127 @@
   cr_assert_eq(by_sender, EncodeBinary(MakeHeartbeat(false)));
 }
 
+Heartbeat WithCapacity(Heartbeat heartbeat) {
+  heartbeat.host.capacity = {0.5, 8'192};
+  heartbeat.host.utilization = 0.6;
+  heartbeat.host.load_step = 2;
+  return heartbeat;
+}
+
+Test(heartbeat, tells_capacity_utilization_and_load_step) {
+  for (const bool isolated : {false, true}) {
+    const auto decoded =
+        DecodeHeartbeat(EncodeHeartbeat(WithCapacity(MakeHeartbeat(isolated))));
+    cr_assert(decoded.has_value());
+    cr_assert_eq(decoded->host.isolated, isolated);
+    cr_assert_float_eq(decoded->host.capacity.cpu_cores, 0.5, 1e-9);
+    cr_assert_eq(decoded->host.capacity.max_descriptors, 8'192U);
+    cr_assert_float_eq(decoded->host.utilization, 0.6, 0.01);
+    cr_assert_eq(decoded->host.load_step, 2);
+  }
+}
+
+// Guards against hosts of the two versions before that misread heartbeats with
+// a capacity: the older one ignores all bytes after a heartbeat, the newer one
+// reads a mark of isolation directly after it.
+Test(heartbeat, with_a_capacity_is_read_by_hosts_that_do_not_know_it) {
+  for (const bool isolated : {false, true}) {
+    const Heartbeat plain = MakeHeartbeat(isolated);
+    const std::string bytes = EncodeHeartbeat(WithCapacity(plain));
+    std::size_t used = 0;
+    const auto by_older_host = DecodeBinary<Heartbeat>(bytes, &used);
+    cr_assert(by_older_host.has_value());
+    cr_assert_eq(by_older_host->versions.config, 7U);
+    cr_assert_lt(used, bytes.size());
+    cr_assert_eq(bytes[used] == 'I', isolated);
+    cr_assert_eq(bytes.size() - EncodeHeartbeat(plain).size(), 9U);
+  }
+}
+
+// Guards against a capacity that is read from a part of its bytes.
+Test(heartbeat, cut_short_after_the_capacity_mark_states_no_capacity) {
+  const std::string bytes = EncodeHeartbeat(WithCapacity(MakeHeartbeat(false)));
+  for (std::size_t cut = 1; cut < 9; ++cut) {
+    const auto decoded =
+        DecodeHeartbeat(std::string_view(bytes).substr(0, bytes.size() - cut));
+    cr_assert(decoded.has_value());
+    cr_assert_not(decoded->host.capacity.IsStated());
+  }
+}
+
+DomainReport MakeReport(std::size_t members, bool with_capacity) {
+  DomainReport report;
+  report.domain = "domain";
+  MemberGroup group;
+  for (std::size_t i = 0; i < members; ++i) {
+    MemberObservation member;
+    member.id = i;
+    member.load_step = with_capacity ? i % 4 : 0;
+    group.members.push_back(member);
+  }
+  report.groups = {group, group};
+  HostInfo host;
+  host.name = "host";
+  report.host_infos = {host, host};
+  if (with_capacity) {
+    report.host_infos[1].capacity = {0.1, 4'100};
+  }
+  return report;
+}
+
+// Guards against capacities and load steps that reach only the own failure
+// domain, and against members that get the step of another one.
+Test(domain_report, carries_capacities_and_load_steps) {
+  for (const std::size_t members : {0, 1, 3, 4, 5, 33}) {
+    const DomainReport report = MakeReport(members, true);
+    const auto decoded = DecodeDomainReport(EncodeDomainReport(report));
+    cr_assert(decoded.has_value());
+    cr_assert_not(decoded->host_infos[0].capacity.IsStated());
+    cr_assert_float_eq(decoded->host_infos[1].capacity.cpu_cores, 0.1, 1e-9);
+    cr_assert_eq(decoded->host_infos[1].capacity.max_descriptors, 4'100U);
+    for (std::size_t g = 0; g < 2; ++g) {
+      for (std::size_t i = 0; i < members; ++i) {
+        cr_assert_eq(decoded->groups[g].members[i].load_step, i % 4);
+      }
+    }
+  }
+}
+
+// Guards against reports that grow where no host states a capacity, and
+// against hosts of the version before that cannot read reports.
+Test(domain_report, is_read_by_hosts_that_do_not_know_capacities) {
+  const DomainReport plain = MakeReport(4, false);
+  cr_assert_eq(EncodeDomainReport(plain), EncodeBinary(plain));
+  const std::string bytes = EncodeDomainReport(MakeReport(4, true));
+  const auto by_older_host = DecodeBinary<DomainReport>(bytes);
+  cr_assert(by_older_host.has_value());
+  cr_assert_eq(by_older_host->groups[1].members.size(), 4U);
+  // Two records with 6 bytes each, eight members with two bits each, two marks.
+  cr_assert_eq(bytes.size() - EncodeBinary(plain).size(), 16U);
+}
+
+Test(domain_report, any_bytes_after_a_report_are_decoded_or_ignored) {
+  cr_assert(Holds("decoding a changed end never crashes", [] {
+    std::string bytes = EncodeDomainReport(MakeReport(5, false));
+    bytes +=
+        *rc::gen::container<std::string>(rc::gen::inRange<char>(-128, 127));
+    RC_ASSERT(DecodeDomainReport(bytes).has_value());
+  }));
+}
+
+// Guards against hosts that cannot read the rows of another version.
+Test(host_row, is_read_with_and_without_a_capacity) {
+  HostInfo host;
+  host.name = "host";
+  cr_assert_eq(EncodeHostRow(host), EncodeBinary(host));
+  cr_assert_not(DecodeHostRow(EncodeHostRow(host))->capacity.IsStated());
+  host.capacity = {0.5, 8'192};
+  const std::string row = EncodeHostRow(host);
+  cr_assert_float_eq(DecodeHostRow(row)->capacity.cpu_cores, 0.5, 1e-9);
+  cr_assert_eq(DecodeBinary<HostInfo>(row)->name, "host");
+  cr_assert_not(DecodeHostRow("?").has_value());
+}
+
 Test(heartbeat, property_observation_keeps_age_and_flags) {
   cr_assert(Holds("an observation keeps its age and flags", [] {
     MemberObservation observation;
--- a/src/pathcleat/fleet/host_rank.cpp
+++ b/src/pathcleat/fleet/host_rank.cpp
@@ -9,6 +9,9 @@
   if (a.link_mbps != b.link_mbps) {
     return a.link_mbps > b.link_mbps;
   }
+  if (a.capacity.cpu_cores != b.capacity.cpu_cores) {
+    return a.capacity.cpu_cores > b.capacity.cpu_cores;
+  }
   return StableHash(a.name) < StableHash(b.name);
 }
 
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -7,9 +7,10 @@
 namespace pathcleat {
 namespace {
 
-// A caller that has the address of a single host cannot reach the fleet once
-// that host fails.
-constexpr std::size_t kMinLocatedHosts = 2;
+// A region with fewer hosts that reach the upstreams also lists its isolated
+// hosts: a caller that has the address of a single host cannot reach the fleet
+// once that host fails.
+constexpr std::size_t kMinConnectedHosts = 2;
 // A host shares limits for this long after its last heartbeat, or after a store
 // row listed it. The window is 1.5 s longer than the heartbeat timeout: if half
 // of all hosts die at once, reports on the living hosts are late by one or two
@@ -95,6 +96,12 @@
     Store({host, now, now, false, found->second.alive_at_last_check, {}});
     return;
   }
+  // A report that passed through a host of an older version lacks capacities,
+  // so a record may arrive first without and later with one.
+  if (found != others_.end() && !found->second.info.capacity.IsStated() &&
+      found->second.info.incarnation == host.incarnation) {
+    found->second.info.capacity = host.capacity;
+  }
   OnStoreRow(host, now);
 }
 
@@ -118,6 +125,8 @@
   host.has_heartbeat = true;
   host.info.leaving = member.leaving;
   host.info.isolated = member.isolated;
+  host.info.load_step = member.load_step;
+  host.info.utilization = 0;  // unknown: reports carry the load step only
   host.versions = versions;
   const bool is_back = !was_alive && IsAlive(host, now);
   host.alive_at_last_check = host.alive_at_last_check || is_back;
@@ -200,64 +209,35 @@
                      });
 }
 
-std::vector<HostInfo> HostTable::HostsAcceptingCallers(Time now) const {
-  std::vector<HostInfo> accepting;
+std::vector<const HostInfo*> HostTable::HostsAcceptingCallers(Time now) const {
+  std::vector<const HostInfo*> accepting;
   if (!self_.leaving) {
-    accepting.push_back(self_);
+    accepting.push_back(&self_);
   }
   for (const auto& [name, host] : others_) {
     if (!host.info.leaving && IsAlive(host, now)) {
-      accepting.push_back(host.info);
+      accepting.push_back(&host.info);
     }
   }
+  RemoveIsolated(accepting);
   return accepting;
 }
 
 // Keeps the isolated hosts of a region that has too few others: callers may be
 // bound to their region, and an isolated host still serves them by forwarding.
-void HostTable::RemoveIsolated(std::vector<HostInfo>& hosts) {
-  const auto is_isolated = [](const HostInfo& host) { return host.isolated; };
+void HostTable::RemoveIsolated(std::vector<const HostInfo*>& hosts) {
+  const auto is_isolated = [](const HostInfo* host) { return host->isolated; };
   if (std::none_of(hosts.begin(), hosts.end(), is_isolated)) {
     return;
   }
   std::map<std::string, std::size_t> connected_counts;  // by region
-  for (const HostInfo& host : hosts) {
-    connected_counts[host.region] += host.isolated ? 0 : 1;
+  for (const HostInfo* host : hosts) {
+    connected_counts[host->region] += host->isolated ? 0 : 1;
   }
-  std::erase_if(hosts, [&connected_counts](const HostInfo& host) {
-    return host.isolated &&
-           connected_counts.at(host.region) >= kMinLocatedHosts;
+  std::erase_if(hosts, [&connected_counts](const HostInfo* host) {
+    return host->isolated &&
+           connected_counts.at(host->region) >= kMinConnectedHosts;
   });
 }
 
-std::vector<std::string> HostTable::Locate(const std::string& region,
-                                           const std::string& domain,
-                                           std::size_t max_count,
-                                           Time now) const {
-  std::vector<HostInfo> accepting = HostsAcceptingCallers(now);
-  RemoveIsolated(accepting);
-  const auto distance = [&](const HostInfo& host) {
-    if (host.domain == domain) {
-      return 0;
-    }
-    return host.region == region ? 1 : 2;
-  };
-  std::stable_sort(accepting.begin(), accepting.end(),
-                   [&](const HostInfo& a, const HostInfo& b) {
-                     return distance(a) < distance(b);
-                   });
-  std::vector<std::string> addresses;
-  int farthest = 0;
-  for (const HostInfo& host : accepting) {
-    const bool enough = addresses.size() >= kMinLocatedHosts;
-    if (addresses.size() == max_count ||
-        (enough && distance(host) > farthest)) {
-      break;
-    }
-    farthest = std::max(farthest, distance(host));
-    addresses.push_back(host.caller_address);
-  }
-  return addresses;
-}
-
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/host_table_test.cpp
+++ b/src/pathcleat/fleet/host_table_test.cpp
@@ -5,6 +5,7 @@
 
 #include "pathcleat/core/mac.hpp"
 #include "pathcleat/fleet/heartbeat.hpp"
+#include "pathcleat/fleet/locate_directory.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -29,6 +30,15 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+std::vector<std::string> Locate(const HostTable& table,
+                                const std::string& region,
+                                const std::string& domain,
+                                std::size_t max_count,
+                                Time now) {
+  return LocateDirectory(table).Find({region, domain, "192.0.2.7"}, max_count,
+                                     now);
+}
+
 // Guards against callers who are sent to a host that reaches no upstream while
 // its region has others, or out of their region while it has none.
 Test(host_table, isolated_hosts_are_named_only_where_others_are_few) {
@@ -37,11 +47,11 @@
   cut.isolated = true;
   table.OnHeartbeat(cut, {}, kStart);
   table.OnHeartbeat(MakeHost("far", "s1", "south"), {}, kStart);
-  auto found = table.Locate("north", "n1", 16, kStart);
+  auto found = Locate(table, "north", "n1", 16, kStart);
   cr_assert(Contains(found, "cut") && Contains(found, "self"));
   cr_assert_not(Contains(found, "far"));
   table.OnHeartbeat(MakeHost("beside", "n2", "north"), {}, kStart);
-  found = table.Locate("north", "n1", 16, kStart);
+  found = Locate(table, "north", "n1", 16, kStart);
   cr_assert_not(Contains(found, "cut"));
   cr_assert_eq(found.size(), 2U);
 }
@@ -52,23 +62,23 @@
   table.OnHeartbeat(MakeHost("beside", "n2", "north"), {}, kStart);
   table.OnHeartbeat(MakeHost("far", "s1", "south"), {}, kStart);
   table.OnStoreRow(MakeHost("listed", "n1", "north"), kStart);
-  auto found = table.Locate("north", "n1", 16, kStart);
+  auto found = Locate(table, "north", "n1", 16, kStart);
   cr_assert_eq(found.size(), 2U);
   cr_assert(Contains(found, "self") && Contains(found, "near"));
   // Addresses for a domain with one host include hosts of its region, and those
   // for a region with one host include hosts of other regions.
-  found = table.Locate("north", "n2", 16, kStart);
+  found = Locate(table, "north", "n2", 16, kStart);
   cr_assert_str_eq(found.front().c_str(), "beside");
   cr_assert_eq(found.size(), 3U);
-  found = table.Locate("south", "s1", 16, kStart);
+  found = Locate(table, "south", "s1", 16, kStart);
   cr_assert_str_eq(found.front().c_str(), "far");
   cr_assert_gt(found.size(), 1U);
   HostInfo leaving = MakeHost("near", "n1", "north");
   leaving.leaving = true;
   table.OnHeartbeat(leaving, {}, kStart);
-  cr_assert_not(Contains(table.Locate("north", "n1", 16, kStart), "near"));
+  cr_assert_not(Contains(Locate(table, "north", "n1", 16, kStart), "near"));
   const Time later = kStart + kHeartbeatTimeout + Duration(1);
-  found = table.Locate("north", "n1", 16, later);
+  found = Locate(table, "north", "n1", 16, later);
   cr_assert_eq(found.size(), 1U);
   cr_assert_str_eq(found.front().c_str(), "self");
 }
@@ -120,7 +130,7 @@
   HostInfo old = MakeHost("other", "n1", "north");
   old.leaving = true;
   table.OnHeartbeat(old, {}, kStart);
-  cr_assert_eq(table.Locate("north", "n1", 16, kStart).size(), 2U);
+  cr_assert_eq(Locate(table, "north", "n1", 16, kStart).size(), 2U);
 }
 
 // A host that is restarted after its clock was set back has a lower incarnation
@@ -132,7 +142,7 @@
   table.OnHeartbeat(before, {}, kStart);
   const Time later = kStart + kHeartbeatTimeout + Duration(1);
   cr_assert(table.OnHeartbeat(MakeHost("other", "n1", "north"), {}, later));
-  cr_assert_eq(table.Locate("north", "n1", 16, later).size(), 2U);
+  cr_assert_eq(Locate(table, "north", "n1", 16, later).size(), 2U);
 }
 
 MemberObservation MakeObservation(const HostInfo& host, int age_ms) {
@@ -154,6 +164,54 @@
   cr_assert_eq(table.AliveCount(kStart + Duration(2'001'000)), 1);
 }
 
+// Guards against load steps and capacities of other failure domains that are
+// not used: reports and the rows of the store are all that tell them.
+Test(host_table, reported_load_step_and_later_capacity_are_kept) {
+  HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
+  HostInfo far = MakeHost("far", "s1", "south");
+  table.OnInfoReported(far, kStart);
+  MemberObservation observation = MakeObservation(far, 0);
+  observation.load_step = 2;
+  table.OnMemberReported(observation, {}, kStart);
+  cr_assert_eq(table.Others().front()->info.load_step, 2);
+  cr_assert_not(table.Others().front()->info.capacity.IsStated());
+  // The first record came through a host of an older version.
+  far.capacity.cpu_cores = 0.5;
+  table.OnInfoReported(far, kStart);
+  cr_assert_float_eq(table.Others().front()->info.capacity.cpu_cores, 0.5,
+                     1e-9);
+  cr_assert_eq(table.Others().front()->info.load_step, 2);
+}
+
+// Guards against answers that name hosts long after these died or left.
+Test(locate_directory, answers_follow_the_host_table_within_a_quarter_second) {
+  HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
+  LocateDirectory directory(table);
+  HostInfo other = MakeHost("other", "n1", "north");
+  table.OnHeartbeat(other, {}, kStart);
+  const LocateQuery query{"north", "n1", "192.0.2.7"};
+  cr_assert_eq(directory.Find(query, 16, kStart).size(), 2U);
+  other.leaving = true;
+  table.OnHeartbeat(other, {}, kStart);
+  const Time later = kStart + Duration(250'000);
+  cr_assert_not(Contains(directory.Find(query, 16, later), "other"));
+  // A host knows of its own planned stop at once.
+  table.OnHeartbeat(MakeHost("third", "n1", "north"), {}, later);
+  table.SetLeaving();
+  cr_assert_not(Contains(directory.Find(query, 16, later), "self"));
+}
+
+// Guards against memory that grows with the texts that callers send.
+Test(locate_directory, any_names_in_questions_are_answered) {
+  HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
+  LocateDirectory directory(table);
+  for (int i = 0; i < 1'000; ++i) {
+    const std::string name = std::to_string(i);
+    cr_assert_eq(directory.Find({name, name, name}, 16, kStart).size(), 1U);
+  }
+  cr_assert_leq(directory.choice_count(), 64U);
+}
+
 Test(host_table, report_of_an_old_incarnation_makes_no_host_alive) {
   HostTable table(MakeHost("self", "n1", "north"), kHeartbeatTimeout);
   HostInfo restarted = MakeHost("far", "s1", "south");
--- a/src/pathcleat/fleet/relay_choice_test.cpp
+++ b/src/pathcleat/fleet/relay_choice_test.cpp
@@ -131,6 +131,25 @@
   }
 }
 
+// Guards against small hosts that relay for larger ones behind equal links.
+// Fails without the comparison of cores in RanksAhead.
+Test(relay_choice, of_equal_links_hosts_with_more_cores_watch) {
+  RelayFleet fleet(4, 8);
+  constexpr std::size_t kPerDomain = 8;
+  const auto is_large = [](std::size_t host) { return host % kPerDomain > 5; };
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    fleet.infos[i].link_mbps = 10;
+    fleet.infos[i].capacity.cpu_cores = is_large(i) ? 0.5 : 0.1;
+  }
+  fleet.RebuildTables();
+  fleet.access.assign(fleet.infos.size(), StoreAccess::kWatching);
+  fleet.SendHeartbeatsToAll();
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    const bool watches = fleet.ChooseRelayFor(i).kind == RelayKind::kStore;
+    cr_assert_eq(watches, is_large(i), "host %zu", i);
+  }
+}
+
 Test(relay_choice, every_host_of_a_small_fleet_watches_the_store) {
   RelayFleet fleet(4, 2);
   fleet.access.assign(fleet.infos.size(), StoreAccess::kWatching);
--- a/src/pathcleat/fleet/up_to_date_host.cpp
+++ b/src/pathcleat/fleet/up_to_date_host.cpp
@@ -8,9 +8,9 @@
 namespace pathcleat {
 namespace {
 
-// Distance, negative link capacity in Mbit/s and a hash that decides between
-// equal hosts; the smallest rank is best.
-using Rank = std::tuple<int, double, std::uint64_t>;
+// Distance, negative link capacity in Mbit/s, negative number of processor
+// cores and a hash that decides between equal hosts; the smallest rank is best.
+using Rank = std::tuple<int, double, double, std::uint64_t>;
 
 int DistanceOf(const HostInfo& self, const HostInfo& host) {
   if (host.domain == self.domain) {
@@ -29,6 +29,7 @@
   const std::uint64_t seed = MixHashes(salt, StableHash(hosts.self().name));
   const auto rank_of = [&](const HostEntry& host) {
     return Rank{DistanceOf(hosts.self(), host.info), -host.info.link_mbps,
+                -host.info.capacity.cpu_cores,
                 MixHashes(seed, StableHash(host.info.name))};
   };
   const HostEntry* best = nullptr;
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -70,6 +70,17 @@
   return std::max(left / 2, kMinCallerConnections);
 }
 
+// Processor time of this process so far.
+Duration ProcessorTime() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  const auto sum = [](const timeval& user, const timeval& system) {
+    return std::chrono::seconds(user.tv_sec + system.tv_sec) +
+           std::chrono::microseconds(user.tv_usec + system.tv_usec);
+  };
+  return sum(usage.ru_utime, usage.ru_stime);
+}
+
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& loop,
@@ -123,6 +134,7 @@
           [this](const HttpExchangePtr& e) { operator_service_.Handle(e); }),
       metrics_server_(loop,
                       [this](const HttpExchangePtr& e) { HandleMetrics(e); }),
+      cpu_utilization_(settings.cpu_cores),
       tick_timer_(loop),
       stop_timer_(loop) {
   fleet_sync_.SetForwardHandler(
@@ -153,7 +165,8 @@
     state_.events.Record(EventCode::kCallerInputRejected, caller,
                          "status " + std::to_string(status));
   });
-  caller_server_.SetMaxConnections(MaxCallerConnections());
+  max_caller_connections_ = MaxCallerConnections();
+  caller_server_.SetMaxConnections(max_caller_connections_);
   BOOST_LEAF_CHECK(ListenAt(caller_server_, settings.listen.callers));
   BOOST_LEAF_CHECK(ListenAt(readiness_server_, settings.listen.readiness));
   BOOST_LEAF_CHECK(ListenAt(locate_server_, settings.listen.locate));
@@ -281,9 +294,10 @@
   const std::string own = state_.client_regions.RegionOf(exchange->caller_ip())
                               .value_or(state_.settings.region);
   const auto hosts =
-      state_.hosts.Locate(QueryValue(target, "region").value_or(own),
+      state_.locate.Find({QueryValue(target, "region").value_or(own),
                           QueryValue(target, "failure_domain").value_or(""),
-                          kMaxLocatedHosts, BootClock::now());
+                          exchange->caller_ip()},
+                         kMaxLocatedHosts, BootClock::now());
   const double ttl =
       std::chrono::duration<double>(state_.settings.bounds.locate_ttl).count();
   exchange->Respond(JsonResponse(
@@ -399,9 +413,25 @@
   fleet_sync_.OnStallEnded(now - stall_duration);
 }
 
+// Measures how much of the host's capacity is in use, if its settings state the
+// processor cores. Links are not measured.
+void Gateway::UpdateLoad(Time now) {
+  if (state_.settings.cpu_cores <= 0) {
+    return;
+  }
+  double utilization = cpu_utilization_.Update(ProcessorTime(), now);
+  if (max_caller_connections_ > 0) {
+    utilization = std::max(
+        utilization, static_cast<double>(caller_server_.connection_count()) /
+                         static_cast<double>(max_caller_connections_));
+  }
+  state_.hosts.SetLoad(utilization, load_steps_.Update(utilization, now));
+}
+
 void Gateway::Tick() {
   const Time now = BootClock::now();
   HandleStall(now);
+  UpdateLoad(now);
   if (now - stall_ended_at_ >= kOverdueGrace) {
     state_.in_flight_requests.EndOverdue(now - kOverdueGrace);
   }
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -42,6 +42,7 @@
   self.region = settings.region;
   self.caller_address = settings.listen.callers;
   self.link_mbps = settings.link_mbps;
+  self.capacity = {settings.cpu_cores, settings.max_descriptors};
   self.peer_address =
       settings.peer_address + ":" + std::to_string(settings.peer_port);
   return self;
@@ -81,6 +82,7 @@
       headers(header_names),
       events(settings.host, kMaxEvents),
       hosts(MakeSelfInfo(settings, incarnation), kHostTimeout),
+      locate(hosts),
       account_key_hasher(key_hasher),
       quotas(settings.domain,
              settings.host,
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -282,6 +282,18 @@
   }
 }
 
+void AddLoad(Page& page, const HostInfo& self) {
+  if (!self.capacity.IsStated()) {
+    return;
+  }
+  page.Family("pathcleat_host_utilization", "gauge",
+              "Share of this host's capacity in use.");
+  page.Sample("pathcleat_host_utilization", {}, self.utilization);
+  page.Family("pathcleat_host_load_step", "gauge",
+              "Load step; from 1 on, callers are sent to other hosts.");
+  page.Sample("pathcleat_host_load_step", {}, self.load_step);
+}
+
 void AddFleet(Page& page,
               const GatewayState& state,
               const HostVersions& versions,
@@ -395,6 +407,7 @@
   AddForwards(page, state.forwards);
   AddCrashes(page, state);
   AddFleet(page, state, inputs.versions, now);
+  AddLoad(page, state.hosts.self());
   AddFeeds(page, inputs, now);
   AddPeerTraffic(page, state.peer_traffic);
   if (inputs.store_calls != nullptr) {
--- a/src/pathcleat/gateway/operator_service.cpp
+++ b/src/pathcleat/gateway/operator_service.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/operator_service.hpp"
 
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 #include <type_traits>
@@ -8,6 +9,7 @@
 
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/mac.hpp"
+#include "pathcleat/fleet/load_step_control.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
@@ -145,7 +147,7 @@
   std::ostringstream text;
   text << "entry hosts for " << query.caller << ":";
   for (const std::string& address :
-       state_.hosts.Locate(region, "", kMaxLocatedHosts, now)) {
+       state_.locate.Find({region, "", query.caller}, kMaxLocatedHosts, now)) {
     text << " " << address;
   }
   text << "\n"
@@ -204,6 +206,25 @@
   return "";
 }
 
+// Utilization is known of hosts of the own failure domain only, as reports of
+// other domains carry just the load step.
+std::string OperatorService::LoadText(const HostInfo& host) {
+  if (!host.capacity.IsStated()) {
+    return "";
+  }
+  std::ostringstream text;
+  text << ", " << host.capacity.cpu_cores << " cores, " << host.link_mbps
+       << " Mbit/s";
+  if (host.utilization > 0) {
+    constexpr double kPercent = 100;
+    text << ", " << std::lround(host.utilization * kPercent) << "% in use";
+  }
+  if (host.load_step > 0) {
+    text << ", named to " << LoadShare(host.load_step) << " of its callers";
+  }
+  return text.str();
+}
+
 std::string OperatorService::ShowHosts() const {
   const Time now = BootClock::now();
   std::ostringstream text;
@@ -215,7 +236,8 @@
     text << host->info.name << ": in " << host->info.domain << ", "
          << (state_.hosts.IsAlive(*host, now) ? "alive" : "silent")
          << (host->info.leaving ? ", leaving" : "")
-         << (host->info.isolated ? ", upstreams out of reach" : "");
+         << (host->info.isolated ? ", upstreams out of reach" : "")
+         << LoadText(host->info);
     if (host->has_heartbeat) {
       text << ", heard " << AgeText(host->last_seen, now)
            << ", routes at version " << host->versions.config
--- a/src/pathcleat/records/startup_loader.cpp
+++ b/src/pathcleat/records/startup_loader.cpp
@@ -1,10 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/records/startup_loader.hpp"
 
-#include <cereal/types/string.hpp>
 #include <utility>
 
-#include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/fleet/capacity_codec.hpp"
 
 namespace pathcleat {
 namespace {
@@ -35,7 +34,7 @@
 
 void StartupLoader::WriteOwnRow() {
   const HostInfo& self = hosts_.self();
-  store_.Overwrite(kHostPrefix + self.name, EncodeBinary(self),
+  store_.Overwrite(kHostPrefix + self.name, EncodeHostRow(self),
                    [this](const TableWriteResult& write) {
                      own_row_written_ = write.outcome == StoreOutcome::kDone;
                      Read(kFirstKey);
@@ -50,7 +49,7 @@
 void StartupLoader::HandleRow(const TableRow& row) {
   if (!row.key.starts_with(kHostPrefix)) {
     on_row_(row);
-  } else if (const auto host = DecodeBinary<HostInfo>(row.value)) {
+  } else if (const auto host = DecodeHostRow(row.value)) {
     hosts_.OnStoreRow(*host, BootClock::now());
   }
 }
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -122,6 +122,20 @@
   return link >= kLinkMbps.low && link <= kLinkMbps.high ? link : fallback;
 }
 
+// Processor cores that the host may use: the machine's cores times the host's
+// share of them. One of the two counts as 1 if only the other is given; the
+// result is 0 if both are missing.
+double ReadCpuCores(JsonReader& reader) {
+  constexpr Bounds kCores{0, 1'024};
+  constexpr double kMissing = -1;
+  const double cores = reader.NumberOr("cpu_cores", kCores, kMissing);
+  const double share = reader.NumberOr("cpu_share", kCores, kMissing);
+  if (cores == kMissing && share == kMissing) {
+    return 0;
+  }
+  return (cores == kMissing ? 1 : cores) * (share == kMissing ? 1 : share);
+}
+
 TransferCosts ReadCosts(JsonReader& reader) {
   TransferCosts costs;
   costs.between_domains = reader.NumberOr("between_domains", kCount, 0);
@@ -180,6 +194,9 @@
     CheckAddress(r, "address", out.store_address);
   });
   out.link_mbps = LinkMbpsOr(reader, out.link_mbps);
+  out.cpu_cores = ReadCpuCores(reader);
+  out.max_descriptors = static_cast<std::uint32_t>(
+      reader.IntegerOr("max_descriptors", kCount, 0));
   reader.ReadNested("bounds",
                     [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
   reader.ReadNested("gigabyte_costs", [&out](JsonReader& r) {
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -210,6 +210,37 @@
   cr_assert_float_eq(LinkMbpsWith("\"link_mbps\": 1e30, "), default_mbps, 0.01);
 }
 
+EntrySettings WithCapacity(const std::string& capacity) {
+  const ExampleCopy copy("race_results");
+  copy.Replace(kHostFile, "\"links\":", capacity + "\"links\":");
+  const LoadedEntrySettings loaded = LoadEntrySettings(copy.HostFile(kHost));
+  cr_assert(loaded.faults.empty());
+  return loaded.settings;
+}
+
+// Guards against hosts of deployments without these settings that count as
+// small ones.
+Test(settings, capacity_is_stated_only_where_settings_give_it) {
+  const EntrySettings none = WithCapacity("");
+  cr_assert_float_eq(none.cpu_cores, 0, 1e-9);
+  cr_assert_eq(none.max_descriptors, 0U);
+  const EntrySettings all = WithCapacity(
+      "\"cpu_cores\": 4, \"cpu_share\": 0.125, \"max_descriptors\": 8192, ");
+  cr_assert_float_eq(all.cpu_cores, 0.5, 1e-9);
+  cr_assert_eq(all.max_descriptors, 8'192U);
+  cr_assert_float_eq(WithCapacity("\"cpu_share\": 0.1, ").cpu_cores, 0.1, 1e-9);
+  cr_assert_float_eq(WithCapacity("\"cpu_cores\": 2, ").cpu_cores, 2, 1e-9);
+}
+
+// Guards against a capacity that is read as a number that no host has.
+Test(settings, capacity_out_of_range_is_a_fault) {
+  const ExampleCopy copy("race_results");
+  copy.Replace(kHostFile, "\"links\":",
+               "\"cpu_cores\": -1, \"max_descriptors\": -5, \"links\":");
+  const LoadedEntrySettings loaded = LoadEntrySettings(copy.HostFile(kHost));
+  cr_assert_eq(loaded.faults.size(), 2U);
+}
+
 LoadedEntrySettings WithBounds(const std::string& bounds) {
   const ExampleCopy copy("race_results");
   copy.Replace(kHostFile,
