Requests without a key are spread by the regions' shares where regions are uneven

Cause: all hosts of a region rank upstreams alike for requests without a key and hear from each rarely, so they choose the same ones.

Requests with a key: the choice stays.

Acts only where a region has more than twice the slots for each host of another. The new test of the picker chooses one upstream for 40 hosts in even regions, as before the change. pathcleat-lab uneven prints the tables.

--- a/include/pathcleat/lab/routing_model.hpp
+++ b/include/pathcleat/lab/routing_model.hpp
@@ -12,7 +12,10 @@
 /// @brief How the hosts of the routing model choose an upstream.
 /// @ingroup lab
 enum class RoutingModelPolicy {
-  kPicker,          ///< UpstreamPicker, as entry hosts do
+  kPicker,  ///< UpstreamPicker, as entry hosts do
+  /// Of the three best upstreams by UpstreamPicker, one by shares that fall
+  /// with the expected latency.
+  kWeightedShares,
   kPickerNoKey,     ///< UpstreamPicker without affinity keys
   kRandomInRegion,  ///< a random upstream of the host's region
   /// All slots of all regions serve one unbounded queue without network delay:
@@ -33,6 +36,16 @@
   int regions = 3;
   int hosts_in_region = 3;
   int upstreams_in_region = 8;
+  /// By region; empty: upstreams_in_region in each.
+  std::vector<int> upstreams_by_region;
+  /// Of the hosts of a region, this many get `large_host_weight` times the
+  /// requests of another one.
+  int large_hosts_in_region = 0;
+  double large_host_weight = 1;
+  /// Load reports arrive up to this much later than the answers.
+  Duration max_report_delay{0};
+  /// Decay of the weights of kWeightedShares, as a share of the target latency.
+  double share_spread = 0.25;
   int slots = 3;
   int queue_capacity = 9;
   int keys = 120;
@@ -64,6 +77,9 @@
   double p50_ms = 0;  ///< latency of answered requests
   double p99_ms = 0;
   double other_region_share = 0;  ///< share run outside the caller's region
+  /// Requests that wait although a slot of another upstream of the same region
+  /// is free, as a share of all requests at upstreams: the extent of herding.
+  double misplaced_share = 0;
 
   double InTargetShare() const {
     return offered == 0 ? 0 : static_cast<double>(in_target) / offered;
@@ -79,4 +95,11 @@
 /// @ingroup lab
 std::string MeasureRouting(int seeds);
 
+/// @brief Compares the policies in a fleet like that of
+/// docs/design/new-customers.md: a region has a third of the demand and a tenth
+/// of the upstreams, and load reports are up to a second old. Returns a
+/// Markdown table of medians over the seeds 1 to `seeds`.
+/// @ingroup lab
+std::string MeasureUnevenRouting(int seeds);
+
 }  // namespace pathcleat
--- a/include/pathcleat/routing/region_shares.hpp
+++ b/include/pathcleat/routing/region_shares.hpp
@@ -40,6 +40,10 @@
   /// region's own slots can serve, in [0, 1].
   double HomeShare() const { return home_share_; }
 
+  /// @brief Whether one region has more than twice as many slots for each host
+  /// as another one that has slots and hosts.
+  bool IsUneven() const { return is_uneven_; }
+
   /// @brief Weight of an upstream for keys of this host's region.
   double WeightOf(const UpstreamState& upstream) const;
 
@@ -51,6 +55,7 @@
   std::string own_region_;
   bool prefers_home_;
   double home_share_ = 1;
+  bool is_uneven_ = false;
   std::map<std::string, double> weight_per_slot_;        ///< by region
   std::map<std::string, double> spill_weight_per_slot_;  ///< by region
 };
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -43,6 +43,7 @@
   pathcleat-lab settings DEPLOYMENT FOLDER
   pathcleat-lab token DEPLOYMENT
   pathcleat-lab measure [--seeds=N]
+  pathcleat-lab uneven [--seeds=N]
   pathcleat-lab returns [--seeds=N]
   pathcleat-lab quotas [--seeds=N]
   pathcleat-lab limits [--seeds=N]
@@ -58,6 +59,8 @@
   settings   Write the settings file of each entry host into the folder.
   token      Print the operators' token that lies in the store.
   measure    Compare routing policies in the model.
+  uneven     Compare routing policies in the model of a fleet whose regions
+             differ in upstreams.
   returns    What becomes of requests that are told to come back, in the model.
   quotas     How well ways to share an account's limit keep it, in the model.
   limits     How well ways to keep limits that upstreams name do, in the model.
@@ -255,6 +258,12 @@
   return kDone;
 }
 
+int RunUneven(const Arguments& arguments) {
+  std::cout << MeasureUnevenRouting(
+      static_cast<int>(arguments.at("--seeds").asLong()));
+  return kDone;
+}
+
 int RunReturns(const Arguments& arguments) {
   std::cout << MeasureCallerRetries(
       static_cast<int>(arguments.at("--seeds").asLong()));
@@ -295,6 +304,9 @@
   if (arguments.at("measure").asBool()) {
     return RunMeasure(arguments);
   }
+  if (arguments.at("uneven").asBool()) {
+    return RunUneven(arguments);
+  }
   if (arguments.at("backoffs").asBool()) {
     return RunBackoffs(arguments);
   }
--- a/src/pathcleat/lab/routing_model.cpp
+++ b/src/pathcleat/lab/routing_model.cpp
@@ -2,11 +2,14 @@
 #include "pathcleat/lab/routing_model.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <functional>
+#include <iomanip>
 #include <map>
 #include <memory>
 #include <random>
+#include <sstream>
 
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/lab/load_generator.hpp"
@@ -23,6 +26,12 @@
   return "region-" + std::to_string(region);
 }
 
+int UpstreamsIn(const RoutingModelPlan& plan, int region) {
+  return plan.upstreams_by_region.empty()
+             ? plan.upstreams_in_region
+             : plan.upstreams_by_region[static_cast<std::size_t>(region)];
+}
+
 struct ModelRequest {
   int region = 0;
   std::uint64_t key = 0;
@@ -133,7 +142,9 @@
 
   RoutingModelResult Run() {
     ScheduleArrival();
+    SampleQueues();
     scheduler_.Run();
+    result_.misplaced_share = misplaced_ / std::max(1.0, at_upstreams_);
     result_.p50_ms = Quantile(latency_ms_, 0.5);
     result_.p99_ms = Quantile(latency_ms_, 0.99);
     result_.other_region_share =
@@ -147,7 +158,7 @@
   void CreateFleet() {
     std::vector<UpstreamInfo> list;
     for (int r = 0; r < plan_.regions; ++r) {
-      for (int i = 0; i < plan_.upstreams_in_region; ++i) {
+      for (int i = 0; i < UpstreamsIn(plan_, r); ++i) {
         UpstreamInfo info;
         info.id = "upstream-" + std::to_string(r) + "-" + std::to_string(i);
         info.service = kService;
@@ -164,8 +175,45 @@
         for (const UpstreamInfo& upstream : list) {
           hosts_.back()->table.Put(upstream, scheduler_.now());
         }
+        if (!plan_.upstreams_by_region.empty()) {
+          hosts_.back()->picker.SetHostCounts(HostCounts());
+        }
       }
     }
+    for (int h = 0; h < plan_.hosts_in_region; ++h) {
+      const bool large = h < plan_.large_hosts_in_region;
+      host_weights_.push_back(large ? plan_.large_host_weight : 1);
+    }
+  }
+
+  std::map<std::string, int> HostCounts() const {
+    std::map<std::string, int> counts;
+    for (int r = 0; r < plan_.regions; ++r) {
+      counts[RegionName(r)] = plan_.hosts_in_region;
+    }
+    return counts;
+  }
+
+  // Counts requests that wait beside free slots of the same region.
+  void SampleQueues() {
+    constexpr Duration kSampleInterval{100'000};
+    std::map<std::string, LoadReport> regions;
+    for (const auto& [id, upstream] : upstreams_) {
+      const LoadReport report = upstream->Report();
+      LoadReport& sum = regions[id.substr(0, id.rfind('-'))];
+      sum.running += report.running;
+      sum.waiting += report.waiting;
+      sum.slots += report.slots;
+    }
+    if (scheduler_.now() - start_ >= plan_.warm_up) {
+      for (const auto& [region, sum] : regions) {
+        misplaced_ += std::min(sum.waiting, sum.slots - sum.running);
+        at_upstreams_ += sum.waiting + sum.running;
+      }
+    }
+    if (scheduler_.now() - start_ < plan_.duration) {
+      scheduler_.ScheduleAfter(kSampleInterval, [this] { SampleQueues(); });
+    }
   }
 
   void ScheduleArrival() {
@@ -197,19 +245,55 @@
       upstreams_.begin()->second->Offer(request);
       return;
     }
-    std::uniform_int_distribution<int> draw_host(0, plan_.hosts_in_region - 1);
-    const int host =
-        request.region * plan_.hosts_in_region + draw_host(random_);
+    const int host = request.region * plan_.hosts_in_region + DrawHost();
     Send(*hosts_[static_cast<std::size_t>(host)], request, counted);
   }
 
+  int DrawHost() {
+    if (plan_.large_hosts_in_region == 0) {
+      return std::uniform_int_distribution<int>(
+          0, plan_.hosts_in_region - 1)(random_);
+    }
+    return std::discrete_distribution<int>(host_weights_.begin(),
+                                           host_weights_.end())(random_);
+  }
+
+  // The picker's decision on admission, and then one of its best upstreams by
+  // weight.
+  Pick ChooseByShares(ModelHost& host, const PickRequest& request) {
+    constexpr std::size_t kChoices = 3;
+    Pick best = host.picker.Choose(request, scheduler_.now());
+    if (!best.upstream) {
+      return best;
+    }
+    std::vector<Pick> picks = host.picker.Explain(request, scheduler_.now());
+    picks.resize(std::min(picks.size(), kChoices));
+    const double spread =
+        ToMilliseconds(plan_.target_latency) * plan_.share_spread;
+    std::vector<double> weights;
+    for (const Pick& pick : picks) {
+      weights.push_back(std::exp(
+          -ToMilliseconds(pick.expected_latency - best.expected_latency) /
+          spread));
+    }
+    return picks[std::discrete_distribution<std::size_t>(
+        weights.begin(), weights.end())(random_)];
+  }
+
   Pick ChooseAt(ModelHost& host, const ModelRequest& request) {
     PickRequest pick_request;
     pick_request.route = &route_;
     pick_request.service = kService;
     pick_request.key = request.key;
-    pick_request.sticky = plan_.policy == RoutingModelPolicy::kPicker;
+    if (plan_.policy == RoutingModelPolicy::kPickerNoKey) {
+      pick_request.key = random_();
+    }
+    pick_request.sticky = plan_.policy == RoutingModelPolicy::kPicker ||
+                          plan_.policy == RoutingModelPolicy::kWeightedShares;
     pick_request.time_left = plan_.timeout;
+    if (plan_.policy == RoutingModelPolicy::kWeightedShares) {
+      return ChooseByShares(host, pick_request);
+    }
     if (plan_.policy != RoutingModelPolicy::kRandomInRegion) {
       return host.picker.Choose(pick_request, scheduler_.now());
     }
@@ -241,7 +325,7 @@
                            counted, other_region](bool ran) {
       const LoadReport report = target->Report();
       scheduler_.ScheduleAfter(one_way, [=, this, &host] {
-        pick.upstream->load.OnReport(report, scheduler_.now());
+        ReportLoad(pick.upstream, report);
         pick.upstream->load.OnEnded();
         if (!ran) {
           result_.rejected += counted ? 1 : 0;
@@ -266,6 +350,19 @@
     });
   }
 
+  void ReportLoad(const UpstreamPtr& upstream, const LoadReport& report) {
+    if (plan_.max_report_delay == Duration::zero()) {
+      upstream->load.OnReport(report, scheduler_.now());
+      return;
+    }
+    std::uniform_int_distribution<Duration::rep> delay(
+        0, plan_.max_report_delay.count());
+    scheduler_.ScheduleAfter(
+        Duration(delay(random_)), [this, upstream, report] {
+          upstream->load.OnReport(report, scheduler_.now());
+        });
+  }
+
   void Finish(const ModelRequest& request, bool counted, bool other_region) {
     if (!counted) {
       return;
@@ -287,6 +384,9 @@
   RoutingModelResult result_;
   std::vector<double> latency_ms_;
   int other_region_count_ = 0;
+  std::vector<double> host_weights_;  ///< of the hosts of a region
+  double misplaced_ = 0;
+  double at_upstreams_ = 0;
 };
 
 double Median(std::vector<double> values) {
@@ -299,6 +399,8 @@
   switch (policy) {
     case RoutingModelPolicy::kPicker:
       return "picker";
+    case RoutingModelPolicy::kWeightedShares:
+      return "weighted shares";
     case RoutingModelPolicy::kPickerNoKey:
       return "picker without keys";
     case RoutingModelPolicy::kRandomInRegion:
@@ -355,4 +457,85 @@
   return text;
 }
 
+namespace {
+
+RoutingModelPlan UnevenPlan(double rate, double large_host_weight) {
+  RoutingModelPlan plan;
+  plan.hosts_in_region = 26;
+  plan.large_hosts_in_region = 4;
+  plan.large_host_weight = large_host_weight;
+  plan.upstreams_by_region = {22, 97, 97};
+  plan.region_shares = {1, 1, 1};
+  plan.round_trip_between_regions = Duration(70'000);
+  plan.max_report_delay = Duration(1'000'000);
+  plan.keys = 1'080;
+  plan.requests_per_second = rate;
+  plan.duration = Duration(30'000'000);
+  return plan;
+}
+
+struct UnevenCase {
+  RoutingModelPolicy policy;
+  double share_spread;
+  double large_host_weight;
+};
+
+std::string UnevenRow(const UnevenCase& tried, double rate, int seeds) {
+  std::map<std::string, std::vector<double>> columns;
+  for (int seed = 1; seed <= seeds; ++seed) {
+    RoutingModelPlan plan = UnevenPlan(rate, tried.large_host_weight);
+    plan.policy = tried.policy;
+    plan.share_spread = tried.share_spread;
+    plan.seed = static_cast<std::uint64_t>(seed);
+    const RoutingModelResult result = RunRoutingModel(plan);
+    const double offered = std::max(1, result.offered);
+    columns["1 in target"].push_back(result.InTargetShare());
+    columns["2 p50"].push_back(result.p50_ms);
+    columns["3 p99"].push_back(result.p99_ms);
+    columns["4 refused"].push_back(result.refused / offered);
+    columns["5 rejected"].push_back(result.rejected / offered);
+    columns["6 other region"].push_back(result.other_region_share);
+    columns["7 misplaced"].push_back(result.misplaced_share);
+  }
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(3);
+  text << "| " << ToString(tried.policy);
+  if (tried.policy == RoutingModelPolicy::kWeightedShares) {
+    text << ", spread " << tried.share_spread;
+  }
+  text << " | " << tried.large_host_weight << " | " << static_cast<int>(rate);
+  for (const auto& [name, values] : columns) {
+    text << " | " << Median(values);
+  }
+  text << " |\n";
+  return text.str();
+}
+
+}  // namespace
+
+std::string MeasureUnevenRouting(int seeds) {
+  // Requests to a large host for each to a small one, without and with the
+  // choice of hosts by capacity.
+  constexpr double kAlike = 1;
+  constexpr double kByCapacity = 5;
+  std::string text =
+      "| policy | large host | requests/s | in target | p50 ms | p99 ms | "
+      "refused | turned away | other region | misplaced |\n"
+      "|---|---|---|---|---|---|---|---|---|---|\n";
+  for (const double rate : {300.0, 600.0, 900.0}) {
+    text += UnevenRow({RoutingModelPolicy::kPickerNoKey, 0, kByCapacity}, rate,
+                      seeds);
+  }
+  for (const double rate : {600.0, 1'100.0, 1'800.0, 2'600.0}) {
+    for (const UnevenCase& tried :
+         {UnevenCase{RoutingModelPolicy::kPicker, 0, kAlike},
+          UnevenCase{RoutingModelPolicy::kPicker, 0, kByCapacity},
+          UnevenCase{RoutingModelPolicy::kWeightedShares, 0.1, kByCapacity},
+          UnevenCase{RoutingModelPolicy::kWeightedShares, 0.25, kByCapacity}}) {
+      text += UnevenRow(tried, rate, seeds);
+    }
+  }
+  return text;
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/routing/region_shares.cpp
+++ b/src/pathcleat/routing/region_shares.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/routing/region_shares.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace pathcleat {
 namespace {
@@ -22,6 +23,21 @@
   return found == weights.end() ? 0 : found->second;
 }
 
+// Ratio of the slots for each host from which on regions count as uneven.
+constexpr double kUnevenRatio = 2;
+
+bool AreUneven(const std::map<std::string, RegionCapacity>& regions) {
+  double low = std::numeric_limits<double>::max();
+  double high = 0;
+  for (const auto& [name, capacity] : regions) {
+    if (capacity.slots > 0 && capacity.hosts > 0) {
+      low = std::min(low, capacity.slots / capacity.hosts);
+      high = std::max(high, capacity.slots / capacity.hosts);
+    }
+  }
+  return high > kUnevenRatio * low;
+}
+
 double UnpinnedSlots(const RegionCapacity& capacity) {
   return capacity.slots * (1 - capacity.pinned_share);
 }
@@ -33,6 +49,7 @@
 // to be equally busy.
 void RegionShares::Update(
     const std::map<std::string, RegionCapacity>& regions) {
+  is_uneven_ = AreUneven(regions);
   double slots = 0;
   double hosts = 0;
   for (const auto& [name, capacity] : regions) {
--- a/src/pathcleat/routing/region_shares_test.cpp
+++ b/src/pathcleat/routing/region_shares_test.cpp
@@ -45,6 +45,22 @@
   }));
 }
 
+// Guards against a changed choice where regions do not differ, or one is lost.
+Test(region_shares, uneven_means_twice_the_slots_for_each_host) {
+  const auto is_uneven =
+      [](const std::map<std::string, RegionCapacity>& regions) {
+        RegionShares shares("a", true);
+        shares.Update(regions);
+        return shares.IsUneven();
+      };
+  cr_assert(is_uneven({{"a", {66, 26}}, {"b", {291, 26}}, {"c", {291, 26}}}));
+  cr_assert_not(is_uneven({{"a", {60, 20}}, {"b", {120, 20}}}));
+  cr_assert_not(is_uneven({{"a", {60, 10}}, {"b", {180, 30}}}));
+  cr_assert_not(is_uneven({{"a", {60, 20}}, {"b", {0, 20}}}));
+  cr_assert_not(is_uneven({{"a", {60, 20}}, {"b", {60, 0}}}));
+  cr_assert_not(is_uneven({}));
+}
+
 // Guards against other callers being placed on slots that a pinned account
 // uses. An account restricted to the smallest region uses half of it: other
 // callers are placed as if the region had half of its slots. Fails with
--- a/src/pathcleat/routing/upstream_picker_test.cpp
+++ b/src/pathcleat/routing/upstream_picker_test.cpp
@@ -22,6 +22,31 @@
   }));
 }
 
+// Guards against hosts that all send requests without a key to the same
+// upstreams while their load reports are old. Without KeepNearestToKey for such
+// requests, 40 hosts choose one and the same upstream. With alike regions the
+// choice is as before.
+Test(upstream_picker, requests_without_key_are_spread_in_uneven_regions) {
+  for (const int hosts_in_south : {1, 10}) {
+    std::set<std::string> used;
+    for (int host = 0; host < 40; ++host) {
+      PickerFixture fixture;
+      fixture.picker().SetHostCounts(
+          {{"north", 10}, {"south", hosts_in_south}});
+      PickRequest request = fixture.Request(MixHashes(host, 7));
+      request.sticky = false;
+      const Pick pick = fixture.picker().Choose(request, kStart);
+      cr_assert(pick.upstream != nullptr);
+      used.insert(pick.upstream->info.id);
+    }
+    if (hosts_in_south == 1) {
+      cr_assert_geq(used.size(), 6U);
+    } else {
+      cr_assert_eq(used.size(), 1U);
+    }
+  }
+}
+
 // Guards against keys that spread over all upstreams under overload: they are
 // cold everywhere, which adds to the load. Fails with RankByKey in place of
 // KeepNearestToKey if TryAdmit is left out too; with it, requests are refused
