--- a/src/pathcleat/lab/routing_model.cpp
+++ b/src/pathcleat/lab/routing_model.cpp
@@ -271,6 +271,7 @@
     const double spread =
         ToMilliseconds(plan_.target_latency) * plan_.share_spread;
     std::vector<double> weights;
+    weights.reserve(picks.size());
     for (const Pick& pick : picks) {
       weights.push_back(std::exp(
           -ToMilliseconds(pick.expected_latency - best.expected_latency) /
