--- a/include/pathcleat/fleet/host_table.hpp
+++ b/include/pathcleat/fleet/host_table.hpp
@@ -107,6 +107,9 @@
   /// @brief Number of hosts alive now, this host included.
   int AliveCount(Time now) const;
 
+  /// @brief Whether a listed host states another capacity than this host.
+  bool HasUnlikeHosts() const;
+
   /// @brief Whether another living host that accepts callers has this
   /// configuration version, or a newer one, in force.
   bool OtherHasConfig(std::uint64_t version, Time now) const;
--- a/src/pathcleat/fleet/host_table.cpp
+++ b/src/pathcleat/fleet/host_table.cpp
@@ -200,6 +200,15 @@
   return count;
 }
 
+bool HostTable::HasUnlikeHosts() const {
+  return std::any_of(others_.begin(), others_.end(), [this](const auto& other) {
+    const HostInfo& info = other.second.info;
+    return info.capacity.cpu_cores != self_.capacity.cpu_cores ||
+           info.capacity.max_descriptors != self_.capacity.max_descriptors ||
+           info.link_mbps != self_.link_mbps;
+  });
+}
+
 bool HostTable::OtherHasConfig(std::uint64_t version, Time now) const {
   return std::any_of(others_.begin(), others_.end(),
                      [this, version, now](const auto& other) {
--- a/src/pathcleat/fleet/host_table_test.cpp
+++ b/src/pathcleat/fleet/host_table_test.cpp
@@ -249,5 +249,23 @@
   }));
 }
 
+// Guards against load steps in a fleet whose hosts are all alike, where callers
+// were to be spread evenly.
+Test(host_table, only_hosts_of_another_capacity_are_unlike) {
+  HostInfo self;
+  self.name = "a";
+  self.link_mbps = 10;
+  self.capacity.cpu_cores = 0.1;
+  HostTable table(self, kHeartbeatTimeout);
+  HostInfo other = self;
+  other.name = "b";
+  table.OnStoreRow(other, kStart);
+  cr_assert_not(table.HasUnlikeHosts());
+  other.name = "c";
+  other.capacity.cpu_cores = 0.5;
+  table.OnStoreRow(other, kStart);
+  cr_assert(table.HasUnlikeHosts());
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -449,9 +449,9 @@
 }
 
 // Measures how much of the host's capacity is in use, if its settings state the
-// processor cores. Links are not measured.
+// processor cores and hosts differ in capacity. Links are not measured.
 void Gateway::UpdateLoad(Time now) {
-  if (state_.settings.cpu_cores <= 0) {
+  if (state_.settings.cpu_cores <= 0 || !state_.hosts.HasUnlikeHosts()) {
     return;
   }
   double utilization = cpu_utilization_.Update(ProcessorTime(), now);
