--- a/src/pathcleat/steer/rollout_hold_test.cpp
+++ b/src/pathcleat/steer/rollout_hold_test.cpp
@@ -67,8 +67,8 @@
 }
 
 // Guards against rows of the command log that an earlier version of the program
-// has written and that can no longer be read, as the position of an operation in
-// ConfigOperation identifies it.
+// has written and that can no longer be read, as the position of an operation
+// in ConfigOperation identifies it.
 Test(rollout_hold, commands_written_before_holds_existed_are_read) {
   using EarlierOperation =
       std::variant<SetUpstreamDrain, SetRegionDrain, StartShift, StopShift,
