--- a/src/pathcleat/routing/upstream_picker.cpp
+++ b/src/pathcleat/routing/upstream_picker.cpp
@@ -293,18 +293,16 @@
   }
   KeepOnlyProbeTarget(candidates, request, now);
   const RegionShares& shares = SharesOf(request.service, now);
-  if (request.sticky && settings_.policy.IsEnabled(Mechanism::kKeyPlacement)) {
+  // Hosts know the loads only as of each upstream's last answer to them.
+  // Without a key, all hosts of a region would choose the same upstreams, and a
+  // region with few upstreams would be full while others have room. The key of
+  // such a request is a hash of its id, so in uneven regions this spreads the
+  // requests by the regions' shares.
+  const bool is_placed = request.sticky || shares.IsUneven();
+  if (is_placed && settings_.policy.IsEnabled(Mechanism::kKeyPlacement)) {
     KeepNearestToKey(candidates, request.key, shares);
   } else if (request.sticky) {
     RankByKey(candidates, request.key, shares);
-  } else if (shares.IsUneven() &&
-             settings_.policy.IsEnabled(Mechanism::kKeyPlacement)) {
-    // Hosts know the loads only as of each upstream's last answer to them.
-    // Without a key, all hosts of a region would choose the same upstreams, and
-    // a region with few upstreams would be full while others have room. The key
-    // of such a request is a hash of its id, so this spreads the requests by
-    // the regions' shares.
-    KeepNearestToKey(candidates, request.key, shares);
   }
   EstimateWarmth(candidates, request);
   ScoredPick best;
