Logs and metrics tell the stages of a late send apart

Between a leaving upstream's acknowledgement and a request that arrives there lie the list's way to the host, the wait for the event loop, the time from the choice to the first byte, and the bytes' way. Logs told the third for new connections alone.

- PC1111 tells whether the connection was kept; PC1120 tells when the answer began, the latest time at which the request can have arrived.
- PC1009 names a turn of the loop of 250 ms and more with its work; turns by work, the longest one and the lateness of the periodic timer are metrics.
- pathcleat_send_stage_seconds has a histogram for each of the other stages.
- PC1305 tells how long ago the leaving was learnt and the last request written; PC1318 tells that an upstream is listed again.
PC1305 is no longer written for an upstream that is not listed.

--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -71,6 +71,10 @@
   /// @brief Version of the newest change that this host has seen.
   std::uint64_t newest_change_version() const { return newest_change_version_; }
 
+  /// @brief How long other hosts had been known to have a newer version when
+  /// the last update arrived; empty if none had been.
+  std::optional<Duration> last_lag() const { return last_lag_; }
+
   /// @brief Time of the last answer, from the store or from another host.
   Time answered_at() const { return answered_at_; }
 
@@ -107,6 +111,7 @@
   int failures_ = 0;
   std::uint64_t generation_ = 0;  ///< callbacks of older calls are ignored
   std::optional<Time> behind_since_;
+  std::optional<Duration> last_lag_;
   Time last_restart_;  ///< when a watch last counted as dead
   Time watch_started_at_;
   Time answered_at_;
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -108,7 +108,9 @@
   std::size_t CountRemoved(const SourceUpdate& update) const;
   void OnUpstreamRemoved(const std::string& id, bool may_be_relisted, Time now);
   void LimitLapseDeadlines(Time until);
-  void RecordListEvent(EventCode code, const std::string& upstream);
+  void RecordListEvent(EventCode code,
+                       const std::string& upstream,
+                       EventFields more_fields);
   void OnStoreReachability(bool reached, SourceTopic topic);
   void RestartWatchIfOlder(SourceTopic topic, Time since);
   void OnAccessChanged();
@@ -126,6 +128,7 @@
   Transfer last_list_transfer_;  ///< of the last upstream list update
   /// Whether a fetch from another host is in flight, by topic.
   std::map<SourceTopic, bool> is_fetching_;
+  std::map<std::string, Time> gone_at_;  ///< by id of a removed upstream
   bool started_ = false;
   bool store_lost_ = false;
   Time store_failed_at_;  ///< when a call to the store last failed
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -132,6 +132,7 @@
   LoadStepControl load_steps_;
   std::size_t max_caller_connections_ = 0;  ///< 0: no limit
   boost::asio::steady_timer tick_timer_;
+  Time tick_due_at_;  ///< when the next tick is due
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
   Time shifts_advanced_at_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include "pathcleat/calls/shutdown_schedule.hpp"
 #include "pathcleat/calls/unknown_headers.hpp"
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/core/loop_turns.hpp"
 #include "pathcleat/crashes/crash_tracker.hpp"
 #include "pathcleat/fleet/host_table.hpp"
 #include "pathcleat/fleet/locate_directory.hpp"
@@ -37,6 +38,7 @@
 #include "pathcleat/telemetry/account_stats.hpp"
 #include "pathcleat/telemetry/metrics.hpp"
 #include "pathcleat/telemetry/request_log.hpp"
+#include "pathcleat/telemetry/send_stages.hpp"
 #include "pathcleat/telemetry/trace_store.hpp"
 #include "pathcleat/telemetry/version_stats.hpp"
 
@@ -132,6 +134,8 @@
   TraceStore traces;
   RequestLog request_log;
   Metrics metrics;
+  LoopTurns loop_turns;
+  SendStages send_stages;
   VersionStats version_stats;
   PeerTraffic peer_traffic;
   std::map<std::string, RetryBudget> retry_budgets;  ///< by service
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -6,6 +6,7 @@
 
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
 namespace pathcleat {
@@ -47,11 +48,17 @@
   /// and the rule by which it was chosen are included.
   /// @param versions rule of the choice; null: any version.
   /// @param attempt number of the attempt, counted from 1.
+  /// @param kept whether the connection was already open.
   void NoteSent(const Pick& pick,
                 const VersionRulePtr& versions,
                 int attempt,
+                bool kept,
                 Time now);
 
+  /// @brief Notes when an upstream's answer began, which is the latest time at
+  /// which the request can have arrived there.
+  void NoteAnswerBegun(const std::string& upstream, const CallResult& result);
+
   /// @brief Notes that the connection to the upstream has opened.
   /// @param elapsed time since the upstream was picked.
   void NoteOpened(const std::string& upstream, Duration elapsed);
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -58,6 +58,9 @@
   /// picked for it earlier.
   SendBlock BlockBeforeSending(Time now);
 
+  /// @brief Whether the attempt uses a connection that was already open.
+  bool IsOnKeptConnection() const { return idle_time_.has_value(); }
+
   /// @brief Whether an exchange with an upstream is in flight.
   bool IsInFlight() const { return client_ != nullptr; }
 
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -36,6 +36,11 @@
   std::string detail;                ///< cause of any outcome but kAnswered
   std::uint64_t received_bytes = 0;  ///< bytes of answers, with headers
   Duration transfer_time{0};  ///< from the first received byte to the end
+  /// From Send to the first byte written; zero on a connection that was open.
+  Duration send_delay{0};
+  /// From the first byte written to the first received byte; zero if no byte
+  /// was received.
+  Duration answer_delay{0};
   /// The request failed because the peer neither sent bytes nor closed:
   /// `first_byte` or `progress` expired, or TCP got no acknowledgement. Not set
   /// if the total time ran out.
@@ -220,6 +225,8 @@
   Time idle_since_;
   std::uint64_t received_bytes_ = 0;  ///< since the request was sent
   Time first_byte_;                   ///< time of the first received byte
+  Time send_called_at_;               ///< when the current request was given
+  Time write_started_at_;             ///< when its first byte was written
   Duration keep_alive_timeout_{0};
   std::uint64_t timer_generation_ = 0;
   int mismatched_responses_ = 0;  ///< dropped since the request was sent
--- a/include/pathcleat/routing/upstream.hpp
+++ b/include/pathcleat/routing/upstream.hpp
@@ -57,6 +57,10 @@
   /// entry is missing.
   std::optional<Time> lapse_deadline;
   Time open_from;  ///< time before which the upstream gets no requests
+  /// When this host learnt that the upstream leaves.
+  std::optional<Time> leaving_known_at;
+  /// When this host last began to write a request to the upstream.
+  std::optional<Time> last_write_at;
   /// Whether the upstream is no longer listed; its requests in flight continue.
   bool removed = false;
 
--- a/include/pathcleat/routing/upstream_table.hpp
+++ b/include/pathcleat/routing/upstream_table.hpp
@@ -53,6 +53,10 @@
   /// @return whether the upstream has restarted.
   bool Put(const UpstreamInfo& entry, Time now);
 
+  /// @brief Records when this host first learnt, from any source, that an
+  /// upstream leaves.
+  void NoteLeavingKnown(const std::string& id, Time now);
+
   /// @brief Removes an entry; its upstream gets no new requests.
   void Remove(const std::string& id);
 
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -151,6 +151,8 @@
   version_ = std::max(version_, answer.version);
   newest_change_version_ =
       std::max(newest_change_version_, answer.newest_change_version);
+  last_lag_ = behind_since_ ? std::optional(BootClock::now() - *behind_since_)
+                            : std::nullopt;
   behind_since_.reset();
   if (is_full) {
     loaded_ = true;
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -25,6 +25,8 @@
 // the same time. If less than this share of the listed upstreams is removed at
 // once, these upstreams have really left.
 constexpr double kMinLapseShare = 0.25;
+// How long a removed upstream is remembered, to report that it is listed again.
+constexpr Duration kGoneTtl = std::chrono::minutes(5);
 
 std::uint32_t ToWholeMilliseconds(Duration age) {
   constexpr double kMaxMilliseconds = std::numeric_limits<std::uint32_t>::max();
@@ -241,7 +243,12 @@
 }
 
 void FleetSync::OnUpstreams(const SourceUpdate& update) {
+  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kUpstreamList,
+                           update.transfer.decode_time);
   const Time now = BootClock::now();
+  if (const auto behind = upstreams_watcher_.last_lag()) {
+    state_.send_stages.Add(SendStage::kListBehind, *behind);
+  }
   const bool may_be_relisted = MayBeRelisted(update, now);
   last_list_transfer_ = update.transfer;
   if (update.relayed && !update.removals_uncertain) {
@@ -287,12 +294,19 @@
     return;
   }
   const bool restarted = state_.upstreams.Put(upstream, now);
+  const auto gone = gone_at_.find(upstream.id);
+  if (gone != gone_at_.end()) {
+    RecordListEvent(EventCode::kUpstreamRelisted, upstream.id,
+                    {MillisecondsField(field::kElapsedMs, now - gone->second)});
+    gone_at_.erase(gone);
+  }
   if (restarted) {
     state_.connection_pool.CloseConnections(upstream.id);
   }
   if (upstream.leaving) {
     state_.connection_pool.CloseConnections(upstream.id);
-    RecordListEvent(EventCode::kUpstreamLeaving, upstream.id);
+    state_.upstreams.NoteLeavingKnown(upstream.id, now);
+    RecordListEvent(EventCode::kUpstreamLeaving, upstream.id, {});
   }
 }
 
@@ -339,22 +353,41 @@
   if (may_be_relisted && state_.upstreams.Lapse(id, lapse_deadline)) {
     return;
   }
+  const UpstreamPtr upstream = state_.upstreams.Find(id);
+  if (!upstream) {
+    return;
+  }
   state_.upstreams.Remove(id);
   state_.connection_pool.CloseConnections(id);
-  RecordListEvent(EventCode::kUpstreamGone, id);
+  gone_at_[id] = now;
+  EventFields fields;
+  if (upstream->leaving_known_at) {
+    fields.push_back(
+        MillisecondsField(field::kKnownMs, now - *upstream->leaving_known_at));
+  }
+  if (upstream->last_write_at) {
+    fields.push_back(
+        MillisecondsField(field::kLastSendMs, now - *upstream->last_write_at));
+  }
+  RecordListEvent(EventCode::kUpstreamGone, id, std::move(fields));
 }
 
-void FleetSync::RecordListEvent(EventCode code, const std::string& upstream) {
-  state_.events.Record(
-      code, upstream, "",
-      {IntegerField(field::kListVersion, upstreams_watcher_.version()),
-       {field::kFrom, last_list_transfer_.from},
-       IntegerField(field::kBytes, last_list_transfer_.bytes),
-       MillisecondsField(field::kTransferMs,
-                         last_list_transfer_.transfer_time)});
+void FleetSync::RecordListEvent(EventCode code,
+                                const std::string& upstream,
+                                EventFields more_fields) {
+  EventFields fields = {
+      IntegerField(field::kListVersion, upstreams_watcher_.version()),
+      {field::kFrom, last_list_transfer_.from},
+      IntegerField(field::kBytes, last_list_transfer_.bytes),
+      MillisecondsField(field::kTransferMs, last_list_transfer_.transfer_time)};
+  fields.insert(fields.end(), more_fields.begin(), more_fields.end());
+  state_.events.Record(code, upstream, "", std::move(fields));
 }
 
 void FleetSync::Tick(Time now) {
+  std::erase_if(gone_at_, [now](const auto& entry) {
+    return now - entry.second > kGoneTtl;
+  });
   for (const UpstreamPtr& upstream : state_.upstreams.LapsedUpstreams()) {
     if (now >= *upstream->lapse_deadline) {
       OnUpstreamRemoved(upstream->info.id, false, now);
--- a/src/pathcleat/gateway/fleet_sync_orders.cpp
+++ b/src/pathcleat/gateway/fleet_sync_orders.cpp
@@ -32,6 +32,8 @@
 }
 
 void FleetSync::OnOrders(const SourceUpdate& update) {
+  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kConfig,
+                           update.transfer.decode_time);
   for (const FleetChange& change : update.changes) {
     if (const auto* config = std::get_if<RoutingConfig>(&change)) {
       ApplyConfig(*config, update.transfer);
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -365,6 +365,7 @@
 }
 
 void Gateway::HandleCaller(const HttpExchangePtr& exchange) {
+  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kRequest);
   HandleStall(BootClock::now());
   if (!fleet_sync_.IsLoaded()) {
     exchange->Respond(
@@ -464,6 +465,7 @@
 }
 
 void Gateway::Tick() {
+  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kTick);
   const Time now = BootClock::now();
   HandleStall(now);
   UpdateLoad(now);
@@ -495,9 +497,11 @@
   state_.TickCrashes(now);
   state_.connection_pool.CloseIdle(now);
   state_.forwards.connections.CloseIdle(now);
+  tick_due_at_ = BootClock::now() + kTickInterval;
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
+      state_.loop_turns.AddDelay(BootClock::now() - tick_due_at_);
       Tick();
     }
   });
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -111,6 +111,11 @@
       [this](const UpstreamState& upstream, const LeavingStatement& statement) {
         OnLeavingChange(upstream, statement);
       });
+  loop_turns.SetOnSlow([this](LoopTask task, Duration duration) {
+    events.Record(EventCode::kLoopSlow, settings.host, "",
+                  {{field::kTask, ToString(task)},
+                   MillisecondsField(field::kElapsedMs, duration)});
+  });
   crashes.SetOnBlockChange([this](const CrashBlockChange& change) {
     events.Record(change.blocked ? EventCode::kRequestBlocked
                                  : EventCode::kRequestUnblocked,
@@ -277,15 +282,16 @@
 
 void GatewayState::OnLeavingChange(const UpstreamState& upstream,
                                    const LeavingStatement& statement) {
+  const Time now = BootClock::now();
   if (statement.leaving) {
     connection_pool.CloseConnections(upstream.info.id);
+    upstreams.NoteLeavingKnown(upstream.info.id, now);
   }
   events.Record(statement.leaving ? EventCode::kUpstreamAnnouncedLeaving
                                   : EventCode::kUpstreamLeavingRevoked,
                 upstream.info.id, "",
                 {{field::kFrom, statement.host},
-                 MillisecondsField(field::kAgeMs,
-                                   BootClock::now() - statement.stated_at)});
+                 MillisecondsField(field::kAgeMs, now - statement.stated_at)});
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -312,6 +312,36 @@
   }
 }
 
+void AddSendStages(Page& page, const SendStages& stages) {
+  page.Family("pathcleat_send_stage_seconds", "histogram",
+              "Stages between a change of the list and a request that goes by "
+              "it, by stage.");
+  for (const SendStage stage : kSendStages) {
+    page.Buckets("pathcleat_send_stage_seconds", {{"stage", ToString(stage)}},
+                 stages.Of(stage));
+  }
+}
+
+void AddLoopTurns(Page& page, const LoopTurns& turns) {
+  page.Family("pathcleat_loop_turn_seconds", "histogram",
+              "Turns of the event loop, by the work done.");
+  for (const LoopTask task : kLoopTasks) {
+    page.Buckets("pathcleat_loop_turn_seconds", {{"task", ToString(task)}},
+                 turns.Of(task));
+  }
+  page.Family("pathcleat_loop_longest_turn_seconds", "gauge",
+              "Longest turn so far, by the work done.");
+  for (const LoopTask task : kLoopTasks) {
+    page.Sample("pathcleat_loop_longest_turn_seconds",
+                {{"task", ToString(task)}},
+                std::chrono::duration<double>(turns.Longest(task)).count());
+  }
+  page.Family("pathcleat_loop_delay_seconds", "histogram",
+              "By how much the periodic timer fires too late.");
+  page.Buckets("pathcleat_loop_delay_seconds", {{"timer", "tick"}},
+               turns.delays());
+}
+
 void AddPeerTraffic(Page& page, const PeerTraffic& traffic) {
   page.Family("pathcleat_peer_bytes_sent_total", "counter",
               "Bytes sent to other hosts, by kind.");
@@ -386,6 +416,8 @@
   AddFleet(page, state, inputs.versions, now);
   AddLoad(page, state.hosts.self());
   AddFeeds(page, inputs, now);
+  AddSendStages(page, state.send_stages);
+  AddLoopTurns(page, state.loop_turns);
   AddPeerTraffic(page, state.peer_traffic);
   if (inputs.store_calls != nullptr) {
     AddStore(page, *inputs.store_calls);
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -229,8 +229,6 @@
     return;
   }
   const std::string& upstream = pick.upstream->info.id;
-  trace_.NoteSent(pick, pick_request_.versions,
-                  attempt_count_ + unsent_count_ + 1, BootClock::now());
   state_.metrics.OnSent(pick.expected_wait);
   pick_request_.excluded.insert(upstream);
   run_tracker_.OnSent();
@@ -243,10 +241,14 @@
       [self = shared_from_this()](const CallResult& result) {
         self->OnResult(result);
       });
+  trace_.NoteSent(pick, pick_request_.versions,
+                  attempt_count_ + unsent_count_ + 1,
+                  attempt_.IsOnKeptConnection(), attempt_.sent_at());
   StartFailoverTimer(FailoverTimeoutFor(pick.expected_latency, left));
 }
 
 void RequestHandler::OnResult(const CallResult& result) {
+  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kUpstreamAnswer);
   failover_timer_.cancel();
   const Pick pick = attempt_.pick();
   const Time sent = attempt_.sent_at();
@@ -281,6 +283,7 @@
   ++attempt_count_;
   const Time now = BootClock::now();
   UpstreamState& upstream = *pick.upstream;
+  trace_.NoteAnswerBegun(upstream.info.id, result);
   if (IsNotRun(state_.headers, result.response)) {
     run_tracker_.OnNotRun();
     if (result.response.status == http_status::kMisdirected) {
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -67,6 +67,7 @@
 void RequestTrace::NoteSent(const Pick& pick,
                             const VersionRulePtr& versions,
                             int attempt,
+                            bool kept,
                             Time now) {
   const UpstreamInfo& upstream = pick.upstream->info;
   EventFields fields = {
@@ -78,6 +79,7 @@
       MillisecondsField(field::kExpectedMs, pick.expected_latency),
       MillisecondsField(field::kWaitMs, pick.expected_wait),
       {field::kWarm, pick.warm},
+      {field::kKept, kept},
       IntegerField(field::kListVersion, state_.upstream_list_version),
       MillisecondsField(field::kListAgeMs,
                         now - state_.upstream_list_changed_at)};
@@ -90,6 +92,18 @@
   Note(EventCode::kRequestSent, std::move(fields));
 }
 
+void RequestTrace::NoteAnswerBegun(const std::string& upstream,
+                                   const CallResult& result) {
+  Note(EventCode::kAnswerBegun,
+       {{field::kUpstream, upstream},
+        MillisecondsField(field::kSendMs, result.send_delay),
+        MillisecondsField(field::kAnswerMs, result.answer_delay),
+        MillisecondsField(field::kTransferMs, result.transfer_time),
+        IntegerField(field::kListVersion, state_.upstream_list_version),
+        MillisecondsField(field::kListAgeMs,
+                          BootClock::now() - state_.upstream_list_changed_at)});
+}
+
 void RequestTrace::NoteOpened(const std::string& upstream, Duration elapsed) {
   Note(EventCode::kConnectionOpened,
        {{field::kUpstream, upstream},
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -71,7 +71,15 @@
                    ? std::optional(now - client_->idle_since())
                    : std::nullopt;
   connect_timeout_ = std::min(kConnectTimeout, timeouts.work_timeout);
-  client_->OnOpened(std::move(opened));
+  if (idle_time_) {
+    upstream.last_write_at = now;
+  }
+  client_->OnOpened([this, opened = std::move(opened), client = client_.get()] {
+    opened();
+    if (client_.get() == client) {
+      pick_.upstream->last_write_at = BootClock::now();
+    }
+  });
   client_->OnHead([this](const HttpResponse& head) {
     ApplyStatements(state_, {pick_.upstream, head, sent_at_, false});
   });
@@ -90,6 +98,10 @@
   const HttpClientPtr client = std::exchange(client_, nullptr);
   UpstreamState& upstream = *pick_.upstream;
   const bool answered = result.outcome == CallOutcome::kAnswered;
+  if (answered) {
+    state_.send_stages.Add(SendStage::kChoiceToSend, result.send_delay);
+    state_.send_stages.Add(SendStage::kSendToAnswer, result.answer_delay);
+  }
   RecordVersionOutcome(OutcomeOf(state_.headers, result));
   if (answered) {
     OnResponse(result.response);
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -69,7 +69,8 @@
   request_written_ = false;
   response_started_ = false;
   timeouts_ = timeouts;
-  total_deadline_ = BootClock::now() + timeouts.total;
+  send_called_at_ = BootClock::now();
+  total_deadline_ = send_called_at_ + timeouts.total;
   reused_ = connected_;
   connect_time_.reset();
   StartParser();
@@ -164,6 +165,7 @@
 }
 
 void HttpClient::Write() {
+  write_started_at_ = reused_ ? send_called_at_ : opened_at_;
   ArmDeadline();
   boost::asio::async_write(
       socket_, boost::asio::buffer(request_bytes_),
@@ -395,6 +397,8 @@
   result.received_bytes = received_bytes_;
   if (received_bytes_ > 0) {
     result.transfer_time = idle_since_ - first_byte_;
+    result.send_delay = write_started_at_ - send_called_at_;
+    result.answer_delay = first_byte_ - write_started_at_;
   }
   if (must_close_) {
     Close();
--- a/src/pathcleat/routing/upstream_table.cpp
+++ b/src/pathcleat/routing/upstream_table.cpp
@@ -93,6 +93,13 @@
   return restarted;
 }
 
+void UpstreamTable::NoteLeavingKnown(const std::string& id, Time now) {
+  const UpstreamPtr upstream = Find(id);
+  if (upstream && !upstream->leaving_known_at) {
+    upstream->leaving_known_at = now;
+  }
+}
+
 void UpstreamTable::TrackRateBound(const UpstreamPtr& upstream) {
   if (!upstream->is_rate_bound_candidate) {
     upstream->is_rate_bound_candidate = true;
