An entry removed and put again in one answer was never gone

One answer of the store's watch may hold the removal of an upstream's entry and its return. A host that watches the store applied both: it closed the upstream's connections, forgot its load, warmth and failures, and logged PC1305 for an upstream that served on. Hosts that follow another host get the outcome alone, so in the logs the list looked seconds late at all of them.

Only the last change of each upstream in an answer is applied now. Skipping the log line alone was ruled out: the connections would still be closed.

relay/entry_that_returns_in_the_same_answer_was_never_gone failed before (PC1305 logged) and passes now, as do the other 6 tests of relay and the 32 of feeds.

--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -103,6 +103,7 @@
   void OnDrains(const SourceUpdate& update);
   void OnRollouts(const SourceUpdate& update);
   void OnUpstreams(const SourceUpdate& update);
+  void ApplyUpstreams(const SourceUpdate& update);
   void OnUpstreamListed(const UpstreamInfo& upstream, Time now);
   bool MayBeRelisted(const SourceUpdate& update, Time now) const;
   std::size_t CountRemoved(const SourceUpdate& update) const;
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/feeds/latest_changes.hpp"
 #include "pathcleat/fleet/up_to_date_host.hpp"
 
 namespace pathcleat {
@@ -245,6 +246,16 @@
 void FleetSync::OnUpstreams(const SourceUpdate& update) {
   const LoopTurnTimer turn(state_.loop_turns, LoopTask::kUpstreamList,
                            update.transfer.decode_time);
+  if (update.is_full) {
+    ApplyUpstreams(update);
+    return;
+  }
+  SourceUpdate latest = update;
+  latest.changes = LatestChanges(update.changes);
+  ApplyUpstreams(latest);
+}
+
+void FleetSync::ApplyUpstreams(const SourceUpdate& update) {
   const Time now = BootClock::now();
   if (const auto behind = upstreams_watcher_.last_lag()) {
     state_.send_stages.Add(SendStage::kListBehind, *behind);
--- a/src/pathcleat/lab/relay_test.cpp
+++ b/src/pathcleat/lab/relay_test.cpp
@@ -193,6 +193,31 @@
   cr_assert_eq(cluster.Get(0, "r1").response.status, http_status::kUnavailable);
 }
 
+// Guards against a host that takes an entry for gone which was removed and put
+// again before the store answered the host's watch: the host closed the
+// upstream's connections, forgot what it had learnt of it and logged that it
+// had left.
+Test(relay, entry_that_returns_in_the_same_answer_was_never_gone) {
+  TestCluster cluster;
+  cluster.StartAll();
+  const std::string& id = cluster.upstream_info(0).id;
+  const UpstreamPtr before = cluster.host(0).state().upstreams.Find(id);
+  cr_assert_not_null(before);
+  // The watch pauses after a change, so the next answer holds both changes.
+  UpstreamInfo other = cluster.upstream_info(1);
+  other.leaving = true;
+  cluster.platform().PutUpstream(other);
+  cr_assert(cluster.Await(
+      [&] { return cluster.HasEvent(0, EventCode::kUpstreamLeaving); }));
+  cluster.platform().RemoveUpstream(id);
+  cluster.platform().PutUpstream(cluster.upstream_info(0));
+  const std::uint64_t version = cluster.host(0).Versions().upstreams;
+  cr_assert(cluster.Await(
+      [&] { return cluster.host(0).Versions().upstreams > version; }));
+  cr_assert_not(cluster.HasEvent(0, EventCode::kUpstreamGone));
+  cr_assert_eq(cluster.host(0).state().upstreams.Find(id), before);
+}
+
 // If only one upstream of many is missing after an outage of the store, the
 // upstream has left. Guards against a host that keeps it in case its entry
 // returns, and sends it a request 60 ms too late.
