A host whose event loop was late reads what lies ready before it chooses

What callers saw: requests reached an upstream seconds after it had said that it leaves. After a long turn of the event loop, requests and changes of the upstream list lie ready side by side, and the host answered the requests first, by the list as it had been when the turn began. Class: work is done in the order in which sockets became ready, whatever the age of what it rests on.

Ruled out: reading the feeds from inside a request (nested runs of the loop), a separate loop for the feeds (locks on all tables), and refusing the requests (they can be served a millisecond later). Answers of upstreams are passed on as before.

--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -84,6 +84,7 @@
 
   void HandleStall(Time now);
   bool IsTooFarBehind() const;
+  void RunWhenCaughtUp(std::function<void()> step);
   void HandleCaller(const HttpExchangePtr& exchange);
   void HandleForwarded(const HttpExchangePtr& exchange);
   std::string ReasonToDecline(const Route* route) const;
@@ -132,7 +133,6 @@
   LoadStepControl load_steps_;
   std::size_t max_caller_connections_ = 0;  ///< 0: no limit
   boost::asio::steady_timer tick_timer_;
-  Time tick_due_at_;  ///< when the next tick is due
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
   Time shifts_advanced_at_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include "pathcleat/calls/shutdown_schedule.hpp"
 #include "pathcleat/calls/unknown_headers.hpp"
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/core/loop_turns.hpp"
 #include "pathcleat/crashes/crash_tracker.hpp"
 #include "pathcleat/fleet/host_table.hpp"
@@ -91,6 +92,10 @@
   /// upstreams, and expires old crash records.
   void TickCrashes(Time now);
 
+  /// @brief Whether the event loop is so late that changes of the upstream list
+  /// may lie unread: see RunAfterPasses.
+  bool IsLoopLate(Time now) const { return now - tick_due_at >= kLateLoop; }
+
   /// @brief Updates each rollout with the versions of the listed upstreams and
   /// with the number of requests in flight at upstreams of other versions.
   void RefreshRollouts();
@@ -135,6 +140,7 @@
   RequestLog request_log;
   Metrics metrics;
   LoopTurns loop_turns;
+  Time tick_due_at = started_at;  ///< when the periodic work is due next
   SendStages send_stages;
   VersionStats version_stats;
   PeerTraffic peer_traffic;
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -98,6 +98,9 @@
   bool MayRetry();
   bool RetryRejected(const HttpResponse& response);
   void RetryOrGiveUp();
+  void AttemptWithKey();
+  void ChooseAgain();
+  void RunWhenCaughtUp(void (RequestHandler::*step)());
   void GiveUp(const Pick& next);
   bool MayForward() const;
   const HostEntry* ChooseForwardTarget() const;
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -201,6 +201,7 @@
   void Close();
   void StartParser();
 
+  boost::asio::io_context& loop_;
   boost::asio::ip::tcp::endpoint endpoint_;
   std::string local_address_;
   HttpLimits limits_;
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/calls/upstream_protocol.hpp"
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/gateway/hold_events.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_handler.hpp"
@@ -123,7 +124,9 @@
           [this](const TableRow& row) { OnTableRow(row); },
           [this] { OnRowsRead(); }),
       caller_server_(loop,
-                     [this](const HttpExchangePtr& e) { HandleCaller(e); }),
+                     [this](const HttpExchangePtr& e) {
+                       RunWhenCaughtUp([this, e] { HandleCaller(e); });
+                     }),
       readiness_server_(
           loop,
           [this](const HttpExchangePtr& e) { HandleReadiness(e); }),
@@ -138,8 +141,9 @@
       cpu_utilization_(settings.cpu_cores),
       tick_timer_(loop),
       stop_timer_(loop) {
-  fleet_sync_.SetForwardHandler(
-      [this](const HttpExchangePtr& e) { HandleForwarded(e); });
+  fleet_sync_.SetForwardHandler([this](const HttpExchangePtr& e) {
+    RunWhenCaughtUp([this, e] { HandleForwarded(e); });
+  });
   state_.reach.SetOnChange([this] { OnReachChange(); });
   state_.crashes.SetOnUpdate([this] { peer_link_.PublishCrashes(); });
   state_.upstream_statements.SetOnUpdate(
@@ -364,6 +368,17 @@
   return LatestRetryDelay(left, Duration::zero());
 }
 
+// After a long turn of the loop, requests and changes of the upstream list lie
+// ready side by side. The changes are read first: a request that went by the
+// old list could reach an upstream that has left.
+void Gateway::RunWhenCaughtUp(std::function<void()> step) {
+  if (!state_.IsLoopLate(BootClock::now())) {
+    step();
+    return;
+  }
+  RunAfterPasses(state_.loop, kCatchUpPasses, std::move(step));
+}
+
 void Gateway::HandleCaller(const HttpExchangePtr& exchange) {
   const LoopTurnTimer turn(state_.loop_turns, LoopTask::kRequest);
   HandleStall(BootClock::now());
@@ -497,11 +512,11 @@
   state_.TickCrashes(now);
   state_.connection_pool.CloseIdle(now);
   state_.forwards.connections.CloseIdle(now);
-  tick_due_at_ = BootClock::now() + kTickInterval;
+  state_.tick_due_at = BootClock::now() + kTickInterval;
   tick_timer_.expires_after(kTickInterval);
   tick_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      state_.loop_turns.AddDelay(BootClock::now() - tick_due_at_);
+      state_.loop_turns.AddDelay(BootClock::now() - state_.tick_due_at);
       Tick();
     }
   });
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -142,6 +142,10 @@
     Answer(decision.answer, decision.outcome);
     return;
   }
+  RunWhenCaughtUp(&RequestHandler::AttemptWithKey);
+}
+
+void RequestHandler::AttemptWithKey() {
   exchange_->CheckConnection();
   if (done_) {
     idempotency_guard_.RecordOutcome({}, RunOutcome::kNotRun);
@@ -150,6 +154,16 @@
   Attempt();
 }
 
+// A choice made while the loop is late would go by an old list.
+void RequestHandler::RunWhenCaughtUp(void (RequestHandler::*step)()) {
+  if (!state_.IsLoopLate(BootClock::now())) {
+    (this->*step)();
+    return;
+  }
+  RunAfterPasses(state_.loop, kCatchUpPasses,
+                 [self = shared_from_this(), step] { (self.get()->*step)(); });
+}
+
 Duration RequestHandler::RetryDelayFor(const Pick& next) {
   return next.upstream
              ? state_.picker.RetryDelay(pick_request_, next, BootClock::now())
@@ -398,6 +412,10 @@
 }
 
 void RequestHandler::RetryOrGiveUp() {
+  RunWhenCaughtUp(&RequestHandler::ChooseAgain);
+}
+
+void RequestHandler::ChooseAgain() {
   exchange_->CheckConnection();
   if (done_) {
     idempotency_guard_.RecordOutcome({}, RunOutcome::kNotRun);
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <utility>
 
+#include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/http/http_codec.hpp"
 
 namespace pathcleat {
@@ -51,7 +52,8 @@
 HttpClient::HttpClient(boost::asio::io_context& loop,
                        boost::asio::ip::tcp::endpoint endpoint,
                        const HttpLimits& limits)
-    : endpoint_(std::move(endpoint)),
+    : loop_(loop),
+      endpoint_(std::move(endpoint)),
       limits_(limits),
       socket_(loop),
       timer_(loop) {}
@@ -128,7 +130,16 @@
       self->Fail(CallOutcome::kNotSent, error.message());
       return;
     }
-    self->OnConnected(started_at);
+    if (BootClock::now() - started_at < kLateLoop) {
+      self->OnConnected(started_at);
+      return;
+    }
+    // Whoever decides once the connection is open must know what lies ready.
+    RunAfterPasses(self->loop_, kCatchUpPasses, [self, started_at] {
+      if (!self->closed_ && self->callback_) {
+        self->OnConnected(started_at);
+      }
+    });
   });
 }
 
