why tells the stages of each send

'pathcleat why' says for each send of a request when its host learnt that the upstream leaves, the longest turn of the host's loop around it, when the connection was open and by when the request had arrived, from the events that tell the stages. What the logs lack is said.

--- a/include/pathcleat/query/request_diagnosis.hpp
+++ b/include/pathcleat/query/request_diagnosis.hpp
@@ -38,7 +38,9 @@
 /// @brief Course of a request through the fleet, derived from logs alone.
 /// @ingroup query
 struct RequestDiagnosis {
-  std::vector<LogLine> lines;          ///< events of the request, by time
+  std::vector<LogLine> lines;  ///< events of the request, by time
+  /// The stages of each send of the request.
+  std::vector<std::string> send_stages;
   std::vector<DiagnosedCause> causes;  ///< root cause first
   std::vector<std::string> missing;    ///< gaps found in the logs
 };
--- a/src/pathcleat/query/request_diagnosis.cpp
+++ b/src/pathcleat/query/request_diagnosis.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "pathcleat/core/event_field.hpp"
+#include "pathcleat/query/send_stage_report.hpp"
 
 namespace pathcleat {
 namespace {
@@ -191,6 +192,7 @@
     if (line.name == "request-taken") {
       CheckStaleConfig(log, line, diagnosis);
     } else if (line.name == "request-sent") {
+      diagnosis.send_stages.push_back(DescribeSendStages(log, line));
       CheckLeavingUpstream(log, line, diagnosis);
     }
   }
@@ -214,6 +216,9 @@
     }
     text << "\n";
   }
+  for (const std::string& stages : diagnosis.send_stages) {
+    text << "stages: " << stages << "\n";
+  }
   for (const DiagnosedCause& cause : diagnosis.causes) {
     text << "cause: " << cause.explanation << "\n";
   }
