why tells whether a leaving was learnt before or after the choice

A host that had known of the leaving before it chose was told with a negative time after the choice. A test of the sentence comes with it; 11 tests of query pass.

--- a/src/pathcleat/query/send_stage_report.cpp
+++ b/src/pathcleat/query/send_stage_report.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/query/send_stage_report.hpp"
 
 #include <algorithm>
+#include <cstdlib>
 #include <set>
 #include <sstream>
 
@@ -49,9 +50,11 @@
          << MillisecondsBetween(*first, sent) << " ms before the choice; ";
     return;
   }
+  const std::int64_t after_choice = MillisecondsBetween(sent, *own);
   text << sent.host << " learnt that " << upstream << " leaves "
-       << MillisecondsBetween(*first, *own) << " ms after the first host and "
-       << MillisecondsBetween(sent, *own) << " ms after the choice; ";
+       << MillisecondsBetween(*first, *own) << " ms after the first host, "
+       << std::abs(after_choice) << " ms "
+       << (after_choice < 0 ? "before" : "after") << " the choice; ";
 }
 
 void DescribeLoop(const MergedLog& log,
--- a/src/pathcleat/query/send_stage_report_test.cpp
+++ b/src/pathcleat/query/send_stage_report_test.cpp
@@ -39,6 +39,16 @@
   cr_assert(Contains(text, "arrived at most 90 ms after"));
 }
 
+Test(send_stage_report, send_after_the_leaving_was_known_is_told) {
+  const std::string text = Explain(R"(
+{"time":"4000000.0","name":"upstream-leaving","host":"b","upstream":"u1"}
+{"time":"6000000.0","name":"request-sent","host":"b","request":"r","upstream":"u1","kept":true}
+)");
+  cr_assert(
+      Contains(text, "0 ms after the first host, 2000 ms before the choice"),
+      "%s", text.c_str());
+}
+
 Test(send_stage_report, what_the_logs_lack_is_said) {
   const std::string text = Explain(R"(
 {"time":"4000000.0","name":"upstream-leaving","host":"a","upstream":"u1"}
