--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -43,6 +43,18 @@
   return static_cast<int>(settings.region_of_domain.size());
 }
 
+// How long ago this host learnt that an upstream leaves, and last began to
+// write a request to it, as far as either happened.
+EventFields AgesOf(const UpstreamState& upstream, Time now) {
+  const auto age = [now](const char* name, const std::optional<Time>& at) {
+    return at ? EventFields{MillisecondsField(name, now - *at)} : EventFields();
+  };
+  EventFields ages = age(field::kKnownMs, upstream.leaving_known_at);
+  const EventFields last_send = age(field::kLastSendMs, upstream.last_write_at);
+  ages.insert(ages.end(), last_send.begin(), last_send.end());
+  return ages;
+}
+
 }  // namespace
 
 FleetSync::FleetSync(GatewayState& state,
@@ -371,16 +383,7 @@
   state_.upstreams.Remove(id);
   state_.connection_pool.CloseConnections(id);
   gone_at_[id] = now;
-  EventFields fields;
-  if (upstream->leaving_known_at) {
-    fields.push_back(
-        MillisecondsField(field::kKnownMs, now - *upstream->leaving_known_at));
-  }
-  if (upstream->last_write_at) {
-    fields.push_back(
-        MillisecondsField(field::kLastSendMs, now - *upstream->last_write_at));
-  }
-  RecordListEvent(EventCode::kUpstreamGone, id, std::move(fields));
+  RecordListEvent(EventCode::kUpstreamGone, id, AgesOf(*upstream, now));
 }
 
 void FleetSync::RecordListEvent(EventCode code,
