One function says which log lines tell that an upstream leaves

The report on the stages of a send listed the three events again that the diagnosis of a request already knew.

--- a/include/pathcleat/query/log_line.hpp
+++ b/include/pathcleat/query/log_line.hpp
@@ -28,6 +28,10 @@
   std::int64_t Number(const std::string& field) const;
 };
 
+/// @brief Whether a line says that an upstream leaves or is off the list.
+/// @ingroup query
+bool SaysUpstreamLeaves(const LogLine& line);
+
 /// @brief Merged log of several hosts.
 /// @ingroup query
 struct MergedLog {
--- a/src/pathcleat/query/log_line.cpp
+++ b/src/pathcleat/query/log_line.cpp
@@ -55,6 +55,12 @@
 
 }  // namespace
 
+bool SaysUpstreamLeaves(const LogLine& line) {
+  return line.name == "upstream-leaving" ||
+         line.name == "upstream-announced-leaving" ||
+         line.name == "upstream-gone";
+}
+
 std::string LogLine::Field(const std::string& field) const {
   const auto found = fields.find(field);
   return found == fields.end() ? std::string() : found->second;
--- a/src/pathcleat/query/request_diagnosis.cpp
+++ b/src/pathcleat/query/request_diagnosis.cpp
@@ -67,10 +67,7 @@
     if (line.time > sent.time) {
       return;
     }
-    const bool leaving = line.name == "upstream-leaving" ||
-                         line.name == "upstream-announced-leaving" ||
-                         line.name == "upstream-gone";
-    if (leaving && line.Field(field::kUpstream) == upstream) {
+    if (SaysUpstreamLeaves(line) && line.Field(field::kUpstream) == upstream) {
       std::ostringstream text;
       text << "sent to " << upstream << ", which " << line.host
            << " had known to be leaving for "
--- a/src/pathcleat/query/send_stage_report.cpp
+++ b/src/pathcleat/query/send_stage_report.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <set>
 #include <sstream>
 
 #include "pathcleat/core/event_field.hpp"
@@ -21,12 +20,6 @@
          kMicrosInMillisecond;
 }
 
-bool IsLeaving(const LogLine& line) {
-  static const std::set<std::string> names = {
-      "upstream-leaving", "upstream-announced-leaving", "upstream-gone"};
-  return names.contains(line.name);
-}
-
 void DescribeList(const MergedLog& log,
                   const LogLine& sent,
                   std::ostream& text) {
@@ -34,7 +27,7 @@
   const LogLine* first = nullptr;
   const LogLine* own = nullptr;
   for (const LogLine& line : log.lines) {
-    if (!IsLeaving(line) || line.Field(field::kUpstream) != upstream) {
+    if (!SaysUpstreamLeaves(line) || line.Field(field::kUpstream) != upstream) {
       continue;
     }
     first = first == nullptr ? &line : first;
