--- a/src/pathcleat/fleet/capacity_codec.cpp
+++ b/src/pathcleat/fleet/capacity_codec.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/core/fixed_number.hpp"
 
 namespace pathcleat {
 namespace {
@@ -15,25 +16,6 @@
 constexpr double kCoreUnits = 100;  // per core
 constexpr std::size_t kCapacityBytes =
     sizeof(std::uint16_t) + sizeof(std::uint32_t);
-constexpr unsigned kByteBits = 8;
-
-template <class Number>
-void AppendNumber(Number number, std::string& bytes) {
-  for (std::size_t i = 0; i < sizeof(Number); ++i) {
-    bytes += static_cast<char>((number >> (i * kByteBits)) & 0xffU);
-  }
-}
-
-template <class Number>
-Number TakeNumber(std::string_view& bytes) {
-  Number number = 0;
-  for (std::size_t i = 0; i < sizeof(Number); ++i) {
-    const auto byte = static_cast<unsigned char>(bytes[i]);
-    number = static_cast<Number>(number | Number{byte} << (i * kByteBits));
-  }
-  bytes.remove_prefix(sizeof(Number));
-  return number;
-}
 
 }  // namespace
 
--- a/src/pathcleat/fleet/domain_report.cpp
+++ b/src/pathcleat/fleet/domain_report.cpp
@@ -6,6 +6,7 @@
 #include <cereal/types/vector.hpp>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/core/fixed_number.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/fleet/capacity_codec.hpp"
 #include "pathcleat/fleet/load_step_control.hpp"
@@ -72,12 +73,6 @@
   }
 }
 
-bool TakeMark(char mark, std::string_view& bytes) {
-  const bool found = !bytes.empty() && bytes.front() == mark;
-  bytes.remove_prefix(found ? 1 : 0);
-  return found;
-}
-
 }  // namespace
 
 std::uint64_t IncarnationId(const HostInfo& host) {
--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -7,6 +7,7 @@
 #include <cmath>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/core/fixed_number.hpp"
 #include "pathcleat/fleet/capacity_codec.hpp"
 #include "pathcleat/fleet/load_step_control.hpp"
 
@@ -22,12 +23,6 @@
 constexpr char kCapacityMark = 'C';
 constexpr double kUtilizationUnits = 255;
 
-bool TakeMark(char mark, std::string_view& bytes) {
-  const bool found = !bytes.empty() && bytes.front() == mark;
-  bytes.remove_prefix(found ? 1 : 0);
-  return found;
-}
-
 void TakeLoad(std::string_view bytes, HostInfo& host) {
   constexpr std::size_t kLoadBytes = 2;
   HostCapacity capacity;
