Hosts tell each other how long ago the store last answered, by topic

Three explanations could not be told apart: the store took the watches and never answered; the connections died unseen; the answers came and waited.

Now each host counts the store's answers by themselves, tells their age in its heartbeats, and reports of a domain tell the youngest (4 bytes a heartbeat or group, after the message, so that hosts of the version before ignore them). The metrics page shows both: pathcleat_store_answer_age_seconds{topic,to}.

Ruled out: the age of the last watch, which says nothing of the store; a field inside the records, which hosts of the version before could not read.

--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -43,6 +43,9 @@
     return peer_watches_.contains(topic);
   }
 
+  /// @brief When the store last answered a call about a topic; empty if never.
+  std::optional<Time> StoreAnsweredAt(SourceTopic topic) const;
+
   /// @brief How this host gets changes now.
   StoreAccess store_access(Time now) const;
 
@@ -76,6 +79,7 @@
   /// By topic: the store answered the last call, and the topic still comes from
   /// the store.
   std::map<SourceTopic, bool> store_answers_;
+  std::map<SourceTopic, Time> store_answered_at_;
   /// Topics whose last watch at the store got no answer.
   std::set<SourceTopic> broken_watches_;
   /// By topic: since when this host has waited for other hosts to read the
--- a/include/pathcleat/fleet/domain_report.hpp
+++ b/include/pathcleat/fleet/domain_report.hpp
@@ -58,7 +58,8 @@
 };
 
 /// @brief Hosts of a failure domain that have the same versions in force.
-/// `versions.config_age_ms` is the largest configuration age among them.
+/// `versions.config_age_ms` is the largest configuration age among them,
+/// `versions.store_answer_ages` holds the smallest ages.
 /// @ingroup fleet
 struct MemberGroup {
   HostVersions versions;
@@ -93,8 +94,8 @@
 };
 
 /// @brief Encodes a report (cereal, portable binary). The capacities of
-/// `host_infos` and the load steps follow if a host states a capacity or has a
-/// load step; hosts of an older version ignore these bytes.
+/// `host_infos`, the load steps and the ages of the store's answers follow if
+/// there are any; hosts of an older version ignore these bytes.
 /// @ingroup fleet
 std::string EncodeDomainReport(const DomainReport& report);
 
--- a/include/pathcleat/fleet/host_versions.hpp
+++ b/include/pathcleat/fleet/host_versions.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "pathcleat/fleet/store_access.hpp"
+#include "pathcleat/fleet/store_answer_ages.hpp"
 
 namespace pathcleat {
 
@@ -16,6 +17,9 @@
   std::uint64_t upstreams = 0;  ///< version of the newest upstream change seen
   StoreAccess store_access = StoreAccess::kFollowingPeer;
   std::uint32_t config_age_ms = 0;  ///< time since `config` came into force
+  /// Encoded after the message that has the versions, as hosts of an older
+  /// version read the fields of `serialize` and ignore the bytes after them.
+  StoreAnswerAges store_answer_ages;
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -72,6 +72,16 @@
     return WatcherOf(topic).answered_at();
   }
 
+  /// @brief When the store last answered this host about a topic; empty if
+  /// never.
+  std::optional<Time> StoreAnsweredAt(SourceTopic topic) const {
+    return source_.StoreAnsweredAt(topic);
+  }
+
+  /// @brief When the store last answered any host of the fleet about a topic,
+  /// as far as this host has heard; empty if never.
+  std::optional<Time> FleetAnsweredAt(SourceTopic topic) const;
+
   /// @brief How far the configuration of this host is behind that of other
   /// hosts.
   const ConfigLag& config_lag() const { return config_lag_; }
@@ -114,6 +124,7 @@
                        EventFields more_fields);
   void OnStoreReachability(bool reached, SourceTopic topic);
   void RestartWatchIfOlder(SourceTopic topic, Time since);
+  void NotePeerAnswers(const HostVersions& versions, Time now);
   void OnAccessChanged();
 
   GatewayState& state_;
@@ -130,6 +141,8 @@
   /// Whether a fetch from another host is in flight, by topic.
   std::map<SourceTopic, bool> is_fetching_;
   std::map<std::string, Time> gone_at_;  ///< by id of a removed upstream
+  /// When the store last answered another host, by topic.
+  std::map<SourceTopic, Time> peers_answered_at_;
   bool started_ = false;
   bool store_lost_ = false;
   Time store_failed_at_;  ///< when a call to the store last failed
--- a/include/pathcleat/gateway/metrics_page.hpp
+++ b/include/pathcleat/gateway/metrics_page.hpp
@@ -1,7 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "pathcleat/core/log_class.hpp"
@@ -11,12 +13,21 @@
 
 namespace pathcleat {
 
+/// @brief How well this host is informed about one topic.
+/// @ingroup gateway
+struct FeedStatus {
+  Time received_at;  ///< last answer, from the store or from another host
+  /// Last answer of the store to this host; empty if never.
+  std::optional<Time> store_answered_at;
+  /// Last answer of the store to any host; empty if never.
+  std::optional<Time> fleet_answered_at;
+};
+
 /// @brief Inputs of the metrics page other than the state of the host.
 /// @ingroup gateway
 struct MetricsInputs {
   HostVersions versions;
-  /// Time of the last answer of the source, by topic.
-  std::map<SourceTopic, Time> feeds_received_at;
+  std::map<SourceTopic, FeedStatus> feeds;
   LogCounts dropped_log_lines{};
   const StoreCallStats* store_calls = nullptr;  ///< may be null
 };
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -19,6 +19,11 @@
   return answer;
 }
 
+bool IsAnswered(StoreOutcome outcome) {
+  return outcome == StoreOutcome::kDone ||
+         outcome == StoreOutcome::kHistoryGone;
+}
+
 }  // namespace
 
 RelayedSource::RelayedSource(FleetSource& store,
@@ -164,6 +169,9 @@
                                                        Callback callback) {
   return [this, topic, kind,
           callback = std::move(callback)](const SourceAnswer& answer) {
+    if (IsAnswered(answer.outcome)) {
+      store_answered_at_[topic] = BootClock::now();
+    }
     if (!IsFirstBrokenWatch(topic, kind, answer.outcome)) {
       RecordStoreOutcome(topic, answer.outcome);
     }
@@ -190,8 +198,7 @@
                                        StoreOutcome outcome) {
   const Time now = BootClock::now();
   const StoreAccess before = store_access(now);
-  const bool answered =
-      outcome == StoreOutcome::kDone || outcome == StoreOutcome::kHistoryGone;
+  const bool answered = IsAnswered(outcome);
   store_answers_[topic] = answered;
   if (answered) {
     store_failed_at_.reset();
@@ -213,6 +220,13 @@
   }
 }
 
+std::optional<Time> RelayedSource::StoreAnsweredAt(SourceTopic topic) const {
+  const auto answered_at = store_answered_at_.find(topic);
+  return answered_at == store_answered_at_.end()
+             ? std::nullopt
+             : std::optional(answered_at->second);
+}
+
 StoreAccess RelayedSource::store_access(Time now) const {
   if (store_failed_at_ && now - *store_failed_at_ < kStoreFailureTtl) {
     return StoreAccess::kFailing;
--- a/src/pathcleat/fleet/domain_report.cpp
+++ b/src/pathcleat/fleet/domain_report.cpp
@@ -21,6 +21,8 @@
 // each in the order of the report.
 constexpr char kCapacitiesMark = 'C';
 constexpr char kStepsMark = 'S';
+// Precedes the ages of the store's answers, in the order of the groups.
+constexpr char kAnswerAgesMark = 'A';
 
 void AppendCapacities(const DomainReport& report, std::string& bytes) {
   const auto& infos = report.host_infos;
@@ -57,20 +59,35 @@
   }
 }
 
-void TakeLoadSteps(std::string_view bytes, DomainReport& report) {
+void TakeLoadSteps(std::string_view& bytes, DomainReport& report) {
   std::size_t index = 0;
   for (MemberGroup& group : report.groups) {
     for (MemberObservation& member : group.members) {
       const std::size_t byte = index / kStepsPerByte;
       const std::size_t place = index++ % kStepsPerByte;
       if (byte >= bytes.size()) {
-        return;
+        break;
       }
       member.load_step = static_cast<std::uint8_t>(
           static_cast<unsigned char>(bytes[byte]) >> (place * kStepBits) &
           kMaxLoadStep);
     }
   }
+  const std::size_t used = (index + kStepsPerByte - 1) / kStepsPerByte;
+  bytes.remove_prefix(std::min(used, bytes.size()));
+}
+
+void AppendAnswerAges(const DomainReport& report, std::string& bytes) {
+  const auto& groups = report.groups;
+  if (std::none_of(groups.begin(), groups.end(), [](const MemberGroup& group) {
+        return group.versions.store_answer_ages.IsAnyKnown();
+      })) {
+    return;
+  }
+  bytes += kAnswerAgesMark;
+  for (const MemberGroup& group : groups) {
+    group.versions.store_answer_ages.AppendTo(bytes);
+  }
 }
 
 }  // namespace
@@ -83,6 +100,7 @@
   std::string bytes = EncodeBinary(report);
   AppendCapacities(report, bytes);
   AppendLoadSteps(report, bytes);
+  AppendAnswerAges(report, bytes);
   return bytes;
 }
 
@@ -101,6 +119,11 @@
   if (TakeMark(kStepsMark, rest)) {
     TakeLoadSteps(rest, *report);
   }
+  if (TakeMark(kAnswerAgesMark, rest)) {
+    for (MemberGroup& group : report->groups) {
+      group.versions.store_answer_ages.TakeFrom(rest);
+    }
+  }
   return report;
 }
 
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -73,6 +73,7 @@
     MemberGroup& group = reports_.back().groups[place->second];
     group.versions.config_age_ms =
         std::max(group.versions.config_age_ms, versions.config_age_ms);
+    group.versions.store_answer_ages.TakeYounger(versions.store_answer_ages);
     group.members.push_back(member);
   }
 
@@ -174,6 +175,7 @@
     const std::uint32_t age = Milliseconds(now - host->last_seen);
     HostVersions aged = host->versions;
     aged.config_age_ms += age;
+    aged.store_answer_ages.Advance(now - host->last_seen);
     packer.Add({IncarnationId(host->info), static_cast<std::uint16_t>(age),
                 host->info.leaving, host->info.isolated, host->info.load_step},
                aged);
--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -22,8 +22,10 @@
 // the last two. Absent if the host states no capacity.
 constexpr char kCapacityMark = 'C';
 constexpr double kUtilizationUnits = 255;
+// Precedes the ages of the store's answers. Absent if they are unknown.
+constexpr char kAnswerAgesMark = 'A';
 
-void TakeLoad(std::string_view bytes, HostInfo& host) {
+void TakeLoad(std::string_view& bytes, HostInfo& host) {
   constexpr std::size_t kLoadBytes = 2;
   HostCapacity capacity;
   if (!TakeCapacity(bytes, capacity) || bytes.size() < kLoadBytes) {
@@ -33,6 +35,7 @@
   host.utilization = static_cast<unsigned char>(bytes[0]) / kUtilizationUnits;
   host.load_step = std::min<std::uint8_t>(static_cast<unsigned char>(bytes[1]),
                                           kMaxLoadStep);
+  bytes.remove_prefix(kLoadBytes);
 }
 
 }  // namespace
@@ -50,6 +53,11 @@
     bytes += static_cast<char>(std::lround(used * kUtilizationUnits));
     bytes += static_cast<char>(host.load_step);
   }
+  const StoreAnswerAges& ages = heartbeat.versions.store_answer_ages;
+  if (ages.IsAnyKnown()) {
+    bytes += kAnswerAgesMark;
+    ages.AppendTo(bytes);
+  }
   return bytes;
 }
 
@@ -62,6 +70,9 @@
     if (TakeMark(kCapacityMark, rest)) {
       TakeLoad(rest, heartbeat->host);
     }
+    if (TakeMark(kAnswerAgesMark, rest)) {
+      heartbeat->versions.store_answer_ages.TakeFrom(rest);
+    }
   }
   return heartbeat;
 }
--- a/src/pathcleat/fleet/heartbeat_test.cpp
+++ b/src/pathcleat/fleet/heartbeat_test.cpp
@@ -193,5 +193,78 @@
   cr_assert_not(decoded->isolated);
 }
 
+// Guards against ages that are lost or read from the wrong place after the
+// other parts of a heartbeat, each of which may be missing.
+Test(heartbeat, tells_the_ages_of_the_stores_answers) {
+  for (const bool isolated : {false, true}) {
+    for (const bool states_capacity : {false, true}) {
+      Heartbeat heartbeat = MakeHeartbeat(isolated);
+      if (states_capacity) {
+        heartbeat = WithCapacity(heartbeat);
+      }
+      heartbeat.versions.store_answer_ages.Set(SourceTopic::kOrders,
+                                               Duration(1'234'000));
+      const auto decoded = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+      cr_assert(decoded.has_value());
+      cr_assert(decoded->versions.store_answer_ages ==
+                heartbeat.versions.store_answer_ages);
+      cr_assert_not(
+          decoded->versions.store_answer_ages.Of(SourceTopic::kUpstreams)
+              .has_value());
+      cr_assert_eq(decoded->host.isolated, isolated);
+      cr_assert_eq(decoded->host.capacity.IsStated(), states_capacity);
+    }
+  }
+}
+
+// Guards against a host of the version before that cannot read the heartbeat.
+Test(heartbeat, is_read_by_hosts_that_do_not_know_answer_ages) {
+  Heartbeat heartbeat = MakeHeartbeat(false);
+  heartbeat.versions.store_answer_ages.Set(SourceTopic::kOrders, Duration(0));
+  const auto by_older_host =
+      DecodeBinary<Heartbeat>(EncodeHeartbeat(heartbeat));
+  cr_assert(by_older_host.has_value());
+  cr_assert_eq(by_older_host->versions.config, 7U);
+}
+
+// The report of a domain states for each group the age of the youngest answer.
+Test(domain_report, tells_the_ages_of_the_stores_answers) {
+  for (const bool has_load_steps : {false, true}) {
+    DomainReport report;
+    for (const int seconds : {5, 2}) {
+      MemberGroup group;
+      group.versions.config = static_cast<std::uint64_t>(seconds);
+      group.versions.store_answer_ages.Set(SourceTopic::kUpstreams,
+                                           std::chrono::seconds(seconds));
+      group.members.resize(3);
+      group.members.front().load_step = has_load_steps ? 2 : 0;
+      report.groups.push_back(group);
+    }
+    const auto decoded = DecodeDomainReport(EncodeDomainReport(report));
+    cr_assert(decoded.has_value());
+    for (std::size_t i = 0; i < report.groups.size(); ++i) {
+      cr_assert(decoded->groups[i].versions.store_answer_ages ==
+                report.groups[i].versions.store_answer_ages);
+      cr_assert_eq(decoded->groups[i].members.front().load_step,
+                   report.groups[i].members.front().load_step);
+    }
+  }
+}
+
+Test(store_answer_ages, grow_with_time_and_keep_the_younger) {
+  StoreAnswerAges ages;
+  ages.Advance(Duration(1'000'000));
+  cr_assert_not(ages.IsAnyKnown());
+  ages.Set(SourceTopic::kOrders, Duration(400'000));
+  ages.Advance(Duration(200'000));
+  StoreAnswerAges younger;
+  younger.Set(SourceTopic::kOrders, Duration(100'000));
+  ages.TakeYounger(younger);
+  cr_assert_eq(ages.Of(SourceTopic::kOrders)->count(), 100'000);
+  cr_assert_not(ages.Of(SourceTopic::kUpstreams).has_value());
+  ages.Advance(std::chrono::hours(1));
+  cr_assert_eq(ages.Of(SourceTopic::kOrders)->count(), 65'534'000);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/gateway/fleet_sync.hpp"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <set>
 #include <utility>
@@ -13,6 +14,7 @@
 namespace pathcleat {
 namespace {
 
+constexpr std::array kTopics{SourceTopic::kOrders, SourceTopic::kUpstreams};
 constexpr std::size_t kMaxJournalEntries = 4'096;
 // A newer configuration version that no host has reported for this long is
 // ignored. Equal to the time after which a host without heartbeats counts as
@@ -129,6 +131,11 @@
     versions.config_age_ms =
         ToWholeMilliseconds(now - state_.routes_applied_at);
   }
+  for (const SourceTopic topic : kTopics) {
+    if (const auto answered_at = source_.StoreAnsweredAt(topic)) {
+      versions.store_answer_ages.Set(topic, now - *answered_at);
+    }
+  }
   return versions;
 }
 
@@ -142,6 +149,7 @@
 
 void FleetSync::OnPeerVersions(const std::string& from,
                                const HostVersions& versions) {
+  NotePeerAnswers(versions, BootClock::now());
   config_lag_.OnPeerVersion(versions.config,
                             std::chrono::milliseconds(versions.config_age_ms),
                             BootClock::now());
@@ -149,6 +157,24 @@
   FetchIfBehind(SourceTopic::kUpstreams, from, versions.upstreams);
 }
 
+void FleetSync::NotePeerAnswers(const HostVersions& versions, Time now) {
+  for (const SourceTopic topic : kTopics) {
+    if (const auto age = versions.store_answer_ages.Of(topic)) {
+      Time& last = peers_answered_at_[topic];
+      last = std::max(last, now - *age);
+    }
+  }
+}
+
+std::optional<Time> FleetSync::FleetAnsweredAt(SourceTopic topic) const {
+  const std::optional<Time> own = source_.StoreAnsweredAt(topic);
+  const auto peers = peers_answered_at_.find(topic);
+  if (peers == peers_answered_at_.end()) {
+    return own;
+  }
+  return std::max(own, std::optional(peers->second));
+}
+
 void FleetSync::FetchIfBehind(SourceTopic topic,
                               const std::string& from,
                               std::uint64_t changed) {
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -303,12 +303,31 @@
   page.Sample("pathcleat_hosts_alive", {}, state.hosts.AliveCount(now));
 }
 
+double ToSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
 void AddFeeds(Page& page, const MetricsInputs& inputs, Time now) {
   page.Family("pathcleat_feed_age_seconds", "gauge",
               "Since a topic was last heard of, also that nothing changed.");
-  for (const auto& [topic, answered] : inputs.feeds_received_at) {
+  for (const auto& [topic, feed] : inputs.feeds) {
     page.Sample("pathcleat_feed_age_seconds", {{"topic", ToString(topic)}},
-                std::chrono::duration<double>(now - answered).count());
+                ToSeconds(now - feed.received_at));
+  }
+  page.Family("pathcleat_store_answer_age_seconds", "gauge",
+              "Since the store last answered about a topic, to this host and "
+              "to any host.");
+  for (const auto& [topic, feed] : inputs.feeds) {
+    if (feed.store_answered_at) {
+      page.Sample("pathcleat_store_answer_age_seconds",
+                  {{"topic", ToString(topic)}, {"to", "host"}},
+                  ToSeconds(now - *feed.store_answered_at));
+    }
+    if (feed.fleet_answered_at) {
+      page.Sample("pathcleat_store_answer_age_seconds",
+                  {{"topic", ToString(topic)}, {"to", "fleet"}},
+                  ToSeconds(now - *feed.fleet_answered_at));
+    }
   }
 }
 
