A watch that a silent store took is given up by the age of its answers

Cause: a watch is trusted for its full length of 20 s. After a change the watches of all hosts end together and begin together 0.25 s later; a store that is silent by then takes them and never answers, on sound connections. Class: a wait that was begun, or went on, while the peer was not sound is trusted for its full length.

Fix: only answers count as signs of the store. The waits of all hosts that watch are spread (WatchSchedule, TurnAmongWatchers), so that the store answers one of them every 0.375 of contact_ms; hosts tell the age of its last answer; when the youngest age that a host has heard of passes 0.75 of contact_ms and a share by lot, it closes its watch and the idle connections that heard nothing lately, and asks without a wait (PC1503). A watch that times out is asked for again without a wait before the store counts as down. The bound follows from the setting contact_ms, new in the template.

Found on the way: abandoned watches were left to end by their length and could count as failures of the store; they are closed.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -64,6 +64,7 @@
   kPeerHeard = 1408,
   kPlatformDown = 1501,
   kPlatformUp = 1502,
+  kWatchUnanswered = 1503,
   kConfigApplied = 1601,
   kConfigConflict = 1602,
   kCommandAccepted = 1603,
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -54,6 +54,11 @@
 constexpr const char* kKept = "kept";
 constexpr const char* kKnownMs = "known_ms";
 constexpr const char* kLastSendMs = "last_send_ms";
+/// How long a watch of the store has been in flight.
+constexpr const char* kWatchMs = "watch_ms";
+/// How long ago the store last answered this host, or any host of the fleet.
+constexpr const char* kAnswerAgeMs = "answer_age_ms";
+constexpr const char* kFleetAnswerAgeMs = "fleet_answer_age_ms";
 constexpr const char* kLatencyMs = "latency_ms";
 constexpr const char* kLeftMs = "left_ms";
 constexpr const char* kLimitPerSecond = "limit_per_second";
--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "pathcleat/feeds/peer_feed.hpp"
+#include "pathcleat/feeds/watch_schedule.hpp"
 #include "pathcleat/fleet/relay_choice.hpp"
 #include "pathcleat/store/fleet_source.hpp"
 
@@ -21,11 +22,13 @@
  public:
   /// @param hosts the hosts of the fleet, from which relays are chosen.
   /// @param domains number of failure domains of the fleet.
+  /// @param schedule limits how long watches of the store wait.
   /// @param on_access called when store_access has changed.
   RelayedSource(FleetSource& store,
                 PeerFeed& peers,
                 const HostTable& hosts,
                 int domains,
+                const WatchSchedule& schedule,
                 std::function<void()> on_access);
 
   void Read(SourceTopic topic,
@@ -50,7 +53,15 @@
   StoreAccess store_access(Time now) const;
 
  private:
+  // The store's last answer about a topic.
+  struct StoreAnswer {
+    Time arrived_at;
+    /// Whether the answer came at the end of a wait, without changes.
+    bool ended_wait = false;
+  };
+
   RelayChoice Choose(Time now);
+  Duration LimitedWait(SourceTopic topic, Duration wait, Time now) const;
   bool ShouldAwaitOthers(SourceTopic topic, Time now);
   void StartPeerWatch(const FeedPeer& peer,
                       const FeedRequest& request,
@@ -58,7 +69,7 @@
   PeerFetchPtr FetchFromPeer(const FeedPeer& peer,
                              const FeedRequest& request,
                              const Callback& callback);
-  enum class CallKind { kRead, kWatch };
+  enum class CallKind { kRead, kPoll, kWatch };
   Callback WithStoreTracking(SourceTopic topic,
                              CallKind kind,
                              Callback callback);
@@ -73,13 +84,14 @@
   PeerFeed& peers_;
   const HostTable& hosts_;
   int domains_;
+  const WatchSchedule& schedule_;
   std::function<void()> on_access_;
   std::map<std::string, Time> avoided_peers_;  ///< address -> end of avoidance
   std::map<SourceTopic, PeerFetchPtr> peer_watches_;  ///< watches in flight
   /// By topic: the store answered the last call, and the topic still comes from
   /// the store.
   std::map<SourceTopic, bool> store_answers_;
-  std::map<SourceTopic, Time> store_answered_at_;
+  std::map<SourceTopic, StoreAnswer> last_answers_;
   /// Topics whose last watch at the store got no answer.
   std::set<SourceTopic> broken_watches_;
   /// By topic: since when this host has waited for other hosts to read the
--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -50,10 +50,12 @@
   /// see that version soon, it considers its watch dead and restarts it.
   void OnPeerVersion(std::uint64_t version, Time now);
 
-  /// @brief Restarts a watch that began before `since`, the time at which
-  /// the store failed another call or a stall of this host began. The store may
-  /// never answer such a watch.
-  void RestartIfOlderThan(Time since);
+  /// @brief Restarts a watch that began before `since`: the store may never
+  /// answer it. The restarted watch does not wait for changes until a call has
+  /// been answered.
+  /// @return whether a watch was restarted: a read, or a call after a failure,
+  /// is not.
+  bool RestartIfOlderThan(Time since);
 
   /// @brief Handles an answer that another host gave to a fetch made in
   /// parallel to the watch, if it is newer than the data of this host. The
@@ -78,6 +80,12 @@
   /// @brief Time of the last answer, from the store or from another host.
   Time answered_at() const { return answered_at_; }
 
+  /// @brief When the last watch began.
+  Time watch_started_at() const { return watch_started_at_; }
+
+  /// @brief Number of watches that were restarted without an answer.
+  std::uint64_t restarts() const { return restarts_; }
+
   /// @brief Whether the store answered the last call to it.
   bool IsStoreReachable() const { return store_reachable_; }
 
@@ -114,6 +122,7 @@
   std::optional<Duration> last_lag_;
   Time last_restart_;  ///< when a watch last counted as dead
   Time watch_started_at_;
+  std::uint64_t restarts_ = 0;
   Time answered_at_;
   /// Whether the last call got no answer, or the last watch counted as dead.
   bool last_call_failed_ = false;
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -10,6 +10,7 @@
 #include "pathcleat/feeds/peer_feed.hpp"
 #include "pathcleat/feeds/relayed_source.hpp"
 #include "pathcleat/feeds/source_watcher.hpp"
+#include "pathcleat/feeds/watch_schedule.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 
 namespace pathcleat {
@@ -82,12 +83,20 @@
   /// as far as this host has heard; empty if never.
   std::optional<Time> FleetAnsweredAt(SourceTopic topic) const;
 
+  /// @brief Number of watches of a topic that were given up without an answer.
+  std::uint64_t WatchRestarts(SourceTopic topic) const {
+    return WatcherOf(topic).restarts();
+  }
+
+  /// @brief Applies a changed bound on the contact with the store.
+  void SetContact(Duration contact) { watch_schedule_.SetContact(contact); }
+
   /// @brief How far the configuration of this host is behind that of other
   /// hosts.
   const ConfigLag& config_lag() const { return config_lag_; }
 
   /// @brief Removes the upstreams whose entries lapsed and were not listed
-  /// again in time.
+  /// again in time, and restarts the watches that the store may never answer.
   void Tick(Time now);
 
   /// @brief Stops publishing updates to other hosts, at a planned stop.
@@ -125,12 +134,14 @@
   void OnStoreReachability(bool reached, SourceTopic topic);
   void RestartWatchIfOlder(SourceTopic topic, Time since);
   void NotePeerAnswers(const HostVersions& versions, Time now);
+  void RestartOverdueWatch(SourceTopic topic, Time now);
   void OnAccessChanged();
 
   GatewayState& state_;
   std::function<void(const RoutingConfig&)> on_config_;
   std::function<void()> on_access_;
   PeerFeed peer_feed_;
+  WatchSchedule watch_schedule_;
   RelayedSource source_;
   SourceWatcher orders_watcher_;
   SourceWatcher upstreams_watcher_;
@@ -143,6 +154,9 @@
   std::map<std::string, Time> gone_at_;  ///< by id of a removed upstream
   /// When the store last answered another host, by topic.
   std::map<SourceTopic, Time> peers_answered_at_;
+  /// Share of the longest delay that this host adds before its next restart of
+  /// an overdue watch, by topic.
+  std::map<SourceTopic, double> restart_delay_share_;
   bool started_ = false;
   bool store_lost_ = false;
   Time store_failed_at_;  ///< when a call to the store last failed
--- a/include/pathcleat/gateway/metrics_page.hpp
+++ b/include/pathcleat/gateway/metrics_page.hpp
@@ -21,6 +21,7 @@
   std::optional<Time> store_answered_at;
   /// Last answer of the store to any host; empty if never.
   std::optional<Time> fleet_answered_at;
+  std::uint64_t watch_restarts = 0;  ///< watches given up without an answer
 };
 
 /// @brief Inputs of the metrics page other than the state of the host.
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -44,6 +44,9 @@
   /// Time from the acknowledgement of a configuration after which no host may
   /// apply an older configuration.
   Duration config_apply{3'000'000};
+  /// Time after the store answers again within which each host must receive
+  /// changes again.
+  Duration contact{3'000'000};
   /// Time from the acknowledgement of a configuration after which no host may
   /// accept a key that the configuration lacks. Missing: this deployment may
   /// have no client accounts, and then needs no keys.
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -24,6 +24,7 @@
 #include "pathcleat/lab/quota_model.hpp"
 #include "pathcleat/lab/routing_model.hpp"
 #include "pathcleat/lab/upstream_farm.hpp"
+#include "pathcleat/lab/watch_model.hpp"
 #include "pathcleat/records/fleet_secrets.hpp"
 #include "pathcleat/settings/load_deployment.hpp"
 #include "platform_stand_in.hpp"
@@ -48,6 +49,7 @@
   pathcleat-lab quotas [--seeds=N]
   pathcleat-lab limits [--seeds=N]
   pathcleat-lab backoffs [--seeds=N]
+  pathcleat-lab watches [--seeds=N]
   pathcleat-lab slopes
   pathcleat-lab (-h | --help)
 
@@ -66,6 +68,8 @@
   limits     How well ways to keep limits that upstreams name do, in the model.
   backoffs   What becomes of requests while upstreams reject and ask for time
              without requests, in the model.
+  watches    How soon hosts hear of changes after silences of the store, and
+             what it costs, in the model.
   slopes     Measure what the capacity page is reckoned from.
 
 Options:
@@ -290,6 +294,12 @@
   return kDone;
 }
 
+int RunWatches(const Arguments& arguments) {
+  std::cout << MeasureWatches(
+      static_cast<int>(arguments.at("--seeds").asLong()));
+  return kDone;
+}
+
 int RunSlopes() {
   for (const auto& measure : {MeasureBlockTableCosts, MeasureRoutingCosts,
                               MeasureHeartbeatCosts, MeasureAccountCosts}) {
@@ -311,6 +321,9 @@
   if (arguments.at("backoffs").asBool()) {
     return RunBackoffs(arguments);
   }
+  if (arguments.at("watches").asBool()) {
+    return RunWatches(arguments);
+  }
   if (arguments.at("limits").asBool()) {
     return RunLimits(arguments);
   }
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -79,6 +79,7 @@
     EventInfo{kPeerHeard, "peer-heard", kInfo, kState, "peer"},
     EventInfo{kPlatformDown, "platform-down", kAlarm, kState, "topic"},
     EventInfo{kPlatformUp, "platform-up", kInfo, kState, "topic"},
+    EventInfo{kWatchUnanswered, "watch-unanswered", kWarning, kState, "topic"},
     EventInfo{kConfigApplied, "config-applied", kInfo, kState, "topic"},
     EventInfo{kConfigConflict, "config-conflict", kInfo, kState, "command"},
     EventInfo{kCommandAccepted, "command-accepted", kInfo, kState, "command"},
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -30,11 +30,13 @@
                              PeerFeed& peers,
                              const HostTable& hosts,
                              int domains,
+                             const WatchSchedule& schedule,
                              std::function<void()> on_access)
     : store_(store),
       peers_(peers),
       hosts_(hosts),
       domains_(domains),
+      schedule_(schedule),
       on_access_(std::move(on_access)) {}
 
 RelayChoice RelayedSource::Choose(Time now) {
@@ -94,7 +96,8 @@
                           Duration wait,
                           Callback callback) {
   StopWatch(topic);
-  const RelayChoice choice = Choose(BootClock::now());
+  const Time now = BootClock::now();
+  const RelayChoice choice = Choose(now);
   switch (choice.kind) {
     case RelayKind::kPeer:
       StopUsingStore(topic);
@@ -106,13 +109,28 @@
       callback(NoAnswerFromStore());
       return;
     case RelayKind::kStore:
+      const bool waits = wait > Duration::zero();
       store_.Watch(
-          topic, after, wait,
-          WithStoreTracking(topic, CallKind::kWatch, std::move(callback)));
+          topic, after, LimitedWait(topic, wait, now),
+          WithStoreTracking(topic, waits ? CallKind::kWatch : CallKind::kPoll,
+                            std::move(callback)));
       return;
   }
 }
 
+Duration RelayedSource::LimitedWait(SourceTopic topic,
+                                    Duration wait,
+                                    Time now) const {
+  if (wait <= Duration::zero()) {
+    return wait;
+  }
+  const WatchTurn turn = TurnAmongWatchers(hosts_, domains_, now);
+  const auto last = last_answers_.find(topic);
+  const bool in_turn = last != last_answers_.end() && last->second.ended_wait;
+  return std::min(
+      wait, in_turn ? schedule_.NextWait(turn) : schedule_.FirstWait(turn));
+}
+
 void RelayedSource::StartPeerWatch(const FeedPeer& peer,
                                    const FeedRequest& request,
                                    Callback callback) {
@@ -128,11 +146,12 @@
   }
 }
 
-// Cancels a watch at a relay that lags behind other hosts, and avoids the relay
-// for a while.
+// A relay whose watch is cancelled lags behind other hosts and is avoided for a
+// while.
 void RelayedSource::StopWatch(SourceTopic topic) {
   const auto watch = peer_watches_.find(topic);
   if (watch == peer_watches_.end()) {
+    store_.StopWatch(topic);
     return;
   }
   const PeerFetchPtr fetch = watch->second;
@@ -170,7 +189,8 @@
   return [this, topic, kind,
           callback = std::move(callback)](const SourceAnswer& answer) {
     if (IsAnswered(answer.outcome)) {
-      store_answered_at_[topic] = BootClock::now();
+      last_answers_[topic] = {
+          BootClock::now(), kind == CallKind::kWatch && answer.changes.empty()};
     }
     if (!IsFirstBrokenWatch(topic, kind, answer.outcome)) {
       RecordStoreOutcome(topic, answer.outcome);
@@ -187,7 +207,7 @@
 bool RelayedSource::IsFirstBrokenWatch(SourceTopic topic,
                                        CallKind kind,
                                        StoreOutcome outcome) {
-  if (kind == CallKind::kWatch && outcome == StoreOutcome::kUnknown) {
+  if (kind != CallKind::kRead && outcome == StoreOutcome::kUnknown) {
     return broken_watches_.insert(topic).second;
   }
   broken_watches_.erase(topic);
@@ -221,10 +241,9 @@
 }
 
 std::optional<Time> RelayedSource::StoreAnsweredAt(SourceTopic topic) const {
-  const auto answered_at = store_answered_at_.find(topic);
-  return answered_at == store_answered_at_.end()
-             ? std::nullopt
-             : std::optional(answered_at->second);
+  const auto last = last_answers_.find(topic);
+  return last == last_answers_.end() ? std::nullopt
+                                     : std::optional(last->second.arrived_at);
 }
 
 StoreAccess RelayedSource::store_access(Time now) const {
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -113,14 +113,17 @@
 void SourceWatcher::RestartWatch() {
   source_.StopWatch(topic_);
   ++generation_;
+  ++restarts_;
   last_call_failed_ = true;
   Watch();
 }
 
-void SourceWatcher::RestartIfOlderThan(Time since) {
-  if (!reading_ && loaded_ && !last_call_failed_ && watch_started_at_ < since) {
-    RestartWatch();
+bool SourceWatcher::RestartIfOlderThan(Time since) {
+  if (reading_ || !loaded_ || last_call_failed_ || watch_started_at_ >= since) {
+    return false;
   }
+  RestartWatch();
+  return true;
 }
 
 void SourceWatcher::OnWatchAnswer(const SourceAnswer& answer) {
--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -7,14 +7,11 @@
 
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/fleet/host_rank.hpp"
+#include "pathcleat/fleet/watch_turn.hpp"
 
 namespace pathcleat {
 namespace {
 
-// At least this many hosts of the fleet watch the store, even if there are few
-// domains, as most hosts of a small fleet may fail at once.
-constexpr int kMinWatchers = 8;
-
 // Hosts that are not among the highest-ranked ones wait at least this long: the
 // highest-ranked hosts have read and forwarded the table within 1 s, even if
 // all hosts start at the same moment. After that, kReadersPerSecond further
@@ -25,11 +22,6 @@
 // only by the rows that they left in the store.
 constexpr Duration kMaxStoreReadDelay{3'000'000};
 
-int WatchersOfDomain(int domains) {
-  const int domain_count = std::max(1, domains);
-  return (kMinWatchers + domain_count - 1) / domain_count;
-}
-
 // Which hosts are included when the hosts of a domain are ranked.
 struct RankRule {
   int domains = 1;
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/core/random_token.hpp"
 #include "pathcleat/feeds/latest_changes.hpp"
 #include "pathcleat/fleet/up_to_date_host.hpp"
 
@@ -67,10 +68,12 @@
       on_config_(std::move(on_config)),
       on_access_(std::move(on_access)),
       peer_feed_(state.loop, state.events, state.peer_traffic, *this),
+      watch_schedule_(state.settings.bounds.contact),
       source_(store,
               peer_feed_,
               state.hosts,
               DomainCountOf(state.settings),
+              watch_schedule_,
               [this] { OnAccessChanged(); }),
       orders_watcher_(
           state.loop,
@@ -175,6 +178,32 @@
   return std::max(own, std::optional(peers->second));
 }
 
+// The store may have taken this host's watch without ever answering it. While
+// any host hears from the store, that host tells the others of each change.
+void FleetSync::RestartOverdueWatch(SourceTopic topic, Time now) {
+  const std::optional<Time> answered_at = FleetAnsweredAt(topic);
+  if (!started_ || !answered_at || source_.FollowsPeer(topic)) {
+    return;
+  }
+  const auto share =
+      restart_delay_share_.try_emplace(topic, UnitIntervalHash(RandomToken()));
+  if (!watch_schedule_.IsOverdue(now - *answered_at, share.first->second)) {
+    return;
+  }
+  SourceWatcher& watcher = WatcherOf(topic);
+  const Time watch_started_at = watcher.watch_started_at();
+  if (!watcher.RestartIfOlderThan(now)) {
+    return;
+  }
+  restart_delay_share_.erase(topic);
+  const Time own_answer_at = source_.StoreAnsweredAt(topic).value_or(Time());
+  state_.events.Record(
+      EventCode::kWatchUnanswered, ToString(topic), "",
+      {MillisecondsField(field::kWatchMs, now - watch_started_at),
+       MillisecondsField(field::kAnswerAgeMs, now - own_answer_at),
+       MillisecondsField(field::kFleetAnswerAgeMs, now - *answered_at)});
+}
+
 void FleetSync::FetchIfBehind(SourceTopic topic,
                               const std::string& from,
                               std::uint64_t changed) {
@@ -433,6 +462,9 @@
       OnUpstreamRemoved(upstream->info.id, false, now);
     }
   }
+  for (const SourceTopic topic : kTopics) {
+    RestartOverdueWatch(topic, now);
+  }
 }
 
 void FleetSync::OnStoreReachability(bool reached, SourceTopic topic) {
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -343,7 +343,8 @@
        {SourceTopic::kOrders, SourceTopic::kUpstreams}) {
     inputs.feeds[topic] = {fleet_sync_.LastReceivedAt(topic),
                            fleet_sync_.StoreAnsweredAt(topic),
-                           fleet_sync_.FleetAnsweredAt(topic)};
+                           fleet_sync_.FleetAnsweredAt(topic),
+                           fleet_sync_.WatchRestarts(topic)};
   }
   inputs.store_calls = process_stats_.store_calls;
   if (process_stats_.dropped_log_lines) {
@@ -526,6 +527,7 @@
 
 void Gateway::Reload(const EntrySettings& settings) {
   state_.settings.bounds = settings.bounds;
+  fleet_sync_.SetContact(settings.bounds.contact);
   state_.UpdateHostShares(BootClock::now());
   state_.events.Record(EventCode::kSettingsReloaded, state_.settings.host,
                        "bounds updated");
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -329,6 +329,12 @@
                   ToSeconds(now - *feed.fleet_answered_at));
     }
   }
+  page.Family("pathcleat_watch_restarts_total", "counter",
+              "Watches that were given up without an answer.");
+  for (const auto& [topic, feed] : inputs.feeds) {
+    page.Sample("pathcleat_watch_restarts_total", {{"topic", ToString(topic)}},
+                feed.watch_restarts);
+  }
 }
 
 void AddSendStages(Page& page, const SendStages& stages) {
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -111,6 +111,7 @@
       MillisecondsOr(reader, "stop_grace_ms", bounds.stop_grace);
   bounds.config_apply =
       MillisecondsOr(reader, "config_apply_ms", bounds.config_apply);
+  bounds.contact = MillisecondsOr(reader, "contact_ms", bounds.contact);
   bounds.revoke = ReadRevoke(reader);
   bounds.quota.window =
       MillisecondsOr(reader, "quota_window_ms", bounds.quota.window);
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -248,6 +248,13 @@
   return LoadEntrySettings(copy.HostFile(kHost));
 }
 
+Test(settings, contact_time_has_a_default) {
+  const LoadedEntrySettings given = WithBounds("\"contact_ms\": 4500");
+  cr_assert(given.faults.empty());
+  cr_assert(given.settings.bounds.contact == Duration(4'500'000));
+  cr_assert(WithBounds("").settings.bounds.contact == Duration(3'000'000));
+}
+
 // Guards against an exposure that no setting allowed.
 Test(settings, bounds_of_rollouts_are_all_given_or_none) {
   const LoadedEntrySettings none = WithBounds("");
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -398,6 +398,7 @@
     settings.store_address = store_address_;
     settings.policy = plan_.policy;
     settings.bounds.stop_grace = plan_.stop_grace;
+    settings.bounds.contact = plan_.contact;
     settings.bounds.revoke = plan_.revoke;
     settings.bounds.rollout = plan_.rollout_bounds;
     return settings;
--- a/src/pathcleat/testing/test_cluster_plan.hpp
+++ b/src/pathcleat/testing/test_cluster_plan.hpp
@@ -24,6 +24,8 @@
   HttpLimits caller_limits;
   Duration timeout{5'000'000};
   Duration stop_grace{2'500'000};
+  /// Time after the store answers again within which hosts receive changes.
+  Duration contact{3'000'000};
   bool upstreams_enforce_deadlines = false;
   /// The time after which an upstream counts as silent is estimated from this
   /// target while the upstream has not responded yet.
