Followers of hosts that the store fails wait for the next in rank

The rule that few hosts of a domain keep trying held only for hosts that had failed themselves. 2,300 hosts would pass the store's 2,000 calls a second.

Now it holds for hosts whose relays fail as well: the two next in rank try, the rest wait for those ahead. If only the relays are cut off, the next in rank reach the store and are followed.

--- a/src/pathcleat/fleet/relay_choice.cpp
+++ b/src/pathcleat/fleet/relay_choice.cpp
@@ -57,6 +57,16 @@
   return ahead < WatchersOfDomain(rule.domains);
 }
 
+// Whether a host of the own domain that ranks ahead gets no answer from the
+// store.
+bool IsFailingAhead(const HostTable& hosts, Time now) {
+  const auto is_failing = [&](const HostEntry& host) {
+    return hosts.IsAlive(host, now) &&
+           host.versions.store_access == StoreAccess::kFailing;
+  };
+  return CountHigherRanked(hosts, hosts.self(), is_failing) > 0;
+}
+
 // The nearest host that a follower can get changes from. Followers are spread
 // over the relays at the same distance by a hash of the names.
 const HostEntry* NearestRelay(const HostTable& hosts,
@@ -124,8 +134,12 @@
   }
   const RankRule with_failing{criteria.domain_count, false,
                               criteria.store_failed};
+  // If the store answers nobody, only a few hosts of a domain keep trying. A
+  // host whose relays fail waits for the hosts that rank next after them.
+  const bool store_in_doubt =
+      criteria.store_failed || IsFailingAhead(hosts, now);
   const bool others_try_first =
-      criteria.store_failed &&
+      store_in_doubt &&
       !RanksAmongWatchers(hosts, hosts.self(), with_failing, now);
   return {others_try_first ? RelayKind::kNone : RelayKind::kStore, "", ""};
 }
--- a/src/pathcleat/fleet/relay_choice_test.cpp
+++ b/src/pathcleat/fleet/relay_choice_test.cpp
@@ -1,9 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/fleet/relay_choice.hpp"
 
+#include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
+#include "pathcleat/fleet/host_rank.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -273,5 +276,31 @@
   cr_assert_eq(ReadersAtStart(1, 9, Duration(1'000'000)), 9);
 }
 
+// Guards against all followers of a large fleet that call the store at once
+// when the hosts that they follow get no answer: 2,300 hosts would exceed the
+// store's limit on calls.
+Test(relay_choice, followers_of_failing_hosts_wait_for_the_next_in_rank) {
+  RelayFleet fleet(9, 9);
+  fleet.SendHeartbeatsToAll();
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    const bool watches =
+        CountHigherRanked(*fleet.tables[i], fleet.infos[i],
+                          [](const HostEntry&) { return true; }) == 0;
+    fleet.access[i] =
+        watches ? StoreAccess::kFailing : StoreAccess::kFollowingPeer;
+  }
+  fleet.SendHeartbeatsToAll();
+  std::map<std::string, int> callers;
+  for (std::size_t i = 0; i < fleet.infos.size(); ++i) {
+    const bool fails = fleet.access[i] == StoreAccess::kFailing;
+    const RelayKind kind = fleet.ChooseRelayFor(i, fails).kind;
+    cr_assert_neq(kind, RelayKind::kPeer);
+    callers[fleet.infos[i].domain] += kind == RelayKind::kStore ? 1 : 0;
+  }
+  for (const auto& [domain, count] : callers) {
+    cr_assert_eq(count, 2, "the failing host and the next: %s", domain.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
