Hosts that followed another host in an outage watch the store again after it

Cause: a host that the store fails follows any host that it answers, by a watch of 20 s. If that host loses the store, no host learns of a change until it notices.

Now a host that is to watch the store, and follows another, begins its watch anew at the store at the next tick, once the store does not count as failed here any more (3 s). A watch that has just begun is given as much time as an answer before it is given up, which ended watches 0.24 s old.

--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -46,6 +46,10 @@
     return peer_watches_.contains(topic);
   }
 
+  /// @brief Whether this host follows another host about a topic although it
+  /// is to watch the store: the store failed it when the watch began.
+  bool ShouldReturnToStore(SourceTopic topic, Time now);
+
   /// @brief When the store last answered a call about a topic; empty if never.
   std::optional<Time> StoreAnsweredAt(SourceTopic topic) const;
 
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -240,6 +240,10 @@
   }
 }
 
+bool RelayedSource::ShouldReturnToStore(SourceTopic topic, Time now) {
+  return FollowsPeer(topic) && Choose(now).kind == RelayKind::kStore;
+}
+
 std::optional<Time> RelayedSource::StoreAnsweredAt(SourceTopic topic) const {
   const auto last = last_answers_.find(topic);
   return last == last_answers_.end() ? std::nullopt
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -179,19 +179,21 @@
 }
 
 // The store may have taken this host's watch without ever answering it. While
-// any host hears from the store, that host tells the others of each change.
+// any host hears from the store, that host tells the others of each change. A
+// watch that has just begun is given as much time as an answer.
 void FleetSync::RestartOverdueWatch(SourceTopic topic, Time now) {
   const std::optional<Time> answered_at = FleetAnsweredAt(topic);
   if (!started_ || !answered_at || source_.FollowsPeer(topic)) {
     return;
   }
+  SourceWatcher& watcher = WatcherOf(topic);
+  const Time watch_started_at = watcher.watch_started_at();
+  const Time trusted_since = std::max(*answered_at, watch_started_at);
   const auto share =
       restart_delay_share_.try_emplace(topic, UnitIntervalHash(RandomToken()));
-  if (!watch_schedule_.IsOverdue(now - *answered_at, share.first->second)) {
+  if (!watch_schedule_.IsOverdue(now - trusted_since, share.first->second)) {
     return;
   }
-  SourceWatcher& watcher = WatcherOf(topic);
-  const Time watch_started_at = watcher.watch_started_at();
   if (!watcher.RestartIfOlderThan(now)) {
     return;
   }
@@ -463,6 +465,9 @@
     }
   }
   for (const SourceTopic topic : kTopics) {
+    if (source_.ShouldReturnToStore(topic, now)) {
+      WatcherOf(topic).RestartIfOlderThan(now);
+    }
     RestartOverdueWatch(topic, now);
   }
 }
--- a/src/pathcleat/lab/silent_outage_test.cpp
+++ b/src/pathcleat/lab/silent_outage_test.cpp
@@ -4,8 +4,11 @@
 
 #include "test_cluster.hpp"
 
+#include <algorithm>
 #include <functional>
+#include <numeric>
 #include <string>
+#include <vector>
 
 namespace pathcleat {
 namespace {
@@ -109,8 +112,13 @@
 
 class SilenceSweep {
  public:
-  explicit SilenceSweep(const ChangeKind& kind)
-      : kind_(kind), cluster_(MakePlan()) {
+  explicit SilenceSweep(const ChangeKind& kind,
+                        const std::vector<int>& hosts_in_domain = {2, 2})
+      : kind_(kind),
+        host_count_(std::accumulate(hosts_in_domain.begin(),
+                                    hosts_in_domain.end(),
+                                    std::size_t{0})),
+        cluster_(MakePlan(hosts_in_domain)) {
     cluster_.StartAll();
   }
 
@@ -129,9 +137,9 @@
   static constexpr Duration kApplyTimeout{2'000'000};
   static constexpr Duration kContactTimeout{1'500'000};
 
-  static TestClusterPlan MakePlan() {
+  static TestClusterPlan MakePlan(const std::vector<int>& hosts_in_domain) {
     TestClusterPlan plan;
-    plan.hosts_in_domain = {2, 2};
+    plan.hosts_in_domain = hosts_in_domain;
     plan.contact = kContactTimeout;
     return plan;
   }
@@ -181,7 +189,7 @@
   }
 
   bool IsInForceEverywhere() {
-    for (std::size_t i = 0; i < kHosts; ++i) {
+    for (std::size_t i = 0; i < host_count_; ++i) {
       if (!kind_.is_in_force(cluster_.host(i).state(), change_number_)) {
         return false;
       }
@@ -190,6 +198,7 @@
   }
 
   const ChangeKind& kind_;
+  std::size_t host_count_;
   TestCluster cluster_;
   int change_number_ = 0;
 };
@@ -212,6 +221,12 @@
   SilenceSweep(kDrainedDomain).Run({});
 }
 
+// Guards against hosts that follow others and are not told: eight of the hosts
+// watch the store.
+Test(silent_outage, unnoticed_silence_hides_nothing_from_followers) {
+  SilenceSweep(kConfigChange, {11}).Run({});
+}
+
 // Guards against a watch that began before the silence, and that the store
 // forgets while its connection stays open.
 Test(silent_outage, watches_forgotten_in_a_silence_are_replaced) {
@@ -223,5 +238,40 @@
   SilenceSweep(kConfigChange).Run({Duration(700'000), false, true});
 }
 
+// Guards against hosts that go on following one host for up to 20 s after an
+// outage: no host learns of a change when that host loses the store.
+Test(silent_outage, hosts_watch_the_store_again_after_an_outage) {
+  TestClusterPlan plan;
+  plan.hosts_in_domain = {2, 2};
+  TestCluster cluster(plan);
+  cluster.StartAll();
+  platform::StandInFaults faults;
+  faults.unresponsive = true;
+  cluster.platform().SetFaults(faults);
+  cr_assert(cluster.Await([&cluster] {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      if (!cluster.HasEvent(i, EventCode::kPlatformDown)) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  cluster.platform().SetFaults({});
+  const Time answering_since = BootClock::now();
+  cr_assert(cluster.Await([&cluster] {
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      if (cluster.host(i).Versions().store_access != StoreAccess::kWatching) {
+        return false;
+      }
+    }
+    return true;
+  }));
+  // Above the time for which a host takes the store for failed, and far below
+  // the length of a watch.
+  constexpr Duration kReturnTimeout{8'000'000};
+  cr_assert_lt((BootClock::now() - answering_since).count(),
+               kReturnTimeout.count());
+}
+
 }  // namespace
 }  // namespace pathcleat
