--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -158,6 +158,9 @@
   bool leaving = false;
   bool store_reachable = false;
   Time routes_applied_at;  ///< when this host last applied routes
+  /// When the store last answered any host of the fleet about the
+  /// configuration, updated at each tick.
+  Time orders_answered_at;
   std::uint64_t upstream_list_version = 0;
   Time upstream_list_changed_at;  ///< when this host last updated the list
 
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -464,6 +464,8 @@
       OnUpstreamRemoved(upstream->info.id, false, now);
     }
   }
+  state_.orders_answered_at =
+      FleetAnsweredAt(SourceTopic::kOrders).value_or(state_.started_at);
   for (const SourceTopic topic : kTopics) {
     if (source_.ShouldReturnToStore(topic, now)) {
       WatcherOf(topic).RestartIfOlderThan(now);
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -37,7 +37,9 @@
         MillisecondsField(field::kLeftMs, left),
         IntegerField(field::kConfigVersion, state_.routes.version()),
         MillisecondsField(field::kAgeMs,
-                          BootClock::now() - state_.routes_applied_at)});
+                          BootClock::now() - state_.routes_applied_at),
+        MillisecondsField(field::kFleetAnswerAgeMs,
+                          BootClock::now() - state_.orders_answered_at)});
 }
 
 void RequestTrace::NoteApiKeyRefused(const HttpExchange& exchange,
--- a/src/pathcleat/lab/silent_outage_test.cpp
+++ b/src/pathcleat/lab/silent_outage_test.cpp
@@ -273,5 +273,31 @@
                kReturnTimeout.count());
 }
 
+// Guards against an old configuration whose cause cannot be told: whether this
+// host or the whole fleet had no answer of the store.
+Test(silent_outage, requests_tell_when_the_store_last_answered) {
+  TestCluster cluster;
+  cluster.StartAll();
+  platform::StandInFaults faults;
+  faults.unresponsive = true;
+  cluster.platform().SetFaults(faults);
+  constexpr double kSilenceMilliseconds = 1'500;
+  const Time silent_since = BootClock::now();
+  cr_assert(cluster.Await([&] {
+    return ToMilliseconds(BootClock::now() - silent_since) >
+           kSilenceMilliseconds;
+  }));
+  cluster.Get(0, "r1");
+  const auto events = cluster.host(0).state().traces.Find("id-r1");
+  cr_assert(events.has_value());
+  const EventFields& fields = events->front().fields;
+  const auto age =
+      std::find_if(fields.begin(), fields.end(), [](const EventField& field) {
+        return std::string(field.name) == field::kFleetAnswerAgeMs;
+      });
+  cr_assert(age != fields.end());
+  cr_assert_geq(std::get<std::int64_t>(age->value), 1'000);
+}
+
 }  // namespace
 }  // namespace pathcleat
