--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -6,6 +6,7 @@
 #include <signal.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
@@ -56,7 +57,8 @@
 Commands:
   upstreams  Run a stand-in for each upstream of the deployment.
   platform   Run a stand-in for the platform's store, with the deployment's
-             configuration and upstreams in it.
+             configuration and upstreams in it. SIGUSR1: it falls silent, or
+             answers again; SIGUSR2: it gets the next configuration.
   load       Send requests, then audit the promises.
   settings   Write the settings file of each entry host into the folder.
   token      Print the operators' token that lies in the store.
@@ -117,10 +119,39 @@
   return kDone;
 }
 
+// Lets tests disturb the stand-in from outside: SIGUSR1 makes it take calls
+// without answering them, and answer again; SIGUSR2 writes the next version of
+// the configuration.
+void AwaitSignals(boost::asio::signal_set& signals,
+                  platform::PlatformStandIn& stand_in,
+                  const std::shared_ptr<RoutingConfig>& config,
+                  bool is_silent) {
+  signals.async_wait([&signals, &stand_in, config, is_silent](
+                         const boost::system::error_code& error, int signal) {
+    if (error) {
+      return;
+    }
+    const bool next_is_silent = (signal == SIGUSR1) != is_silent;
+    if (signal == SIGUSR1) {
+      platform::StandInFaults faults;
+      faults.unresponsive = next_is_silent;
+      stand_in.SetFaults(faults);
+    } else {
+      ++config->version;
+      stand_in.PutConfig(*config);
+    }
+    AwaitSignals(signals, stand_in, config, next_is_silent);
+  });
+}
+
 Result<int> RunPlatform(const Deployment& deployment) {
   boost::asio::io_context loop;
+  boost::asio::signal_set signals(loop, SIGUSR1, SIGUSR2);
   platform::PlatformStandIn stand_in(loop, 1);
-  stand_in.PutConfig(RoutingConfigOf(deployment));
+  const auto config =
+      std::make_shared<RoutingConfig>(RoutingConfigOf(deployment));
+  stand_in.PutConfig(*config);
+  AwaitSignals(signals, stand_in, config, false);
   for (const UpstreamInfo& upstream : UpstreamInfosOf(deployment)) {
     stand_in.PutUpstream(upstream);
   }
--- a/src/pathcleat/lab/deployment_config.cpp
+++ b/src/pathcleat/lab/deployment_config.cpp
@@ -100,7 +100,9 @@
                                                     host.caller_port + 1))},
         {"locate", AddressText(host.address, static_cast<std::uint16_t>(
                                                  host.caller_port + 2))},
-        {"operators", AddressText(host.address, host.operator_port)}}},
+        {"operators", AddressText(host.address, host.operator_port)},
+        {"metrics", AddressText(host.address, static_cast<std::uint16_t>(
+                                                  host.caller_port + 3))}}},
       {"peers", {{"address", host.address}, {"port", host.peer_port}}},
       {"store",
        {{"address",
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -9,3 +9,4 @@
   -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1"
 "$root/tools/run_tests.sh" "$build"
 "$root/tools/soak.py" --build "$build" --seed 5 --seconds 15 --rate 150
+"$root/tools/soak_store.py" --build "$build" --seed 3 --seconds 20 --rate 100
