--- a/include/pathcleat/feeds/relayed_source.hpp
+++ b/include/pathcleat/feeds/relayed_source.hpp
@@ -46,8 +46,8 @@
     return peer_watches_.contains(topic);
   }
 
-  /// @brief Whether this host follows another host about a topic although it
-  /// is to watch the store: the store failed it when the watch began.
+  /// @brief Whether this host follows another host about a topic because the
+  /// store failed when the watch began, and is to watch the store by now.
   bool ShouldReturnToStore(SourceTopic topic, Time now);
 
   /// @brief When the store last answered a call about a topic; empty if never.
@@ -64,6 +64,7 @@
     bool ended_wait = false;
   };
 
+  bool IsStoreFailed(Time now) const;
   RelayChoice Choose(Time now);
   Duration LimitedWait(SourceTopic topic, Duration wait, Time now) const;
   bool ShouldAwaitOthers(SourceTopic topic, Time now);
@@ -96,6 +97,8 @@
   /// the store.
   std::map<SourceTopic, bool> store_answers_;
   std::map<SourceTopic, StoreAnswer> last_answers_;
+  /// Topics that come from another host because the store failed.
+  std::set<SourceTopic> away_from_store_;
   /// Topics whose last watch at the store got no answer.
   std::set<SourceTopic> broken_watches_;
   /// By topic: since when this host has waited for other hosts to read the
--- a/src/pathcleat/feeds/relayed_source.cpp
+++ b/src/pathcleat/feeds/relayed_source.cpp
@@ -39,13 +39,16 @@
       schedule_(schedule),
       on_access_(std::move(on_access)) {}
 
+bool RelayedSource::IsStoreFailed(Time now) const {
+  return store_failed_at_ && now - *store_failed_at_ < kStoreFailureTtl;
+}
+
 RelayChoice RelayedSource::Choose(Time now) {
   std::erase_if(avoided_peers_,
                 [now](const auto& peer) { return now >= peer.second; });
   RelayCriteria criteria;
   criteria.domain_count = domains_;
-  criteria.store_failed =
-      store_failed_at_ && now - *store_failed_at_ < kStoreFailureTtl;
+  criteria.store_failed = IsStoreFailed(now);
   for (const auto& [peer, until] : avoided_peers_) {
     criteria.avoided_peers.insert(peer);
   }
@@ -98,8 +101,12 @@
   StopWatch(topic);
   const Time now = BootClock::now();
   const RelayChoice choice = Choose(now);
+  away_from_store_.erase(topic);
   switch (choice.kind) {
     case RelayKind::kPeer:
+      if (IsStoreFailed(now)) {
+        away_from_store_.insert(topic);
+      }
       StopUsingStore(topic);
       StartPeerWatch({choice.peer_name, choice.peer_address},
                      {topic, after, wait}, std::move(callback));
@@ -241,7 +248,8 @@
 }
 
 bool RelayedSource::ShouldReturnToStore(SourceTopic topic, Time now) {
-  return FollowsPeer(topic) && Choose(now).kind == RelayKind::kStore;
+  return away_from_store_.contains(topic) && FollowsPeer(topic) &&
+         Choose(now).kind == RelayKind::kStore;
 }
 
 std::optional<Time> RelayedSource::StoreAnsweredAt(SourceTopic topic) const {
@@ -251,7 +259,7 @@
 }
 
 StoreAccess RelayedSource::store_access(Time now) const {
-  if (store_failed_at_ && now - *store_failed_at_ < kStoreFailureTtl) {
+  if (IsStoreFailed(now)) {
     return StoreAccess::kFailing;
   }
   const bool watching =
