--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -341,10 +341,9 @@
   inputs.versions = Versions();
   for (const SourceTopic topic :
        {SourceTopic::kOrders, SourceTopic::kUpstreams}) {
-    inputs.feeds[topic] = {fleet_sync_.LastReceivedAt(topic),
-                           fleet_sync_.StoreAnsweredAt(topic),
-                           fleet_sync_.FleetAnsweredAt(topic),
-                           fleet_sync_.WatchRestarts(topic)};
+    inputs.feeds[topic] = {
+        fleet_sync_.LastReceivedAt(topic), fleet_sync_.StoreAnsweredAt(topic),
+        fleet_sync_.FleetAnsweredAt(topic), fleet_sync_.WatchRestarts(topic)};
   }
   inputs.store_calls = process_stats_.store_calls;
   if (process_stats_.dropped_log_lines) {
