The soaks check in one place that their programs are built

tools/soak_store.py had written the check of tools/soak.py again, as tools/soak_rollouts.py had before it; both call soak.check_programs now. Same messages and exit codes: a directory without programs gives 2 with all three.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -426,6 +426,13 @@
     return fleet.broken
 
 
+def check_programs(build):
+    """Raises RuntimeError if a program that a run starts is not built."""
+    for program in ("pathcleat", "pathcleat-lab"):
+        if not os.access(build / program, os.X_OK):
+            raise RuntimeError(f"{build / program} is not built")
+
+
 def main():
     parser = argparse.ArgumentParser(
         description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
@@ -443,9 +450,7 @@
         if options.schedule:
             options.faults = [
                 Fault(**fault) for fault in json.loads(options.schedule.read_text())]
-        for program in ("pathcleat", "pathcleat-lab"):
-            if not os.access(options.build / program, os.X_OK):
-                raise RuntimeError(f"{options.build / program} is not built")
+        check_programs(options.build)
         return 1 if run(options) else 0
     except (OSError, ValueError, TypeError, RuntimeError) as error:
         print(f"soak: {error}", file=sys.stderr)
--- a/tools/soak_rollouts.py
+++ b/tools/soak_rollouts.py
@@ -15,7 +15,6 @@
 import argparse
 import base64
 import json
-import os
 import pathlib
 import shutil
 import sys
@@ -236,9 +235,7 @@
     parser.add_argument("--keep", type=pathlib.Path)
     options = parser.parse_args()
     try:
-        for program in ("pathcleat", "pathcleat-lab"):
-            if not os.access(options.build / program, os.X_OK):
-                raise RuntimeError(f"{options.build / program} is not built")
+        soak.check_programs(options.build)
         return 1 if run(options) else 0
     except (OSError, ValueError, KeyError, RuntimeError) as error:
         print(f"soak: {error}", file=sys.stderr)
--- a/tools/soak_store.py
+++ b/tools/soak_store.py
@@ -12,7 +12,6 @@
 """
 import argparse
 import dataclasses
-import os
 import pathlib
 import random
 import re
@@ -189,9 +188,7 @@
     parser.add_argument("--keep", type=pathlib.Path)
     options = parser.parse_args()
     try:
-        for program in ("pathcleat", "pathcleat-lab"):
-            if not os.access(options.build / program, os.X_OK):
-                raise RuntimeError(f"{options.build / program} is not built")
+        soak.check_programs(options.build)
         return 1 if run(options) else 0
     except (OSError, ValueError, TypeError, RuntimeError) as error:
         print(f"soak: {error}", file=sys.stderr)
