--- a/src/pathcleat/crowds/client_crowds_test.cpp
+++ b/src/pathcleat/crowds/client_crowds_test.cpp
@@ -164,7 +164,7 @@
     const bool alive = host_->IsAlive();
     const CallResult answer = alive ? Ask(OrdinaryRequest()) : CallResult();
     Observe();
-    cr_log_warn("memory %llu of %llu MB, descriptors %zu of %zu",
+    cr_log_info("memory %llu of %llu MB, descriptors %zu of %zu",
                 static_cast<unsigned long long>(memory / kMegabyte),
                 static_cast<unsigned long long>(kMachineBytes / kMegabyte),
                 peak_.descriptors, MaxConnectionDescriptors());
