Trailers and chunk lines are bounded by the limit of a header

What callers saw: a host that got trailers, a chunk's extension or a chunk's size without end grew until its platform ended it, with the requests of all its callers.

Cause: Beast's parser holds a header to header_limit, but asks for more bytes until it has the whole line before a chunk, or all trailers. ServerSession kept these bytes, and each read parsed them from the start. HttpClient reads answers of upstreams with the same parser, and took any number of 1xx answers.

Now a request whose unparsed bytes reach MaxHeaderBytes is rejected with 431, which clients do not retry, and such an answer of an upstream ends the attempt, as do more than 16 interim answers. The parser consumes complete body bytes at once, so what remains unparsed is only ever such a line. Ruled out: a limit of its own for trailers (one more setting for what MaxHeaderBytes says already), dropping trailers as they arrive (needs a parser of our own).

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -231,6 +231,7 @@
   Duration keep_alive_timeout_{0};
   std::uint64_t timer_generation_ = 0;
   int mismatched_responses_ = 0;  ///< dropped since the request was sent
+  int interim_responses_ = 0;     ///< 1xx, since the request was sent
   bool connected_ = false;
   bool request_written_ = false;
   bool response_started_ = false;  ///< bytes of the answer have arrived
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -23,6 +23,7 @@
 
 constexpr std::size_t kReadChunkBytes = 8UL * 1024;
 constexpr int kMaxMismatchedResponses = 2;
+constexpr int kMaxInterimResponses = 16;
 constexpr int kFirstFinalStatus = 200;
 constexpr const char* kSilentDetail = "the connection is silent";
 
@@ -67,6 +68,7 @@
   callback_ = std::move(callback);
   matcher_ = std::move(matcher);
   mismatched_responses_ = 0;
+  interim_responses_ = 0;
   received_bytes_ = 0;
   request_written_ = false;
   response_started_ = false;
@@ -253,6 +255,12 @@
     HandleResponse();
     return;
   }
+  if (buffer_.size() >= limits_.max_header_bytes) {
+    // The parser keeps the line before a chunk, and all trailers, until they
+    // are complete; only the header has a limit of its own.
+    Fail(CallOutcome::kConnectionLost, "a chunk line or trailers without end");
+    return;
+  }
   HandleHead();
   Read();
 }
@@ -278,6 +286,10 @@
   result.outcome = CallOutcome::kAnswered;
   result.response = FromBeast(parser_->release());
   if (result.response.status < kFirstFinalStatus) {
+    if (++interim_responses_ > kMaxInterimResponses) {
+      Fail(CallOutcome::kConnectionLost, "too many interim answers");
+      return;
+    }
     ReadNextResponse();
     return;
   }
--- a/src/pathcleat/http/http_client_test.cpp
+++ b/src/pathcleat/http/http_client_test.cpp
@@ -215,5 +215,35 @@
   cr_assert(fixture.result->connection_silent);
 }
 
+// Guards against trailers or chunk lines of an answer that are read without
+// limit.
+Test(http_client, lines_without_end_in_an_answer_end_the_call) {
+  constexpr std::size_t kEndlessBytes = 1'000'000;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string line : {"0\r\na: ", "1;", "0"}) {
+    ClientFixture fixture;
+    fixture.SendRequest({kLongTimeout, kLongTimeout});
+    fixture.server.Send(head + line + std::string(kEndlessBytes, '0'));
+    cr_assert(fixture.AwaitEnd());
+    cr_assert(fixture.result->outcome == CallOutcome::kConnectionLost);
+    cr_assert_lt(fixture.result->received_bytes, kEndlessBytes);
+  }
+}
+
+// Guards against interim answers that are read without limit.
+Test(http_client, interim_answers_without_end_end_the_call) {
+  ClientFixture fixture;
+  fixture.SendRequest({kLongTimeout, kLongTimeout});
+  std::string interim;
+  constexpr int kCount = 1'000;
+  for (int i = 0; i < kCount; ++i) {
+    interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  fixture.server.Send(interim);
+  cr_assert(fixture.AwaitEnd());
+  cr_assert(fixture.result->outcome == CallOutcome::kConnectionLost);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -220,6 +220,7 @@
   const std::size_t used = parser_->put(buffer_.data(), error);
   buffer_.consume(used);
   if (error == http::error::need_more) {
+    RejectEndlessLine();
     return false;
   }
   if (error) {
@@ -236,6 +237,14 @@
   return used > 0;
 }
 
+// The parser keeps the line before a chunk, and all trailers, until they are
+// complete; only the header has a limit of its own.
+void ServerSession::RejectEndlessLine() {
+  if (buffer_.size() >= server_->limits().max_header_bytes) {
+    Reject(http_status::kHeaderTooLarge);
+  }
+}
+
 bool ServerSession::CheckHeader() {
   header_checked_ = true;
   const auto& message = parser_->get();
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -68,6 +68,7 @@
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
   bool ParseStep();
+  void RejectEndlessLine();
   bool CheckHeader();
   void HandleRequest();
   void Reject(int status);
