A body is held once while it is passed on

What callers saw: a host on a machine of 160 MB ended at a single body of 64 MiB, a legal one, although nothing else was under way: 262 MiB.

Cause: the body lay in the exchange's request, in the copy that MakeUpstreamRequest makes, and in the bytes that HttpClient writes; answers likewise. Growth of std::string held the old and the new bytes for a moment.

MessageBody shares immutable bytes between the copies of a message; heads and bodies are written as two buffers. While it arrives, a body is collected in a ByteBuffer, which is grown by realloc, that the C library does by remapping for large blocks, and which reports a lack of memory. The MAC of a forwarded request and Base64 read the body in place; the MAC is the same as before (core mac_test), so hosts of both versions understand each other.

Ways weighed: a list of blocks (hashes, MAC and JSON need contiguous bytes), Beast's multi_buffer (the same), passing bodies on as they arrive (a retry and an idempotency key's fingerprint need the whole body).

--- a/include/pathcleat/core/base64.hpp
+++ b/include/pathcleat/core/base64.hpp
@@ -3,12 +3,13 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pathcleat {
 
 /// @brief Encodes bytes as standard base64 with padding (libsodium).
 /// @ingroup core
-std::string ToBase64(const std::string& bytes);
+std::string ToBase64(std::string_view bytes);
 
 /// @brief Decodes base64; std::nullopt if the text is not valid base64.
 /// @ingroup core
--- a/include/pathcleat/core/mac.hpp
+++ b/include/pathcleat/core/mac.hpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -18,6 +19,12 @@
 std::optional<std::string_view> VerifyMac(std::string_view message_with_mac,
                                           std::string_view key);
 
+/// @brief Computes the MAC that AppendMac would append to the concatenation of
+/// some parts, without concatenating them.
+/// @ingroup core
+std::string MacOf(std::initializer_list<std::string_view> parts,
+                  std::string_view key);
+
 /// @brief Compares two secrets. The time depends on their lengths alone, so
 /// that it does not reveal how many bytes match.
 /// @ingroup core
--- a/include/pathcleat/feeds/peer_feed.hpp
+++ b/include/pathcleat/feeds/peer_feed.hpp
@@ -116,12 +116,12 @@
   struct CachedAnswer {
     FeedRequest request;
     std::uint64_t newest = 0;  ///< version of the answer's newest change
-    std::string body;
+    MessageBody body;
     Time encoded_at;
   };
 
   void Handle(const HttpExchangePtr& exchange);
-  const std::string& AnswerBody(const FeedRequest& request);
+  const MessageBody& AnswerBody(const FeedRequest& request);
   bool HasUpdates(const FeedRequest& request) const;
   void Answer(const HttpExchangePtr& exchange, const FeedRequest& request);
   std::optional<FeedResponse> HandleAnswer(const PeerFetch& fetch,
@@ -130,7 +130,7 @@
                      std::uint64_t bytes,
                      const std::string& reason);
   std::optional<FleetSnapshot> DecodeAnswer(const FeedRequest& request,
-                                            const std::string& body);
+                                            std::string_view body);
   UpdateResult CompleteConfig(FleetSnapshot& snapshot);
   bool IsSuperseded(const ConfigUpdate& update) const;
   void Sweep();
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -6,14 +6,15 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "pathcleat/core/memory_budget.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/http/buffer_body.hpp"
 #include "pathcleat/http/http_limits.hpp"
 #include "pathcleat/http/http_message.hpp"
 
@@ -176,8 +177,7 @@
   bool IsSilent() const { return silent_; }
 
  private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::response_parser<BufferBody>;
 
   void Connect(Duration timeout);
   void OnConnected(Time started_at);
@@ -208,7 +208,8 @@
   mutable boost::asio::ip::tcp::socket
       socket_;  ///< asked for its state in const functions
   boost::asio::steady_timer timer_;
-  std::string request_bytes_;
+  std::string request_head_;
+  MessageBody request_body_;
   bool is_head_request_ = false;
   Callback callback_;
   std::function<void()> on_opened_;
--- a/include/pathcleat/http/http_message.hpp
+++ b/include/pathcleat/http/http_message.hpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "pathcleat/http/message_body.hpp"
+
 namespace pathcleat {
 
 /// @brief One header field; names are case-insensitive.
@@ -28,7 +30,7 @@
   std::string method;
   std::string target;
   HttpHeaders headers;
-  std::string body;
+  MessageBody body;
 };
 
 /// @brief A complete HTTP response.
@@ -36,7 +38,7 @@
 struct HttpResponse {
   int status = 0;
   HttpHeaders headers;
-  std::string body;
+  MessageBody body;
 };
 
 /// @brief Value of the first header with this name, if any.
--- a/src/pathcleat/app/operator_client.cpp
+++ b/src/pathcleat/app/operator_client.cpp
@@ -40,9 +40,9 @@
   }
   if (result.response.status != http_status::kOk) {
     return Fail(
-        {ErrorCode::kRefused, "query host", peer, result.response.body});
+        {ErrorCode::kRefused, "query host", peer, result.response.body.str()});
   }
-  return result.response.body;
+  return result.response.body.str();
 }
 
 }  // namespace
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -243,7 +243,7 @@
     return Fail(
         {ErrorCode::kUnreachable, "fetch " + target, address, result.detail});
   }
-  return result.response.body;
+  return result.response.body.str();
 }
 
 Result<int> RunLoad(const Arguments& arguments, const Deployment& deployment) {
--- a/src/pathcleat/calls/forward_token.cpp
+++ b/src/pathcleat/calls/forward_token.cpp
@@ -11,12 +11,12 @@
 namespace pathcleat {
 namespace {
 
-std::string Content(const HttpRequest& request) {
-  return "\n" + request.method + " " + request.target + "\n" + request.body;
-}
-
-std::size_t MacBytes(const std::string& key) {
-  return AppendMac("", key).size();
+std::string MacOfRequest(const std::string& context,
+                         const HttpRequest& request,
+                         const std::string& key) {
+  return MacOf({context, "\n", request.method, " ", request.target, "\n",
+                request.body.view()},
+               key);
 }
 
 }  // namespace
@@ -25,22 +25,21 @@
                              const HttpRequest& request,
                              const std::string& key) {
   const std::string encoded = EncodeBinary(context);
-  const std::string content = Content(request);
-  const std::string sealed = AppendMac(encoded + content, key);
-  return ToBase64(encoded + sealed.substr(encoded.size() + content.size()));
+  return ToBase64(encoded + MacOfRequest(encoded, request, key));
 }
 
 std::optional<ForwardContext> ReadForwardToken(const std::string& token,
                                                const HttpRequest& request,
                                                const std::string& key) {
   const auto bytes = FromBase64(token);
-  if (!bytes || key.empty() || bytes->size() < MacBytes(key)) {
+  const std::size_t mac_bytes = MacOf({}, key).size();
+  if (!bytes || key.empty() || bytes->size() < mac_bytes) {
     return std::nullopt;
   }
-  const std::size_t encoded_bytes = bytes->size() - MacBytes(key);
+  const std::size_t encoded_bytes = bytes->size() - mac_bytes;
   const std::string encoded = bytes->substr(0, encoded_bytes);
-  if (!VerifyMac(encoded + Content(request) + bytes->substr(encoded_bytes),
-                 key)) {
+  if (!AreSecretsEqual(bytes->substr(encoded_bytes),
+                       MacOfRequest(encoded, request, key))) {
     return std::nullopt;
   }
   return DecodeBinary<ForwardContext>(encoded);
--- a/src/pathcleat/core/base64.cpp
+++ b/src/pathcleat/core/base64.cpp
@@ -5,7 +5,7 @@
 
 namespace pathcleat {
 
-std::string ToBase64(const std::string& bytes) {
+std::string ToBase64(std::string_view bytes) {
   std::string text(
       sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL),
       '\0');
--- a/src/pathcleat/core/mac.cpp
+++ b/src/pathcleat/core/mac.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/core/mac.hpp"
 
 #include <sodium/crypto_auth.h>
+#include <sodium/crypto_auth_hmacsha512256.h>
 #include <sodium/crypto_generichash.h>
 #include <sodium/utils.h>
 
@@ -50,6 +51,19 @@
   return message;
 }
 
+std::string MacOf(std::initializer_list<std::string_view> parts,
+                  std::string_view key) {
+  const Key digest = Digest(key);
+  crypto_auth_hmacsha512256_state state;
+  crypto_auth_hmacsha512256_init(&state, digest.data(), digest.size());
+  for (const std::string_view part : parts) {
+    crypto_auth_hmacsha512256_update(&state, Bytes(part), part.size());
+  }
+  std::array<unsigned char, crypto_auth_hmacsha512256_BYTES> mac{};
+  crypto_auth_hmacsha512256_final(&state, mac.data());
+  return {reinterpret_cast<const char*>(mac.data()), mac.size()};
+}
+
 bool AreSecretsEqual(std::string_view a, std::string_view b) {
   const Key left = Digest(a);
   const Key right = Digest(b);
--- a/src/pathcleat/feeds/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -161,7 +161,7 @@
   return provider_.NewestVersion(request.topic) > request.after;
 }
 
-const std::string& PeerFeed::AnswerBody(const FeedRequest& request) {
+const MessageBody& PeerFeed::AnswerBody(const FeedRequest& request) {
   const Time now = BootClock::now();
   const std::uint64_t newest = provider_.NewestVersion(request.topic);
   std::erase_if(cached_answers_, [now](const CachedAnswer& cached) {
@@ -189,7 +189,7 @@
 
 void PeerFeed::Answer(const HttpExchangePtr& exchange,
                       const FeedRequest& request) {
-  const std::string& body = AnswerBody(request);
+  const MessageBody& body = AnswerBody(request);
   traffic_.OnSent(KindOf(request.topic), body.size());
   exchange->Respond({http_status::kOk, {}, body});
 }
@@ -296,7 +296,7 @@
 }
 
 std::optional<FleetSnapshot> PeerFeed::DecodeAnswer(const FeedRequest& request,
-                                                    const std::string& body) {
+                                                    std::string_view body) {
   const auto message = VerifyMac(body, key_);
   if (!message) {
     return std::nullopt;
--- a/src/pathcleat/gateway/request_handler_forward.cpp
+++ b/src/pathcleat/gateway/request_handler_forward.cpp
@@ -138,7 +138,7 @@
       answered && FindHeader(result.response.headers, kForwardDeclinedHeader);
   if (result.outcome == CallOutcome::kNotSent || declined) {
     run_tracker_.OnNotRun();
-    NoteForwardFailed(declined ? result.response.body : result.detail);
+    NoteForwardFailed(declined ? result.response.body.str() : result.detail);
     if (declined && !state_.reach.IsIsolated()) {
       state_.forwards.useless_until[pick_request_.service] =
           BootClock::now() + kUselessTtl;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -63,7 +64,8 @@
                       const CallTimeouts& timeouts,
                       Callback callback,
                       Matcher matcher) {
-  request_bytes_ = SerializeRequest(request);
+  request_head_ = SerializeHead(request);
+  request_body_ = request.body;
   is_head_request_ = request.method == "HEAD";
   callback_ = std::move(callback);
   matcher_ = std::move(matcher);
@@ -180,8 +182,11 @@
 void HttpClient::Write() {
   write_started_at_ = reused_ ? send_called_at_ : opened_at_;
   ArmDeadline();
+  const std::array<boost::asio::const_buffer, 2> bytes{
+      boost::asio::buffer(request_head_),
+      boost::asio::buffer(request_body_.view())};
   boost::asio::async_write(
-      socket_, boost::asio::buffer(request_bytes_),
+      socket_, bytes,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         // A failed write does not end the request here: the read fails as well,
         // after it has returned an answer that the peer sent early.
@@ -284,7 +289,7 @@
   const bool keep_alive = parser_->get().keep_alive();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
-  result.response = FromBeast(parser_->release());
+  result.response = FromBeast(parser_->release(), nullptr);
   if (result.response.status < kFirstFinalStatus) {
     if (++interim_responses_ > kMaxInterimResponses) {
       Fail(CallOutcome::kConnectionLost, "too many interim answers");
@@ -412,7 +417,8 @@
 void HttpClient::Finish(CallResult result) {
   ++timer_generation_;
   timer_.cancel();
-  request_bytes_ = std::string();
+  request_head_.clear();
+  request_body_ = {};
   matcher_ = nullptr;
   on_opened_ = nullptr;
   on_head_ = nullptr;
--- a/src/pathcleat/http/http_codec.cpp
+++ b/src/pathcleat/http/http_codec.cpp
@@ -44,36 +44,30 @@
          request.method == "PUT";
 }
 
-// 1xx, 204 and 304 responses have no body and no Content-Length.
-bool HasNoBody(int status) {
-  constexpr int kFirstFinal = 200;
-  constexpr int kNoContent = 204;
-  constexpr int kNotModified = 304;
-  return status < kFirstFinal || status == kNoContent || status == kNotModified;
-}
-
 }  // namespace
 
-HttpRequest FromBeast(BeastRequest message) {
+HttpRequest FromBeast(BeastRequest message,
+                      std::unique_ptr<MemoryLease> body_lease) {
   HttpRequest request;
   request.method = std::string(message.method_string());
   request.target = std::string(message.target());
   request.headers = CopyHeaders(message);
-  request.body = std::move(message.body());
+  request.body = MessageBody(std::move(message.body()), std::move(body_lease));
   return request;
 }
 
-HttpResponse FromBeast(BeastResponse message) {
+HttpResponse FromBeast(BeastResponse message,
+                       std::unique_ptr<MemoryLease> body_lease) {
   HttpResponse response;
   response.status = static_cast<int>(message.result_int());
   response.headers = CopyHeaders(message);
-  response.body = std::move(message.body());
+  response.body = MessageBody(std::move(message.body()), std::move(body_lease));
   return response;
 }
 
-std::string SerializeRequest(const HttpRequest& request) {
+std::string SerializeHead(const HttpRequest& request) {
   std::string bytes;
-  bytes.reserve(kTypicalHeaderBytes + request.body.size());
+  bytes.reserve(kTypicalHeaderBytes);
   bytes += request.method;
   bytes += ' ';
   bytes += request.target;
@@ -83,33 +77,36 @@
     AppendLength(bytes, request.body.size());
   }
   bytes += "\r\n";
-  bytes += request.body;
   return bytes;
 }
 
-std::string SerializeResponse(const HttpResponse& response,
-                              bool keep_alive,
-                              bool head) {
+// 1xx, 204 and 304 responses have no body and no Content-Length.
+bool MayHaveBody(int status) {
+  constexpr int kFirstFinal = 200;
+  constexpr int kNoContent = 204;
+  constexpr int kNotModified = 304;
+  return status >= kFirstFinal && status != kNoContent &&
+         status != kNotModified;
+}
+
+std::string SerializeHead(const HttpResponse& response, bool keep_alive) {
   const auto reason =
       http::obsolete_reason(http::int_to_status(response.status));
   std::string bytes;
-  bytes.reserve(kTypicalHeaderBytes + response.body.size());
+  bytes.reserve(kTypicalHeaderBytes);
   bytes += "HTTP/1.1 ";
   bytes += std::to_string(response.status);
   bytes += ' ';
   bytes += std::string_view(reason.data(), reason.size());
   bytes += "\r\n";
   AppendHeaders(bytes, response.headers);
-  if (!HasNoBody(response.status)) {
+  if (MayHaveBody(response.status)) {
     AppendLength(bytes, response.body.size());
   }
   if (!keep_alive) {
     bytes += "Connection: close\r\n";
   }
   bytes += "\r\n";
-  if (!head && !HasNoBody(response.status)) {
-    bytes += response.body;
-  }
   return bytes;
 }
 
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -269,8 +269,8 @@
 
 void ServerSession::HandleRequest() {
   last_request_ = last_request_ || !parser_->get().keep_alive();
-  exchange_ = std::make_shared<HttpExchange>(FromBeast(parser_->release()),
-                                             caller_ip_, BootClock::now());
+  exchange_ = std::make_shared<HttpExchange>(
+      FromBeast(parser_->release(), nullptr), caller_ip_, BootClock::now());
   exchange_->OnAnswered([this] { WriteResponse(); });
   exchange_->OnConnectionDropped([this] { Close(); });
   exchange_->OnConnectionCheck([this] { CheckCaller(); });
@@ -293,12 +293,18 @@
 void ServerSession::WriteResponse() {
   last_request_ = last_request_ || server_->close_after_answers_;
   const bool head = exchange_->request().method == "HEAD";
-  response_bytes_ =
-      SerializeResponse(exchange_->response(), !last_request_, head);
+  const HttpResponse& response = exchange_->response();
+  response_head_ = SerializeHead(response, !last_request_);
+  if (!head && MayHaveBody(response.status)) {
+    response_body_ = response.body;
+  }
   exchange_.reset();
   writing_ = true;
+  const std::array<boost::asio::const_buffer, 2> bytes{
+      boost::asio::buffer(response_head_),
+      boost::asio::buffer(response_body_.view())};
   boost::asio::async_write(
-      socket_, boost::asio::buffer(response_bytes_),
+      socket_, bytes,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         self->OnWritten(error);
       });
@@ -306,7 +312,8 @@
 
 void ServerSession::OnWritten(const error_code& error) {
   writing_ = false;
-  response_bytes_ = std::string();
+  response_head_.clear();
+  response_body_ = {};
   if (closed_) {
     return;
   }
@@ -374,7 +381,8 @@
     HttpResponse response = TextResponse(http_status::kUnavailable,
                                          "not run: too many connections\n");
     response.headers.push_back({"Retry-After", kRetryAfterSeconds});
-    const std::string text = SerializeResponse(response, false, false);
+    const std::string text =
+        SerializeHead(response, false) + response.body.str();
     error_code error;
     std::array<char, kReadChunkBytes> unread{};
     socket_.non_blocking(true, error);
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -5,12 +5,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <compare>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "pathcleat/http/buffer_body.hpp"
 #include "pathcleat/http/http_server.hpp"
 
 namespace pathcleat {
@@ -56,8 +56,7 @@
   void Detach();
 
  private:
-  using Parser =
-      boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<BufferBody>;
 
   void CloseIfIdle();
   void Read();
@@ -85,7 +84,8 @@
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   HttpExchangePtr exchange_;  ///< the request that waits for an answer
-  std::string response_bytes_;
+  std::string response_head_;
+  MessageBody response_body_;
   Time phase_started_at_;  ///< start of idling, reading or closing
   bool header_checked_ = false;
   bool reading_ = false;
--- a/src/pathcleat/lab/accounts_test.cpp
+++ b/src/pathcleat/lab/accounts_test.cpp
@@ -318,19 +318,21 @@
   cluster.StartAll();
   accounts.AwaitApplied(2);
   cr_assert_eq(accounts.Status(0, kRunnersKey), http_status::kOk);
-  const std::string all = cluster.RunCommand(0, "show accounts").response.body;
+  const std::string all =
+      cluster.RunCommand(0, "show accounts").response.body.str();
   cr_assert(all.find("runners: 5 requests a second") != std::string::npos);
   cr_assert(all.find("clubs: no limit") != std::string::npos);
   cr_assert(all.find("least served: runners 1.000 of 1 requests") !=
             std::string::npos);
   const std::string one =
-      cluster.RunCommand(0, "account runners").response.body;
+      cluster.RunCommand(0, "account runners").response.body.str();
   cr_assert(one.find("here: taken 1, refused") != std::string::npos);
   cr_assert(one.find("key: digest ") != std::string::npos);
   cr_assert(one.find(kRunnersKey) == std::string::npos);
   cr_assert(cluster.RunCommand(0, "account nobody")
-                .response.body.starts_with("no account"));
-  const std::string page = cluster.FetchMetrics(0).response.body;
+                .response.body.str()
+                .starts_with("no account"));
+  const std::string page = cluster.FetchMetrics(0).response.body.str();
   cr_assert(page.find("pathcleat_account_requests_total{account=\"runners\"") !=
             std::string::npos);
 }
@@ -349,8 +351,8 @@
   for (const Event& event : cluster.host(0).state().events.Snapshot()) {
     output += ToJsonLine(event);
   }
-  output += cluster.FetchMetrics(0).response.body;
-  output += cluster.RunCommand(0, "show config").response.body;
+  output += cluster.FetchMetrics(0).response.body.str();
+  output += cluster.RunCommand(0, "show config").response.body.str();
   ConfigHistory history;
   const RoutingConfig& config = cluster.host(0).state().routes.config();
   history.Append(config);
--- a/src/pathcleat/lab/broken_off_test.cpp
+++ b/src/pathcleat/lab/broken_off_test.cpp
@@ -43,7 +43,7 @@
                                {Kind::kAnswer, milliseconds(0)}});
   cr_assert_eq(result.response.status, http_status::kOk);
   cr_assert_eq(AbortedCount(cluster, AbortCause::kFailoverTimeout), 1U);
-  const std::string page = cluster.FetchMetrics(0).response.body;
+  const std::string page = cluster.FetchMetrics(0).response.body.str();
   cr_assert_neq(page.find("pathcleat_broken_off_total{cause=\"patience\"} 1\n"),
                 std::string::npos);
 }
--- a/src/pathcleat/lab/cut_hosts_test.cpp
+++ b/src/pathcleat/lab/cut_hosts_test.cpp
@@ -203,7 +203,7 @@
       cluster.host(0).state().hosts.self().caller_address;
   const auto names_cut_host = [&](std::size_t host) {
     const CallResult located = cluster.Locate(host, "?region=region-0");
-    return located.response.body.find(cut_address) != std::string::npos;
+    return located.response.body.str().find(cut_address) != std::string::npos;
   };
   cr_assert(names_cut_host(5));
   cluster.CutHost(0, CutMode::kReset);
--- a/src/pathcleat/lab/faults_test.cpp
+++ b/src/pathcleat/lab/faults_test.cpp
@@ -81,7 +81,7 @@
   CorruptAll(cluster, AnswerCorruption::kWrongRequestId);
   const CallResult post = cluster.Post(0, "r1");
   cr_assert_neq(post.response.status, http_status::kOk);
-  cr_assert_eq(post.response.body.find("run r1"), std::string::npos);
+  cr_assert_eq(post.response.body.str().find("run r1"), std::string::npos);
 }
 
 // Fails without IsCompleteAnswer.
@@ -217,11 +217,11 @@
   cr_assert_eq(first.response.status, http_status::kOk);
   cr_assert_eq(cluster.TotalRuns(), 1);
   cr_assert(second.response.status == http_status::kConflict ||
-            second.response.body == first.response.body);
+            second.response.body.str() == first.response.body.str());
   cr_assert(cluster.Await([&] {
     const CallResult again = cluster.Post(1, "k.3", "key-1");
     return again.response.status == http_status::kOk &&
-           again.response.body == first.response.body;
+           again.response.body.str() == first.response.body.str();
   }));
   cr_assert_eq(cluster.TotalRuns(), 1);
   cr_assert_eq(cluster.Post(1, "k.4", "key-1", "other").response.status,
@@ -259,7 +259,7 @@
                   text},
                  {std::chrono::seconds(30), std::chrono::seconds(30)},
                  [&responses, client](const CallResult& result) {
-                   responses.push_back(result.response.body);
+                   responses.push_back(result.response.body.str());
                  });
   };
   submit(0, "drain upstream upstream-0-0");
@@ -301,7 +301,7 @@
   const CallResult result = cluster.RunCommand(
       0, "shift s from region-0 to region-1 cap 30% over 1s");
   cr_assert_eq(result.response.status, http_status::kOk, "%s",
-               result.response.body.c_str());
+               result.response.body.str().c_str());
   const std::string endpoint =
       cluster.address() + ":" + std::to_string(cluster.CallerPort(0));
   const std::string caller = EarlyMovedCaller();
--- a/src/pathcleat/lab/follower_key_test.cpp
+++ b/src/pathcleat/lab/follower_key_test.cpp
@@ -19,7 +19,7 @@
     const std::string id = "r" + std::to_string(host);
     const CallResult result = cluster.Post(host, id, "key-" + id);
     cr_assert_eq(result.response.status, http_status::kOk, "host %zu: %s", host,
-                 result.response.body.c_str());
+                 result.response.body.str().c_str());
   }
 }
 
--- a/src/pathcleat/lab/late_loop_test.cpp
+++ b/src/pathcleat/lab/late_loop_test.cpp
@@ -62,7 +62,7 @@
   WaitFor(cluster, kWatchPause);
   const std::size_t arrivals = cluster.upstream(0).ledger().arrivals.size();
   boost::asio::post(cluster.loop(), [&] {
-    caller.Send(SerializeRequest(RequestAbout(cluster, "late", object)));
+    caller.Send(SerializeHead(RequestAbout(cluster, "late", object)));
     UpstreamInfo leaving = cluster.upstream_info(0);
     leaving.leaving = true;
     cluster.platform().PutUpstream(leaving);
--- a/src/pathcleat/lab/limited_upstream_test.cpp
+++ b/src/pathcleat/lab/limited_upstream_test.cpp
@@ -96,7 +96,7 @@
   query_first_host_until([&] { return all_have_limit(true); });
   cr_assert(cluster.HasEvent(kHosts - 1, EventCode::kUpstreamLimited));
   const std::string shown =
-      cluster.RunCommand(0, "show upstreams").response.body;
+      cluster.RunCommand(0, "show upstreams").response.body.str();
   cr_assert(shown.find("takes 3 requests a second") != std::string::npos);
   limited.SetLimitHeader("");
   query_first_host_until([&] { return all_have_limit(false); });
--- a/src/pathcleat/lab/load_generator.cpp
+++ b/src/pathcleat/lab/load_generator.cpp
@@ -169,7 +169,7 @@
       query, {kLocateTimeout, kLocateTimeout},
       [this, request, client](const CallResult& result) {
         const auto answer =
-            nlohmann::json::parse(result.response.body, nullptr, false);
+            nlohmann::json::parse(result.response.body.view(), nullptr, false);
         const bool usable = result.outcome == CallOutcome::kAnswered &&
                             answer.is_object() && !answer["hosts"].empty();
         Caller& caller = *request->caller;
@@ -258,7 +258,7 @@
              result.response.status == http_status::kOk) {
     // A stored answer names the run that produced it, which may be an earlier
     // try.
-    const std::string& text = result.response.body;
+    const std::string text = result.response.body.str();
     const std::string run =
         text.substr(4, std::max<std::size_t>(text.find(" of "), 4) - 4);
     const bool is_own = run.substr(0, run.rfind('.')) == request->id;
--- a/src/pathcleat/lab/metrics_test.cpp
+++ b/src/pathcleat/lab/metrics_test.cpp
@@ -20,7 +20,7 @@
   cluster.Get(0, "r2");
   cluster.ForEachUpstream([](UpstreamStandIn& u) { u.RejectRequests(true); });
   cluster.Post(0, "r3");
-  const std::string page = cluster.FetchMetrics(0).response.body;
+  const std::string page = cluster.FetchMetrics(0).response.body.str();
   cr_assert(Contains(page,
                      "pathcleat_requests_total{route=\"read\",outcome="
                      "\"answered\"} 2\n"));
@@ -44,7 +44,7 @@
   TestCluster cluster;
   cluster.StartAll();
   cluster.Get(0, "r1");
-  std::istringstream page(cluster.FetchMetrics(0).response.body);
+  std::istringstream page(cluster.FetchMetrics(0).response.body.str());
   std::set<std::string> families;
   std::string family;
   for (std::string line; std::getline(page, line);) {
--- a/src/pathcleat/lab/planned_stop_test.cpp
+++ b/src/pathcleat/lab/planned_stop_test.cpp
@@ -28,7 +28,7 @@
   // Other hosts no longer list the host in /v1/locate, and the host still
   // serves new connections.
   cr_assert(cluster.Await([&] {
-    return cluster.Locate(1, "").response.body.find(
+    return cluster.Locate(1, "").response.body.str().find(
                std::to_string(cluster.CallerPort(0))) == std::string::npos;
   }));
   RawClient late_client(cluster.loop(), cluster.address(),
--- a/src/pathcleat/lab/rollout_operator_test.cpp
+++ b/src/pathcleat/lab/rollout_operator_test.cpp
@@ -35,7 +35,9 @@
   CallResult Ask(const std::string& text, std::size_t host = 0) {
     return cluster.RunCommand(host, text);
   }
-  std::string Show(const std::string& text) { return Ask(text).response.body; }
+  std::string Show(const std::string& text) {
+    return Ask(text).response.body.str();
+  }
 
   // Sends requests in turn to all hosts until a condition holds.
   // @return whether it held within a generous number of requests.
@@ -166,11 +168,11 @@
 Test(rollout_operator, metrics_have_versions_only_with_an_order) {
   OperatorFixture fixture;
   fixture.Send();
-  cr_assert_not(Contains(fixture.cluster.FetchMetrics(0).response.body,
+  cr_assert_not(Contains(fixture.cluster.FetchMetrics(0).response.body.str(),
                          "pathcleat_version_"));
   fixture.Order();
   const auto page_has = [&](const std::string& part) {
-    return Contains(fixture.cluster.FetchMetrics(0).response.body, part);
+    return Contains(fixture.cluster.FetchMetrics(0).response.body.str(), part);
   };
   cr_assert(fixture.SendUntil([&] {
     return page_has(
--- a/src/pathcleat/lab/rollout_path_test.cpp
+++ b/src/pathcleat/lab/rollout_path_test.cpp
@@ -191,7 +191,7 @@
   RolloutFixture rollout;
   cr_assert(rollout.SendUntil("running"));
   const auto shown =
-      rollout.cluster.RunCommand(0, "show rollouts").response.body;
+      rollout.cluster.RunCommand(0, "show rollouts").response.body.str();
   cr_assert(shown.starts_with("s to v2: running"));
   cr_assert_eq(rollout.cluster.RunCommand(0, "roll back s").response.status,
                http_status::kOk);
--- a/src/pathcleat/lab/silence_test.cpp
+++ b/src/pathcleat/lab/silence_test.cpp
@@ -72,7 +72,7 @@
   cr_assert_leq(fixture.proxy.accepted_count() - opened_before, lost_count);
   cr_assert_gt(cluster.StoreCallsOf(0).silent_connections, 0U);
   cr_assert_not(
-      Contains(cluster.FetchMetrics(0).response.body,
+      Contains(cluster.FetchMetrics(0).response.body.str(),
                "pathcleat_silent_connections_total{link=\"store\"} 0\n"));
 }
 
@@ -219,7 +219,7 @@
   cr_assert_leq(fixture.RetryCount(), 2);
   cr_assert_leq(fixture.OpenedCount() - opened_before, kAfter);
   cr_assert_not(
-      Contains(cluster.FetchMetrics(0).response.body,
+      Contains(cluster.FetchMetrics(0).response.body.str(),
                "pathcleat_silent_connections_total{link=\"upstream\"} 0\n"));
 }
 
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -276,7 +276,7 @@
   HttpResponse response =
       TextResponse(fails ? http_status::kInternalError : http_status::kOk,
                    ExpectedAnswer(HeaderValue(exchange, "X-Run-Id"),
-                                  request.target, request.body));
+                                  request.target, request.body.str()));
   const HeaderNames& names = options_.headers;
   const std::string id = HeaderValue(exchange, names.request_id);
   const bool wrong_id = corruption_ == AnswerCorruption::kWrongRequestId;
--- a/src/pathcleat/lab/upstream_statements_test.cpp
+++ b/src/pathcleat/lab/upstream_statements_test.cpp
@@ -99,7 +99,7 @@
   }
   cr_assert(cluster.HasEvent(3, EventCode::kUpstreamAnnouncedLeaving));
   const std::string shown =
-      cluster.RunCommand(3, "show upstreams").response.body;
+      cluster.RunCommand(3, "show upstreams").response.body.str();
   cr_assert(shown.find("says that it leaves") != std::string::npos);
 }
 
@@ -173,7 +173,7 @@
   }
   cr_assert(cluster.HasEvent(0, EventCode::kUpstreamBackoff));
   const std::string shown =
-      cluster.RunCommand(0, "show upstreams").response.body;
+      cluster.RunCommand(0, "show upstreams").response.body.str();
   const std::string before_time = "wants nothing from here for ";
   const std::size_t time = shown.find(before_time) + before_time.size();
   const std::size_t after_time = shown.find_first_not_of("0123456789", time);
--- a/src/pathcleat/lab/whole_path_test.cpp
+++ b/src/pathcleat/lab/whole_path_test.cpp
@@ -20,14 +20,16 @@
   cluster.StartAll();
   const CallResult get = cluster.Get(0, "r1");
   cr_assert_eq(get.response.status, http_status::kOk);
-  cr_assert(get.response.body == ExpectedAnswer("r1", "/s/read/item", ""));
+  cr_assert(get.response.body.str() ==
+            ExpectedAnswer("r1", "/s/read/item", ""));
   std::string body(100'000, '\0');
   for (std::size_t i = 0; i < body.size(); ++i) {
     body[i] = static_cast<char>(i % 251);
   }
   const CallResult post = cluster.Post(1, "r2", "", body);
   cr_assert_eq(post.response.status, http_status::kOk);
-  cr_assert(post.response.body == ExpectedAnswer("r2", "/s/write/entry", body));
+  cr_assert(post.response.body.str() ==
+            ExpectedAnswer("r2", "/s/write/entry", body));
   cr_assert_str_eq(TestCluster::OutcomeHeader(post).c_str(), "answered");
 }
 
@@ -227,7 +229,7 @@
   const auto near =
       cluster.Locate(0, "?region=region-0&failure_domain=domain-0");
   cr_assert_eq(near.response.status, http_status::kOk);
-  const std::string& body = near.response.body;
+  const std::string& body = near.response.body.str();
   const auto name = [&cluster](std::size_t host) {
     return cluster.address() + ":" + std::to_string(cluster.CallerPort(host));
   };
@@ -238,8 +240,8 @@
   // follow.
   const auto far =
       cluster.Locate(0, "?region=region-1&failure_domain=domain-1");
-  cr_assert_lt(far.response.body.find(name(2)),
-               far.response.body.find(name(0)));
+  cr_assert_lt(far.response.body.str().find(name(2)),
+               far.response.body.str().find(name(0)));
 }
 
 Test(whole_path, why_shows_the_steps_of_a_request) {
@@ -248,7 +250,7 @@
   const CallResult get = cluster.Get(0, "r1");
   const auto id = FindHeader(get.response.headers, "Pathcleat-Request-Id");
   const CallResult why = cluster.RunCommand(0, "why " + id.value_or(""));
-  const std::string& text = why.response.body;
+  const std::string& text = why.response.body.str();
   cr_assert_neq(text.find("route=read service=s"), std::string::npos);
   cr_assert_neq(text.find("request-sent upstream=upstream-0-"),
                 std::string::npos);
