All that a host holds for others is bounded by its machine's memory

Cause: limits are per message. Nothing bounded the sum: bodies coming in and waiting, heads, answers that nobody reads (there was no time limit for writing), and what the kernel receives before the host reads it.

Each connection, request and answer of all six listeners, and each answer of an upstream, now holds a lease of one MemoryBudget (memory_mb, filled by the deploy template; 160 if it is missing): - A request reserves what its header announces when the header is read, and is refused at once with 503 and Retry-After if there is none. An answer that is not read is given up likewise, or after IdleTimeout. - Small requests keep a quarter of the budget, so large bodies never starve them. Bodies that the host can never hold get 413. - The kernel's receive buffers are small from listen on (16 KiB, without limiting the window scale) and grow for a request that was granted memory. - In the process, blocks of 256 KiB and more are mapped by themselves, so they grow in place and go back to the machine when freed.

On-call sees pathcleat_held_bytes, _memory_refusals_total, _reclaims_total and pathcleat_input_rejections_total by listener and cause; PC1010 and PC1011, at most one each per 10 s; PC1106 with cause and request id; `why` names the cause of a rejected request and what held the memory.

Ruled out: stopping to read (hands the crowd to the kernel, whose buffers count as well), 413 for what would fit later (clients retry nothing after it), charging bytes only as they arrive (many half-read bodies, none complete; see docs/design/client-memory.md).

--- a/include/pathcleat/calls/connection_pool.hpp
+++ b/include/pathcleat/calls/connection_pool.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "pathcleat/calls/idle_reuse_limit.hpp"
+#include "pathcleat/core/memory_budget.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/routing/upstream_info.hpp"
 
@@ -33,6 +34,11 @@
     local_address_ = std::move(address);
   }
 
+  /// @brief Lets the answers on all new connections share a memory budget.
+  void SetMemoryBudget(MemoryBudgetPtr budget) {
+    memory_budget_ = std::move(budget);
+  }
+
   /// @brief Returns a connection for one request: an idle one or a new one that
   /// is not open yet.
   /// @param repeatable whether the request may be sent again if it is lost. If
@@ -85,6 +91,7 @@
 
   boost::asio::io_context& loop_;
   std::string local_address_;
+  MemoryBudgetPtr memory_budget_;
   std::map<std::string, Connections> idle_;
   std::map<std::string, Time> silence_times_;                ///< by upstream id
   std::map<std::string, IdleReuseLimit> idle_reuse_limits_;  ///< by service
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -23,6 +23,8 @@
   kHostIsolated = 1007,
   kHostReconnected = 1008,
   kLoopSlow = 1009,
+  kMemoryUsedUp = 1010,
+  kMemoryAvailable = 1011,
   kRequestRefused = 1101,
   kRequestUnknown = 1102,
   kRequestRetried = 1103,
--- a/include/pathcleat/feeds/peer_feed.hpp
+++ b/include/pathcleat/feeds/peer_feed.hpp
@@ -71,8 +71,8 @@
     handler_ = std::move(handler);
   }
 
-  /// @brief Sets the limits for requests that start from now on.
-  void SetLimits(const HttpLimits& limits) { server_.SetLimits(limits); }
+  /// @brief The server for other hosts, to set its limits.
+  HttpServer& server() { return server_; }
 
   /// @brief Sets the key that authenticates answers. Without a key no answer is
   /// sent or accepted.
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -46,8 +46,8 @@
     peer_feed_.SetHandler(kForwardHeader, std::move(handler));
   }
 
-  /// @brief Sets the limits of requests that other hosts send.
-  void SetPeerLimits(const HttpLimits& limits) { peer_feed_.SetLimits(limits); }
+  /// @brief The server for other hosts, to set its limits.
+  HttpServer& peer_server() { return peer_feed_.server(); }
 
   /// @brief Whether a configuration and a list of upstreams are loaded, so that
   /// requests can be served.
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -111,6 +111,10 @@
   void UpdateDecisionFreshness(const std::vector<PeerDecisions>& peers,
                                Time now);
   int CountHostsAhead(Time now) const;
+  void LimitServers();
+  void LimitServer(HttpServer& server,
+                   const std::string& listener,
+                   std::size_t max_connections);
   Result<void> ListenAt(HttpServer& server, const std::string& address);
 
   GatewayState state_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -22,8 +22,10 @@
 #include "pathcleat/fleet/locate_directory.hpp"
 #include "pathcleat/fleet/peer_traffic.hpp"
 #include "pathcleat/gateway/client_regions.hpp"
+#include "pathcleat/gateway/memory_monitor.hpp"
 #include "pathcleat/gateway/quota_enforcer.hpp"
 #include "pathcleat/gateway/reach_monitor.hpp"
+#include "pathcleat/gateway/rejection_log.hpp"
 #include "pathcleat/gateway/version_request.hpp"
 #include "pathcleat/http/listen_probe.hpp"
 #include "pathcleat/rollouts/decision_freshness.hpp"
@@ -119,6 +121,9 @@
   EntrySettings settings;
   const HeaderNames headers;
   EventLog events;
+  MemoryBudgetPtr memory_budget;
+  MemoryMonitor memory_monitor;
+  RejectionLog rejections;
   HostTable hosts;
   LocateDirectory locate;
   RouteTable routes;
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -101,6 +101,13 @@
   /// @brief Sets the local IP address to connect from.
   void BindLocalAddress(const std::string& local_address);
 
+  /// @brief Lets answers share a memory budget with other users. A call whose
+  /// answer finds no memory ends with kConnectionLost. Must be set before the
+  /// first request.
+  void SetMemoryBudget(MemoryBudgetPtr budget) {
+    memory_budget_ = std::move(budget);
+  }
+
   /// @brief Sets how long the peer's machine may leave bytes or TCP keep-alive
   /// probes unacknowledged before the connection is closed. Must be set before
   /// the first request. An idle connection may stay open up to one second
@@ -179,6 +186,7 @@
  private:
   using Parser = boost::beast::http::response_parser<BufferBody>;
 
+  void OpenSocket();
   void Connect(Duration timeout);
   void OnConnected(Time started_at);
   void OnConnectTimeout();
@@ -188,6 +196,7 @@
   void OnResponseBytes();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
+  bool ReserveAnswer();
   void HandleHead();
   void HandleResponse();
   void ReadNextResponse();
@@ -208,6 +217,8 @@
   mutable boost::asio::ip::tcp::socket
       socket_;  ///< asked for its state in const functions
   boost::asio::steady_timer timer_;
+  MemoryBudgetPtr memory_budget_;
+  std::unique_ptr<MemoryLease> answer_memory_;  ///< while an answer arrives
   std::string request_head_;
   MessageBody request_body_;
   bool is_head_request_ = false;
--- a/include/pathcleat/http/http_server.hpp
+++ b/include/pathcleat/http/http_server.hpp
@@ -12,8 +12,10 @@
 #include <unordered_set>
 
 #include "pathcleat/core/error.hpp"
+#include "pathcleat/core/memory_budget.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 #include "pathcleat/http/http_limits.hpp"
+#include "pathcleat/http/rejection.hpp"
 
 namespace pathcleat {
 
@@ -25,9 +27,9 @@
 /// @ingroup http
 class HttpServer {
  public:
-  /// @brief Called with the status and the caller's IP address for each request
-  /// that was rejected before it reached the handler.
-  using RejectionObserver = std::function<void(int status, const std::string&)>;
+  /// @brief Called for each request that was rejected before it reached the
+  /// handler, and for each connection that was closed for its memory.
+  using RejectionObserver = std::function<void(const Rejection&)>;
 
   HttpServer(boost::asio::io_context& loop, HttpExchangeHandler handler);
   ~HttpServer();
@@ -39,6 +41,19 @@
   /// @return the bound port.
   Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
+  /// @brief Lets all connections share a memory budget with other users.
+  /// Requests that find no memory are rejected as not run. Must be called
+  /// before Listen.
+  void SetMemoryBudget(MemoryBudgetPtr budget) {
+    memory_budget_ = std::move(budget);
+  }
+
+  /// @brief Sets the header that carries the id of a request, for the observer
+  /// of rejections.
+  void SetRequestIdHeader(std::string name) {
+    request_id_header_ = std::move(name);
+  }
+
   /// @brief Sets the limits for requests that start from now on.
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
   const HttpLimits& limits() const { return limits_; }
@@ -85,6 +100,8 @@
   HttpExchangeHandler handler_;
   HttpLimits limits_;
   RejectionObserver on_rejected_;
+  MemoryBudgetPtr memory_budget_;
+  std::string request_id_header_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_timer_;
   boost::asio::steady_timer accept_timer_;
--- a/include/pathcleat/settings/entry_settings.hpp
+++ b/include/pathcleat/settings/entry_settings.hpp
@@ -93,6 +93,9 @@
   double link_mbps = 10;
   double cpu_cores = 0;               ///< that this host may use; 0: not stated
   std::uint32_t max_descriptors = 0;  ///< of files and sockets; 0: not stated
+  /// Memory of the machine that this host may use, in units of 10^6 bytes. The
+  /// default suits the smallest machines.
+  std::uint32_t memory_mb = 160;
   FleetBounds bounds;
   TransferCosts transfer_costs;
   RequestLogSettings request_log;
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -3,6 +3,7 @@
 
 #include <docopt/docopt.h>
 #include <log4cplus/initializer.h>
+#include <malloc.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -113,7 +114,18 @@
           IntegerField(field::kDroppedStates, count(LogClass::kState))};
 }
 
+// Large blocks are mapped by themselves, so that they grow without copies and
+// go back to the machine when they are freed. By default the C library raises
+// these thresholds with each large block that is freed.
+void SetAllocationThresholds() {
+  constexpr int kMinMappedBytes = 256 * 1024;
+  constexpr int kMaxFreeHeapBytes = 2 * 1024 * 1024;
+  mallopt(M_MMAP_THRESHOLD, kMinMappedBytes);
+  mallopt(M_TRIM_THRESHOLD, kMaxFreeHeapBytes);
+}
+
 int RunEntry(const std::string& path) {
+  SetAllocationThresholds();
   const LoadedEntrySettings loaded = LoadEntrySettings(path);
   if (ReportFaults(loaded)) {
     return kWrongUsage;
--- a/src/pathcleat/calls/connection_pool.cpp
+++ b/src/pathcleat/calls/connection_pool.cpp
@@ -84,6 +84,7 @@
       loop_, endpoint.value_or(boost::asio::ip::tcp::endpoint()),
       AnswerLimits());
   client->BindLocalAddress(local_address_);
+  client->SetMemoryBudget(memory_budget_);
   return client;
 }
 
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -23,6 +23,8 @@
     EventInfo{kHostIsolated, "host-isolated", kAlarm, kState, "process"},
     EventInfo{kHostReconnected, "host-reconnected", kInfo, kState, "process"},
     EventInfo{kLoopSlow, "loop-slow", kWarning, kState, "process"},
+    EventInfo{kMemoryUsedUp, "memory-used-up", kWarning, kState, "process"},
+    EventInfo{kMemoryAvailable, "memory-available", kInfo, kState, "process"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
               "request"},
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -12,6 +12,7 @@
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/gateway/hold_events.hpp"
+#include "pathcleat/gateway/host_limits.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_handler.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
@@ -40,13 +41,9 @@
 
 constexpr const char* kNoConfig = "no configuration yet";
 
-// File descriptors that are not available to callers: 200 for files and the
-// runtime, the rest for the store, other hosts, readiness, metrics and
-// operators.
-constexpr rlim_t kReservedDescriptors = 300;
-// Minimum number of callers' connections, also where the limit of descriptors
-// is below kReservedDescriptors.
-constexpr rlim_t kMinCallerConnections = 64;
+// Requests at the interfaces that serve readiness, locating and metrics have no
+// body; operators send a line of text.
+constexpr std::uint64_t kMaxServiceBodyBytes = 64ULL * 1024;
 
 // A forwarded request is as large as a caller's, and carries a token besides.
 // The time limits for callers do not apply between hosts: a connection that was
@@ -59,19 +56,6 @@
   return limits;
 }
 
-// Half of the remaining descriptors, as each request in flight holds a second
-// connection, to its upstream. 0 means no limit.
-std::size_t MaxCallerConnections() {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 ||
-      limit.rlim_cur == RLIM_INFINITY) {
-    return 0;
-  }
-  const rlim_t left =
-      std::max(limit.rlim_cur, kReservedDescriptors) - kReservedDescriptors;
-  return std::max(left / 2, kMinCallerConnections);
-}
-
 // Processor time of this process so far.
 Duration ProcessorTime() {
   rusage usage{};
@@ -114,7 +98,8 @@
           source,
           [this](const RoutingConfig& config) {
             caller_server_.SetLimits(config.caller_limits);
-            fleet_sync_.SetPeerLimits(ForwardLimits(config.caller_limits));
+            fleet_sync_.peer_server().SetLimits(
+                ForwardLimits(config.caller_limits));
           },
           [this] { peer_link_.PublishHeartbeat(); }),
       startup_loader_(
@@ -166,12 +151,7 @@
 
 Result<void> Gateway::Start() {
   const EntrySettings& settings = state_.settings;
-  caller_server_.OnRejected([this](int status, const std::string& caller) {
-    state_.events.Record(EventCode::kCallerInputRejected, caller,
-                         "status " + std::to_string(status));
-  });
-  max_caller_connections_ = MaxCallerConnections();
-  caller_server_.SetMaxConnections(max_caller_connections_);
+  LimitServers();
   BOOST_LEAF_CHECK(ListenAt(caller_server_, settings.listen.callers));
   BOOST_LEAF_CHECK(ListenAt(readiness_server_, settings.listen.readiness));
   BOOST_LEAF_CHECK(ListenAt(locate_server_, settings.listen.locate));
@@ -186,6 +166,35 @@
   return {};
 }
 
+void Gateway::LimitServers() {
+  const ConnectionLimits limits =
+      DivideDescriptors(MaxDescriptors(state_.settings.max_descriptors));
+  max_caller_connections_ = limits.callers;
+  LimitServer(caller_server_, "callers", limits.callers);
+  LimitServer(locate_server_, "locate", 0);
+  LimitServer(fleet_sync_.peer_server(), "peers", 0);
+  LimitServer(readiness_server_, "readiness", 0);
+  LimitServer(operator_server_, "operators", 0);
+  LimitServer(metrics_server_, "metrics", 0);
+  HttpLimits service_limits;
+  service_limits.max_body_bytes = kMaxServiceBodyBytes;
+  for (HttpServer* server : {&locate_server_, &readiness_server_,
+                             &operator_server_, &metrics_server_}) {
+    server->SetLimits(service_limits);
+  }
+}
+
+void Gateway::LimitServer(HttpServer& server,
+                          const std::string& listener,
+                          std::size_t max_connections) {
+  server.SetMemoryBudget(state_.memory_budget);
+  server.SetMaxConnections(max_connections);
+  server.SetRequestIdHeader(state_.headers.request_id);
+  server.OnRejected([this, listener](const Rejection& rejection) {
+    state_.rejections.Record(listener, rejection, BootClock::now());
+  });
+}
+
 bool Gateway::IsReady() const {
   return !state_.leaving && fleet_sync_.IsLoaded() && !IsTooFarBehind() &&
          caller_server_.CanAccept();
@@ -512,6 +521,7 @@
     peer_link_.PublishUsage();
   }
   state_.TickCrashes(now);
+  state_.memory_monitor.Tick(*state_.memory_budget, now);
   state_.connection_pool.CloseIdle(now);
   state_.forwards.connections.CloseIdle(now);
   state_.tick_due_at = BootClock::now() + kTickInterval;
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "pathcleat/core/hash.hpp"
+#include "pathcleat/gateway/host_limits.hpp"
 
 namespace pathcleat {
 namespace {
@@ -81,6 +82,10 @@
       settings(entry_settings),
       headers(header_names),
       events(settings.host, kMaxEvents),
+      memory_budget(std::make_shared<MemoryBudget>(
+          MemoryBudgetBytes(settings.memory_mb))),
+      memory_monitor(events, settings.host),
+      rejections(events, settings.request_log.failures_per_second),
       hosts(MakeSelfInfo(settings, incarnation), kHostTimeout),
       locate(hosts),
       account_key_hasher(key_hasher),
@@ -103,6 +108,8 @@
       listen_probe(loop),
       unknown_headers(headers),
       upstream_statements(upstreams, settings.host, settings.domain) {
+  connection_pool.SetMemoryBudget(memory_budget);
+  forwards.connections.SetMemoryBudget(memory_budget);
   upstream_statements.SetOnChange(
       [this](UpstreamState& upstream, LimitChange change) {
         OnLimitChange(upstream, change);
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -3,6 +3,8 @@
 
 #include <sys/resource.h>
 
+#include <array>
+
 #include "pathcleat/gateway/metrics_text.hpp"
 
 namespace pathcleat {
@@ -394,6 +396,41 @@
               traffic.failed_fetches());
 }
 
+void AddMemory(Page& page, const GatewayState& state) {
+  const MemoryBudget& budget = *state.memory_budget;
+  constexpr std::array kUses{MemoryUse::kConnections, MemoryUse::kRequests,
+                             MemoryUse::kAnswers};
+  page.Family("pathcleat_held_bytes", "gauge",
+              "Memory taken from the budget of this host, by use.");
+  for (const MemoryUse use : kUses) {
+    page.Sample("pathcleat_held_bytes", {{"use", ToString(use)}},
+                budget.used(use));
+  }
+  page.Family("pathcleat_held_limit_bytes", "gauge",
+              "The budget of this host, from its memory.");
+  page.Sample("pathcleat_held_limit_bytes", {}, budget.limit());
+  page.Family("pathcleat_memory_refusals_total", "counter",
+              "Times that the budget had no memory, by use.");
+  for (const MemoryUse use : kUses) {
+    page.Sample("pathcleat_memory_refusals_total", {{"use", ToString(use)}},
+                budget.refused()[static_cast<std::size_t>(use)]);
+  }
+  page.Family("pathcleat_memory_reclaims_total", "counter",
+              "Requests and answers given up for others, by use.");
+  for (const MemoryUse use : kUses) {
+    page.Sample("pathcleat_memory_reclaims_total", {{"use", ToString(use)}},
+                budget.reclaimed()[static_cast<std::size_t>(use)]);
+  }
+  page.Family("pathcleat_input_rejections_total", "counter",
+              "Requests rejected before they were handled, and connections "
+              "closed, by listener and cause.");
+  for (const auto& [key, count] : state.rejections.counts()) {
+    page.Sample("pathcleat_input_rejections_total",
+                {{"listener", key.first}, {"cause", ToString(key.second)}},
+                count);
+  }
+}
+
 void AddProcess(Page& page,
                 const GatewayState& state,
                 const LogCounts& dropped_lines) {
@@ -448,6 +485,7 @@
     AddStore(page, *inputs.store_calls);
   }
   AddSilentConnections(page, state, inputs);
+  AddMemory(page, state);
   AddProcess(page, state, inputs.dropped_log_lines);
   return page.Text();
 }
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -23,6 +23,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t kReadChunkBytes = 8UL * 1024;
+// Limits what the kernel holds of an answer that this host has not read yet.
+constexpr int kReceiveBufferBytes = 512 * 1024;
 constexpr int kMaxMismatchedResponses = 2;
 constexpr int kMaxInterimResponses = 16;
 constexpr int kFirstFinalStatus = 200;
@@ -109,6 +111,10 @@
 }
 
 void HttpClient::StartParser() {
+  if (memory_budget_) {
+    answer_memory_ =
+        std::make_unique<MemoryLease>(memory_budget_, MemoryUse::kAnswers);
+  }
   parser_.emplace();
   parser_->header_limit(limits_.max_header_bytes);
   parser_->body_limit(limits_.max_body_bytes);
@@ -116,14 +122,23 @@
   parser_->skip(is_head_request_);
 }
 
-void HttpClient::Connect(Duration timeout) {
-  ArmTimer(timeout, &HttpClient::OnConnectTimeout);
+void HttpClient::OpenSocket() {
+  error_code ignored;
+  socket_.open(endpoint_.protocol(), ignored);
+  if (memory_budget_) {
+    socket_.set_option(
+        boost::asio::socket_base::receive_buffer_size(kReceiveBufferBytes),
+        ignored);
+  }
   if (!local_address_.empty()) {
-    error_code ignored;
     const auto local = boost::asio::ip::make_address(local_address_, ignored);
-    socket_.open(endpoint_.protocol(), ignored);
     socket_.bind({local, 0}, ignored);
   }
+}
+
+void HttpClient::Connect(Duration timeout) {
+  ArmTimer(timeout, &HttpClient::OnConnectTimeout);
+  OpenSocket();
   const Time started_at = BootClock::now();
   socket_.async_connect(endpoint_, [self = shared_from_this(),
                                     started_at](const error_code& error) {
@@ -256,6 +271,10 @@
     Fail(CallOutcome::kConnectionLost, error.message());
     return;
   }
+  if (!ReserveAnswer()) {
+    Fail(CallOutcome::kConnectionLost, "no memory for the answer");
+    return;
+  }
   if (parser_->is_done()) {
     HandleResponse();
     return;
@@ -270,6 +289,12 @@
   Read();
 }
 
+bool HttpClient::ReserveAnswer() {
+  const std::uint64_t bytes = parser_->get().body().size();
+  return !answer_memory_ || bytes == answer_memory_->bytes() ||
+         answer_memory_->Resize(bytes, last_byte_at_);
+}
+
 void HttpClient::HandleHead() {
   if (!on_head_ || !parser_->is_header_done()) {
     return;
@@ -289,7 +314,7 @@
   const bool keep_alive = parser_->get().keep_alive();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
-  result.response = FromBeast(parser_->release(), nullptr);
+  result.response = FromBeast(parser_->release(), std::move(answer_memory_));
   if (result.response.status < kFirstFinalStatus) {
     if (++interim_responses_ > kMaxInterimResponses) {
       Fail(CallOutcome::kConnectionLost, "too many interim answers");
@@ -419,6 +444,7 @@
   timer_.cancel();
   request_head_.clear();
   request_body_ = {};
+  answer_memory_.reset();
   matcher_ = nullptr;
   on_opened_ = nullptr;
   on_head_ = nullptr;
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "receive_buffer.hpp"
 #include "server_session.hpp"
 
 namespace pathcleat {
@@ -51,6 +52,9 @@
   if (!error) {
     acceptor_.bind(endpoint, error);
   }
+  if (!error && memory_budget_) {
+    LimitReceiveBuffers(acceptor_);
+  }
   if (!error) {
     acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
   }
@@ -113,7 +117,7 @@
       ranked.begin() + static_cast<std::ptrdiff_t>(evicted_count), ranked.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
   for (std::size_t i = 0; i < evicted_count; ++i) {
-    ranked[i].second->Evict();
+    ranked[i].second->Evict(RejectionCause::kTooManyConnections);
   }
   return evicted_count > 0;
 }
@@ -126,7 +130,9 @@
       std::make_shared<ServerSession>(*this, std::move(socket));
   sessions_.insert(session);
   if (rejected) {
-    session->Evict();
+    session->Evict(RejectionCause::kTooManyConnections);
+  } else if (!session->ReserveMemory()) {
+    session->Evict(RejectionCause::kNoMemory);
   } else {
     session->Start();
   }
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -3,6 +3,7 @@
 
 #include <poll.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -24,19 +25,57 @@
 // take seconds at most.
 constexpr const char* kRetryAfterSeconds = "1";
 constexpr std::size_t kReadChunkBytes = 8UL * 1024;
+constexpr std::size_t kLargeReadChunkBytes = 64UL * 1024;
+// Memory of one header field beside its text, in the parser's message, in the
+// request and in the copy for the upstream.
+constexpr std::uint64_t kFieldBytes = 256;
+constexpr std::uint64_t kCopiesOfHeaderText = 3;
 constexpr Duration kLingerTime{2'000'000};
 // The users' rules allow 0.5 s until the work for a caller that has
 // disconnected is cancelled; this interval is short enough for that.
 constexpr std::chrono::milliseconds kCallerCheckInterval{100};
 
-int StatusOf(const error_code& error) {
+RejectionCause CauseOf(const error_code& error) {
   if (error == http::error::header_limit) {
-    return http_status::kHeaderTooLarge;
+    return RejectionCause::kHeaderTooLarge;
   }
   if (error == http::error::body_limit) {
-    return http_status::kPayloadTooLarge;
+    return RejectionCause::kBodyTooLarge;
   }
-  return http_status::kBadRequest;
+  if (error == http::error::buffer_overflow) {
+    return RejectionCause::kNoMemory;
+  }
+  return RejectionCause::kMalformed;
+}
+
+template <class Fields>
+std::uint64_t MemoryOf(const Fields& fields) {
+  std::uint64_t bytes = 0;
+  for (const auto& field : fields) {
+    const std::size_t text = field.name_string().size() + field.value().size();
+    bytes += kFieldBytes + kCopiesOfHeaderText * text;
+  }
+  return bytes;
+}
+
+const char* TextOf(RejectionCause cause) {
+  switch (cause) {
+    case RejectionCause::kTooManyConnections:
+      return "not run: too many connections\n";
+    case RejectionCause::kNoMemory:
+    case RejectionCause::kStalled:
+      return "not run: no memory for the request\n";
+    default:
+      return "request not accepted\n";
+  }
+}
+
+HttpResponse ResponseTo(RejectionCause cause) {
+  HttpResponse response = TextResponse(StatusOf(cause), TextOf(cause));
+  if (response.status == http_status::kUnavailable) {
+    response.headers.push_back({"Retry-After", kRetryAfterSeconds});
+  }
+  return response;
 }
 
 // With any transfer coding other than a single "chunked" the end of the body is
@@ -62,9 +101,13 @@
                              boost::asio::ip::tcp::socket socket)
     : server_(&server),
       socket_(std::move(socket)),
-      caller_check_timer_(socket_.get_executor()) {
+      caller_check_timer_(socket_.get_executor()),
+      memory_(server.memory_budget_) {
   error_code error;
   socket_.set_option(boost::asio::ip::tcp::no_delay(true), error);
+  if (server.memory_budget_) {
+    SetReceiveBuffer(socket_, receive_buffer_);
+  }
   const auto peer = socket_.remote_endpoint(error);
   caller_ip_ = error ? std::string() : peer.address().to_string();
   StartRequest();
@@ -74,6 +117,10 @@
   Read();
 }
 
+bool ServerSession::ReserveMemory() {
+  return memory_.ReserveConnection(0);
+}
+
 void ServerSession::Detach() {
   server_ = nullptr;
   if (exchange_) {
@@ -105,18 +152,33 @@
 void ServerSession::StartRequest() {
   parser_.emplace();
   parser_->header_limit(server_->limits().max_header_bytes);
-  parser_->body_limit(server_->limits().max_body_bytes);
+  parser_->body_limit(MaxBodyBytes());
   header_checked_ = false;
   phase_started_at_ = BootClock::now();
 }
 
+// A body that this host can never hold is too large for it, whatever the limit.
+std::uint64_t ServerSession::MaxBodyBytes() const {
+  const std::uint64_t limit = server_->limits().max_body_bytes;
+  return server_->memory_budget_
+             ? std::min(limit, server_->memory_budget_->MaxRequestBytes())
+             : limit;
+}
+
 void ServerSession::Read() {
   if (reading_ || closed_ || (caller_half_closed_ && !closing_)) {
     return;
   }
   reading_ = true;
+  const bool reads_large_body =
+      !exchange_ && receive_buffer_ > kSmallReceiveBuffer;
+  const std::size_t chunk =
+      reads_large_body ? kLargeReadChunkBytes : kReadChunkBytes;
+  if (buffer_.size() == 0 && buffer_.capacity() > chunk) {
+    buffer_.shrink_to_fit();
+  }
   socket_.async_read_some(
-      buffer_.prepare(kReadChunkBytes),
+      buffer_.prepare(chunk),
       [self = shared_from_this()](const error_code& error, std::size_t bytes) {
         self->OnRead(error, bytes);
       });
@@ -136,17 +198,25 @@
     return;
   }
   buffer_.commit(bytes);
+  received_ += bytes;
   if (!exchange_ && !writing_) {
     Parse();
-    return;
-  }
-  // Stops reading from a caller that keeps sending. Reading continues after the
-  // answer.
-  if (buffer_.size() < server_->limits().max_header_bytes) {
+  } else if (buffer_.size() < kReadChunkBytes) {
     Read();
   } else {
-    PollCaller();
+    PauseReading();
+  }
+}
+
+// Stops reading from a caller that keeps sending. Reading continues after the
+// answer; without memory for what the kernel receives meanwhile, the connection
+// ends with the answer.
+void ServerSession::PauseReading() {
+  const std::uint64_t unread = UnreadBytesFor(receive_buffer_);
+  if (!memory_.ReserveConnection(kReadChunkBytes + unread)) {
+    last_request_ = true;
   }
+  PollCaller();
 }
 
 void ServerSession::OnReadError(const error_code& error) {
@@ -207,11 +277,59 @@
       break;
     }
   }
+  const bool waits_for_caller = !exchange_ && !writing_ && !closing_;
+  if (!closed_ && waits_for_caller && !ReserveRequest()) {
+    Reject(RejectionCause::kNoMemory);
+  }
   if (!closed_) {
     Read();
   }
 }
 
+// Memory of the incomplete request, as far as its header tells.
+std::uint64_t ServerSession::RequestBytes() const {
+  const std::uint64_t read_ahead =
+      buffer_.capacity() - std::min(buffer_.capacity(), kReadChunkBytes);
+  if (!parser_->is_header_done()) {
+    return read_ahead;
+  }
+  const std::uint64_t announced = parser_->content_length().value_or(0);
+  const std::uint64_t arrived = parser_->get().body().size();
+  const std::uint64_t unread = receive_buffer_ > kSmallReceiveBuffer
+                                   ? UnreadBytesFor(receive_buffer_)
+                                   : 0;
+  return header_memory_ + std::max(announced, arrived) + read_ahead + unread;
+}
+
+bool ServerSession::ReserveRequest() {
+  if (!parser_->got_some() && buffer_.size() == 0) {
+    return true;
+  }
+  return memory_.ReserveRequest(RequestBytes(), std::exchange(received_, 0),
+                                [this] { Evict(RejectionCause::kStalled); });
+}
+
+void ServerSession::ReleaseRequest() {
+  memory_.ReleaseRequest();
+  header_memory_ = 0;
+  if (receive_buffer_ != kSmallReceiveBuffer) {
+    receive_buffer_ = kSmallReceiveBuffer;
+    SetReceiveBuffer(socket_, receive_buffer_);
+  }
+}
+
+// A body that exceeds the small buffer would arrive slowly over a long link.
+void ServerSession::GrowReceiveBuffer() {
+  const std::uint64_t body = parser_->chunked()
+                                 ? std::uint64_t{kChunkedReceiveBuffer}
+                                 : parser_->content_length().value_or(0);
+  if (server_->memory_budget_ && body > kSmallReceiveBuffer &&
+      !parser_->is_done()) {
+    receive_buffer_ = static_cast<std::size_t>(
+        std::min<std::uint64_t>(body, kLargeReceiveBuffer));
+  }
+}
+
 bool ServerSession::ParseStep() {
   error_code error;
   if (!parser_->got_some()) {
@@ -224,7 +342,7 @@
     return false;
   }
   if (error) {
-    Reject(StatusOf(error));
+    Reject(CauseOf(error));
     return false;
   }
   if (parser_->is_header_done() && !header_checked_ && !CheckHeader()) {
@@ -241,7 +359,7 @@
 // complete; only the header has a limit of its own.
 void ServerSession::RejectEndlessLine() {
   if (buffer_.size() >= server_->limits().max_header_bytes) {
-    Reject(http_status::kHeaderTooLarge);
+    Reject(RejectionCause::kHeaderTooLarge);
   }
 }
 
@@ -249,14 +367,23 @@
   header_checked_ = true;
   const auto& message = parser_->get();
   if (HasUnknownFraming(message)) {
-    Reject(http_status::kBadRequest);
+    Reject(RejectionCause::kMalformed);
     return false;
   }
   const auto announced = parser_->content_length();
-  if (announced && *announced > server_->limits().max_body_bytes) {
-    Reject(http_status::kPayloadTooLarge);
+  if (announced && *announced > MaxBodyBytes()) {
+    Reject(RejectionCause::kBodyTooLarge);
+    return false;
+  }
+  header_memory_ = MemoryOf(message);
+  GrowReceiveBuffer();
+  if (!ReserveRequest()) {
+    Reject(RejectionCause::kNoMemory);
     return false;
   }
+  if (receive_buffer_ != kSmallReceiveBuffer) {
+    SetReceiveBuffer(socket_, receive_buffer_);
+  }
   parser_->eager(true);
   if (boost::beast::iequals(message[http::field::expect], "100-continue") &&
       !parser_->is_done()) {
@@ -269,8 +396,10 @@
 
 void ServerSession::HandleRequest() {
   last_request_ = last_request_ || !parser_->get().keep_alive();
+  auto body_memory = memory_.TakeBody(parser_->get().body().size());
   exchange_ = std::make_shared<HttpExchange>(
-      FromBeast(parser_->release(), nullptr), caller_ip_, BootClock::now());
+      FromBeast(parser_->release(), std::move(body_memory)), caller_ip_,
+      BootClock::now());
   exchange_->OnAnswered([this] { WriteResponse(); });
   exchange_->OnConnectionDropped([this] { Close(); });
   exchange_->OnConnectionCheck([this] { CheckCaller(); });
@@ -278,16 +407,28 @@
   server_->handler_(exchange);
 }
 
-void ServerSession::Reject(int status) {
+void ServerSession::ReportRejection(RejectionCause cause) {
+  if (server_ == nullptr || !server_->on_rejected_) {
+    return;
+  }
+  Rejection rejection{cause, caller_ip_, ""};
+  if (parser_->is_header_done() && !server_->request_id_header_.empty()) {
+    const auto id = parser_->get()[server_->request_id_header_];
+    rejection.request_id = std::string(id);
+  }
+  server_->on_rejected_(rejection);
+}
+
+void ServerSession::Reject(RejectionCause cause) {
   last_request_ = true;
+  ReportRejection(cause);
   buffer_.clear();
-  if (server_->on_rejected_) {
-    server_->on_rejected_(status, caller_ip_);
-  }
+  parser_.emplace();
+  ReleaseRequest();
   exchange_ = std::make_shared<HttpExchange>(HttpRequest{}, caller_ip_,
                                              BootClock::now());
   exchange_->OnAnswered([this] { WriteResponse(); });
-  exchange_->Respond(TextResponse(status, "request not accepted\n"));
+  exchange_->Respond(ResponseTo(cause));
 }
 
 void ServerSession::WriteResponse() {
@@ -299,15 +440,41 @@
     response_body_ = response.body;
   }
   exchange_.reset();
+  ReleaseRequest();
+  const std::size_t total = response_head_.size() + response_body_.size();
+  const std::size_t own =
+      response_body_.IsLeased() ? response_head_.size() : total;
+  if (!memory_.ReserveAnswer(own, total, [this] { OnAnswerNotRead(); }) &&
+      own > MemoryBudget::kLargeBytes) {
+    OnAnswerNotRead();
+    return;
+  }
   writing_ = true;
+  write_progress_at_ = BootClock::now();
   const std::array<boost::asio::const_buffer, 2> bytes{
       boost::asio::buffer(response_head_),
       boost::asio::buffer(response_body_.view())};
+  const auto self = shared_from_this();
   boost::asio::async_write(
       socket_, bytes,
-      [self = shared_from_this()](const error_code& error, std::size_t) {
-        self->OnWritten(error);
-      });
+      [self, total](const error_code& error, std::size_t written) {
+        self->OnWriteProgress(written);
+        return error ? 0 : total - written;
+      },
+      [self](const error_code& error, std::size_t) { self->OnWritten(error); });
+}
+
+void ServerSession::OnWriteProgress(std::size_t written) {
+  if (written > 0 && !closed_) {
+    write_progress_at_ = BootClock::now();
+    memory_.OnAnswerProgress(written);
+  }
+}
+
+void ServerSession::OnAnswerNotRead() {
+  const auto self = shared_from_this();
+  ReportRejection(RejectionCause::kUnreadAnswer);
+  Close();
 }
 
 void ServerSession::OnWritten(const error_code& error) {
@@ -317,6 +484,7 @@
   if (closed_) {
     return;
   }
+  memory_.ReleaseAnswer();
   if (error) {
     Close();
     return;
@@ -325,6 +493,7 @@
     StartLingeringClose();
     return;
   }
+  memory_.ReserveConnection(0);
   StartRequest();
   Parse();
 }
@@ -346,13 +515,17 @@
     Close();
     return;
   }
+  const HttpLimits& limits = server_->limits();
+  if (writing_ && now - write_progress_at_ > limits.idle_timeout) {
+    OnAnswerNotRead();
+    return;
+  }
   if (closing_ || exchange_ || writing_) {
     return;
   }
-  const HttpLimits& limits = server_->limits();
   const bool mid_request = parser_->got_some();
   if (mid_request && now - phase_started_at_ > limits.read_timeout) {
-    Reject(http_status::kRequestTimeout);
+    Reject(RejectionCause::kTimedOut);
   } else if (!mid_request && now - phase_started_at_ > limits.idle_timeout) {
     Close();
   }
@@ -375,12 +548,11 @@
 // Writes as much of the answer as fits into the socket without blocking.
 // Received bytes are read first: a close with unread bytes would reset the
 // connection, and the reset could overtake the answer.
-void ServerSession::Evict() {
+void ServerSession::Evict(RejectionCause cause) {
+  const auto self = shared_from_this();
   const bool idle = !closing_ && reading_ && !parser_->got_some();
   if (!closing_ && !idle) {
-    HttpResponse response = TextResponse(http_status::kUnavailable,
-                                         "not run: too many connections\n");
-    response.headers.push_back({"Retry-After", kRetryAfterSeconds});
+    const HttpResponse response = ResponseTo(cause);
     const std::string text =
         SerializeHead(response, false) + response.body.str();
     error_code error;
@@ -389,9 +561,7 @@
     socket_.read_some(boost::asio::buffer(unread), error);
     socket_.write_some(boost::asio::buffer(text), error);
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
-    if (server_ != nullptr && server_->on_rejected_) {
-      server_->on_rejected_(http_status::kUnavailable, caller_ip_);
-    }
+    ReportRejection(cause);
   }
   Close();
 }
@@ -404,6 +574,10 @@
   caller_check_timer_.cancel();
   error_code error;
   socket_.close(error);
+  buffer_.clear();
+  buffer_.shrink_to_fit();
+  parser_.emplace();
+  memory_.ReleaseAll();
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->Abandon();
   }
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -6,12 +6,16 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <compare>
+#include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "pathcleat/http/buffer_body.hpp"
 #include "pathcleat/http/http_server.hpp"
+#include "receive_buffer.hpp"
+#include "session_memory.hpp"
 
 namespace pathcleat {
 
@@ -36,6 +40,10 @@
 
   void Start();
 
+  /// @brief Takes memory for the connection itself from the server's budget.
+  /// @return false if there is none.
+  bool ReserveMemory();
+
   /// @brief Closes the connection if idle, otherwise after the current answer.
   void CloseGracefully();
 
@@ -47,9 +55,10 @@
   /// has sent bytes that are not read yet.
   std::optional<EvictionRank> RankForEviction();
 
-  /// @brief Closes the connection at once to free it for another caller. A
-  /// request that is partial or unread gets the answer that it was not run.
-  void Evict();
+  /// @brief Closes the connection at once, to free it or its memory for another
+  /// caller. A request that is partial or unread gets the answer that it was
+  /// not run.
+  void Evict(RejectionCause cause);
 
   /// @brief Called when the server is destroyed; closes the connection and
   /// stops all use of the server.
@@ -70,8 +79,17 @@
   void RejectEndlessLine();
   bool CheckHeader();
   void HandleRequest();
-  void Reject(int status);
+  void Reject(RejectionCause cause);
+  void ReportRejection(RejectionCause cause);
+  std::uint64_t MaxBodyBytes() const;
+  std::uint64_t RequestBytes() const;
+  bool ReserveRequest();
+  void ReleaseRequest();
+  void GrowReceiveBuffer();
+  void PauseReading();
   void WriteResponse();
+  void OnWriteProgress(std::size_t written);
+  void OnAnswerNotRead();
   void OnWritten(const boost::system::error_code& error);
   void StartLingeringClose();
   void Close();
@@ -81,12 +99,17 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer caller_check_timer_;
   std::string caller_ip_;
+  SessionMemory memory_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   HttpExchangePtr exchange_;  ///< the request that waits for an answer
   std::string response_head_;
   MessageBody response_body_;
   Time phase_started_at_;  ///< start of idling, reading or closing
+  Time write_progress_at_;
+  std::uint64_t header_memory_ = 0;  ///< bytes, of the current request
+  std::size_t received_ = 0;  ///< bytes that memory_ has not been told of
+  std::size_t receive_buffer_ = kSmallReceiveBuffer;  ///< the kernel's, bytes
   bool header_checked_ = false;
   bool reading_ = false;
   bool writing_ = false;
--- a/src/pathcleat/query/request_diagnosis.cpp
+++ b/src/pathcleat/query/request_diagnosis.cpp
@@ -120,9 +120,38 @@
   diagnosis.causes.push_back({RequestCause::kLostAnswer, text.str()});
 }
 
-void AddOutcomeCause(RequestDiagnosis& diagnosis) {
+// Adds the cause of a request that was rejected before it was read in full. If
+// memory was short, tells what held the memory of that host.
+void AddRejectionCause(const MergedLog& log,
+                       const LogLine& rejected,
+                       RequestDiagnosis& diagnosis) {
+  const std::string reason = rejected.Field(field::kReason);
+  std::ostringstream text;
+  text << "rejected by " << rejected.host << " before it was read in full, not "
+       << "run: " << reason;
+  const bool lacked_memory = reason == "no_memory" || reason == "stalled";
+  const LogLine* shortage = nullptr;
+  for (const LogLine& line : log.lines) {
+    if (line.name == "memory-used-up" && line.host == rejected.host &&
+        (shortage == nullptr || line.time <= rejected.time)) {
+      shortage = &line;
+    }
+  }
+  if (lacked_memory && shortage != nullptr) {
+    text << "; of " << shortage->Field(field::kLimitBytes)
+         << " bytes requests held " << shortage->Field(field::kRequestBytes)
+         << ", answers " << shortage->Field(field::kAnswerBytes)
+         << ", connections " << shortage->Field(field::kConnectionBytes);
+  }
+  diagnosis.causes.push_back({RequestCause::kRefused, text.str()});
+}
+
+void AddOutcomeCause(const MergedLog& log, RequestDiagnosis& diagnosis) {
   if (const LogLine* refused = LastNamed(diagnosis.lines, "request-refused")) {
     AddRefusalCause(*refused, diagnosis);
+  } else if (const LogLine* rejected =
+                 LastNamed(diagnosis.lines, "caller-input-rejected")) {
+    AddRejectionCause(log, *rejected, diagnosis);
   } else if (const LogLine* lost =
                  LastNamed(diagnosis.lines, "request-unknown")) {
     AddLostAnswerCause(*lost, diagnosis);
@@ -193,7 +222,7 @@
       CheckLeavingUpstream(log, line, diagnosis);
     }
   }
-  AddOutcomeCause(diagnosis);
+  AddOutcomeCause(log, diagnosis);
   return diagnosis;
 }
 
--- a/src/pathcleat/settings/entry_settings.cpp
+++ b/src/pathcleat/settings/entry_settings.cpp
@@ -12,6 +12,7 @@
 
 constexpr Bounds kRatio{0, 100};
 constexpr Bounds kCount{0, 1e9};
+constexpr Bounds kMegabytes{1, 1e9};
 constexpr Bounds kMilliseconds{0, 3'600'000};
 
 Duration Milliseconds(double value) {
@@ -206,6 +207,8 @@
   out.cpu_cores = ReadCpuCores(reader);
   out.max_descriptors = static_cast<std::uint32_t>(
       reader.IntegerOr("max_descriptors", kCount, 0));
+  out.memory_mb = static_cast<std::uint32_t>(reader.IntegerOr(
+      "memory_mb", kMegabytes, static_cast<int>(out.memory_mb)));
   reader.ReadNested("bounds",
                     [&out](JsonReader& r) { out.bounds = ReadBounds(r); });
   reader.ReadNested("gigabyte_costs", [&out](JsonReader& r) {
