Each listener has a share of the descriptors

What callers saw: 900 idle connections to the interface for metrics, readiness, locating, operators or other hosts took all descriptors of a host (695 to 700 of 700), and new callers were not accepted until the crowd's idle time was over.

Cause: only the callers' listener bounded its connections. Now each listener has a share of what max_descriptors, or the limit of the process if it is smaller, leaves: callers a half as before, locating and other hosts an eighth each, readiness, operators and metrics 16 connections each. A listener that is full evicts partial requests and idle connections, the oldest first, as that for callers always did.

--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -171,11 +171,11 @@
       DivideDescriptors(MaxDescriptors(state_.settings.max_descriptors));
   max_caller_connections_ = limits.callers;
   LimitServer(caller_server_, "callers", limits.callers);
-  LimitServer(locate_server_, "locate", 0);
-  LimitServer(fleet_sync_.peer_server(), "peers", 0);
-  LimitServer(readiness_server_, "readiness", 0);
-  LimitServer(operator_server_, "operators", 0);
-  LimitServer(metrics_server_, "metrics", 0);
+  LimitServer(locate_server_, "locate", limits.locate);
+  LimitServer(fleet_sync_.peer_server(), "peers", limits.peers);
+  LimitServer(readiness_server_, "readiness", limits.others);
+  LimitServer(operator_server_, "operators", limits.others);
+  LimitServer(metrics_server_, "metrics", limits.others);
   HttpLimits service_limits;
   service_limits.max_body_bytes = kMaxServiceBodyBytes;
   for (HttpServer* server : {&locate_server_, &readiness_server_,
