--- a/src/pathcleat/testing/crowd.hpp
+++ b/src/pathcleat/testing/crowd.hpp
@@ -72,14 +72,17 @@
   }
 
   /// @brief Sends until each connection has sent all that it should or has been
-  /// ended by the host, or the host has taken no byte of any connection for
-  /// some time.
+  /// ended by the host, the host has taken no byte of any connection for some
+  /// time, or kMaxSending is over.
   /// @param observe called again and again meanwhile.
   void Send(const std::function<void()>& observe) {
+    constexpr std::chrono::seconds kMaxSending{20};
     constexpr std::chrono::seconds kMaxStandstill{2};
     constexpr int kPollMilliseconds = 5;
-    auto last_progress = std::chrono::steady_clock::now();
-    while (std::chrono::steady_clock::now() - last_progress < kMaxStandstill) {
+    const auto started = std::chrono::steady_clock::now();
+    auto last_progress = started;
+    while (std::chrono::steady_clock::now() - last_progress < kMaxStandstill &&
+           std::chrono::steady_clock::now() - started < kMaxSending) {
       std::vector<pollfd> polled;
       std::vector<Member*> open;
       bool sending = false;
