Bytes read ahead of the current request are bounded

What callers saw: callers that send requests in a row without waiting took a host to 1.9 GB (600 connections of 3 MiB).

Cause, by a heap profile (141 of 143 MB from ServerSession::Read): OnRead stops reading ahead at a limit, but Parse ended with another read after each request that it had handed on. So each answered request added 8 KiB to the buffer and took some 50 bytes out of it. Now both go by one condition (ReadAhead).

A caller that leaves behind unread bytes must still be detected, and the small receive buffer kept the end of its connection in the caller's own buffers (caller_leaves/caller_that_leaves_with_unread_bytes_is_detected failed on by that; it passes now): while it is paused, a connection gets a receive buffer of 64 KiB if the budget has room, for which connections may take half of it. Without room for the small buffer the connection ends with its answer.

Chunked bodies get the large receive buffer once they are large.

--- a/include/pathcleat/core/memory_budget.hpp
+++ b/include/pathcleat/core/memory_budget.hpp
@@ -39,8 +39,8 @@
 /// reclaimed, the longest without progress first; if that is not enough, the
 /// lease does not grow.
 ///
-/// Large requests may use kLargeRequestShare of the limit and large answers
-/// kLargeAnswerShare, so that small requests always find memory. Must be used
+/// Large leases of each use may take a share of the limit only, so that small
+/// requests always find memory. Must be used
 /// in one thread only.
 /// @ingroup core
 class MemoryBudget {
@@ -49,6 +49,7 @@
   static constexpr std::uint64_t kLargeBytes = 64ULL * 1024;
   static constexpr double kLargeRequestShare = 0.75;
   static constexpr double kLargeAnswerShare = 0.875;
+  static constexpr double kLargeConnectionShare = 0.5;
   /// Leases with more recent progress are never reclaimed.
   static constexpr Duration kMinStall{500'000};
 
--- a/src/pathcleat/core/memory_budget.cpp
+++ b/src/pathcleat/core/memory_budget.cpp
@@ -13,6 +13,19 @@
   return static_cast<std::size_t>(use);
 }
 
+// Share of the limit up to which large leases may grow.
+double LargeShareOf(MemoryUse use) {
+  switch (use) {
+    case MemoryUse::kConnections:
+      return MemoryBudget::kLargeConnectionShare;
+    case MemoryUse::kRequests:
+      return MemoryBudget::kLargeRequestShare;
+    case MemoryUse::kAnswers:
+      return MemoryBudget::kLargeAnswerShare;
+  }
+  return 1;
+}
+
 }  // namespace
 
 const char* ToString(MemoryUse use) {
@@ -43,12 +56,7 @@
 bool MemoryBudget::Fits(MemoryUse use,
                         std::uint64_t added_bytes,
                         std::uint64_t lease_bytes) const {
-  double share = 1;
-  if (lease_bytes > kLargeBytes && use == MemoryUse::kRequests) {
-    share = kLargeRequestShare;
-  } else if (lease_bytes > kLargeBytes) {
-    share = kLargeAnswerShare;
-  }
+  const double share = lease_bytes > kLargeBytes ? LargeShareOf(use) : 1;
   return static_cast<double>(used() + added_bytes) <=
          static_cast<double>(limit_) * share;
 }
--- a/src/pathcleat/http/byte_buffer.cpp
+++ b/src/pathcleat/http/byte_buffer.cpp
@@ -2,6 +2,7 @@
 #include "pathcleat/http/byte_buffer.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 #include <cstring>
 #include <utility>
@@ -9,7 +10,16 @@
 namespace pathcleat {
 namespace {
 
-constexpr std::size_t kMinCapacity = 4UL * 1024;
+// Steps in which a buffer of unknown size grows up to a size that is mapped by
+// itself; many small steps would fragment the heap.
+constexpr std::array<std::size_t, 3> kFirstCapacities{4UL * 1024, 32UL * 1024,
+                                                      256UL * 1024};
+
+std::size_t NextCapacity(std::size_t capacity) {
+  const auto next = std::upper_bound(kFirstCapacities.begin(),
+                                     kFirstCapacities.end(), capacity);
+  return next == kFirstCapacities.end() ? capacity * 2 : *next;
+}
 
 }  // namespace
 
@@ -37,8 +47,7 @@
   }
   const std::size_t needed = size_ + count;
   if (needed > capacity_) {
-    const std::size_t grown =
-        expected_.value_or(std::max(kMinCapacity, capacity_ * 2));
+    const std::size_t grown = expected_.value_or(NextCapacity(capacity_));
     if (!SetCapacity(std::max(needed, grown))) {
       return false;
     }
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -176,6 +176,9 @@
       reads_large_body ? kLargeReadChunkBytes : kReadChunkBytes;
   if (buffer_.size() == 0 && buffer_.capacity() > chunk) {
     buffer_.shrink_to_fit();
+  } else if (buffer_.size() >= kReadChunkBytes && !reads_large_body) {
+    // At once to its final size: growth in steps would fragment the heap.
+    buffer_.reserve(server_->limits().max_header_bytes + kReadChunkBytes);
   }
   socket_.async_read_some(
       buffer_.prepare(chunk),
@@ -201,7 +204,13 @@
   received_ += bytes;
   if (!exchange_ && !writing_) {
     Parse();
-  } else if (buffer_.size() < kReadChunkBytes) {
+  } else {
+    ReadAhead();
+  }
+}
+
+void ServerSession::ReadAhead() {
+  if (buffer_.size() < kReadChunkBytes) {
     Read();
   } else {
     PauseReading();
@@ -209,16 +218,27 @@
 }
 
 // Stops reading from a caller that keeps sending. Reading continues after the
-// answer; without memory for what the kernel receives meanwhile, the connection
-// ends with the answer.
+// answer. A larger receive buffer lets the end of the connection arrive behind
+// unread bytes, so that a caller that leaves is detected. Without memory even
+// for the small one, the connection ends with the answer.
 void ServerSession::PauseReading() {
-  const std::uint64_t unread = UnreadBytesFor(receive_buffer_);
-  if (!memory_.ReserveConnection(kReadChunkBytes + unread)) {
+  if (memory_.ReserveConnection(kReadChunkBytes +
+                                UnreadBytesFor(kPausedReceiveBuffer))) {
+    ResizeReceiveBuffer(kPausedReceiveBuffer);
+  } else if (!memory_.ReserveConnection(kReadChunkBytes +
+                                        UnreadBytesFor(kSmallReceiveBuffer))) {
     last_request_ = true;
   }
   PollCaller();
 }
 
+void ServerSession::ResizeReceiveBuffer(std::size_t bytes) {
+  if (server_->memory_budget_ && receive_buffer_ != bytes) {
+    receive_buffer_ = bytes;
+    SetReceiveBuffer(socket_, bytes);
+  }
+}
+
 void ServerSession::OnReadError(const error_code& error) {
   if (error == boost::asio::error::eof && !closing_) {
     OnCallerHalfClosed();
@@ -281,13 +301,18 @@
   if (!closed_ && waits_for_caller && !ReserveRequest()) {
     Reject(RejectionCause::kNoMemory);
   }
-  if (!closed_) {
+  if (closed_) {
+    return;
+  }
+  if (waits_for_caller || closing_) {
     Read();
+  } else {
+    ReadAhead();
   }
 }
 
 // Memory of the incomplete request, as far as its header tells.
-std::uint64_t ServerSession::RequestBytes() const {
+std::uint64_t ServerSession::RequestBytes(std::size_t receive_buffer) const {
   const std::uint64_t read_ahead =
       buffer_.capacity() - std::min(buffer_.capacity(), kReadChunkBytes);
   if (!parser_->is_header_done()) {
@@ -295,9 +320,8 @@
   }
   const std::uint64_t announced = parser_->content_length().value_or(0);
   const std::uint64_t arrived = parser_->get().body().size();
-  const std::uint64_t unread = receive_buffer_ > kSmallReceiveBuffer
-                                   ? UnreadBytesFor(receive_buffer_)
-                                   : 0;
+  const std::uint64_t unread =
+      receive_buffer > kSmallReceiveBuffer ? UnreadBytesFor(receive_buffer) : 0;
   return header_memory_ + std::max(announced, arrived) + read_ahead + unread;
 }
 
@@ -305,29 +329,36 @@
   if (!parser_->got_some() && buffer_.size() == 0) {
     return true;
   }
-  return memory_.ReserveRequest(RequestBytes(), std::exchange(received_, 0),
-                                [this] { Evict(RejectionCause::kStalled); });
+  const std::size_t receive_buffer = NeededReceiveBuffer();
+  if (!memory_.ReserveRequest(RequestBytes(receive_buffer),
+                              std::exchange(received_, 0),
+                              [this] { Evict(RejectionCause::kStalled); })) {
+    return false;
+  }
+  ResizeReceiveBuffer(receive_buffer);
+  return true;
 }
 
 void ServerSession::ReleaseRequest() {
   memory_.ReleaseRequest();
   header_memory_ = 0;
-  if (receive_buffer_ != kSmallReceiveBuffer) {
-    receive_buffer_ = kSmallReceiveBuffer;
-    SetReceiveBuffer(socket_, receive_buffer_);
-  }
+  ResizeReceiveBuffer(kSmallReceiveBuffer);
 }
 
-// A body that exceeds the small buffer would arrive slowly over a long link.
-void ServerSession::GrowReceiveBuffer() {
-  const std::uint64_t body = parser_->chunked()
-                                 ? std::uint64_t{kChunkedReceiveBuffer}
-                                 : parser_->content_length().value_or(0);
-  if (server_->memory_budget_ && body > kSmallReceiveBuffer &&
-      !parser_->is_done()) {
-    receive_buffer_ = static_cast<std::size_t>(
-        std::min<std::uint64_t>(body, kLargeReceiveBuffer));
+// A large body would arrive slowly over a long link with a small buffer.
+std::size_t ServerSession::NeededReceiveBuffer() const {
+  const bool waits_for_body = parser_->is_header_done() && !parser_->is_done();
+  if (!waits_for_body || !server_->memory_budget_) {
+    return receive_buffer_;
+  }
+  const std::uint64_t arrived = parser_->get().body().size();
+  std::uint64_t body = parser_->content_length().value_or(0);
+  if (parser_->chunked()) {
+    body = arrived > MemoryBudget::kLargeBytes ? kLargeReceiveBuffer
+                                               : kChunkedReceiveBuffer;
   }
+  return std::clamp<std::size_t>(body, kSmallReceiveBuffer,
+                                 kLargeReceiveBuffer);
 }
 
 bool ServerSession::ParseStep() {
@@ -376,14 +407,10 @@
     return false;
   }
   header_memory_ = MemoryOf(message);
-  GrowReceiveBuffer();
   if (!ReserveRequest()) {
     Reject(RejectionCause::kNoMemory);
     return false;
   }
-  if (receive_buffer_ != kSmallReceiveBuffer) {
-    SetReceiveBuffer(socket_, receive_buffer_);
-  }
   parser_->eager(true);
   if (boost::beast::iequals(message[http::field::expect], "100-continue") &&
       !parser_->is_done()) {
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -82,11 +82,13 @@
   void Reject(RejectionCause cause);
   void ReportRejection(RejectionCause cause);
   std::uint64_t MaxBodyBytes() const;
-  std::uint64_t RequestBytes() const;
+  std::size_t NeededReceiveBuffer() const;
+  std::uint64_t RequestBytes(std::size_t receive_buffer) const;
   bool ReserveRequest();
   void ReleaseRequest();
-  void GrowReceiveBuffer();
+  void ReadAhead();
   void PauseReading();
+  void ResizeReceiveBuffer(std::size_t bytes);
   void WriteResponse();
   void OnWriteProgress(std::size_t written);
   void OnAnswerNotRead();
