--- a/src/pathcleat/core/memory_budget_test.cpp
+++ b/src/pathcleat/core/memory_budget_test.cpp
@@ -97,6 +97,52 @@
   cr_assert(small->Resize(kSmall, later));
 }
 
+struct UploadResult {
+  int completed = 0;
+  std::uint64_t wasted_bytes = 0;  ///< received of uploads that were refused
+};
+
+// Uploads that all arrive evenly and take more than the budget together. Each
+// reserves its size at once, or its bytes as they arrive.
+UploadResult UploadAll(bool reserves_at_once) {
+  constexpr int kUploads = 10;
+  constexpr std::uint64_t kStep = kLarge / 20;
+  BudgetFixture fixture;
+  UploadResult result;
+  std::list<std::pair<LeasePtr, std::uint64_t>> uploads;
+  for (int i = 0; i < kUploads; ++i) {
+    LeasePtr lease = fixture.NewLease();
+    if (!reserves_at_once || lease->Resize(kLarge, kStart)) {
+      uploads.emplace_back(std::move(lease), 0);
+    }
+  }
+  while (!uploads.empty()) {
+    for (auto at = uploads.begin(); at != uploads.end();) {
+      auto& [lease, received] = *at;
+      const bool granted =
+          reserves_at_once || lease->Resize(received + kStep, kStart);
+      received += granted ? kStep : 0;
+      result.completed += received == kLarge ? 1 : 0;
+      result.wasted_bytes += granted ? 0 : received;
+      at = !granted || received == kLarge ? uploads.erase(at) : std::next(at);
+    }
+  }
+  return result;
+}
+
+// Guards against uploads that are refused only after much of them was sent.
+Test(memory_budget, reserving_announced_sizes_wastes_no_upload) {
+  const UploadResult at_once = UploadAll(true);
+  const UploadResult as_received = UploadAll(false);
+  cr_log_info("at once: %d completed, %llu bytes wasted; as received: %d, %llu",
+              at_once.completed,
+              static_cast<unsigned long long>(at_once.wasted_bytes),
+              as_received.completed,
+              static_cast<unsigned long long>(as_received.wasted_bytes));
+  cr_assert_geq(at_once.completed, as_received.completed);
+  cr_assert_eq(at_once.wasted_bytes, 0U);
+}
+
 // Guards against bytes that are counted twice, or never given back.
 Test(memory_budget, property_used_is_the_sum_of_all_leases) {
   cr_assert(Holds("sum", [](const std::vector<std::pair<int, int>>& steps) {
