--- a/include/pathcleat/calls/idempotency_key_row.hpp
+++ b/include/pathcleat/calls/idempotency_key_row.hpp
@@ -20,7 +20,8 @@
   HttpResponse answer;                     ///< for kFinished
 };
 
-/// @brief Name of the row that stores an idempotency key of a service.
+/// @brief Name of the row that stores an idempotency key of a service. Always
+/// UTF-8, for a key of any bytes; different keys have different names.
 /// @ingroup calls
 std::string IdempotencyKeyRowName(const std::string& service,
                                   const std::string& key);
--- a/src/pathcleat/calls/idempotency_key_row.cpp
+++ b/src/pathcleat/calls/idempotency_key_row.cpp
@@ -2,8 +2,10 @@
 #include "pathcleat/calls/idempotency_key_row.hpp"
 
 #include <nlohmann/json.hpp>
+#include <string_view>
 
 #include "pathcleat/core/base64.hpp"
+#include "pathcleat/core/mac.hpp"
 
 namespace pathcleat {
 namespace {
@@ -22,6 +24,14 @@
   return "unknown";
 }
 
+constexpr std::string_view kDigestPurpose = "idempotency key";
+
+bool IsUtf8(const std::string& text) {
+  const std::string valid_part =
+      json(text).dump(-1, ' ', false, json::error_handler_t::ignore);
+  return json::parse(valid_part) == text;
+}
+
 KeyState StateOf(const std::string& name) {
   if (name == NameOf(KeyState::kRunning)) {
     return KeyState::kRunning;
@@ -32,9 +42,14 @@
 
 }  // namespace
 
+// A key that is no UTF-8 cannot be part of a row's name, so its digest takes
+// its place. All other keys stand in the name as they are.
 std::string IdempotencyKeyRowName(const std::string& service,
                                   const std::string& key) {
-  return "key/" + service + "/" + key;
+  if (IsUtf8(key)) {
+    return "key/" + service + "/" + key;
+  }
+  return "key-digest/" + service + "/" + ToBase64(MacOf({key}, kDigestPurpose));
 }
 
 std::string ToJson(const IdempotencyKeyRow& row) {
--- a/src/pathcleat/gateway/idempotency_guard.cpp
+++ b/src/pathcleat/gateway/idempotency_guard.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/idempotency_guard.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include "pathcleat/calls/upstream_protocol.hpp"
@@ -14,6 +15,14 @@
 constexpr const char* kKeyHeader = "Idempotency-Key";
 constexpr std::size_t kMaxKeyBytes = 128;
 
+bool HasControlCharacter(const std::string& text) {
+  constexpr unsigned char kSpace = 0x20;
+  constexpr unsigned char kDelete = 0x7F;
+  return std::any_of(text.begin(), text.end(), [](unsigned char byte) {
+    return byte < kSpace || byte == kDelete;
+  });
+}
+
 std::uint64_t Fingerprint(const HttpRequest& request) {
   return StableHash(request.body,
                     StableHash(request.target, StableHash(request.method)));
@@ -39,10 +48,11 @@
     Duration left,
     std::function<void(IdempotencyDecision)> callback) {
   const std::string key = FindHeader(request.headers, kKeyHeader).value_or("");
-  if (key.empty() || key.size() > kMaxKeyBytes) {
+  if (key.empty() || key.size() > kMaxKeyBytes || HasControlCharacter(key)) {
     callback({false,
               TextResponse(http_status::kBadRequest,
-                           "Idempotency-Key: expected 1 to 128 characters\n"),
+                           "Idempotency-Key: expected 1 to 128 bytes without "
+                           "control characters\n"),
               RunOutcome::kNotRun});
     return;
   }
