Answers that several connections share count once

A body that another message shares is not counted by the connection. The receive buffer of a chunked body grows with what has arrived, so that a short one costs no system call.

--- a/include/pathcleat/http/message_body.hpp
+++ b/include/pathcleat/http/message_body.hpp
@@ -37,6 +37,9 @@
   /// @brief Whether the bytes are part of a memory budget.
   bool IsLeased() const { return leased_; }
 
+  /// @brief Whether another message has the same bytes.
+  bool IsShared() const { return owner_.use_count() > 1; }
+
   friend bool operator==(const MessageBody& a, const MessageBody& b) {
     return a.view_ == b.view_;
   }
--- a/src/pathcleat/http/receive_buffer.hpp
+++ b/src/pathcleat/http/receive_buffer.hpp
@@ -12,9 +12,6 @@
 /// wait for a larger buffer.
 inline constexpr std::size_t kSmallReceiveBuffer = 16UL * 1024;
 
-/// Receive buffer for a request whose size is not known in advance.
-inline constexpr std::size_t kChunkedReceiveBuffer = 32UL * 1024;
-
 /// Receive buffer of a connection that is not read until its answer is sent.
 inline constexpr std::size_t kPausedReceiveBuffer = 64UL * 1024;
 
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -345,7 +346,8 @@
   ResizeReceiveBuffer(kSmallReceiveBuffer);
 }
 
-// A large body would arrive slowly over a long link with a small buffer.
+// A large body would arrive slowly over a long link with a small buffer. The
+// buffer of a body of unknown size grows with what has arrived.
 std::size_t ServerSession::NeededReceiveBuffer() const {
   const bool waits_for_body = parser_->is_header_done() && !parser_->is_done();
   if (!waits_for_body || !server_->memory_budget_) {
@@ -354,8 +356,7 @@
   const std::uint64_t arrived = parser_->get().body().size();
   std::uint64_t body = parser_->content_length().value_or(0);
   if (parser_->chunked()) {
-    body = arrived > MemoryBudget::kLargeBytes ? kLargeReceiveBuffer
-                                               : kChunkedReceiveBuffer;
+    body = std::bit_ceil(arrived);
   }
   return std::clamp<std::size_t>(body, kSmallReceiveBuffer,
                                  kLargeReceiveBuffer);
@@ -469,8 +470,9 @@
   exchange_.reset();
   ReleaseRequest();
   const std::size_t total = response_head_.size() + response_body_.size();
-  const std::size_t own =
-      response_body_.IsLeased() ? response_head_.size() : total;
+  const bool is_body_counted =
+      response_body_.IsLeased() || response_body_.IsShared();
+  const std::size_t own = is_body_counted ? response_head_.size() : total;
   if (!memory_.ReserveAnswer(own, total, [this] { OnAnswerNotRead(); }) &&
       own > MemoryBudget::kLargeBytes) {
     OnAnswerNotRead();
