--- a/src/pathcleat/query/request_diagnosis_test.cpp
+++ b/src/pathcleat/query/request_diagnosis_test.cpp
@@ -55,6 +55,20 @@
   cr_assert(unknown.causes[0].cause == RequestCause::kNotLogged);
 }
 
+// Guards against a refused upload whose cause the logs do not tell.
+Test(request_diagnosis, rejected_upload_is_explained_by_what_held_the_memory) {
+  const std::string log = R"(
+{"time":"4.0","name":"memory-used-up","host":"a","limit_bytes":1,"request_bytes":2,"answer_bytes":3,"connection_bytes":4}
+{"time":"5.0","name":"memory-used-up","host":"b","limit_bytes":1000,"request_bytes":700,"answer_bytes":20,"connection_bytes":30}
+{"time":"6.0","name":"caller-input-rejected","host":"b","request":"r","caller":"10.0.0.9","listener":"callers","reason":"no_memory","status":503}
+)";
+  const RequestDiagnosis diagnosis = DiagnoseRequest(ReadLogText(log), "r");
+  cr_assert_eq(diagnosis.causes.size(), 1U);
+  const std::string& text = diagnosis.causes[0].explanation;
+  cr_assert(Contains(text, "not run: no_memory"));
+  cr_assert(Contains(text, "of 1000 bytes requests held 700"));
+}
+
 Test(request_diagnosis, line_order_does_not_change_the_diagnosis) {
   cr_assert(Holds("any order", [] {
     std::vector<std::string> lines;
