The memory of an unread answer is released when its connection is closed

Found on reading the change again: when the budget gave up an answer that its caller does not read, the connection was closed at once, but the answer's body and its lease lived on until the cancelled write was reported. So the budget found no memory, gave up the next such answer, and so on to the last, and then refused all the same.

Close now drops the body, as it drops the read buffer and the parser: after the socket is closed nothing reads these bytes.

server_memory/no_more_answers_are_given_up_than_needed failed before (the lease did not grow), passes now; http_test passes.

--- a/src/pathcleat/http/server_memory_test.cpp
+++ b/src/pathcleat/http/server_memory_test.cpp
@@ -3,10 +3,15 @@
 
 #include "pathcleat/http/http_server.hpp"
 
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "event_loop.hpp"
@@ -19,18 +24,19 @@
 constexpr std::uint64_t kBudget = 4'000'000;
 // One such body fits, two do not.
 constexpr std::size_t kLargeBody = 1'500'000;
+// Larger than what the kernel takes of an answer that nobody reads.
+constexpr std::size_t kLargeAnswer = 12'000'000;
 
 struct MemoryFixture {
   boost::asio::io_context loop{1};
   std::string address = UniqueLoopbackAddress();
-  MemoryBudgetPtr budget = std::make_shared<MemoryBudget>(kBudget);
+  MemoryBudgetPtr budget;
   std::vector<Rejection> rejections;
-  HttpServer server{loop, [](const HttpExchangePtr& exchange) {
-                      exchange->Respond(TextResponse(200, "done\n"));
-                    }};
+  HttpServer server{loop, [this](const HttpExchangePtr& e) { Handle(e); }};
   std::uint16_t port = 0;
 
-  MemoryFixture() {
+  explicit MemoryFixture(std::uint64_t limit = kBudget)
+      : budget(std::make_shared<MemoryBudget>(limit)) {
     HttpLimits limits;
     limits.max_body_bytes = kBudget;
     limits.read_timeout = std::chrono::hours(1);
@@ -50,12 +56,46 @@
     cr_assert_gt(port, 0);
   }
 
+  // Answers "GET /large" with a body whose memory is part of the budget.
+  void Handle(const HttpExchangePtr& exchange) const {
+    if (exchange->request().target != "/large") {
+      exchange->Respond(TextResponse(200, "done\n"));
+      return;
+    }
+    const std::string text(kLargeAnswer, 'a');
+    ByteBuffer bytes;
+    cr_assert(bytes.Append(text.data(), text.size()));
+    auto lease = std::make_unique<MemoryLease>(budget, MemoryUse::kAnswers);
+    cr_assert(lease->Resize(text.size(), BootClock::now()));
+    exchange->Respond(
+        {200, {}, MessageBody(std::move(bytes), std::move(lease))});
+  }
+
   std::unique_ptr<RawClient> Send(const std::string& text) {
     auto caller = std::make_unique<RawClient>(loop, address, port);
     caller->Send(text);
     return caller;
   }
 
+  // Sends a request over a connection with a small window that is never read.
+  int ConnectWithoutReading(const std::string& request_line) const {
+    constexpr int kReceiveBuffer = 4'096;
+    const int caller = ::socket(AF_INET, SOCK_STREAM, 0);
+    ::setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer,
+                 sizeof kReceiveBuffer);
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    target.sin_port = htons(port);
+    ::inet_pton(AF_INET, address.c_str(), &target.sin_addr);
+    cr_assert_eq(::connect(caller, reinterpret_cast<const sockaddr*>(&target),
+                           sizeof target),
+                 0);
+    const std::string request = request_line + " HTTP/1.1\r\nHost: t\r\n\r\n";
+    cr_assert_gt(::send(caller, request.data(), request.size(), MSG_NOSIGNAL),
+                 0);
+    return caller;
+  }
+
   bool Await(const std::function<bool()>& condition) {
     return WaitUntil(loop, condition);
   }
@@ -105,6 +145,31 @@
   cr_assert(fixture.rejections.back().cause == RejectionCause::kStalled);
 }
 
+// Guards against all unread answers that are given up where one is enough, as
+// the memory of an answer was released only after its connection was closed.
+Test(server_memory, no_more_answers_are_given_up_than_needed) {
+  constexpr int kAnswers = 2;
+  constexpr std::uint64_t kNeeded = 8'000'000;
+  MemoryFixture fixture(40'000'000);
+  std::vector<int> callers;
+  for (int i = 0; i < kAnswers; ++i) {
+    callers.push_back(fixture.ConnectWithoutReading("GET /large"));
+  }
+  cr_assert(fixture.Await(
+      [&] { return fixture.budget->used() > kAnswers * kLargeAnswer; }));
+  const Time answered_at = BootClock::now();
+  cr_assert(fixture.Await([&] {
+    return BootClock::now() - answered_at > 2 * MemoryBudget::kMinStall;
+  }));
+  MemoryLease lease(fixture.budget, MemoryUse::kRequests);
+  cr_assert(lease.Resize(kNeeded, BootClock::now()));
+  const auto answers = static_cast<std::size_t>(MemoryUse::kAnswers);
+  cr_assert_eq(fixture.budget->reclaimed()[answers], 1U);
+  for (const int caller : callers) {
+    ::close(caller);
+  }
+}
+
 // Guards against a body that never fits and is refused as if it would later.
 Test(server_memory, body_that_never_fits_is_too_large) {
   MemoryFixture fixture;
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -606,6 +606,7 @@
   buffer_.clear();
   buffer_.shrink_to_fit();
   parser_.emplace();
+  response_body_ = {};
   memory_.ReleaseAll();
   if (const auto exchange = std::exchange(exchange_, nullptr)) {
     exchange->Abandon();
