One function computes the MAC of messages

MacOf computed again, part by part, what AppendMac did for one part. AppendMac calls it now. core mac_test and forward_token tests pass unchanged; a comment of the budget is wrapped anew.

--- a/include/pathcleat/core/memory_budget.hpp
+++ b/include/pathcleat/core/memory_budget.hpp
@@ -40,8 +40,7 @@
 /// lease does not grow.
 ///
 /// Large leases of each use may take a share of the limit only, so that small
-/// requests always find memory. Must be used
-/// in one thread only.
+/// requests always find memory. Must be used in one thread only.
 /// @ingroup core
 class MemoryBudget {
  public:
--- a/src/pathcleat/core/mac.cpp
+++ b/src/pathcleat/core/mac.cpp
@@ -27,12 +27,7 @@
 }  // namespace
 
 std::string AppendMac(std::string_view message, std::string_view key) {
-  std::array<unsigned char, crypto_auth_BYTES> mac{};
-  crypto_auth(mac.data(), Bytes(message), message.size(), Digest(key).data());
-  std::string message_with_mac(message);
-  message_with_mac.append(reinterpret_cast<const char*>(mac.data()),
-                          mac.size());
-  return message_with_mac;
+  return std::string(message) + MacOf({message}, key);
 }
 
 std::optional<std::string_view> VerifyMac(std::string_view message_with_mac,
