Tests share the routes of a service and the start of a server

The crowd tests wrote the two routes of TestCluster again, and server_memory the start of a server of http_server.

--- a/src/pathcleat/crowds/client_crowds_test.cpp
+++ b/src/pathcleat/crowds/client_crowds_test.cpp
@@ -27,6 +27,7 @@
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_server.hpp"
 #include "pathcleat/http/http_status.hpp"
+#include "read_write_config.hpp"
 
 namespace pathcleat {
 namespace {
@@ -200,21 +201,9 @@
 
   // Long enough that no partial request expires within a test.
   RoutingConfig MakeConfig() const {
-    Route read;
-    read.name = "read";
-    read.host = "test.example";
-    read.path_prefix = "/s/read/";
-    read.splits = {{"s", 1}};
-    read.repeatable = true;
-    read.timeout = std::chrono::seconds(20);
-    Route write = read;
-    write.name = "write";
-    write.path_prefix = "/s/write/";
-    write.repeatable = false;
-    RoutingConfig config;
-    config.version = 1;
-    config.routes = {read, write};
-    config.services = {{"s", "/health", 0, 0}};
+    Route common;
+    common.timeout = std::chrono::seconds(20);
+    RoutingConfig config = MakeReadWriteConfig(common);
     config.caller_limits.max_header_bytes = plan_.max_header_bytes;
     config.caller_limits.max_body_bytes = plan_.max_body_bytes;
     config.caller_limits.read_timeout = std::chrono::minutes(2);
--- a/src/pathcleat/http/http_server_test.cpp
+++ b/src/pathcleat/http/http_server_test.cpp
@@ -9,6 +9,7 @@
 
 #include "descriptor_exhaustion.hpp"
 #include "event_loop.hpp"
+#include "listen_on_any_port.hpp"
 #include "pathcleat/http/http_message.hpp"
 #include "raw_client.hpp"
 
@@ -34,13 +35,7 @@
     limits.read_timeout = std::chrono::hours(1);
     limits.idle_timeout = std::chrono::hours(1);
     server.SetLimits(limits);
-    TryOr(
-        [this]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(port, server.Listen(address, 0));
-          return {};
-        },
-        [](const Error&) {});
-    cr_assert_gt(port, 0);
+    port = ListenOnAnyPort(server, address);
   }
 
   void Handle(const HttpExchangePtr& exchange) {
--- a/src/pathcleat/http/server_memory_test.cpp
+++ b/src/pathcleat/http/server_memory_test.cpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "event_loop.hpp"
+#include "listen_on_any_port.hpp"
 #include "pathcleat/http/http_message.hpp"
 #include "raw_client.hpp"
 
@@ -47,13 +48,7 @@
     server.OnRejected([this](const Rejection& rejection) {
       rejections.push_back(rejection);
     });
-    TryOr(
-        [this]() -> Result<void> {
-          BOOST_LEAF_ASSIGN(port, server.Listen(address, 0));
-          return {};
-        },
-        [](const Error&) {});
-    cr_assert_gt(port, 0);
+    port = ListenOnAnyPort(server, address);
   }
 
   // Answers "GET /large" with a body whose memory is part of the budget.
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -16,6 +16,7 @@
 #include "platform_stand_in.hpp"
 #include "platform_table.hpp"
 #include "property.hpp"
+#include "read_write_config.hpp"
 #include "rollout_status_table.hpp"
 #include "tcp_proxy.hpp"
 #include "test_cluster_plan.hpp"
@@ -331,24 +332,12 @@
   }
 
   RoutingConfig MakeConfig() const {
-    Route read;
-    read.name = "read";
-    read.host = "test.example";
-    read.path_prefix = "/s/read/";
-    read.splits = {{"s", 1}};
-    read.repeatable = true;
-    read.sticky = true;
-    read.max_attempts = 2;
-    read.timeout = plan_.timeout;
-    read.target_latency = plan_.target_latency;
-    Route write = read;
-    write.name = "write";
-    write.path_prefix = "/s/write/";
-    write.repeatable = false;
-    RoutingConfig config;
-    config.version = 1;
-    config.routes = {read, write};
-    config.services = {{"s", "/health", 0, 0}};
+    Route common;
+    common.sticky = true;
+    common.max_attempts = 2;
+    common.timeout = plan_.timeout;
+    common.target_latency = plan_.target_latency;
+    RoutingConfig config = MakeReadWriteConfig(common);
     config.caller_limits = plan_.caller_limits;
     return config;
   }
