--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -3,7 +3,7 @@
 
 #include <sys/resource.h>
 
-#include <array>
+#include <functional>
 
 #include "pathcleat/gateway/metrics_text.hpp"
 
@@ -396,31 +396,35 @@
               traffic.failed_fetches());
 }
 
+using ValueOfUse = std::function<std::uint64_t(MemoryUse)>;
+
+void AddByUse(Page& page, const char* name, const ValueOfUse& value) {
+  for (const MemoryUse use :
+       {MemoryUse::kConnections, MemoryUse::kRequests, MemoryUse::kAnswers}) {
+    page.Sample(name, {{"use", ToString(use)}}, value(use));
+  }
+}
+
 void AddMemory(Page& page, const GatewayState& state) {
   const MemoryBudget& budget = *state.memory_budget;
-  constexpr std::array kUses{MemoryUse::kConnections, MemoryUse::kRequests,
-                             MemoryUse::kAnswers};
+  const auto of_use = [](const MemoryCounts& counts) {
+    return [&counts](MemoryUse use) {
+      return counts.at(static_cast<std::size_t>(use));
+    };
+  };
   page.Family("pathcleat_held_bytes", "gauge",
               "Memory taken from the budget of this host, by use.");
-  for (const MemoryUse use : kUses) {
-    page.Sample("pathcleat_held_bytes", {{"use", ToString(use)}},
-                budget.used(use));
-  }
+  AddByUse(page, "pathcleat_held_bytes",
+           [&budget](MemoryUse use) { return budget.used(use); });
   page.Family("pathcleat_held_limit_bytes", "gauge",
               "The budget of this host, from its memory.");
   page.Sample("pathcleat_held_limit_bytes", {}, budget.limit());
   page.Family("pathcleat_memory_refusals_total", "counter",
               "Times that the budget had no memory, by use.");
-  for (const MemoryUse use : kUses) {
-    page.Sample("pathcleat_memory_refusals_total", {{"use", ToString(use)}},
-                budget.refused()[static_cast<std::size_t>(use)]);
-  }
+  AddByUse(page, "pathcleat_memory_refusals_total", of_use(budget.refused()));
   page.Family("pathcleat_memory_reclaims_total", "counter",
               "Requests and answers given up for others, by use.");
-  for (const MemoryUse use : kUses) {
-    page.Sample("pathcleat_memory_reclaims_total", {{"use", ToString(use)}},
-                budget.reclaimed()[static_cast<std::size_t>(use)]);
-  }
+  AddByUse(page, "pathcleat_memory_reclaims_total", of_use(budget.reclaimed()));
   page.Family("pathcleat_input_rejections_total", "counter",
               "Requests rejected before they were handled, and connections "
               "closed, by listener and cause.");
