Limits, memory monitor and rejection log leave gateway/; servers have a file

host_limits belongs to the settings that it derives limits from, memory_monitor and rejection_log are telemetry: none of them knows the gateway. No behaviour changed; a comment that still counted other hosts among the undivided descriptors is corrected.

--- a/include/pathcleat/gateway/memory_monitor.hpp
+++ b/include/pathcleat/telemetry/memory_monitor.hpp
@@ -12,7 +12,7 @@
 
 /// @brief Logs when a memory budget is used up and when there is memory again,
 /// at most one line each per kQuietTime.
-/// @ingroup gateway
+/// @ingroup telemetry
 class MemoryMonitor {
  public:
   /// The budget counts as available once nothing was refused or given up for
--- a/include/pathcleat/gateway/rejection_log.hpp
+++ b/include/pathcleat/telemetry/rejection_log.hpp
@@ -15,7 +15,7 @@
 
 /// @brief Counts the requests that servers rejected before they reached a
 /// handler, and logs them up to a rate limit.
-/// @ingroup gateway
+/// @ingroup telemetry
 class RejectionLog {
  public:
   /// By the name of the listener and the cause.
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -12,11 +12,9 @@
 #include "pathcleat/core/hash.hpp"
 #include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/gateway/hold_events.hpp"
-#include "pathcleat/gateway/host_limits.hpp"
 #include "pathcleat/gateway/metrics_page.hpp"
 #include "pathcleat/gateway/request_handler.hpp"
 #include "pathcleat/gateway/request_trace.hpp"
-#include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_status.hpp"
 #include "pathcleat/http/query_text.hpp"
 #include "pathcleat/routing/retry_scheduler.hpp"
@@ -41,10 +39,6 @@
 
 constexpr const char* kNoConfig = "no configuration yet";
 
-// Requests at the interfaces that serve readiness, locating and metrics have no
-// body; operators send a line of text.
-constexpr std::uint64_t kMaxServiceBodyBytes = 64ULL * 1024;
-
 // A forwarded request is as large as a caller's, and carries a token besides.
 // The time limits for callers do not apply between hosts: a connection that was
 // closed as idle would lose the request that is sent next.
@@ -135,20 +129,6 @@
       [this] { peer_link_.PublishStatements(); });
 }
 
-Result<void> Gateway::ListenAt(HttpServer& server, const std::string& address) {
-  if (address.empty()) {
-    return {};
-  }
-  const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint) {
-    return Fail({ErrorCode::kInvalid, "listen", address,
-                 "expected an IP number and a port"});
-  }
-  BOOST_LEAF_CHECK(
-      server.Listen(endpoint->address().to_string(), endpoint->port()));
-  return {};
-}
-
 Result<void> Gateway::Start() {
   const EntrySettings& settings = state_.settings;
   LimitServers();
@@ -166,35 +146,6 @@
   return {};
 }
 
-void Gateway::LimitServers() {
-  const ConnectionLimits limits =
-      DivideDescriptors(MaxDescriptors(state_.settings.max_descriptors));
-  max_caller_connections_ = limits.callers;
-  LimitServer(caller_server_, "callers", limits.callers);
-  LimitServer(locate_server_, "locate", limits.locate);
-  LimitServer(fleet_sync_.peer_server(), "peers", limits.peers);
-  LimitServer(readiness_server_, "readiness", limits.others);
-  LimitServer(operator_server_, "operators", limits.others);
-  LimitServer(metrics_server_, "metrics", limits.others);
-  HttpLimits service_limits;
-  service_limits.max_body_bytes = kMaxServiceBodyBytes;
-  for (HttpServer* server : {&locate_server_, &readiness_server_,
-                             &operator_server_, &metrics_server_}) {
-    server->SetLimits(service_limits);
-  }
-}
-
-void Gateway::LimitServer(HttpServer& server,
-                          const std::string& listener,
-                          std::size_t max_connections) {
-  server.SetMemoryBudget(state_.memory_budget);
-  server.SetMaxConnections(max_connections);
-  server.SetRequestIdHeader(state_.headers.request_id);
-  server.OnRejected([this, listener](const Rejection& rejection) {
-    state_.rejections.Record(listener, rejection, BootClock::now());
-  });
-}
-
 bool Gateway::IsReady() const {
   return !state_.leaving && fleet_sync_.IsLoaded() && !IsTooFarBehind() &&
          caller_server_.CanAccept();
--- a/src/pathcleat/gateway/gateway_state.cpp
+++ b/src/pathcleat/gateway/gateway_state.cpp
@@ -5,7 +5,7 @@
 #include <set>
 
 #include "pathcleat/core/hash.hpp"
-#include "pathcleat/gateway/host_limits.hpp"
+#include "pathcleat/settings/host_limits.hpp"
 
 namespace pathcleat {
 namespace {
--- a/src/pathcleat/gateway/host_limits.cpp
+++ b/src/pathcleat/settings/host_limits.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/host_limits.hpp"
+#include "pathcleat/settings/host_limits.hpp"
 
 #include <sys/resource.h>
 
@@ -8,8 +8,8 @@
 namespace pathcleat {
 namespace {
 
-// File descriptors that no listener shares: 200 for files and the runtime, the
-// rest for the store, other hosts, readiness, metrics and operators.
+// File descriptors that are not divided: 200 for files and the runtime, the
+// rest for the store, readiness, metrics and operators.
 constexpr std::uint64_t kReservedDescriptors = 300;
 // Minimum number of connections, also where the limit of descriptors is below
 // kReservedDescriptors.
--- a/src/pathcleat/gateway/host_limits_test.cpp
+++ b/src/pathcleat/settings/host_limits_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/host_limits.hpp"
+#include "pathcleat/settings/host_limits.hpp"
 
 #include "pathcleat/core/memory_budget.hpp"
 
--- a/src/pathcleat/gateway/memory_monitor_test.cpp
+++ b/src/pathcleat/telemetry/memory_monitor_test.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/memory_monitor.hpp"
+#include "pathcleat/telemetry/memory_monitor.hpp"
 
 #include "event_loop.hpp"
 
--- a/src/pathcleat/gateway/rejection_log.cpp
+++ b/src/pathcleat/telemetry/rejection_log.cpp
@@ -1,5 +1,5 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-#include "pathcleat/gateway/rejection_log.hpp"
+#include "pathcleat/telemetry/rejection_log.hpp"
 
 namespace pathcleat {
 
