--- a/include/pathcleat/http/rejection.hpp
+++ b/include/pathcleat/http/rejection.hpp
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "pathcleat/http/http_message.hpp"
+
 namespace pathcleat {
 
 /// @brief Why a server rejected a request before its handler, or closed a
@@ -29,6 +31,10 @@
 /// @ingroup http
 int StatusOf(RejectionCause cause);
 
+/// @brief The answer that tells a caller of a rejection.
+/// @ingroup http
+HttpResponse ResponseTo(RejectionCause cause);
+
 /// @brief A request that a server rejected.
 /// @ingroup http
 struct Rejection {
--- a/src/pathcleat/http/rejection.cpp
+++ b/src/pathcleat/http/rejection.cpp
@@ -4,6 +4,25 @@
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
+namespace {
+
+// Retry time for callers of evicted connections. One second is enough: partial
+// requests and idle connections are evicted at once, and requests in progress
+// take seconds at most.
+constexpr const char* kRetryAfterSeconds = "1";
+const char* TextOf(RejectionCause cause) {
+  switch (cause) {
+    case RejectionCause::kTooManyConnections:
+      return "not run: too many connections\n";
+    case RejectionCause::kNoMemory:
+    case RejectionCause::kStalled:
+      return "not run: no memory for the request\n";
+    default:
+      return "request not accepted\n";
+  }
+}
+
+}  // namespace
 
 const char* ToString(RejectionCause cause) {
   switch (cause) {
@@ -47,4 +66,12 @@
   return 0;
 }
 
+HttpResponse ResponseTo(RejectionCause cause) {
+  HttpResponse response = TextResponse(StatusOf(cause), TextOf(cause));
+  if (response.status == http_status::kUnavailable) {
+    response.headers.push_back({"Retry-After", kRetryAfterSeconds});
+  }
+  return response;
+}
+
 }  // namespace pathcleat
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -21,10 +21,6 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 
-// Retry time for callers of evicted connections. One second is enough: partial
-// requests and idle connections are evicted at once, and requests in progress
-// take seconds at most.
-constexpr const char* kRetryAfterSeconds = "1";
 constexpr std::size_t kReadChunkBytes = 8UL * 1024;
 constexpr std::size_t kLargeReadChunkBytes = 64UL * 1024;
 // Memory of one header field beside its text, in the parser's message, in the
@@ -59,26 +55,6 @@
   return bytes;
 }
 
-const char* TextOf(RejectionCause cause) {
-  switch (cause) {
-    case RejectionCause::kTooManyConnections:
-      return "not run: too many connections\n";
-    case RejectionCause::kNoMemory:
-    case RejectionCause::kStalled:
-      return "not run: no memory for the request\n";
-    default:
-      return "request not accepted\n";
-  }
-}
-
-HttpResponse ResponseTo(RejectionCause cause) {
-  HttpResponse response = TextResponse(StatusOf(cause), TextOf(cause));
-  if (response.status == http_status::kUnavailable) {
-    response.headers.push_back({"Retry-After", kRetryAfterSeconds});
-  }
-  return response;
-}
-
 // With any transfer coding other than a single "chunked" the end of the body is
 // unknown.
 template <class Fields>
