Requests that arrive whole are not entered for reclaim

Each request, also one that arrived in a single read, was entered in the budget's list of what may be given up and taken out again in the same turn (a node and a copy of a callback), and each answer of an upstream allocated a lease before it had a body. A request is entered only when it waits for more bytes, and an answer gets its lease with the first byte of its body. What is counted and refused is unchanged.

--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -111,10 +111,7 @@
 }
 
 void HttpClient::StartParser() {
-  if (memory_budget_) {
-    answer_memory_ =
-        std::make_unique<MemoryLease>(memory_budget_, MemoryUse::kAnswers);
-  }
+  answer_memory_.reset();
   parser_.emplace();
   parser_->header_limit(limits_.max_header_bytes);
   parser_->body_limit(limits_.max_body_bytes);
@@ -291,7 +288,14 @@
 
 bool HttpClient::ReserveAnswer() {
   const std::uint64_t bytes = parser_->get().body().size();
-  return !answer_memory_ || bytes == answer_memory_->bytes() ||
+  if (!memory_budget_ || bytes == 0) {
+    return true;
+  }
+  if (!answer_memory_) {
+    answer_memory_ =
+        std::make_unique<MemoryLease>(memory_budget_, MemoryUse::kAnswers);
+  }
+  return bytes == answer_memory_->bytes() ||
          answer_memory_->Resize(bytes, last_byte_at_);
 }
 
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -274,13 +274,13 @@
       break;
     }
   }
-  const bool waits_for_caller = !exchange_ && !writing_ && !closing_;
-  if (!closed_ && waits_for_caller && !ReserveRequest()) {
-    Reject(RejectionCause::kNoMemory);
-  }
   if (closed_) {
     return;
   }
+  const bool waits_for_caller = !exchange_ && !writing_ && !closing_;
+  if (waits_for_caller && (parser_->got_some() || buffer_.size() > 0)) {
+    AwaitRequest();
+  }
   if (waits_for_caller || closing_) {
     Read();
   } else {
@@ -288,6 +288,15 @@
   }
 }
 
+void ServerSession::AwaitRequest() {
+  if (!ReserveRequest()) {
+    Reject(RejectionCause::kNoMemory);
+    return;
+  }
+  memory_.AwaitRequest(std::exchange(received_, 0),
+                       [this] { Evict(RejectionCause::kStalled); });
+}
+
 // Memory of the incomplete request, as far as its header tells.
 std::uint64_t ServerSession::RequestBytes(std::size_t receive_buffer) const {
   const std::uint64_t read_ahead =
@@ -303,13 +312,8 @@
 }
 
 bool ServerSession::ReserveRequest() {
-  if (!parser_->got_some() && buffer_.size() == 0) {
-    return true;
-  }
   const std::size_t receive_buffer = NeededReceiveBuffer();
-  if (!memory_.ReserveRequest(RequestBytes(receive_buffer),
-                              std::exchange(received_, 0),
-                              [this] { Evict(RejectionCause::kStalled); })) {
+  if (!memory_.ReserveRequest(RequestBytes(receive_buffer))) {
     return false;
   }
   ResizeReceiveBuffer(receive_buffer);
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -85,6 +85,7 @@
   std::size_t NeededReceiveBuffer() const;
   std::uint64_t RequestBytes(std::size_t receive_buffer) const;
   bool ReserveRequest();
+  void AwaitRequest();
   void ReleaseRequest();
   void ReadAhead();
   void PauseReading();
--- a/src/pathcleat/http/session_memory.cpp
+++ b/src/pathcleat/http/session_memory.cpp
@@ -25,24 +25,22 @@
          connection_.Resize(bytes, BootClock::now());
 }
 
-bool SessionMemory::ReserveRequest(std::uint64_t bytes,
-                                   std::size_t received,
-                                   const std::function<void()>& give_up) {
-  const Time now = BootClock::now();
-  if (bytes != request_.bytes() && !request_.Resize(bytes, now)) {
-    return false;
-  }
+bool SessionMemory::ReserveRequest(std::uint64_t bytes) {
+  return bytes == request_.bytes() || request_.Resize(bytes, BootClock::now());
+}
+
+void SessionMemory::AwaitRequest(std::size_t received,
+                                 const std::function<void()>& give_up) {
   received_since_progress_ += received;
-  const bool is_large = bytes > MemoryBudget::kLargeBytes;
+  const bool is_large = request_.bytes() > MemoryBudget::kLargeBytes;
   if (!request_.IsReclaimable() || is_request_large_ != is_large) {
     is_request_large_ = is_large;
-    request_.AllowReclaim(give_up, bytes, now);
+    request_.AllowReclaim(give_up, request_.bytes(), BootClock::now());
     received_since_progress_ = 0;
   } else if (received_since_progress_ >= kProgressBytes) {
-    request_.MarkProgress(now);
+    request_.MarkProgress(BootClock::now());
     received_since_progress_ = 0;
   }
-  return true;
 }
 
 std::unique_ptr<MemoryLease> SessionMemory::TakeBody(std::uint64_t body_bytes) {
--- a/src/pathcleat/http/session_memory.hpp
+++ b/src/pathcleat/http/session_memory.hpp
@@ -26,13 +26,15 @@
   /// @return false if there is no memory; nothing changes then.
   bool ReserveConnection(std::uint64_t unread_bytes);
 
-  /// @brief Takes the memory of a request that is not complete yet.
+  /// @brief Takes the memory of a request.
+  /// @return false if there is no memory; nothing changes then.
+  bool ReserveRequest(std::uint64_t bytes);
+
+  /// @brief Called when a request waits for more bytes: it may be given up from
+  /// then on.
   /// @param received bytes that have arrived since the last call.
   /// @param give_up called if the memory is needed for others.
-  /// @return false if there is no memory; nothing changes then.
-  bool ReserveRequest(std::uint64_t bytes,
-                      std::size_t received,
-                      const std::function<void()>& give_up);
+  void AwaitRequest(std::size_t received, const std::function<void()>& give_up);
 
   /// @brief Called when a request is complete: it is not given up any more.
   /// @return the memory of its body, which is released with the body.
