--- a/src/pathcleat/http/rejection.cpp
+++ b/src/pathcleat/http/rejection.cpp
@@ -10,6 +10,7 @@
 // requests and idle connections are evicted at once, and requests in progress
 // take seconds at most.
 constexpr const char* kRetryAfterSeconds = "1";
+
 const char* TextOf(RejectionCause cause) {
   switch (cause) {
     case RejectionCause::kTooManyConnections:
