Log which requests a stopping host ends itself (PC1121)

PC1003 counts what a stopping host gave up, but no line told when such a request had come, at which upstream it was and what had been expected of it. No decision changes.

--- a/include/pathcleat/calls/shutdown_schedule.hpp
+++ b/include/pathcleat/calls/shutdown_schedule.hpp
@@ -40,6 +40,9 @@
   /// started.
   bool MayStart(const WorkTimes& times, Time deadline, Time now) const;
 
+  /// @brief The time at which the shutdown began.
+  Time begun_at() const { return begun_at_; }
+
   /// @brief The time until which new callers are accepted.
   Time accepts_until() const { return accepts_until_; }
 
@@ -53,6 +56,7 @@
 
  private:
   bool begun_ = false;
+  Time begun_at_;
   Time accepts_until_;
   Time work_deadline_;
   Time final_answer_time_;
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -42,6 +42,7 @@
   kForwardTaken = 1118,
   kForwardFailed = 1119,
   kAnswerBegun = 1120,
+  kRequestGivenUp = 1121,
   kKeyReplayed = 1201,
   kKeyInProgress = 1202,
   kKeyWriteFailed = 1203,
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -25,6 +25,8 @@
 /// @ingroup core
 namespace field {
 constexpr const char* kAccount = "account";
+/// How long after the begin of a planned stop; negative: before it.
+constexpr const char* kAfterStopMs = "after_stop_ms";
 constexpr const char* kAgeMs = "age_ms";
 constexpr const char* kAnswerBytes = "answer_bytes";
 constexpr const char* kAnswerMs = "answer_ms";
--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -6,6 +6,7 @@
 
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/gateway/upstream_attempt.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
@@ -83,6 +84,14 @@
                    Duration left,
                    const Pick* best);
 
+  /// @brief Notes that this host ends the request because it shuts down.
+  /// @param received_at when the request was received.
+  /// @param attempt the attempt that is in flight or was the last one.
+  /// @param left time until the request would have had to be answered.
+  void NoteGivenUp(Time received_at,
+                   const UpstreamAttempt& attempt,
+                   Duration left);
+
   /// @brief Passes the events noted so far to the log and the traces. Used when
   /// the caller has left, as the request may run on for a long time.
   void Flush();
--- a/src/pathcleat/calls/shutdown_schedule.cpp
+++ b/src/pathcleat/calls/shutdown_schedule.cpp
@@ -44,6 +44,7 @@
     return;
   }
   begun_ = true;
+  begun_at_ = now;
   const auto time_before_kill = [now, grace](Duration margin) {
     return now + std::max(Duration::zero(), grace - margin);
   };
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -47,6 +47,8 @@
     EventInfo{kForwardTaken, "forward-taken", kInfo, kRequest, "request"},
     EventInfo{kForwardFailed, "forward-failed", kInfo, kFailure, "request"},
     EventInfo{kAnswerBegun, "answer-begun", kInfo, kRequest, "request"},
+    EventInfo{kRequestGivenUp, "request-given-up", kWarning, kFailure,
+              "request"},
     EventInfo{kKeyReplayed, "key-replayed", kInfo, kFailure, "key"},
     EventInfo{kKeyInProgress, "key-in-progress", kInfo, kFailure, "key"},
     EventInfo{kKeyWriteFailed, "key-write-failed", kWarning, kFailure, "key"},
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -71,6 +71,8 @@
     return;
   }
   state_.metrics.OnGivenUpAtShutdown();
+  trace_.NoteGivenUp(exchange_->received_at(), attempt_,
+                     deadline_ - BootClock::now());
   CancelAttempt(AbortCause::kHostStops);
   if (run_tracker_.MayHaveRun()) {
     AnswerUnknown(http_status::kGatewayTimeout,
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -161,6 +161,23 @@
   Note(EventCode::kRequestRefused, std::move(fields));
 }
 
+void RequestTrace::NoteGivenUp(Time received_at,
+                               const UpstreamAttempt& attempt,
+                               Duration left) {
+  EventFields fields = {
+      MillisecondsField(field::kAfterStopMs,
+                        received_at - state_.shutdown.begun_at()),
+      MillisecondsField(field::kLeftMs, left)};
+  if (attempt.IsInFlight()) {
+    fields.push_back({field::kUpstream, attempt.pick().upstream->info.id});
+    fields.push_back(MillisecondsField(field::kElapsedMs,
+                                       BootClock::now() - attempt.sent_at()));
+    fields.push_back(
+        MillisecondsField(field::kExpectedMs, attempt.pick().expected_latency));
+  }
+  Note(EventCode::kRequestGivenUp, std::move(fields));
+}
+
 void RequestTrace::Flush() {
   state_.request_log.LogRequest(request_id_, true, events_, BootClock::now());
   state_.traces.Keep(request_id_, events_);
