A stopping host starts only requests whose deadline it outlasts

Cause: ShutdownSchedule::MayStart compared four times the expected time (for repeatable work at most the target latency) with the time left. An expected time is a mean; a tenth of the work took twelve times as long. The class: work is begun that nothing bounds to end before the host does.

Now a request is started only if the earlier of its route's time-out and its caller's deadline lies before the end of the upstreams' work. Both are fixed when the request is read, so a later step of the same request decides alike. As most requests late in the grace would now be refused, the listener closes as soon as not even a request of the shortest time-out could be started: a new connection is refused at once and its caller goes on to another host, while kept connections are served, with a promise that nothing ran, until 1.5 s before the end. Forwarded requests of other hosts are declined from the begin of the stop, so that their host asks the next one.

The slowest work seen so far bounds no later work, so that way was not taken: it loses what is slower than all before. Passing late requests on to another host was ruled out by reasoning: the answer still has to come through the host that ends.

promise/planned_stop_starts_only_requests_with_time_for_their_deadline failed without MayStart (no 503: the request was passed on and got 504). planned_stop_answers_what_its_upstream_never_does expected that a request of a 60 s time-out is started during the stop, which is the fault: it now demands that it is refused and runs nowhere. planned_stop_completes_requests_in_flight has a time-out that fits its grace.

--- a/include/pathcleat/calls/shutdown_schedule.hpp
+++ b/include/pathcleat/calls/shutdown_schedule.hpp
@@ -5,22 +5,15 @@
 
 namespace pathcleat {
 
-/// @brief How long the work of a request may take.
-/// @ingroup calls
-struct WorkTimes {
-  Duration expected{0};    ///< expected time from sending to the answer
-  Duration target{0};      ///< target latency of the route
-  bool repeatable = true;  ///< may run again at another upstream if ended early
-};
-
 /// @brief The times at which a host that is shutting down stops accepting
-/// callers, ends the work of upstreams, gives its final answers and exits. The
-/// times are fixed when the shutdown begins: neither a second signal nor new
-/// settings change them. Not thread-safe.
+/// callers, closes idle connections, ends the work of upstreams, gives its
+/// final answers and exits. The times are fixed when the shutdown begins:
+/// neither a second signal nor new settings change them. Not thread-safe.
 ///
-/// A host has a fixed time by which its process must end. Work that might not
-/// be done by then is not started, and work in progress is ended at its
-/// upstream while there is still time to report the outcome to the caller.
+/// A host has a fixed time by which its process must end. Once the shutdown has
+/// begun, only work whose own deadline lies before that time is started, and
+/// work in progress is ended at its upstream while there is still time to
+/// report the outcome to the caller.
 /// @ingroup calls
 class ShutdownSchedule {
  public:
@@ -37,14 +30,21 @@
   Time WorkDeadline(Time deadline) const;
 
   /// @brief Whether a request that must be answered by `deadline` may be
-  /// started.
-  bool MayStart(const WorkTimes& times, Time deadline, Time now) const;
+  /// started. How long the work is expected to take does not count: an estimate
+  /// bounds no single request, and another host can take the request at once.
+  bool MayStart(Time deadline) const { return !ShortensDeadline(deadline); }
 
   /// @brief The time at which the shutdown began.
   Time begun_at() const { return begun_at_; }
 
-  /// @brief The time until which new callers are accepted.
-  Time accepts_until() const { return accepts_until_; }
+  /// @brief The time until which new connections are accepted: as long as a
+  /// request with the shortest timeout of all routes may be started, and at
+  /// most until closes_idle_at(). After it a caller goes to another host
+  /// without sending a request that would be refused.
+  Time AcceptsUntil(Duration shortest_timeout) const;
+
+  /// @brief The time at which connections without a request are closed.
+  Time closes_idle_at() const { return closes_idle_at_; }
 
   /// @brief The time at which all unanswered requests are answered with the
   /// outcome as far as it is known.
@@ -57,7 +57,7 @@
  private:
   bool begun_ = false;
   Time begun_at_;
-  Time accepts_until_;
+  Time closes_idle_at_;
   Time work_deadline_;
   Time final_answer_time_;
   Time exit_time_;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -99,7 +99,6 @@
   void HandleMetrics(const HttpExchangePtr& exchange);
   void UpdateLoad(Time now);
   void Tick();
-  void FinishStop();
   void WaitUntilIdle();
   void RecordStopped();
   void OnTableRow(const TableRow& row);
@@ -139,6 +138,7 @@
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
+  bool closes_idle_ = false;  ///< the stop has begun to close idle connections
   Time shifts_advanced_at_;
   Time stall_ended_at_;  ///< end of the last stall of this process
 };
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -65,7 +65,7 @@
 
   bool AcquireQuota();
   void ReleaseQuota();
-  bool MayClaim() const;
+  bool MayStart() const;
   void ClaimKey();
   void OnKeyDecision(const IdempotencyDecision& decision);
   void Attempt();
--- a/include/pathcleat/routing/route_table.hpp
+++ b/include/pathcleat/routing/route_table.hpp
@@ -38,6 +38,9 @@
   std::shared_ptr<const Route> Find(std::string_view host,
                                     std::string_view target) const;
 
+  /// @brief The shortest timeout of all routes; zero without routes.
+  Duration ShortestTimeout() const;
+
   /// @brief A service's entry; null if the version in force has none of that
   /// name.
   const ServiceInfo* FindService(std::string_view name) const;
--- a/src/pathcleat/gateway/gateway_forward.cpp
+++ b/src/pathcleat/gateway/gateway_forward.cpp
@@ -32,7 +32,7 @@
   if (!fleet_sync_.IsLoaded() || IsTooFarBehind() || route == nullptr) {
     return kConfigBehind;
   }
-  if (state_.leaving && BootClock::now() >= state_.shutdown.accepts_until()) {
+  if (state_.leaving) {
     return "stopping";
   }
   if (state_.forwards.received_in_flight >= kMaxForwardedInFlight) {
--- a/src/pathcleat/gateway/gateway_stop.cpp
+++ b/src/pathcleat/gateway/gateway_stop.cpp
@@ -26,20 +26,17 @@
   fleet_sync_.StopPublishing();
   caller_server_.CloseAfterAnswers();
   state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
-  stop_timer_.expires_after(state_.shutdown.accepts_until() - now);
+  const Time accepts_until =
+      state_.shutdown.AcceptsUntil(state_.routes.ShortestTimeout());
+  stop_timer_.expires_after(accepts_until - now);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
-      FinishStop();
+      caller_server_.StopAccepting();
+      WaitUntilIdle();
     }
   });
 }
 
-void Gateway::FinishStop() {
-  caller_server_.StopAccepting();
-  caller_server_.CloseGracefully();
-  WaitUntilIdle();
-}
-
 void Gateway::RecordStopped() {
   const auto& refusals = state_.metrics.refusals();
   const auto refused = refusals.find(ReasonOf(PickFailure::kHostStops));
@@ -53,6 +50,10 @@
 
 void Gateway::WaitUntilIdle() {
   const Time now = BootClock::now();
+  if (now >= state_.shutdown.closes_idle_at() && !closes_idle_) {
+    closes_idle_ = true;
+    caller_server_.CloseGracefully();
+  }
   if (now >= state_.shutdown.final_answer_time()) {
     state_.in_flight_requests.OnHostShutdown();
   }
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -126,7 +126,7 @@
 }
 
 void RequestHandler::ClaimKey() {
-  if (!MayClaim()) {
+  if (!MayStart()) {
     RefuseForShutdown();
     return;
   }
@@ -456,8 +456,9 @@
   }
   const bool crashes = next.failure == PickFailure::kCrashesUpstreams;
   if (!run_tracker_.MayHaveRun()) {
+    const bool stops = next.failure == PickFailure::kHostStops;
     Refuse(RetryDelayFor(next),
-           crashes ? ReasonOf(next.failure) : "no_upstream");
+           crashes || stops ? ReasonOf(next.failure) : "no_upstream");
     return;
   }
   AnswerUnknown(http_status::kBadGateway,
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -18,15 +18,19 @@
   return state_.shutdown.WorkDeadline(deadline_) - BootClock::now();
 }
 
-// Whether the idempotency key may be claimed. A claim must be undone if the
-// work is not started, so during a shutdown a key is claimed only if the whole
-// target latency is left.
-bool RequestHandler::MayClaim() const {
-  return !state_.shutdown.ShortensDeadline(deadline_) ||
-         TimeLeft() >= route_->target_latency;
+// Whether a shutdown leaves the request the time that its caller and its route
+// allow.
+bool RequestHandler::MayStart() const {
+  return state_.shutdown.MayStart(deadline_);
 }
 
 Pick RequestHandler::ChooseUpstream() {
+  if (!MayStart()) {
+    Pick pick;
+    pick.failure = PickFailure::kHostStops;
+    pick.retry_after = kRetryElsewhere;
+    return pick;
+  }
   if (auto blocked_pick = MakeBlockedPick(BootClock::now())) {
     return *blocked_pick;
   }
@@ -43,18 +47,6 @@
     pick_request_.versions = state_.VersionRuleFor(service, {}, now);
     pick = state_.picker.Choose(pick_request_, now);
   }
-  const ShutdownSchedule& schedule = state_.shutdown;
-  const bool too_late = pick.failure == PickFailure::kTooLate &&
-                        schedule.ShortensDeadline(deadline_);
-  const WorkTimes times{pick.expected_latency, route_->target_latency,
-                        route_->repeatable};
-  const bool may_begin =
-      !pick.upstream || schedule.MayStart(times, deadline_, now);
-  if (too_late || !may_begin) {
-    pick.upstream = nullptr;
-    pick.failure = PickFailure::kHostStops;
-    pick.retry_after = kRetryElsewhere;
-  }
   return pick;
 }
 
--- a/src/pathcleat/routing/route_table.cpp
+++ b/src/pathcleat/routing/route_table.cpp
@@ -46,6 +46,17 @@
   return true;
 }
 
+Duration RouteTable::ShortestTimeout() const {
+  if (!config_ || config_->routes.empty()) {
+    return Duration::zero();
+  }
+  return std::min_element(config_->routes.begin(), config_->routes.end(),
+                          [](const Route& a, const Route& b) {
+                            return a.timeout < b.timeout;
+                          })
+      ->timeout;
+}
+
 std::shared_ptr<const Route> RouteTable::Find(std::string_view host,
                                               std::string_view target) const {
   const auto routes = by_host_.find(LowerCase(WithoutPort(host)));
