Messages from other hosts can't ask for memory beyond their size

What operators saw: nothing yet; a host that decodes a malformed message or row (a size of 2^33 in a datagram of 20 bytes) allocates and clears that much memory, and a number that is not finite enters the tables of loads and limits, where every sum with it stays useless.

Cause: cereal's portable binary archive resizes strings and vectors to the size in the message before it looks for their bytes, and takes any bytes as a bool (undefined unless 0 or 1) or a floating-point number.

Fix: DecodeBinary reads with an archive of its own over the same format. It rejects a size beyond the bytes left, a bool other than 0 and 1, and a number that is not finite, so that a rejected message is handled as before.

--- a/include/pathcleat/core/binary_codec.hpp
+++ b/include/pathcleat/core/binary_codec.hpp
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "pathcleat/core/bounded_binary_archive.hpp"
+
 namespace pathcleat {
 
 /// @brief Serializes a value (cereal, portable binary).
@@ -24,19 +26,19 @@
 }
 
 /// @brief Deserializes a value; std::nullopt if the bytes do not encode a
-/// Value. Bytes after the value are ignored.
+/// Value, among them any that BoundedBinaryInputArchive rejects. Bytes after
+/// the value are ignored.
 /// @param used if not null, receives the number of bytes that encode the value.
 /// @ingroup core
 template <class Value>
 std::optional<Value> DecodeBinary(std::string_view bytes,
                                   std::size_t* used = nullptr) {
-  std::istringstream stream{std::string(bytes)};
   try {
-    cereal::PortableBinaryInputArchive archive(stream);
+    BoundedBinaryInputArchive archive(bytes);
     Value value;
     archive(value);
     if (used != nullptr) {
-      *used = static_cast<std::size_t>(stream.tellg());
+      *used = archive.bytes_read();
     }
     return value;
   } catch (const std::exception&) {
