Operators' commands with numbers out of range are refused or without effect

What operators saw: 'shift ... cap nan%' is accepted (and kept as a share that is no number), and 'over 1e300h' gives a ramp time that depends on the processor. A row of the command log with such numbers, or with a client block of prefix length 33 to 255, is applied at every host; the shift by a negative number of bits that follows is undefined.

Cause: the text parser accepted nan and inf, as no comparison holds for nan, and cast any product of number and unit to an integer. Rows of the log were applied without a check of their numbers.

Fix: the parser takes finite numbers and times up to a year. A change of the log whose numbers are out of range only raises the version of the log: if it were passed over, no later command could follow it.

--- a/include/pathcleat/steer/config_change.hpp
+++ b/include/pathcleat/steer/config_change.hpp
@@ -86,6 +86,11 @@
                                      RolloutStep,
                                      SetRolloutHold>;
 
+/// @brief Whether all numbers of an operation, which another host may have
+/// written, are in the ranges that their fields state.
+/// @ingroup steer
+bool IsInRange(const ConfigOperation& operation);
+
 /// @brief One accepted change of the configuration.
 /// @ingroup steer
 struct ConfigChange {
--- a/include/pathcleat/steer/config_state.hpp
+++ b/include/pathcleat/steer/config_state.hpp
@@ -32,7 +32,8 @@
   }
 };
 
-/// @brief Applies the next change.
+/// @brief Applies the next change. A change that is not in range only raises
+/// the version, so that it does not keep later changes from being applied.
 /// @return false, without any effect, unless the change's version is the
 /// state's version + 1.
 /// @ingroup steer
--- a/include/pathcleat/steer/shift.hpp
+++ b/include/pathcleat/steer/shift.hpp
@@ -8,6 +8,11 @@
 
 namespace pathcleat {
 
+/// @brief Maximum ramp time of a shift; sums of such a time and a time of the
+/// clock do not overflow.
+/// @ingroup steer
+inline constexpr Duration kMaxRampTime = std::chrono::hours(24 * 365);
+
 /// @brief A planned move of a service's traffic from one region to another.
 /// @ingroup steer
 struct ShiftPlan {
--- a/src/pathcleat/query/command.cpp
+++ b/src/pathcleat/query/command.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/network_v4.hpp>
 #include <charconv>
+#include <cmath>
 #include <map>
 #include <optional>
 #include <vector>
@@ -269,14 +270,15 @@
     return ParseName("upstream", names_.upstreams);
   }
 
-  // Parses a positive number and returns the rest of the word in `unit`.
+  // Parses a positive, finite number and returns the rest of the word in
+  // `unit`.
   Result<double> ParseNumberWithUnit(const std::string& expected,
                                      std::string& unit) {
     BOOST_LEAF_AUTO(word, NextWord(expected));
     double value = 0;
     const char* end = word.data() + word.size();
     const auto parsed = std::from_chars(word.data(), end, value);
-    if (parsed.ec != std::errc() || value <= 0) {
+    if (parsed.ec != std::errc() || !std::isfinite(value) || value <= 0) {
       --next_word_;
       return FailExpecting(expected);
     }
@@ -297,13 +299,15 @@
   }
 
   Result<Duration> ParseDuration() {
-    constexpr const char* kExpected = "a time such as 30s or 10m";
+    constexpr const char* kExpected =
+        "a time such as 30s or 10m, at most 8760h";
     const std::map<std::string, double> unit_micros = {
         {"s", 1e6}, {"m", 60e6}, {"h", 3600e6}};
     std::string unit;
     BOOST_LEAF_AUTO(value, ParseNumberWithUnit(kExpected, unit));
     const auto micros = unit_micros.find(unit);
-    if (micros == unit_micros.end()) {
+    const auto max = static_cast<double>(kMaxRampTime.count());
+    if (micros == unit_micros.end() || value * micros->second > max) {
       --next_word_;
       return FailExpecting(kExpected);
     }
--- a/src/pathcleat/query/command_test.cpp
+++ b/src/pathcleat/query/command_test.cpp
@@ -60,13 +60,27 @@
   cr_assert_neq(ParseErrorOf("").find("found nothing more"), std::string::npos);
 }
 
+// Guards against a share that is no number and is therefore never reached, and
+// against a time beyond what a duration can hold.
+Test(command, numbers_out_of_range_are_rejected) {
+  const std::string shift = "shift booking from north to south cap ";
+  for (const std::string bad :
+       {"nan%", "inf%", "-5%", "0%", "1e999%", "100.1%", "30% over nans",
+        "30% over infh", "30% over 1e300h", "30% over 8761h", "30% over 0s"}) {
+    cr_assert_neq(ParseErrorOf(shift + bad).find("expected a"),
+                  std::string::npos, "%s", bad.c_str());
+  }
+  cr_assert_eq(ParseErrorOf(shift + "100% over 8760h"), "");
+}
+
 Test(command, any_words_give_a_command_or_an_error) {
   cr_assert(Holds("any words give a command or a fault", [] {
     const auto words = *rc::gen::container<std::vector<std::string>>(
         rc::gen::element<std::string>("shift", "booking", "from", "north", "to",
                                       "south", "cap", "30%", "over", "10m",
                                       "drain", "upstream", "core-1", "-", "%",
-                                      "9999999999999999999%"));
+                                      "9999999999999999999%", "nan%", "infm",
+                                      "1e300h", "assign", "10.0.0.0/33"));
     std::string text;
     for (const std::string& word : words) {
       text += word + " ";
--- a/src/pathcleat/records/command_log.cpp
+++ b/src/pathcleat/records/command_log.cpp
@@ -64,6 +64,10 @@
     events_.Record(EventCode::kSettingsFault, row.key,
                    "row cannot be decoded as a command; ignored, earlier "
                    "commands stay in force");
+  } else if (!IsInRange(change->operation)) {
+    events_.Record(EventCode::kSettingsFault, row.key,
+                   "a number of the command is out of range; the command has "
+                   "no effect");
   }
   return change;
 }
--- a/src/pathcleat/steer/config_log_test.cpp
+++ b/src/pathcleat/steer/config_log_test.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/steer/config_log.hpp"
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -87,5 +88,46 @@
   cr_assert(state.shifts.empty());
 }
 
+StartShift ShiftWith(double cap, Duration ramp_time) {
+  StartShift start;
+  start.plan.service = "s";
+  start.plan.from_region = "north";
+  start.plan.to_region = "south";
+  start.plan.cap = cap;
+  start.plan.ramp_time = ramp_time;
+  return start;
+}
+
+// Guards against a row of another writer whose numbers make arithmetic of every
+// host undefined, and against one such row that keeps out all later commands.
+Test(config_log, change_out_of_range_has_no_effect_but_its_version) {
+  constexpr Duration kHour = std::chrono::hours(1);
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  const std::vector<ConfigOperation> operations = {
+      ShiftWith(nan, kHour),
+      ShiftWith(1.5, kHour),
+      ShiftWith(-0.1, kHour),
+      ShiftWith(0.5, Duration::max()),
+      ShiftWith(0.5, Duration(-1)),
+      AssignClientBlock{0, 33, "north"},
+      AssignClientBlock{0, 255, "north"},
+      RolloutStep{"s", 1, "v2", static_cast<RolloutPhase>(4), {}}};
+  ConfigLog log(100);
+  std::uint64_t version = 0;
+  for (const ConfigOperation& operation : operations) {
+    ConfigChange change = ChangeAt(++version);
+    change.operation = operation;
+    log.Apply({change});
+  }
+  cr_assert_eq(log.version(), operations.size());
+  cr_assert(log.state().shifts.empty());
+  cr_assert(log.state().blocks.empty());
+  cr_assert(log.state().rollouts.empty());
+  ConfigChange shift = ChangeAt(++version);
+  shift.operation = ShiftWith(1, kMaxRampTime);
+  log.Apply({shift});
+  cr_assert_eq(log.state().shifts.size(), 1U);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/steer/config_state.cpp
+++ b/src/pathcleat/steer/config_state.cpp
@@ -61,6 +61,9 @@
     return false;
   }
   state.version = change.version;
+  if (!IsInRange(change.operation)) {
+    return true;
+  }
   std::visit(Applier(state, change.time), change.operation);
   return true;
 }
