Lists and configurations from other hosts have bounded numbers

Cause: numbers of peers' answers and of the query were cast and multiplied unchecked. Platform pages feed these lists, so one odd row reached all hosts.

The format is unchanged.

--- a/include/pathcleat/rollouts/rollout_order.hpp
+++ b/include/pathcleat/rollouts/rollout_order.hpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <string>
 
@@ -8,6 +10,11 @@
 
 namespace pathcleat {
 
+/// @brief Maximum time of a rollout; sums of such a time and a time of the
+/// clock do not overflow.
+/// @ingroup rollouts
+inline constexpr Duration kMaxRolloutTimeout = std::chrono::hours(24 * 365);
+
 /// @brief An operator's order to move a service's traffic to a version.
 /// @ingroup rollouts
 struct RolloutOrder {
@@ -27,7 +34,8 @@
   void load(Archive& archive) {  // NOLINT: named by cereal
     std::int64_t micros = 0;
     archive(service, version, micros, id);
-    timeout = Duration(micros);
+    timeout =
+        std::clamp(Duration(micros), Duration::zero(), kMaxRolloutTimeout);
   }
 };
 
--- a/src/pathcleat/feeds/config_update.cpp
+++ b/src/pathcleat/feeds/config_update.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/feeds/config_update.hpp"
 
+#include <algorithm>
 #include <cereal/types/array.hpp>
 #include <cereal/types/optional.hpp>
 #include <cereal/types/string.hpp>
@@ -9,37 +10,55 @@
 #include <utility>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
 
 namespace pathcleat {
 
 // cereal finds the functions below by argument-dependent lookup.
 // NOLINTBEGIN(readability-identifier-naming)
+// Numbers of a configuration are clamped as they are read: a number that the
+// first host accepted must not keep the configuration from the others.
 template <class Archive, class DurationType>
 void SerializeDuration(Archive& archive, DurationType& duration) {
   auto count = static_cast<std::int64_t>(duration.count());
   archive(count);
-  duration = DurationType(count);
+  if constexpr (Archive::is_loading::value) {
+    constexpr auto kMax =
+        std::chrono::duration_cast<DurationType>(kMaxOutsideDuration);
+    duration = DurationType(std::clamp<std::int64_t>(count, 0, kMax.count()));
+  }
+}
+
+template <class Archive, class Number>
+void SerializeClamped(Archive& archive, Number& number) {
+  archive(number);
+  if constexpr (Archive::is_loading::value) {
+    number = ClampOutside(number);
+  }
 }
 
 template <class Archive>
 void serialize(Archive& archive, RouteSplit& split) {
-  archive(split.service, split.weight);
+  archive(split.service);
+  SerializeClamped(archive, split.weight);
 }
 
 template <class Archive>
 void serialize(Archive& archive, Route& route) {
   archive(route.name, route.host, route.path_prefix, route.splits,
           route.repeatable, route.large_answers, route.sticky,
-          route.needs_account_key, route.priority, route.max_attempts,
-          route.allowed_regions);
+          route.needs_account_key, route.priority);
+  SerializeClamped(archive, route.max_attempts);
+  archive(route.allowed_regions);
   SerializeDuration(archive, route.timeout);
   SerializeDuration(archive, route.target_latency);
 }
 
 template <class Archive>
 void serialize(Archive& archive, ServiceInfo& service) {
-  archive(service.name, service.health_path, service.max_connections,
-          service.cold_per_second);
+  archive(service.name, service.health_path);
+  SerializeClamped(archive, service.max_connections);
+  SerializeClamped(archive, service.cold_per_second);
 }
 
 template <class Archive>
@@ -51,7 +70,8 @@
 
 template <class Archive>
 void serialize(Archive& archive, AccountLimit& limit) {
-  archive(limit.per_second, limit.burst);
+  SerializeClamped(archive, limit.per_second);
+  SerializeClamped(archive, limit.burst);
 }
 
 template <class Archive>
--- a/src/pathcleat/feeds/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -68,9 +68,10 @@
   }
   request.after = QueryNumber(target, kAfter);
   request.config_version = QueryNumber(target, kConfig);
-  request.wait = std::min(
-      kMaxWait,
-      Duration(std::chrono::milliseconds(QueryNumber(target, kWaitMs))));
+  const std::uint64_t max_wait_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxWait).count();
+  request.wait = std::chrono::milliseconds(
+      std::min(max_wait_ms, QueryNumber(target, kWaitMs)));
   return request;
 }
 
--- a/src/pathcleat/feeds/peer_feed_test.cpp
+++ b/src/pathcleat/feeds/peer_feed_test.cpp
@@ -5,6 +5,7 @@
 #include "pathcleat/core/mac.hpp"
 #include "pathcleat/feeds/config_history.hpp"
 #include "pathcleat/http/endpoint.hpp"
+#include "pathcleat/http/http_client.hpp"
 #include "property.hpp"
 #include "scripted_server.hpp"
 #include "tcp_proxy.hpp"
@@ -247,5 +248,32 @@
   cr_assert_eq(fixture.answer->snapshot.version, 2U);
 }
 
+// Guards against a wait time beyond what a duration can hold, which is
+// undefined and may be negative, so that a watch is answered at once, over and
+// over.
+Test(peer_feed, wait_time_is_bounded) {
+  constexpr Duration kMaxWait{30'000'000};
+  PeerFeedFixture fixture(1);
+  for (const std::string wait :
+       {"30001", "9300000000000000", "18446744073709551615"}) {
+    fixture.server_data.last_request = {};
+    const auto client = std::make_shared<HttpClient>(
+        fixture.loop, ParseTcpEndpoint(fixture.ServerAddress()).value(),
+        HttpLimits());
+    bool answered = false;
+    client->Send({"GET",
+                  "/v1/fleet/orders?after=0&wait_ms=" + wait,
+                  {{"Host", fixture.address}},
+                  ""},
+                 {kTimeout, kTimeout, kTimeout, kTimeout},
+                 [&](const CallResult&) { answered = true; });
+    cr_assert(WaitUntil(fixture.loop, [&] { return answered; }));
+    cr_assert(fixture.server_data.last_request.wait == kMaxWait, "%s",
+              wait.c_str());
+    fixture.server_data.ApplyVersion(fixture.server_data.Config()->version + 1);
+    client->Cancel();
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/feeds/upstream_codec.cpp
+++ b/src/pathcleat/feeds/upstream_codec.cpp
@@ -1,9 +1,12 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/feeds/upstream_codec.hpp"
 
+#include <algorithm>
 #include <cstdint>
+#include <limits>
 #include <map>
 
+#include "pathcleat/core/outside_bounds.hpp"
 #include "pathcleat/http/endpoint.hpp"
 
 namespace pathcleat {
@@ -15,6 +18,9 @@
 constexpr std::uint8_t kContinuationBit = 0x80;
 constexpr unsigned kMaxShift = 63;
 
+// An entry takes at least this many bytes: one for each of its fields.
+constexpr std::size_t kMinEntryBytes = 8;
+
 // Flags of an entry.
 constexpr std::uint64_t kLeavingFlag = 1;
 constexpr std::uint64_t kColdFlag = 2;
@@ -55,6 +61,13 @@
  public:
   explicit Reader(std::string_view bytes) : bytes_(bytes) {}
 
+  // A number of at most `max`; a larger one is a failure.
+  std::uint64_t NumberUpTo(std::uint64_t max) {
+    const std::uint64_t number = Number();
+    failed_ = failed_ || number > max;
+    return failed_ ? 0 : number;
+  }
+
   std::uint64_t Number() {
     std::uint64_t value = 0;
     for (unsigned shift = 0; shift <= kMaxShift; shift += kBitsPerByte) {
@@ -66,7 +79,9 @@
       value |= static_cast<std::uint64_t>(byte & (kContinuationBit - 1U))
                << shift;
       if (byte < kContinuationBit) {
-        return value;
+        // The last byte has one bit of a number of 64 bits.
+        failed_ = failed_ || (shift == kMaxShift && byte > 1);
+        return failed_ ? 0 : value;
       }
     }
     failed_ = true;
@@ -97,6 +112,7 @@
   }
 
   bool failed() const { return failed_; }
+  std::size_t bytes_left() const { return bytes_.size(); }
   bool IsAtEnd() const { return bytes_.empty(); }
 
  private:
@@ -136,31 +152,39 @@
   writer.Name(upstream.domain);
   writer.Name(upstream.version);
   writer.Number(upstream.started_ms);
-  writer.Number(static_cast<std::uint64_t>(upstream.slots));
+  writer.Number(static_cast<std::uint64_t>(ClampOutside(upstream.slots)));
   if (cold) {
-    writer.Number(static_cast<std::uint64_t>(upstream.cold_remaining.count()));
+    const Duration cold_remaining = ClampOutside(upstream.cold_remaining);
+    writer.Number(static_cast<std::uint64_t>(cold_remaining.count()));
   }
 }
 
+std::string ReadAddress(Reader& reader) {
+  const boost::asio::ip::address_v4 ip(static_cast<std::uint32_t>(
+      reader.NumberUpTo(std::numeric_limits<std::uint32_t>::max())));
+  const std::uint64_t port =
+      reader.NumberUpTo(std::numeric_limits<std::uint16_t>::max());
+  return ip.to_string() + ":" + std::to_string(port);
+}
+
+// A number of slots or a time that is too large is clamped: one odd upstream
+// must not keep the whole list from the other hosts.
 UpstreamInfo Read(Reader& reader) {
   UpstreamInfo upstream;
   const std::uint64_t flags = reader.Number();
   upstream.id = reader.Text();
-  if ((flags & kTextAddressFlag) != 0) {
-    upstream.address = reader.Text();
-  } else {
-    const boost::asio::ip::address_v4 ip(
-        static_cast<std::uint32_t>(reader.Number()));
-    upstream.address = ip.to_string() + ":" + std::to_string(reader.Number());
-  }
+  upstream.address =
+      (flags & kTextAddressFlag) != 0 ? reader.Text() : ReadAddress(reader);
   upstream.service = reader.Name();
   upstream.domain = reader.Name();
   upstream.version = reader.Name();
   upstream.started_ms = reader.Number();
-  upstream.slots = static_cast<int>(reader.Number());
+  upstream.slots = static_cast<int>(
+      std::min<std::uint64_t>(reader.Number(), kMaxOutsideCount));
   upstream.leaving = (flags & kLeavingFlag) != 0;
   if ((flags & kColdFlag) != 0) {
-    upstream.cold_remaining = Duration(reader.Number());
+    upstream.cold_remaining = Duration(
+        std::min<std::uint64_t>(reader.Number(), kMaxOutsideDuration.count()));
   }
   return upstream;
 }
@@ -179,7 +203,7 @@
 std::optional<std::vector<UpstreamInfo>> DecodeUpstreams(
     std::string_view bytes) {
   Reader reader(bytes);
-  const std::uint64_t count = reader.Number();
+  const std::uint64_t count = reader.NumberUpTo(bytes.size() / kMinEntryBytes);
   std::vector<UpstreamInfo> upstreams;
   for (std::uint64_t i = 0; i < count && !reader.failed(); ++i) {
     upstreams.push_back(Read(reader));
