A host whose port is taken waits for it

Operators saw: a host that was started while another socket had one of its ports ended at once, "listen (IP:PORT): Address already in use [refused]", exit 1, and its supervisor started it again and again. It happened with a listener of another process, with the host's own predecessor in its grace, and with an outgoing connection of another process that had got the port as its local one.

Cause: Gateway::Start opened the ports one after the other and returned the first error, and the program ends with any error of Start. HttpServer::Listen also left its acceptor open after a failure, so that it could not be tried again.

Now all ports are bound, then all listen, or none is open: HostPorts::Open. If one is taken (EADDRINUSE, the new ErrorCode::kInUse), all are closed, PC1012 port-taken names address and step once a port, and all are tried again every 100 ms. PC1013 ports-opened tells how long that took. Nothing else of the host runs before: no timers, no call to the store, no heartbeat, no connection of its own that could get one of its ports. The times that count from the start (Gateway's reading of rows, quota discovery, the record of a new host) count from the moment when the ports are open, so that the wait is no stall. Any other error ends the process as before, also in a later attempt. Two listeners of one host at one address would now wait for each other: that is reported as invalid, exit 1. SIGTERM while waiting ends the process with 0; SIGHUP takes over the bounds, as always.

Weighed: (a) open what is free at once and wait for the rest; (b) keep what is free bound, without listening, and wait for the rest; (c) all or none. With (a) a host takes callers, or answers readiness or heartbeats, before it can serve them: its predecessor closes the callers' port 1.5 s before the others, so this would be the usual case in a restart. (b) protects the free ports from other processes' connections meanwhile, but two starting processes can each hold what the other needs, and datagrams pile up unread and are taken for new at the start. (c) holds nothing between attempts, as before the start; what it costs is that a free port can be taken meanwhile, and then the host waits for that one. The metrics listener is closed too while a host waits, so there is no metric of it. SO_REUSEPORT was ruled out: two processes would share the callers. Ending with another exit code and leaving the wait to supervisors was ruled out as well: their delays between starts grow.

--- a/cmake/PathcleatTargets.cmake
+++ b/cmake/PathcleatTargets.cmake
@@ -33,3 +33,20 @@
     add_test(NAME ${name} COMMAND ${name}_test)
   endif()
 endfunction()
+
+# pathcleat_process_test(NAME SOURCE) adds the test program NAME_test, whose
+# tests start the program pathcleat. They run one at a time and beside no other
+# test, as they need the machine's memory, descriptors or time.
+function(pathcleat_process_test name source)
+  add_executable(${name}_test ${PROJECT_SOURCE_DIR}/src/pathcleat/${source})
+  target_include_directories(${name}_test PRIVATE
+                             ${PROJECT_SOURCE_DIR}/src/pathcleat/testing)
+  target_compile_options(${name}_test PRIVATE -Wall -Wextra -Werror)
+  target_compile_definitions(${name}_test PRIVATE
+    PATHCLEAT_PROGRAM="$<TARGET_FILE:pathcleat_app>")
+  target_link_libraries(${name}_test PRIVATE pathcleat_platform_stand_in
+                                             PkgConfig::criterion)
+  add_dependencies(${name}_test pathcleat_app)
+  add_test(NAME ${name} COMMAND ${name}_test --jobs 1)
+  set_tests_properties(${name} PROPERTIES RUN_SERIAL TRUE)
+endfunction()
--- a/include/pathcleat/core/error.hpp
+++ b/include/pathcleat/core/error.hpp
@@ -20,6 +20,7 @@
   kConflict,      ///< another writer made a change first
   kRateLimited,   ///< the peer limits the rate of calls
   kUnauthorized,  ///< credentials missing or wrong
+  kInUse,         ///< the port belongs to another socket at present
 };
 
 /// @brief A failure, with the operation and the peer that it concerns.
--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -25,6 +25,8 @@
   kLoopSlow = 1009,
   kMemoryUsedUp = 1010,
   kMemoryAvailable = 1011,
+  kPortTaken = 1012,
+  kPortsOpened = 1013,
   kRequestRefused = 1101,
   kRequestUnknown = 1102,
   kRequestRetried = 1103,
--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -25,6 +25,7 @@
 /// @ingroup core
 namespace field {
 constexpr const char* kAccount = "account";
+constexpr const char* kAddress = "address";
 constexpr const char* kAgeMs = "age_ms";
 constexpr const char* kAnswerBytes = "answer_bytes";
 constexpr const char* kAnswerMs = "answer_ms";
@@ -90,6 +91,7 @@
 constexpr const char* kService = "service";
 constexpr const char* kShare = "share";
 constexpr const char* kStatus = "status";
+constexpr const char* kStep = "step";
 constexpr const char* kTargetMs = "target_ms";
 constexpr const char* kTask = "task";
 constexpr const char* kTransferMs = "transfer_ms";
--- a/include/pathcleat/feeds/peer_feed.hpp
+++ b/include/pathcleat/feeds/peer_feed.hpp
@@ -62,8 +62,12 @@
            PeerTraffic& traffic,
            SnapshotProvider& provider);
 
+  /// @brief Listens at an address, then starts: see Start.
   Result<void> Open(const std::string& address, std::uint16_t port);
 
+  /// @brief Starts to answer the requests that wait, once the server listens.
+  void Start() { Sweep(); }
+
   /// @brief Sets what handles the requests that carry a header, in place of
   /// this object.
   void SetHandler(std::string header, HttpExchangeHandler handler) {
--- a/include/pathcleat/fleet/domain_reporter.hpp
+++ b/include/pathcleat/fleet/domain_reporter.hpp
@@ -27,6 +27,10 @@
   explicit DomainReporter(const HostTable& hosts, Time started)
       : hosts_(hosts), started_(started) {}
 
+  /// @brief Sets when this host began to send, if that was after this object
+  /// was made.
+  void SetStarted(Time started) { started_ = started; }
+
   /// @brief Whether this host reports for its domain now. Two hosts of a domain
   /// report, so that reports continue if one of them fails. While hosts
   /// disagree on which hosts are alive, more than two may report; receivers
--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -55,7 +55,15 @@
       std::function<void(const std::string&, const HostVersions&)> on_versions);
 
   /// @brief Binds the UDP socket that exchanges messages with other hosts.
-  Result<void> Open(const std::string& address, std::uint16_t port);
+  /// After a failure the socket is closed, and Bind may be called again. The
+  /// error is kInUse if another socket has the port.
+  Result<void> Bind(const std::string& address, std::uint16_t port);
+
+  /// @brief Closes the socket before Start was called.
+  void Close();
+
+  /// @brief Starts to receive and to send heartbeats.
+  void Start();
 
   /// @brief Sets the key that authenticates messages. Without a key no message
   /// is sent or accepted.
--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -31,8 +31,8 @@
             std::function<void(const RoutingConfig&)> on_config,
             std::function<void()> on_access);
 
-  /// @brief Binds the address at which other hosts fetch snapshots.
-  Result<void> Open(const std::string& address, std::uint16_t port);
+  /// @brief Starts to answer other hosts, once the peer server listens.
+  void StartFeed() { peer_feed_.Start(); }
 
   /// @brief Starts the watches, once the rows of the other hosts are loaded:
   /// these rows decide which hosts read the store. Further calls do nothing.
@@ -46,7 +46,7 @@
     peer_feed_.SetHandler(kForwardHeader, std::move(handler));
   }
 
-  /// @brief The server for other hosts, to set its limits.
+  /// @brief The server for other hosts, to open it and to set its limits.
   HttpServer& peer_server() { return peer_feed_.server(); }
 
   /// @brief Whether a configuration and a list of upstreams are loaded, so that
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -6,6 +6,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "pathcleat/accounts/caller_identity.hpp"
@@ -15,6 +18,7 @@
 #include "pathcleat/fleet/utilization_meter.hpp"
 #include "pathcleat/gateway/fleet_sync.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
+#include "pathcleat/gateway/host_ports.hpp"
 #include "pathcleat/gateway/operator_service.hpp"
 #include "pathcleat/http/http_server.hpp"
 #include "pathcleat/records/command_log.hpp"
@@ -57,8 +61,16 @@
     process_stats_ = std::move(process_stats);
   }
 
-  /// @brief Binds all sockets and starts the periodic work.
-  Result<void> Start();
+  /// @brief Called if the host cannot start after Start has returned.
+  using StartFailureHandler = std::function<void(const Error&)>;
+
+  /// @brief Opens all ports, then starts to serve. While another socket has one
+  /// of the ports, nothing is opened, and all are tried again at intervals
+  /// until the host can start or is stopped.
+  /// @param on_failed called if one of the later attempts fails for another
+  /// reason than a port that is taken.
+  /// @return such a failure of the first attempt.
+  Result<void> Start(StartFailureHandler on_failed);
 
   /// @brief Applies the bounds of new settings, the only settings that may
   /// change while the host runs. Addresses and names keep their first values.
@@ -98,6 +110,10 @@
   void HandleLocate(const HttpExchangePtr& exchange);
   void HandleMetrics(const HttpExchangePtr& exchange);
   void UpdateLoad(Time now);
+  Result<void> AddPorts();
+  std::optional<Error> OpenPorts();
+  void AwaitPorts(const Error& taken);
+  void StartServing();
   void Tick();
   void FinishStop();
   void WaitUntilIdle();
@@ -115,7 +131,6 @@
   void LimitServer(HttpServer& server,
                    const std::string& listener,
                    std::size_t max_connections);
-  Result<void> ListenAt(HttpServer& server, const std::string& address);
 
   GatewayState state_;
   KeyedHasher& account_key_hasher_;
@@ -132,10 +147,17 @@
   OperatorService operator_service_;
   HttpServer operator_server_;
   HttpServer metrics_server_;
+  HostPorts ports_;
+  StartFailureHandler on_start_failed_;
+  Time start_called_at_;
+  /// Steps and addresses of the taken ports that were reported.
+  std::set<std::pair<std::string, std::string>> reported_ports_;
+  bool is_serving_ = false;  ///< all ports are open
   ProcessStats process_stats_;
   UtilizationMeter cpu_utilization_;
   LoadStepControl load_steps_;
   std::size_t max_caller_connections_ = 0;  ///< 0: no limit
+  boost::asio::steady_timer start_timer_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer stop_timer_;
   std::function<void()> on_stopped_;
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -117,7 +117,7 @@
                         Time now);
 
   boost::asio::io_context& loop;
-  const Time started_at = BootClock::now();
+  Time started_at = BootClock::now();  ///< when the host began to serve
   EntrySettings settings;
   const HeaderNames headers;
   EventLog events;
--- a/include/pathcleat/http/http_server.hpp
+++ b/include/pathcleat/http/http_server.hpp
@@ -36,11 +36,24 @@
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
 
-  /// @brief Binds and starts to accept connections.
+  /// @brief Binds and starts to accept connections: Bind, then StartAccepting.
   /// @param port 0 selects any free port.
   /// @return the bound port.
   Result<std::uint16_t> Listen(const std::string& address, std::uint16_t port);
 
+  /// @brief Binds without accepting: connections to the port are refused. After
+  /// a failure the server is closed, and Bind may be called again. The error is
+  /// kInUse if another socket has the port.
+  Result<void> Bind(const std::string& address, std::uint16_t port);
+
+  /// @brief Starts to accept connections at the bound address. Errors as of
+  /// Bind: another process may have bound the port without listening.
+  Result<void> StartAccepting();
+
+  /// @brief Closes the listener, with the connections in its backlog. Bind may
+  /// be called again.
+  void CloseListener();
+
   /// @brief Lets all connections share a memory budget with other users.
   /// Requests that find no memory are rejected as not run. Must be called
   /// before Listen.
@@ -87,6 +100,8 @@
   void Accept();
   void OnAcceptFailed();
   void RetryAccept();
+  boost::leaf::error_id FailToListen(const std::string& address,
+                                     const boost::system::error_code& error);
   void OpenSession(boost::asio::ip::tcp::socket socket);
 
   /// @brief Closes connections without a caller that waits for an answer: first
@@ -102,6 +117,7 @@
   RejectionObserver on_rejected_;
   MemoryBudgetPtr memory_budget_;
   std::string request_id_header_;
+  boost::asio::ip::tcp::endpoint endpoint_;  ///< the address given to Bind
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_timer_;
   boost::asio::steady_timer accept_timer_;
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -15,6 +15,7 @@
 #include <iostream>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -171,8 +172,15 @@
   await_reload();
   return TryOr(
       [&]() -> Result<int> {
-        BOOST_LEAF_CHECK(gateway.Start());
+        std::optional<Error> start_failure;
+        BOOST_LEAF_CHECK(gateway.Start([&](const Error& error) {
+          start_failure = error;
+          loop.stop();
+        }));
         loop.run();
+        if (start_failure) {
+          return Fail(*start_failure);
+        }
         // A normal exit would join the threads of the logging library, which
         // takes longer than the rest of the grace period. Exiting without
         // destructors loses nothing: all requests have been answered, and
--- a/src/pathcleat/core/error.cpp
+++ b/src/pathcleat/core/error.cpp
@@ -19,6 +19,8 @@
       return "rate-limited";
     case ErrorCode::kUnauthorized:
       return "unauthorized";
+    case ErrorCode::kInUse:
+      return "in-use";
   }
   return "invalid";
 }
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -25,6 +25,8 @@
     EventInfo{kLoopSlow, "loop-slow", kWarning, kState, "process"},
     EventInfo{kMemoryUsedUp, "memory-used-up", kWarning, kState, "process"},
     EventInfo{kMemoryAvailable, "memory-available", kInfo, kState, "process"},
+    EventInfo{kPortTaken, "port-taken", kWarning, kState, "process"},
+    EventInfo{kPortsOpened, "ports-opened", kInfo, kState, "process"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
               "request"},
--- a/src/pathcleat/feeds/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -132,7 +132,7 @@
 
 Result<void> PeerFeed::Open(const std::string& address, std::uint16_t port) {
   BOOST_LEAF_CHECK(server_.Listen(address, port));
-  Sweep();
+  Start();
   return {};
 }
 
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -39,7 +39,7 @@
       socket_(loop),
       timer_(loop) {}
 
-Result<void> PeerLink::Open(const std::string& address, std::uint16_t port) {
+Result<void> PeerLink::Bind(const std::string& address, std::uint16_t port) {
   error_code error;
   const auto ip = boost::asio::ip::make_address(address, error);
   const udp::endpoint endpoint(ip, port);
@@ -53,12 +53,24 @@
     socket_.non_blocking(true, error);
   }
   if (error) {
-    return Fail({ErrorCode::kRefused, "open peer port",
-                 address + ":" + std::to_string(port), error.message()});
+    Close();
+    const bool in_use = error == boost::asio::error::address_in_use;
+    return Fail({in_use ? ErrorCode::kInUse : ErrorCode::kRefused,
+                 "open peer port", address + ":" + std::to_string(port),
+                 error.message()});
   }
+  return {};
+}
+
+void PeerLink::Close() {
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+void PeerLink::Start() {
+  reporter_.SetStarted(BootClock::now());
   Receive();
   Tick();
-  return {};
 }
 
 void PeerLink::Announce() {
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -94,10 +94,6 @@
       config_lag_(kLagTtl),
       upstream_journal_(kMaxJournalEntries) {}
 
-Result<void> FleetSync::Open(const std::string& address, std::uint16_t port) {
-  return peer_feed_.Open(address, port);
-}
-
 void FleetSync::Start() {
   if (std::exchange(started_, true)) {
     return;
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -117,7 +117,9 @@
           [this](const HttpExchangePtr& e) { operator_service_.Handle(e); }),
       metrics_server_(loop,
                       [this](const HttpExchangePtr& e) { HandleMetrics(e); }),
+      ports_(peer_link_),
       cpu_utilization_(settings.cpu_cores),
+      start_timer_(loop),
       tick_timer_(loop),
       stop_timer_(loop) {
   fleet_sync_.SetForwardHandler([this](const HttpExchangePtr& e) {
@@ -129,23 +131,6 @@
       [this] { peer_link_.PublishStatements(); });
 }
 
-Result<void> Gateway::Start() {
-  const EntrySettings& settings = state_.settings;
-  LimitServers();
-  BOOST_LEAF_CHECK(ListenAt(caller_server_, settings.listen.callers));
-  BOOST_LEAF_CHECK(ListenAt(readiness_server_, settings.listen.readiness));
-  BOOST_LEAF_CHECK(ListenAt(locate_server_, settings.listen.locate));
-  BOOST_LEAF_CHECK(ListenAt(operator_server_, settings.listen.operators));
-  BOOST_LEAF_CHECK(ListenAt(metrics_server_, settings.listen.metrics));
-  BOOST_LEAF_CHECK(peer_link_.Open(settings.peer_address, settings.peer_port));
-  BOOST_LEAF_CHECK(fleet_sync_.Open(settings.peer_address, settings.peer_port));
-  startup_loader_.Start();
-  Tick();
-  state_.events.Record(EventCode::kHostStarted, settings.host,
-                       "callers at " + settings.listen.callers);
-  return {};
-}
-
 bool Gateway::IsReady() const {
   return !state_.leaving && fleet_sync_.IsLoaded() && !IsTooFarBehind() &&
          caller_server_.CanAccept();
--- a/src/pathcleat/gateway/gateway_servers.cpp
+++ b/src/pathcleat/gateway/gateway_servers.cpp
@@ -1,10 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
-// The servers of an entry host: their addresses and limits.
+// The servers of an entry host: their limits.
 #include "pathcleat/gateway/gateway.hpp"
 
 #include <string>
 
-#include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/settings/host_limits.hpp"
 
 namespace pathcleat {
@@ -16,20 +15,6 @@
 
 }  // namespace
 
-Result<void> Gateway::ListenAt(HttpServer& server, const std::string& address) {
-  if (address.empty()) {
-    return {};
-  }
-  const auto endpoint = ParseTcpEndpoint(address);
-  if (!endpoint) {
-    return Fail({ErrorCode::kInvalid, "listen", address,
-                 "expected an IP number and a port"});
-  }
-  BOOST_LEAF_CHECK(
-      server.Listen(endpoint->address().to_string(), endpoint->port()));
-  return {};
-}
-
 void Gateway::LimitServers() {
   const ConnectionLimits limits =
       DivideDescriptors(MaxDescriptors(state_.settings.max_descriptors));
--- a/src/pathcleat/gateway/gateway_stop.cpp
+++ b/src/pathcleat/gateway/gateway_stop.cpp
@@ -18,6 +18,13 @@
     return;
   }
   state_.leaving = true;
+  if (!is_serving_) {
+    start_timer_.cancel();
+    state_.events.Record(EventCode::kHostLeaving, state_.settings.host,
+                         "not started yet");
+    done();
+    return;
+  }
   on_stopped_ = std::move(done);
   const Time now = BootClock::now();
   state_.shutdown.Begin(now, state_.settings.bounds.stop_grace);
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -40,32 +40,65 @@
 
 Result<std::uint16_t> HttpServer::Listen(const std::string& address,
                                          std::uint16_t port) {
+  BOOST_LEAF_CHECK(Bind(address, port));
+  BOOST_LEAF_CHECK(StartAccepting());
+  error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+Result<void> HttpServer::Bind(const std::string& address, std::uint16_t port) {
   error_code error;
-  const auto ip = boost::asio::ip::make_address(address, error);
-  const tcp::endpoint endpoint(ip, port);
+  endpoint_ =
+      tcp::endpoint(boost::asio::ip::make_address(address, error), port);
   if (!error) {
-    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.open(endpoint_.protocol(), error);
   }
+  // Connections of an earlier process that are still being closed do not keep
+  // the port. Unlike SO_REUSEPORT, this lets no two processes listen at once.
   if (!error) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   }
   if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error && memory_budget_) {
-    LimitReceiveBuffers(acceptor_);
+    acceptor_.non_blocking(true, error);
   }
   if (!error) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    acceptor_.bind(endpoint_, error);
   }
   if (error) {
-    return Fail({ErrorCode::kRefused, "listen",
-                 address + ":" + std::to_string(port), error.message()});
+    return FailToListen(address + ":" + std::to_string(port), error);
+  }
+  if (memory_budget_) {
+    LimitReceiveBuffers(acceptor_);
+  }
+  return {};
+}
+
+Result<void> HttpServer::StartAccepting() {
+  error_code error;
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return FailToListen(endpoint_.address().to_string() + ":" +
+                            std::to_string(endpoint_.port()),
+                        error);
   }
-  acceptor_.non_blocking(true, error);
   Accept();
   Sweep();
-  return acceptor_.local_endpoint(error).port();
+  return {};
+}
+
+void HttpServer::CloseListener() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  sweep_timer_.cancel();
+}
+
+boost::leaf::error_id HttpServer::FailToListen(const std::string& address,
+                                               const error_code& error) {
+  CloseListener();
+  const bool in_use = error == boost::asio::error::address_in_use;
+  return Fail({in_use ? ErrorCode::kInUse : ErrorCode::kRefused, "listen",
+               address, error.message()});
 }
 
 void HttpServer::Accept() {
--- a/src/pathcleat/http/http_server_test.cpp
+++ b/src/pathcleat/http/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -149,5 +150,57 @@
   cr_assert_eq(fixture.server.connection_count(), 3U);
 }
 
+// How binding and listening at a port ends: nothing if it succeeds.
+std::optional<ErrorCode> TryListen(HttpServer& server,
+                                   const std::string& address,
+                                   std::uint16_t port) {
+  return TryOr(
+      [&]() -> Result<std::optional<ErrorCode>> {
+        BOOST_LEAF_CHECK(server.Bind(address, port));
+        BOOST_LEAF_CHECK(server.StartAccepting());
+        return std::optional<ErrorCode>();
+      },
+      [](const Error& error) { return std::optional(error.code); });
+}
+
+// Guards against a server that cannot be opened any more after its port was
+// taken once, and against two servers at one port.
+Test(http_server, port_that_was_taken_is_opened_later) {
+  ServerFixture fixture;
+  boost::asio::ip::tcp::acceptor holder(
+      fixture.loop, {boost::asio::ip::make_address(fixture.address), 0});
+  HttpServer server(fixture.loop, [](const HttpExchangePtr& exchange) {
+    exchange->Respond(TextResponse(200, "done\n"));
+  });
+  fixture.port = holder.local_endpoint().port();
+  cr_assert(TryListen(server, fixture.address, fixture.port) ==
+            ErrorCode::kInUse);
+  cr_assert(TryListen(server, fixture.address, fixture.port) ==
+            ErrorCode::kInUse);
+  holder.close();
+  cr_assert(!TryListen(server, fixture.address, fixture.port));
+  RawClient& caller = fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return caller.HasReceived("HTTP/1.1 200"); }));
+}
+
+// Guards against a listener that was closed before all ports of its host were
+// open, and does not accept when it is opened again.
+Test(http_server, closed_listener_accepts_when_it_is_opened_again) {
+  ServerFixture fixture;
+  fixture.server.CloseListener();
+  cr_assert(!TryListen(fixture.server, fixture.address, fixture.port));
+  RawClient& caller = fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return caller.HasReceived("HTTP/1.1 200"); }));
+}
+
+// Guards against a wait for what cannot be had: an address of another machine,
+// or text that is no address.
+Test(http_server, address_that_cannot_be_had_is_refused) {
+  ServerFixture fixture;
+  HttpServer server(fixture.loop, [](const HttpExchangePtr&) {});
+  cr_assert(TryListen(server, "192.0.2.1", 1) == ErrorCode::kRefused);
+  cr_assert(TryListen(server, "no address", 1) == ErrorCode::kRefused);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/testing/host_process.hpp
+++ b/src/pathcleat/testing/host_process.hpp
@@ -30,6 +30,9 @@
   std::uint16_t port = 0;     ///< first of seven ports
   std::string store_address;  ///< "IP:PORT"
   std::uint32_t max_descriptors = 4'100;
+  std::uint32_t stop_grace_ms = 6'000;
+  /// Position of the locate listener's port among them.
+  int locate_index = 2;
 };
 
 /// @brief Memory and file descriptors that a process holds.
@@ -63,7 +66,7 @@
 
   std::uint16_t callers() const { return plan_.port; }
   std::uint16_t readiness() const { return Port(1); }
-  std::uint16_t locate() const { return Port(2); }
+  std::uint16_t locate() const { return Port(plan_.locate_index); }
   std::uint16_t operators() const { return Port(3); }
   std::uint16_t metrics() const { return Port(4); }
   std::uint16_t peers() const { return Port(5); }
@@ -76,6 +79,27 @@
     return pid_ > 0;
   }
 
+  void Signal(int signal) const {
+    if (pid_ > 0) {
+      ::kill(pid_, signal);
+    }
+  }
+
+  /// @brief Exit code of a process that has ended by itself; -1 otherwise.
+  int ExitCode() {
+    return !IsAlive() && WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+  }
+
+  /// @brief How many lines of its log hold a text.
+  std::size_t CountLogLines(const std::string& text) const {
+    std::ifstream log(folder_ / "log");
+    std::size_t count = 0;
+    for (std::string line; std::getline(log, line);) {
+      count += line.find(text) != std::string::npos ? 1 : 0;
+    }
+    return count;
+  }
+
   /// @brief The present usage. Of a process that has ended: zero.
   ProcessUsage Usage() const {
     return {ResidentBytes("VmRSS:") + UnreadBytes(), DescriptorCount()};
@@ -117,11 +141,12 @@
         {"listen",
          {{"callers", Endpoint(0)},
           {"readiness", Endpoint(1)},
-          {"locate", Endpoint(2)},
+          {"locate", Endpoint(plan_.locate_index)},
           {"operators", Endpoint(3)},
           {"metrics", Endpoint(4)}}},
         {"peers", {{"address", plan_.address}, {"port", Port(5)}}},
         {"store", {{"address", plan_.store_address}}},
+        {"bounds", {{"stop_grace_ms", plan_.stop_grace_ms}}},
         {"max_descriptors", plan_.max_descriptors}};
     std::ofstream(folder_ / "settings.json") << settings.dump(1);
   }
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -78,7 +78,9 @@
     host.gateway->SetProcessStats({nullptr, &host.store_calls});
     const bool started = TryOr(
         [&]() -> Result<bool> {
-          BOOST_LEAF_CHECK(host.gateway->Start());
+          BOOST_LEAF_CHECK(host.gateway->Start([](const Error& error) {
+            cr_assert_fail("host did not start: %s", ToString(error).c_str());
+          }));
           return true;
         },
         [](const Error&) { return false; });
