--- a/include/pathcleat/core/event_field.hpp
+++ b/include/pathcleat/core/event_field.hpp
@@ -27,6 +27,7 @@
 constexpr const char* kAccount = "account";
 /// How long after the begin of a planned stop; negative: before it.
 constexpr const char* kAfterStopMs = "after_stop_ms";
+constexpr const char* kAddress = "address";
 constexpr const char* kAgeMs = "age_ms";
 constexpr const char* kAnswerBytes = "answer_bytes";
 constexpr const char* kAnswerMs = "answer_ms";
@@ -92,6 +93,7 @@
 constexpr const char* kService = "service";
 constexpr const char* kShare = "share";
 constexpr const char* kStatus = "status";
+constexpr const char* kStep = "step";
 constexpr const char* kTargetMs = "target_ms";
 constexpr const char* kTask = "task";
 constexpr const char* kTransferMs = "transfer_ms";
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/http/http_server.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <utility>
 #include <vector>
@@ -21,6 +23,20 @@
 // for a batch.
 constexpr std::size_t kEvictionBatch = 16;
 
+// Whether accepting failed for want of file descriptors or kernel memory.
+bool IsShortage(const error_code& error) {
+  return error == boost::asio::error::no_descriptors ||
+         error == boost::system::errc::too_many_files_open_in_system ||
+         error == boost::asio::error::no_buffer_space ||
+         error == boost::asio::error::no_memory;
+}
+
+// Whether a connection waits to be accepted.
+bool HasBacklog(tcp::acceptor& acceptor) {
+  pollfd entry{acceptor.native_handle(), POLLIN, 0};
+  return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLIN) != 0;
+}
+
 }  // namespace
 
 HttpServer::HttpServer(boost::asio::io_context& loop,
@@ -40,32 +56,65 @@
 
 Result<std::uint16_t> HttpServer::Listen(const std::string& address,
                                          std::uint16_t port) {
+  BOOST_LEAF_CHECK(Bind(address, port));
+  BOOST_LEAF_CHECK(StartAccepting());
+  error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+Result<void> HttpServer::Bind(const std::string& address, std::uint16_t port) {
   error_code error;
-  const auto ip = boost::asio::ip::make_address(address, error);
-  const tcp::endpoint endpoint(ip, port);
+  endpoint_ =
+      tcp::endpoint(boost::asio::ip::make_address(address, error), port);
   if (!error) {
-    acceptor_.open(endpoint.protocol(), error);
+    acceptor_.open(endpoint_.protocol(), error);
   }
+  // Connections of an earlier process that are still being closed do not keep
+  // the port. Unlike SO_REUSEPORT, this lets no two processes listen at once.
   if (!error) {
     acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
   }
   if (!error) {
-    acceptor_.bind(endpoint, error);
-  }
-  if (!error && memory_budget_) {
-    LimitReceiveBuffers(acceptor_);
+    acceptor_.non_blocking(true, error);
   }
   if (!error) {
-    acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
+    acceptor_.bind(endpoint_, error);
+  }
+  if (error) {
+    return FailToListen(address + ":" + std::to_string(port), error);
+  }
+  if (memory_budget_) {
+    LimitReceiveBuffers(acceptor_);
   }
+  return {};
+}
+
+Result<void> HttpServer::StartAccepting() {
+  error_code error;
+  acceptor_.listen(boost::asio::socket_base::max_listen_connections, error);
   if (error) {
-    return Fail({ErrorCode::kRefused, "listen",
-                 address + ":" + std::to_string(port), error.message()});
+    return FailToListen(endpoint_.address().to_string() + ":" +
+                            std::to_string(endpoint_.port()),
+                        error);
   }
-  acceptor_.non_blocking(true, error);
   Accept();
   Sweep();
-  return acceptor_.local_endpoint(error).port();
+  return {};
+}
+
+void HttpServer::CloseListener() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  accept_timer_.cancel();
+  sweep_timer_.cancel();
+}
+
+boost::leaf::error_id HttpServer::FailToListen(const std::string& address,
+                                               const error_code& error) {
+  CloseListener();
+  const bool in_use = error == boost::asio::error::address_in_use;
+  return Fail({in_use ? ErrorCode::kInUse : ErrorCode::kRefused, "listen",
+               address, error.message()});
 }
 
 void HttpServer::Accept() {
@@ -73,10 +122,15 @@
     if (error == boost::asio::error::operation_aborted) {
       return;
     }
-    if (error) {
+    if (IsShortage(error)) {
       OnAcceptFailed();
       return;
     }
+    if (error) {
+      // An error of one connection or of the network, which no eviction ends.
+      RetryAccept();
+      return;
+    }
     can_accept_ = true;
     OpenSession(std::move(socket));
     Accept();
@@ -154,16 +208,26 @@
   });
 }
 
+// Sessions are opened at the end, so that no accepted connection is evicted for
+// the next one. Without a free descriptor, accepting fails whether or not a
+// connection waits.
 void HttpServer::StopAccepting() {
+  std::vector<tcp::socket> accepted;
   error_code error;
   while (acceptor_.is_open() && !error) {
     tcp::socket socket(loop_);
     acceptor_.accept(socket, error);
     if (!error) {
-      OpenSession(std::move(socket));
+      accepted.push_back(std::move(socket));
+    } else if (IsShortage(error) && HasBacklog(acceptor_) &&
+               EvictConnections()) {
+      error.clear();
     }
   }
   acceptor_.close(error);
+  for (tcp::socket& socket : accepted) {
+    OpenSession(std::move(socket));
+  }
 }
 
 void HttpServer::CloseGracefully() {
