An exception of a handler does not end the process

What operators saw: a host process ended by itself with exit 1 and the line "unexpected (): [json.exception.type_error.302] type must be number, but is string [invalid]", and with it all of its connections.

Cause: whatever left a handler left loop.run(), and main took that for the end of the process. Evidence: a store whose answers carry "ver" as a text ended the unfixed host 0.1 s after its start.

HandlerFailures is the boundary: it counts an exception by the place where the work entered the host (pathcleat_handler_failures_total) and logs it (PC1014, at most five lines a second). RunLoop is the last one, around the event loop. A reload by SIGHUP has a boundary of its own, so that the next signal is awaited all the same.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -25,6 +25,7 @@
   kLoopSlow = 1009,
   kMemoryUsedUp = 1010,
   kMemoryAvailable = 1011,
+  kHandlerFailed = 1014,
   kRequestRefused = 1101,
   kRequestUnknown = 1102,
   kRequestRetried = 1103,
--- a/include/pathcleat/gateway/gateway_state.hpp
+++ b/include/pathcleat/gateway/gateway_state.hpp
@@ -15,6 +15,7 @@
 #include "pathcleat/calls/shutdown_schedule.hpp"
 #include "pathcleat/calls/unknown_headers.hpp"
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/core/handler_failures.hpp"
 #include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/core/loop_turns.hpp"
 #include "pathcleat/crashes/crash_tracker.hpp"
@@ -121,6 +122,7 @@
   EntrySettings settings;
   const HeaderNames headers;
   EventLog events;
+  HandlerFailures failures{events};
   MemoryBudgetPtr memory_budget;
   MemoryMonitor memory_monitor;
   RejectionLog rejections;
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -25,6 +25,7 @@
 #include "log_files.hpp"
 #include "operator_client.hpp"
 #include "pathcleat/core/log_writer.hpp"
+#include "pathcleat/core/run_loop.hpp"
 #include "pathcleat/gateway/gateway.hpp"
 #include "pathcleat/query/request_diagnosis.hpp"
 #include "platform_table.hpp"
@@ -160,10 +161,12 @@
   std::function<void()> await_reload = [&] {
     reload_signals.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) {
-        const LoadedEntrySettings changed = LoadEntrySettings(path);
-        if (!ReportFaults(changed)) {
-          gateway.Reload(changed.settings);
-        }
+        gateway.state().failures.Run(EntryPoint::kReload, path, [&] {
+          const LoadedEntrySettings changed = LoadEntrySettings(path);
+          if (!ReportFaults(changed)) {
+            gateway.Reload(changed.settings);
+          }
+        });
         await_reload();
       }
     });
@@ -172,7 +175,7 @@
   return TryOr(
       [&]() -> Result<int> {
         BOOST_LEAF_CHECK(gateway.Start());
-        loop.run();
+        RunLoop(loop, gateway.state().failures);
         // A normal exit would join the threads of the logging library, which
         // takes longer than the rest of the grace period. Exiting without
         // destructors loses nothing: all requests have been answered, and
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -25,6 +25,7 @@
     EventInfo{kLoopSlow, "loop-slow", kWarning, kState, "process"},
     EventInfo{kMemoryUsedUp, "memory-used-up", kWarning, kState, "process"},
     EventInfo{kMemoryAvailable, "memory-available", kInfo, kState, "process"},
+    EventInfo{kHandlerFailed, "handler-failed", kAlarm, kState, "subject"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
               "request"},
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -450,6 +450,14 @@
               "Requests that failed beyond the log's rate.");
   page.Sample("pathcleat_failures_not_logged_total", {},
               state.request_log.suppressed_failures());
+  page.Family("pathcleat_handler_failures_total", "counter",
+              "Pieces of work that ended with an exception, by where they "
+              "entered the host.");
+  for (std::size_t i = 0; i < HandlerFailures::kEntryPointCount; ++i) {
+    page.Sample("pathcleat_handler_failures_total",
+                {{"where", ToString(static_cast<EntryPoint>(i))}},
+                state.failures.counts().at(i));
+  }
   rusage usage{};
   getrusage(RUSAGE_SELF, &usage);
   constexpr double kMicrosPerSecond = 1e6;
