--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -27,6 +27,7 @@
   kMemoryAvailable = 1011,
   kPortTaken = 1012,
   kPortsOpened = 1013,
+  kHandlerFailed = 1014,
   kRequestRefused = 1101,
   kRequestUnknown = 1102,
   kRequestRetried = 1103,
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -26,6 +26,7 @@
 #include "log_files.hpp"
 #include "operator_client.hpp"
 #include "pathcleat/core/log_writer.hpp"
+#include "pathcleat/core/run_loop.hpp"
 #include "pathcleat/gateway/gateway.hpp"
 #include "pathcleat/query/request_diagnosis.hpp"
 #include "platform_table.hpp"
@@ -161,10 +162,12 @@
   std::function<void()> await_reload = [&] {
     reload_signals.async_wait([&](const boost::system::error_code& error, int) {
       if (!error) {
-        const LoadedEntrySettings changed = LoadEntrySettings(path);
-        if (!ReportFaults(changed)) {
-          gateway.Reload(changed.settings);
-        }
+        gateway.state().failures.Run(EntryPoint::kReload, path, [&] {
+          const LoadedEntrySettings changed = LoadEntrySettings(path);
+          if (!ReportFaults(changed)) {
+            gateway.Reload(changed.settings);
+          }
+        });
         await_reload();
       }
     });
@@ -177,7 +180,7 @@
           start_failure = error;
           loop.stop();
         }));
-        loop.run();
+        RunLoop(loop, gateway.state().failures);
         if (start_failure) {
           return Fail(*start_failure);
         }
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -27,6 +27,7 @@
     EventInfo{kMemoryAvailable, "memory-available", kInfo, kState, "process"},
     EventInfo{kPortTaken, "port-taken", kWarning, kState, "process"},
     EventInfo{kPortsOpened, "ports-opened", kInfo, kState, "process"},
+    EventInfo{kHandlerFailed, "handler-failed", kAlarm, kState, "subject"},
     EventInfo{kRequestRefused, "request-refused", kInfo, kFailure, "request"},
     EventInfo{kRequestUnknown, "request-unknown", kWarning, kFailure,
               "request"},
