Upstream stand-ins can be given a slow tail while they run

The soak could not show requests that are lost in a planned stop: the work of its upstreams has one exponential distribution around 20 ms, so that all work ends long before the host does. /set/UPSTREAM/tail/SHARE:MS makes this share of an upstream's requests run for MS ms from now on, and 0:0 ends it. Nothing is drawn while there is no tail, so that runs with the same seed keep their times.

Before, the control port answered 404: upstream_farm_test on the unfixed code says 'The expression fixture.Set("tail/1:300") is false'.

--- a/include/pathcleat/lab/upstream_farm.hpp
+++ b/include/pathcleat/lab/upstream_farm.hpp
@@ -20,6 +20,8 @@
 /// /set/UPSTREAM/leaving/1 and /set/UPSTREAM/retry-after/SECONDS make it do so.
 /// /arrivals returns the times of all requests, and
 /// /set/UPSTREAM/failing/PERCENT makes so many answers of an upstream fail.
+/// /set/UPSTREAM/tail/SHARE:MS makes this share (0 to 1) of its requests run
+/// for MS milliseconds.
 /// @ingroup lab
 class UpstreamFarm {
  public:
--- a/include/pathcleat/lab/upstream_stand_in.hpp
+++ b/include/pathcleat/lab/upstream_stand_in.hpp
@@ -106,6 +106,13 @@
   /// now on.
   void FailAnswers(double share) { failed_share_ = share; }
 
+  /// @brief Runs this share of the requests that start from now on for this
+  /// time, whatever the mean service time is; a share of 0 ends the tail.
+  void SetTail(double share, std::chrono::milliseconds work) {
+    tail_share_ = share;
+    tail_work_ = work;
+  }
+
   /// @brief Sends this text as the rate limit header (requests a second) in all
   /// answers from now on; empty: no header.
   void SetLimitHeader(std::string limit) { limit_header_ = std::move(limit); }
@@ -156,6 +163,7 @@
   void FinishAction(const HttpExchangePtr& exchange, UpstreamAction::Kind kind);
   void StartRun(const HttpExchangePtr& exchange);
   void FinishRun();
+  std::chrono::microseconds DrawWorkTime();
   void WatchDeadline(const HttpExchangePtr& exchange);
   void OnDeadline(const HttpExchangePtr& exchange);
   void UpdateSlotSeconds();
@@ -177,6 +185,8 @@
   std::string retry_after_;     ///< sent with rejections; empty: no header
   std::string crash_target_;    ///< target that causes a crash; empty: none
   double failed_share_ = 0;     ///< of the answers
+  double tail_share_ = 0;       ///< of the requests
+  std::chrono::milliseconds tail_work_{0};
   int in_flight_ = 0;
   /// Time up to which ledger_.slot_seconds is summed.
   Time slot_seconds_until_;
--- a/src/pathcleat/lab/upstream_farm.cpp
+++ b/src/pathcleat/lab/upstream_farm.cpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 namespace pathcleat {
@@ -17,18 +18,46 @@
   return std::chrono::duration<double>(time.time_since_epoch()).count();
 }
 
+// @return the number in the whole text, if it lies in [0, max].
+std::optional<double> ParseUpTo(std::string_view text, double max) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value);
+  // A NaN is in no range.
+  if (parsed.ec != std::errc() || parsed.ptr != end ||
+      !(value >= 0 && value <= max)) {
+    return std::nullopt;
+  }
+  return value;
+}
+
 // @param percent of the answers that fail from now on.
 // @return whether the text is a valid percentage.
 bool SetFailing(UpstreamStandIn& upstream, const std::string& percent) {
   constexpr double kMaxPercent = 100;
-  double value = 0;
-  const char* end = percent.data() + percent.size();
-  const auto parsed = std::from_chars(percent.data(), end, value);
-  if (parsed.ec != std::errc() || parsed.ptr != end || value < 0 ||
-      value > kMaxPercent) {
+  const auto value = ParseUpTo(percent, kMaxPercent);
+  if (!value) {
+    return false;
+  }
+  upstream.FailAnswers(*value / kMaxPercent);
+  return true;
+}
+
+// @param tail SHARE:MS; this share (0 to 1) of the requests runs for MS ms.
+// @return whether the text is a valid tail.
+bool SetTail(UpstreamStandIn& upstream, std::string_view tail) {
+  constexpr double kMaxTailMs = 60'000;
+  const std::size_t colon = tail.find(':');
+  if (colon == std::string_view::npos) {
+    return false;
+  }
+  const auto share = ParseUpTo(tail.substr(0, colon), 1);
+  const auto work_ms = ParseUpTo(tail.substr(colon + 1), kMaxTailMs);
+  if (!share || !work_ms) {
     return false;
   }
-  upstream.FailAnswers(value / kMaxPercent);
+  upstream.SetTail(
+      *share, std::chrono::milliseconds(static_cast<std::int64_t>(*work_ms)));
   return true;
 }
 
@@ -86,7 +115,8 @@
 
 // Targets: /set/UPSTREAM/leaving/VALUE and /set/UPSTREAM/retry-after/VALUE; an
 // empty value stops the statement. /set/UPSTREAM/failing/PERCENT makes so many
-// of its answers fail.
+// of its answers fail, /set/UPSTREAM/tail/SHARE:MS makes this share of its
+// requests run for MS milliseconds.
 bool UpstreamFarm::ApplySetting(const std::string& target) {
   std::vector<std::string> parts;
   boost::algorithm::split(parts, target,
@@ -107,6 +137,8 @@
     (*found)->RejectWithRetryAfter(parts[4]);
   } else if (parts[3] == "failing") {
     return SetFailing(**found, parts[4]);
+  } else if (parts[3] == "tail") {
+    return SetTail(**found, parts[4]);
   } else {
     return false;
   }
--- a/src/pathcleat/lab/upstream_stand_in.cpp
+++ b/src/pathcleat/lab/upstream_stand_in.cpp
@@ -216,16 +216,25 @@
     held_exchanges_.push_back(exchange);
     return;
   }
-  std::exponential_distribution<double> draw(1.0);
-  const auto mean = static_cast<double>(options_.mean_service_time.count());
-  auto timer = std::make_shared<boost::asio::steady_timer>(
-      loop_, std::chrono::microseconds(
-                 static_cast<std::int64_t>(mean * draw(random_))));
+  auto timer =
+      std::make_shared<boost::asio::steady_timer>(loop_, DrawWorkTime());
   timer->async_wait([this, timer, exchange](const boost::system::error_code&) {
     Answer(exchange);
   });
 }
 
+// Nothing is drawn for the tail while there is none, so that the times of runs
+// with the same seed stay the same.
+std::chrono::microseconds UpstreamStandIn::DrawWorkTime() {
+  if (tail_share_ > 0 && std::bernoulli_distribution(tail_share_)(random_)) {
+    return tail_work_;
+  }
+  std::exponential_distribution<double> draw(1.0);
+  const auto mean = static_cast<double>(options_.mean_service_time.count());
+  return std::chrono::microseconds(
+      static_cast<std::int64_t>(mean * draw(random_)));
+}
+
 void UpstreamStandIn::UpdateSlotSeconds() {
   const Time now = BootClock::now();
   ledger_.slot_seconds +=
