Soak: stops under load, taken ports, odd answers and odd rows of the store

Ruled out as causes in the soak itself: two groups of callers that shared run ids (gave false reports of refused requests that ran), requests that ended before SIGTERM, and proxied connections that the garbage collector ended.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -4,7 +4,8 @@
 checks the promises by what callers and upstreams saw.
 
     tools/soak.py --build DIRECTORY [--seed N] [--seconds N] [--rate N]
-        [--planned] [--schedule FILE] [--off NAME] [--keep DIRECTORY]
+        [--planned] [--kinds NAME,...] [--hosts-factor N] [--schedule FILE]
+        [--off NAME] [--keep DIRECTORY]
 
 One seed gives one schedule of faults; it is written to the --keep directory, and
 --schedule plays it again. --off switches one mechanism of the hosts off, to see
@@ -31,123 +32,27 @@
 import urllib.error
 import urllib.request
 
+import soak_deployment
+import soak_faults
+from soak_judges import (BACKOFF_GRACE_SECONDS, Excuse, arrivals_in_backoff,
+                         broken_promises, late_arrivals, parse_load_report)
+from soak_schedule import (ALL_KINDS, FREEZE_SECONDS, UNPLANNED_KINDS, Fault,
+                           choose_kinds, make_schedule)
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 FIRST_CONTROL_PORT = 8600
-# An upstream that announced leaving gets nothing new later than this.
-DRAIN_SECONDS = 2.5
-# A host may send twice within a time that an upstream asked for, and what is on
-# its way in the first half second does not count.
+# A host may send twice within a time that an upstream asked for.
 MAX_IN_BACKOFF_PER_HOST = 2
-BACKOFF_GRACE_SECONDS = 0.5
 # A host that starts or wakes up learns within this time what upstreams stated.
 EXCUSED_SECONDS = 1.0
-STOP_GRACE_SECONDS = 8.0
+# A stopped process ends by itself before its supervisor kills it.
+MAX_STOP_SECONDS = 8.0
 START_SECONDS = 30.0
-# Longer than each time-out between hosts.
-FREEZE_SECONDS = 4.0
 MAX_HOST_MEGABYTES = 64
 # Share of the requests that callers must have answered once faults have ended.
 MIN_ANSWERED_AFTERWARDS = 0.95
 
 
-@dataclasses.dataclass
-class Fault:
-    """One fault: a kind, its target by number, and when, in seconds."""
-
-    at: float
-    kind: str
-    target: int
-    value: float = 0
-
-
-@dataclasses.dataclass
-class Excuse:
-    """A span in which a host may not know what upstreams stated."""
-
-    start: float
-    end: float
-
-
-PLANNED_KINDS = ("stop", "reload", "leave", "backoff", "backoff")
-UNPLANNED_KINDS = PLANNED_KINDS + ("kill", "freeze", "store_silent")
-
-
-def make_schedule(seed, seconds, hosts, upstreams, planned):
-    """Draws the faults of a run; they come in series and overlap."""
-    draw = random.Random(seed)
-    kinds = PLANNED_KINDS if planned else UNPLANNED_KINDS
-    faults = []
-    at = 1.0
-    while at < seconds - FREEZE_SECONDS:
-        kind = draw.choice(kinds)
-        count = upstreams if kind in ("leave", "backoff") else hosts
-        value = draw.choice((1.5, 3.0, 3.0))
-        faults.append(Fault(round(at, 2), kind, draw.randrange(count), value))
-        at += draw.choice((0.3, 0.8, 1.5))
-    return faults
-
-
-def late_arrivals(statement, excuses):
-    """Arrivals later than allowed at an upstream that announced leaving."""
-    since = statement["since"]
-    if not since:
-        return []
-    return [
-        arrival - since
-        for arrival in statement["arrivals"]
-        if arrival > since + DRAIN_SECONDS
-        and not any(e.start <= arrival <= e.end for e in excuses)
-    ]
-
-
-def arrivals_in_backoff(statement, seconds, excuses):
-    """Arrivals in the first time without requests that an upstream asked for,
-    from the moment at which they count."""
-    since = statement["since"]
-    if not since:
-        return 0
-    return sum(
-        since + BACKOFF_GRACE_SECONDS < arrival < since + seconds
-        and not any(e.start <= arrival <= e.end for e in excuses)
-        for arrival in statement["arrivals"]
-    )
-
-
-def parse_load_report(text):
-    """The counts of `pathcleat-lab load`, by name, summed over the kinds."""
-    counts = {}
-    for name in ("sent", "answered", "not-run", "unknown", "connection lost",
-                 "tries cut", "kept connections ended"):
-        counts[name] = sum(map(int, re.findall(rf"{name} (\d+)", text)))
-    for name in (
-        "keys run more than once",
-        "reported not-run but run",
-        "upstreams over slots",
-        "corrupt answers",
-    ):
-        found = re.search(rf"{name} (\d+)", text)
-        counts[name] = int(found.group(1)) if found else None
-    return counts
-
-
-def broken_promises(report, planned):
-    """The promises that a load's report shows as broken."""
-    broken = []
-    for name in (
-        "keys run more than once",
-        "reported not-run but run",
-        "upstreams over slots",
-        "corrupt answers",
-    ):
-        if report[name] is None:
-            broken.append(f"the load has no count of: {name}")
-        elif report[name] > 0:
-            broken.append(f"{name}: {report[name]}")
-    if planned and report["tries cut"] > 0:
-        broken.append(f"planned work cut answers: {report['tries cut']}")
-    return broken
-
-
 def boot_seconds():
     """Seconds on the clock by which the stand-ins tell their arrivals."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -156,24 +61,36 @@
 class Fleet:
     """The processes of a run: hosts, stand-ins and the load."""
 
-    def __init__(self, build, keep, off):
+    def __init__(self, build, keep, off, hosts_factor=1):
         self.off = off
         self.pathcleat = build / "pathcleat"
         self.lab = build / "pathcleat-lab"
         self.keep = keep
         self.deployment = keep / "deployment.jsonc"
         # Runs at the same time use different addresses.
-        network = 2 + os.getpid() % 90
-        self.control_port = FIRST_CONTROL_PORT + network
+        self.network = 2 + os.getpid() % 90
+        self.control_port = FIRST_CONTROL_PORT + self.network
         example = ROOT / "examples/race_results/deployment.jsonc"
-        self.deployment.write_text(
-            example.read_text().replace('"127.1.', f'"127.{network}.'))
+        self.deployment.write_text(soak_deployment.multiply_hosts(
+            example.read_text(), hosts_factor).replace('"127.1.',
+                                                       f'"127.{self.network}.'))
+        self.start_seconds = START_SECONDS * max(1.0, hosts_factor / 2)
         self.processes = {}
         self.logs = {}
         self.excuses = []
         self.broken = []
+        self.retired = []
+        self.started_at = {}
+        self.expected_ends = set()
+        self.claimed = set()
+        self.own_ends = {}
+        self.store_silent_until = 0.0
+        self.unplanned_until = 0.0
+        self.faults = None  # set in runs of kinds that need it
         text = self.deployment.read_text()
+        self.host_header = re.search(r'"name": "([^"]+)"', text).group(1) + ".example"
         self.hosts = re.findall(r'\{"name": "([^"]+)".*?caller_port', text)
+        soak_deployment.check_fits(len(self.hosts), MAX_HOST_MEGABYTES)
         self.addresses = re.findall(r'"address": "([^"]+)", "caller_port"', text)
         self.upstreams = [
             f"{name}-{number}"
@@ -197,6 +114,9 @@
 
     def start_host(self, index):
         name = self.hosts[index]
+        if name in self.processes and self.processes[name].poll() is None:
+            self.retired.append(self.processes[name])
+        self.started_at[name] = time.monotonic()
         self.start(name, self.pathcleat, "entry", self.keep / f"hosts/{name}.jsonc")
 
     def start_all(self):
@@ -205,16 +125,22 @@
         )
         if self.off:
             self.switch_off()
-        self.start("upstreams", self.lab, "upstreams", self.deployment,
+        farm = self.deployment
+        if self.faults:
+            self.faults.prepare()
+            farm = self.keep / "farm.jsonc"
+            farm.write_text(soak_deployment.add_spares(
+                self.deployment.read_text(), self.network))
+        self.start("upstreams", self.lab, "upstreams", farm,
                    f"--control={self.control_port}")
         self.start("platform", self.lab, "platform", self.deployment)
         for index in range(len(self.hosts)):
             self.start_host(index)
-        until = time.monotonic() + START_SECONDS
+        until = time.monotonic() + self.start_seconds
         while not all(self.is_ready(i) for i in range(len(self.hosts))):
             ended = [n for n, p in self.processes.items() if p.poll() is not None]
             if ended or time.monotonic() > until:
-                raise RuntimeError(f"not ready within {START_SECONDS} s, "
+                raise RuntimeError(f"not ready within {self.start_seconds} s, "
                                    f"ended: {ended}; logs in {self.keep}")
             time.sleep(0.1)
 
@@ -238,6 +164,28 @@
         except (urllib.error.URLError, OSError):
             return False
 
+    def listen_address(self, host, name):
+        """The address of one of a host's listeners, by its name in the settings."""
+        settings = (self.keep / f"hosts/{host}.jsonc").read_text()
+        return re.search(rf'"{name}": "([^"]+)"', settings).group(1)
+
+    def fetch(self, host, listener, path):
+        """The text of a page of a host; None without an answer of status 200."""
+        url = f"http://{self.listen_address(host, listener)}{path}"
+        try:
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.read().decode()
+        except (urllib.error.URLError, OSError):
+            return None
+
+    def says_ready(self, host):
+        return self.fetch(host, "readiness", "/v1/ready") is not None
+
+    def state_of(self, host):
+        """Configuration in force and number of upstreams, or None."""
+        page = self.fetch(host, "metrics", "/metrics")
+        return soak_faults.parse_state(page) if page else None
+
     def control(self, target):
         """Asks the control port of the upstreams."""
         url = f"http://127.0.0.1:{self.control_port}{target}"
@@ -259,20 +207,27 @@
 
     def apply(self, fault):
         """Applies one fault; what it undoes later is returned as (when, step)."""
+        if fault.kind not in UNPLANNED_KINDS:
+            return self.faults.apply(fault)
         host = self.hosts[fault.target % len(self.hosts)]
         process = self.processes[host]
         if fault.kind == "stop":
             return self.stop(host, process)
         if fault.kind == "kill":
+            self.expect_end(process)
             process.kill()
             process.wait()
+            self.note_unplanned(fault.value + EXCUSED_SECONDS)
             return [(fault.value, lambda: self.restart(host))]
         if fault.kind == "freeze":
             process.send_signal(signal.SIGSTOP)
+            self.note_unplanned(FREEZE_SECONDS + EXCUSED_SECONDS)
             return [(FREEZE_SECONDS, lambda: self.wake(process))]
         if fault.kind == "store_silent":
             store = self.processes["platform"]
             store.send_signal(signal.SIGSTOP)
+            self.store_silent_until = max(self.store_silent_until,
+                                          time.monotonic() + fault.value)
             return [(fault.value, lambda: store.send_signal(signal.SIGCONT))]
         if fault.kind == "reload":
             process.send_signal(signal.SIGHUP)
@@ -291,29 +246,95 @@
 
     def stop(self, host, process):
         """A planned stop: the process must end by itself within its grace."""
+        if host in self.claimed:
+            return []
         began = time.monotonic()
+        self.expect_end(process)
         process.send_signal(signal.SIGTERM)
 
         def check():
-            # A process that another fault froze meanwhile ends once it runs.
-            self.wake(process)
-            try:
-                code = process.wait(STOP_GRACE_SECONDS)
-                if code not in (0, -signal.SIGKILL):
-                    self.broken.append(f"{host} ended with code {code}")
-            except subprocess.TimeoutExpired:
-                took = time.monotonic() - began
-                self.broken.append(f"{host} had not stopped after {took:.1f} s")
-                process.kill()
-                process.wait()
+            self.check_stopped(host, process, began)
             self.restart(host)
 
-        return [(STOP_GRACE_SECONDS, check)]
+        return [(MAX_STOP_SECONDS, check)]
+
+    def check_stopped(self, host, process, stopped_at):
+        """Checks that a stopped process has ended by itself."""
+        # A process that another fault froze meanwhile ends once it runs.
+        self.wake(process)
+        try:
+            code = process.wait(MAX_STOP_SECONDS)
+            if code not in (0, -signal.SIGKILL):
+                self.broken.append(f"{host} ended with code {code}")
+        except subprocess.TimeoutExpired:
+            took = time.monotonic() - stopped_at
+            self.broken.append(f"{host} had not stopped after {took:.1f} s")
+            process.kill()
+            process.wait()
+
+    def expect_end(self, process):
+        """The process ends because this program told it to."""
+        self.expected_ends.add(process.pid)
+
+    def claim_host(self, target):
+        """A running host that no other fault is restarting, or None; kills and
+        freezes may still hit it."""
+        names = self.hosts
+        for offset in range(len(names)):
+            host = names[(target + offset) % len(names)]
+            process = self.processes[host]
+            if (host not in self.claimed and process.poll() is None
+                    and process.pid not in self.expected_ends):
+                self.claimed.add(host)
+                return host
+        return None
+
+    def release_host(self, host):
+        self.claimed.discard(host)
+
+    def note_unplanned(self, seconds):
+        self.unplanned_until = max(self.unplanned_until, time.monotonic() + seconds)
+
+    def was_disturbed(self, since):
+        """Whether a kill or freeze had an effect on any host later than this."""
+        return self.unplanned_until > since
+
+    def hosts_up_since(self, since):
+        """The hosts that have run since before this and are not stopping."""
+        return [host for host in self.hosts
+                if self.started_at[host] < since
+                and self.processes[host].pid not in self.expected_ends]
+
+    def check_ends(self):
+        """Notes hosts that ended by themselves and starts them again, as a
+        supervisor does."""
+        for host in self.hosts:
+            process = self.processes[host]
+            code = process.poll()
+            if code is None or process.pid in self.expected_ends:
+                continue
+            codes = self.own_ends.setdefault(host, [])
+            codes.append(code)
+            self.start_again(host)
+
+    def report_ends(self):
+        for host, codes in self.own_ends.items():
+            self.broken.append(f"{host} ended by itself {len(codes)} times, codes "
+                               f"{sorted(set(codes))}: {self.last_line(host)}")
+
+    def last_line(self, host):
+        """The last line in which a host told of an error that ended it."""
+        lines = (self.keep / f"{host}.log").read_text(errors="replace").splitlines()
+        ends = [line for line in lines if not line.startswith("{")]
+        return (ends or lines or [""])[-1][:200]
 
     def restart(self, host):
         if self.processes[host].poll() is not None:
-            self.excuse()
-            self.start_host(self.hosts.index(host))
+            self.start_again(host)
+
+    def start_again(self, host):
+        self.excuse()
+        self.start_host(self.hosts.index(host))
 
     def wake(self, process):
         self.excuse()
@@ -348,12 +369,15 @@
                 self.broken.append(f"{host} uses {megabytes:.0f} MB")
 
     def end_all(self):
-        for process in self.processes.values():
+        processes = [*self.processes.values(), *self.retired]
+        for process in processes:
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
-        for process in self.processes.values():
+        for process in processes:
             process.wait()
+        if self.faults:
+            self.faults.close()
         for log in self.logs.values():
             log.close()
 
@@ -365,6 +389,7 @@
     steps = [(fault.at, number, fault) for number, fault in enumerate(faults)]
     number = len(steps)
     while steps or load.poll() is None:
+        fleet.check_ends()
         steps.sort(key=lambda step: step[:2])
         now = time.monotonic() - start
         if not steps or steps[0][0] > now:
@@ -379,11 +404,11 @@
 
 def check_recovery(fleet, options):
     """All hosts serve again, and callers are answered."""
-    until = time.monotonic() + START_SECONDS
+    until = time.monotonic() + fleet.start_seconds
     while not all(fleet.is_ready(i) for i in range(len(fleet.hosts))):
         if time.monotonic() > until:
             behind = [h for i, h in enumerate(fleet.hosts) if not fleet.is_ready(i)]
-            fleet.broken.append(f"not serving {START_SECONDS} s after: {behind}")
+            fleet.broken.append(f"not serving {fleet.start_seconds} s after: {behind}")
             return
         time.sleep(0.2)
     load = fleet.start_load(3, options.rate, options.seed + 1_000_000)
@@ -397,17 +422,25 @@
     """Plays one schedule. Returns the broken promises."""
     keep = options.keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     keep.mkdir(parents=True, exist_ok=True)
-    fleet = Fleet(options.build, keep, options.off)
+    fleet = Fleet(options.build, keep, options.off, options.hosts_factor)
+    faults = options.faults or make_schedule(
+        options.seed, options.seconds, len(fleet.hosts), len(fleet.upstreams),
+        choose_kinds(options.kinds, options.planned))
+    if {fault.kind for fault in faults} - set(UNPLANNED_KINDS):
+        fleet.faults = soak_faults.Faults(fleet, options.seed)
     try:
         fleet.start_all()
-        faults = options.faults or make_schedule(
-            options.seed, options.seconds, len(fleet.hosts),
-            len(fleet.upstreams), options.planned)
         (keep / "schedule.json").write_text(
             json.dumps([dataclasses.asdict(fault) for fault in faults], indent=1))
         load = fleet.start_load(options.seconds, options.rate, options.seed)
         play(fleet, faults, load)
         text = load.communicate()[0]
+        fleet.report_ends()
+        if fleet.faults:
+            fleet.faults.check_stops()
+            print(f"seed {options.seed}: "
+                  + ", ".join(f"{name} {count}"
+                              for name, count in fleet.faults.counts.items()))
         report = parse_load_report(text)
         fleet.broken += broken_promises(report, options.planned)
         fleet.check_leaving()
@@ -441,6 +474,10 @@
     parser.add_argument("--seconds", type=int, default=20)
     parser.add_argument("--rate", type=int, default=100)
     parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--kinds", help="kinds of faults, separated by commas, or "
+                        f"all; there are {', '.join(ALL_KINDS)}")
+    parser.add_argument("--hosts-factor", type=int, default=1,
+                        help="so many times the hosts of the example")
     parser.add_argument("--schedule", type=pathlib.Path)
     parser.add_argument("--off", help="a mechanism of policy.off")
     parser.add_argument("--keep", type=pathlib.Path)
--- a/tools/soak_rollouts.py
+++ b/tools/soak_rollouts.py
@@ -13,17 +13,16 @@
 Addresses, processes and exit codes are those of tools/soak.py.
 """
 import argparse
-import base64
 import json
 import pathlib
 import shutil
 import sys
 import tempfile
 import time
-import urllib.parse
-import urllib.request
 
 import soak
+import soak_judges
+from soak_store_rows import Store
 
 SERVICE = "resultat"
 EXPOSURE_SHARE = 0.1
@@ -34,30 +33,8 @@
 AFTERWARDS_SECONDS = 3.0
 
 
-class Store:
-    """The rows of the platform's stand-in."""
-
-    def __init__(self, address):
-        self.address = address
-
-    def call(self, target, body=None):
-        request = urllib.request.Request(f"http://{self.address}{target}", data=body)
-        with urllib.request.urlopen(request, timeout=10) as answer:
-            return json.loads(answer.read())
-
-    def read(self, table, key):
-        """The row's value, or None."""
-        query = urllib.parse.urlencode({"table": table, "From": key, "limit": 1})
-        rows = self.call(f"/-/rows-get?{query}")["Rows"]
-        if not rows or rows[0]["TlsKey"] != key:
-            return None
-        return json.loads(base64.b64decode(rows[0]["Value"]))
-
-    def write(self, table, key, value):
-        text = base64.b64encode(json.dumps(value).encode()).decode()
-        row = {"table": table, "part": "", "TlsKey": key, "Value": text}
-        body = {"ExpectedRev": [], "put": [row], "Remove": []}
-        self.call("/-/rows-tx", json.dumps(body).encode())
+class RolloutStore(Store):
+    """The rows about rollouts."""
 
     def state_of(self, service, version):
         """The state that operators read of a rollout to this version, or ''."""
@@ -109,7 +86,7 @@
     def __init__(self, fleet, options):
         self.fleet = fleet
         self.options = options
-        self.store = Store(f"{fleet.hosts_network}.0.1:8500")
+        self.store = RolloutStore(f"{fleet.hosts_network}.0.1:8500")
         self.all = [u for u in fleet.upstreams if u.startswith(SERVICE + "-")]
         self.first = [u for u in self.all if int(u.rsplit("-", 1)[1]) % 2]
         self.second = [u for u in self.all if u not in self.first]
@@ -207,8 +184,8 @@
         broken += rollouts.play_good()
         if not broken:
             broken += rollouts.play_bad()
-        report = soak.parse_load_report(load.communicate()[0])
-        broken += soak.broken_promises(report, planned=False)
+        report = soak_judges.parse_load_report(load.communicate()[0])
+        broken += soak_judges.broken_promises(report, planned=False)
         fleet.check_memory()
         broken += fleet.broken
         print(f"seed {options.seed}: "
--- a/tools/soak_store.py
+++ b/tools/soak_store.py
@@ -24,6 +24,7 @@
 import urllib.request
 
 import soak
+import soak_judges
 
 # Defaults of the settings `contact_ms` and `config_apply_ms`.
 CONTACT_SECONDS = 3.0
@@ -160,8 +161,8 @@
             store_soak.play(planned)
             if load.poll() is not None:
                 break
-        report = soak.parse_load_report(load.communicate()[0])
-        fleet.broken += soak.broken_promises(report, False)
+        report = soak_judges.parse_load_report(load.communicate()[0])
+        fleet.broken += soak_judges.broken_promises(report, False)
         fleet.check_memory()
         soak.check_recovery(fleet, options)
         print(f"seed {options.seed}: {store_soak.rounds} rounds, the latest "
--- a/tools/soak_test.py
+++ b/tools/soak_test.py
@@ -8,6 +8,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 import soak  # noqa: E402
+import soak_schedule  # noqa: E402
 
 REPORT = (
     "a: sent 10, answered 8, not-run 1, unknown 0, connection lost 1, tries cut 1, "
@@ -61,11 +62,25 @@
             len(soak.broken_promises(soak.parse_load_report("killed"), False)), 4)
 
     def test_one_seed_gives_one_schedule_and_planned_ones_hold_no_kills(self):
-        first = soak.make_schedule(7, 20, 9, 36, False)
-        self.assertEqual(first, soak.make_schedule(7, 20, 9, 36, False))
-        self.assertNotEqual(first, soak.make_schedule(8, 20, 9, 36, False))
-        kinds = {f.kind for f in soak.make_schedule(7, 300, 9, 36, True)}
-        self.assertEqual(kinds, set(soak.PLANNED_KINDS))
+        kinds = soak_schedule.choose_kinds(None, False)
+        first = soak.make_schedule(7, 20, 9, 36, kinds)
+        self.assertEqual(first, soak.make_schedule(7, 20, 9, 36, kinds))
+        self.assertNotEqual(first, soak.make_schedule(8, 20, 9, 36, kinds))
+        planned = soak_schedule.choose_kinds(None, True)
+        kinds = {f.kind for f in soak.make_schedule(7, 300, 9, 36, planned)}
+        self.assertEqual(kinds, set(soak_schedule.PLANNED_KINDS))
+
+    # Guards against chosen kinds that bring unplanned faults into planned runs.
+    def test_chosen_kinds_are_drawn_and_planned_runs_hold_planned_ones_alone(self):
+        self.assertEqual(soak.choose_kinds("tail,kill", False), ("tail", "kill"))
+        self.assertEqual(soak.choose_kinds("tail,kill", True), ("tail",))
+        self.assertEqual(set(soak.choose_kinds("all", False)),
+                         set(soak_schedule.ALL_KINDS))
+        for text in ("tails", "tail,", ""):
+            with self.assertRaises(ValueError):
+                soak.choose_kinds(text, False)
+        with self.assertRaises(ValueError):
+            soak.choose_kinds("kill", True)
 
     def test_missing_programs_are_one_clear_line(self):
         tool = pathlib.Path(soak.__file__)
