Soak: seeds give the schedules that they gave before kinds could be chosen

A fault's target was drawn before its value since the schedules have a module of their own, so that seeds named in docs/SOAK.md and commits gave other faults. The new test failed before with 'Lists differ'.

--- a/tools/soak_schedule.py
+++ b/tools/soak_schedule.py
@@ -56,8 +56,8 @@
     while at < seconds - FREEZE_SECONDS:
         kind = draw.choice(kinds)
         count = upstreams if kind in UPSTREAM_KINDS else hosts
-        fault = Fault(round(at, 2), kind, draw.randrange(count),
-                      draw.choice((1.5, 3.0, 3.0)))
+        value = draw.choice((1.5, 3.0, 3.0))
+        fault = Fault(round(at, 2), kind, draw.randrange(count), value)
         if kind not in UNPLANNED_KINDS:
             fault.variant = draw.randrange(VARIANTS)
         faults.append(fault)
--- a/tools/soak_test.py
+++ b/tools/soak_test.py
@@ -70,6 +70,13 @@
         kinds = {f.kind for f in soak.make_schedule(7, 300, 9, 36, planned)}
         self.assertEqual(kinds, set(soak_schedule.PLANNED_KINDS))
 
+    # Guards against seeds of earlier findings that give another schedule now.
+    def test_schedules_without_chosen_kinds_stay_the_same(self):
+        schedule = soak.make_schedule(7, 8, 9, 36, soak.choose_kinds(None, False))
+        self.assertEqual([(f.at, f.kind, f.target, f.value) for f in schedule],
+                         [(1.0, "kill", 6, 1.5), (2.5, "stop", 8, 1.5),
+                          (2.8, "kill", 0, 3.0)])
+
     # Guards against chosen kinds that bring unplanned faults into planned runs.
     def test_chosen_kinds_are_drawn_and_planned_runs_hold_planned_ones_alone(self):
         self.assertEqual(soak.choose_kinds("tail,kill", False), ("tail", "kill"))
