Soak: each change of the configuration is read back before it is judged

Two SIGUSR2 to the store's stand-in at once count as one, so that the soak expected versions that were never written: 63 was in force, 80 expected, in a trial of 16 odd shapes in a row on unfixed hosts. The version is now read from the store. A change beside a disturbed store was also tried without end; four times are the limit.

--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -39,6 +39,7 @@
 CONTACT_SECONDS = 3.0
 APPLY_SECONDS = 3.0
 MAX_CHANGE_ATTEMPTS = 4
+MAX_WRITE_SECONDS = 5.0
 
 
 @dataclasses.dataclass
@@ -90,7 +91,6 @@
         self.store = Store(f"127.{fleet.network}.0.1:{soak_odd.STORE_PORT}")
         self.proxy = soak_odd.StoreProxy(f"127.{fleet.network}.0.2",
                                          f"127.{fleet.network}.0.1")
-        self.config_version = 1
         self.spares = 0
         self.stops = []
         self.groups_of_callers = 0
@@ -330,19 +330,31 @@
         """Writes a configuration and an upstream, which all hosts must have in
         time. Beside a disturbed store it is done once that is over."""
         now = time.monotonic()
+        if attempt >= MAX_CHANGE_ATTEMPTS:
+            return []
         wait = self.store_disturbed_until() + CONTACT_SECONDS - now
         if wait > 0:
-            if attempt == MAX_CHANGE_ATTEMPTS:
-                return []
             return [(wait, lambda: self.begin_change(beside, attempt + 1))]
-        self.config_version += 1
-        self.fleet.processes["platform"].send_signal(signal.SIGUSR2)
+        version = self.write_config()
         if self.spares < SPARE_UPSTREAMS:
             self.spares += 1
             self.add_upstream(self.spares)
-        expected = (self.config_version, f"{SPARE_NAME}-{self.spares}")
+        expected = (version, f"{SPARE_NAME}-{self.spares}")
+        began = time.monotonic()
         return [(APPLY_SECONDS,
-                 lambda: self.check_change(beside, expected, now, attempt))]
+                 lambda: self.check_change(beside, expected, began, attempt))]
+
+    def write_config(self):
+        """Writes the next configuration; returns its version."""
+        before = self.store.read("op", "config")["Version"]
+        self.fleet.processes["platform"].send_signal(signal.SIGUSR2)
+        until = time.monotonic() + MAX_WRITE_SECONDS
+        while time.monotonic() < until:
+            version = self.store.read("op", "config")["Version"]
+            if version > before:
+                return version
+            time.sleep(POLL_SECONDS)
+        raise RuntimeError("the stand-in of the store takes no configuration")
 
     def add_upstream(self, number):
         row = self.store.read("servers", self.fleet.upstreams[0])
