--- a/tools/soak.py
+++ b/tools/soak.py
@@ -34,6 +34,7 @@
 
 import soak_deployment
 import soak_faults
+import soak_pages
 from soak_judges import (BACKOFF_GRACE_SECONDS, Excuse, arrivals_in_backoff,
                          broken_promises, late_arrivals, parse_load_report)
 from soak_schedule import (ALL_KINDS, FREEZE_SECONDS, UNPLANNED_KINDS, Fault,
@@ -48,6 +49,8 @@
 # A stopped process ends by itself before its supervisor kills it.
 MAX_STOP_SECONDS = 8.0
 START_SECONDS = 30.0
+# A program is loaded, and has begun to handle signals, this long after its start.
+MAX_LOAD_SECONDS = 0.5
 MAX_HOST_MEGABYTES = 64
 # Share of the requests that callers must have answered once faults have ended.
 MIN_ANSWERED_AFTERWARDS = 0.95
@@ -165,26 +168,17 @@
             return False
 
     def listen_address(self, host, name):
-        """The address of one of a host's listeners, by its name in the settings."""
         settings = (self.keep / f"hosts/{host}.jsonc").read_text()
-        return re.search(rf'"{name}": "([^"]+)"', settings).group(1)
-
-    def fetch(self, host, listener, path):
-        """The text of a page of a host; None without an answer of status 200."""
-        url = f"http://{self.listen_address(host, listener)}{path}"
-        try:
-            with urllib.request.urlopen(url, timeout=1) as answer:
-                return answer.read().decode()
-        except (urllib.error.URLError, OSError):
-            return None
+        return soak_pages.listen_address(settings, name)
 
     def says_ready(self, host):
-        return self.fetch(host, "readiness", "/v1/ready") is not None
+        url = f"http://{self.listen_address(host, 'readiness')}/v1/ready"
+        return soak_pages.fetch(url) is not None
 
     def state_of(self, host):
         """Configuration in force and number of upstreams, or None."""
-        page = self.fetch(host, "metrics", "/metrics")
-        return soak_faults.parse_state(page) if page else None
+        page = soak_pages.fetch(f"http://{self.listen_address(host, 'metrics')}/metrics")
+        return soak_pages.parse_state(page) if page else None
 
     def control(self, target):
         """Asks the control port of the upstreams."""
@@ -230,7 +224,8 @@
                                           time.monotonic() + fault.value)
             return [(fault.value, lambda: store.send_signal(signal.SIGCONT))]
         if fault.kind == "reload":
-            process.send_signal(signal.SIGHUP)
+            if self.handles_signals(host):
+                process.send_signal(signal.SIGHUP)
             return []
         upstream = self.upstreams[fault.target % len(self.upstreams)]
         if fault.kind == "leave":
@@ -246,7 +241,7 @@
 
     def stop(self, host, process):
         """A planned stop: the process must end by itself within its grace."""
-        if host in self.claimed:
+        if host in self.claimed or not self.handles_signals(host):
             return []
         began = time.monotonic()
         self.expect_end(process)
@@ -283,12 +278,17 @@
         for offset in range(len(names)):
             host = names[(target + offset) % len(names)]
             process = self.processes[host]
-            if (host not in self.claimed and process.poll() is None
+            if (host not in self.claimed and self.handles_signals(host)
                     and process.pid not in self.expected_ends):
                 self.claimed.add(host)
                 return host
         return None
 
+    def handles_signals(self, host):
+        """Whether a host runs and is no longer so young that signals end it."""
+        return (self.processes[host].poll() is None
+                and time.monotonic() > self.started_at[host] + MAX_LOAD_SECONDS)
+
     def release_host(self, host):
         self.claimed.discard(host)
 
@@ -320,13 +320,8 @@
     def report_ends(self):
         for host, codes in self.own_ends.items():
             self.broken.append(f"{host} ended by itself {len(codes)} times, codes "
-                               f"{sorted(set(codes))}: {self.last_line(host)}")
-
-    def last_line(self, host):
-        """The last line in which a host told of an error that ended it."""
-        lines = (self.keep / f"{host}.log").read_text(errors="replace").splitlines()
-        ends = [line for line in lines if not line.startswith("{")]
-        return (ends or lines or [""])[-1][:200]
+                               f"{sorted(set(codes))}: "
+                               + soak_pages.last_line(self.keep / f"{host}.log"))
 
     def restart(self, host):
         if self.processes[host].poll() is not None:
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -7,7 +7,6 @@
 """
 import dataclasses
 import json
-import re
 import signal
 import socket
 import time
@@ -42,28 +41,12 @@
 MAX_WRITE_SECONDS = 5.0
 
 
-@dataclasses.dataclass
-class HostState:
-    """What a host has in force: the configuration and the upstreams."""
-
-    version: int
-    upstreams: frozenset
-
-
 def hosts_behind(states, version, upstream):
     """The hosts that lack this configuration or upstream; None tells nothing."""
     return sorted(host for host, state in states.items() if state is None
                   or state.version < version or upstream not in state.upstreams)
 
 
-def parse_state(page):
-    """What a metrics page says is in force."""
-    version = re.search(r"^pathcleat_config_version (\d+)$", page, re.MULTILINE)
-    upstreams = re.findall(r'^pathcleat_upstream_in_flight\{upstream="([^"]*)"', page,
-                           re.MULTILINE)
-    return HostState(int(version.group(1)), frozenset(upstreams)) if version else None
-
-
 def add_bounds(text, bounds):
     """A settings file with these bounds."""
     end = text.rstrip().rindex("}")
@@ -223,7 +206,7 @@
         stopped_at = time.monotonic()
         process.send_signal(signal.SIGTERM)
         self.fleet.expect_end(process)
-        names = ("callers", "readiness", "locate", "operators", "metrics")
+        names = ("callers", "readiness", "locate", "operators", "metrics", "peers")
         name = names[fault.variant % len(names)]
 
         def watch():
@@ -231,7 +214,11 @@
                     and time.monotonic() < stopped_at + MAX_STOP_SECONDS):
                 return [(POLL_SECONDS, watch)]
             self.fleet.check_stopped(host, process, stopped_at)
-            listener = hold_port(self.fleet.listen_address(host, name))
+            try:
+                listener = hold_port(self.fleet.listen_address(host, name))
+            except OSError:
+                # Another connection has got the port, which is a case as well.
+                listener = socket.socket()
             self.fleet.start_again(host)
             return [(PORT_HELD_SECONDS, lambda: free(listener))]
 
@@ -251,7 +238,8 @@
                 self.counts["served again"] += 1
             elif waited < MAX_SERVE_SECONDS:
                 return [(POLL_SECONDS, watch)]
-            elif not self.fleet.was_disturbed(free_at - CONTACT_SECONDS):
+            elif (not self.fleet.was_disturbed(free_at - CONTACT_SECONDS)
+                  and self.store_disturbed_until() < free_at - CONTACT_SECONDS):
                 ended = " and ended" if process.poll() is not None else ""
                 self.fleet.broken.append(
                     f"{host} did not serve{ended} {waited:.1f} s after its ports "
