An exception ends its HTTP exchange or connection alone

What callers and operators saw: a handler that threw, at any of a host's listeners, ended the process and with it the requests of all other callers.

Cause: nothing between the handler and the event loop caught it. Where it would be caught at the loop alone, the caller whose handler threw would get no answer, and a connection would stay without a read.

ServerSession runs its handler, reads, writes and timers behind a boundary. The caller gets 500 and the connection closes; a connection whose request no handler had got is told that it was not run; an answer that is being written is completed. An HttpClient ends its call as a lost connection (kNotSent before it is open), with the exception as the detail, which is logged with the attempt. ListenProbe closed its socket by the call that throws; it uses the one with an error code.

Ruled out: to contain exceptions of an HttpClient's callback there. It can't tell for whom the callback works; its owners have boundaries of their own.

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -186,6 +186,11 @@
  private:
   using Parser = boost::beast::http::response_parser<BufferBody>;
 
+  /// @brief Runs a step of the exchange. An exception of this client ends the
+  /// exchange as a failure, with the exception as its detail; one of the
+  /// callback goes on to whoever runs the event loop.
+  template <class Step>
+  void Run(Step&& step);
   void OpenSocket();
   void Connect(Duration timeout);
   void OnConnected(Time started_at);
--- a/include/pathcleat/http/http_server.hpp
+++ b/include/pathcleat/http/http_server.hpp
@@ -10,8 +10,10 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "pathcleat/core/error.hpp"
+#include "pathcleat/core/handler_failures.hpp"
 #include "pathcleat/core/memory_budget.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 #include "pathcleat/http/http_limits.hpp"
@@ -62,6 +64,11 @@
     on_rejected_ = std::move(observer);
   }
 
+  /// @brief Contains exceptions of the handler and of connections: they end the
+  /// one request or connection. Without this call, they leave the event loop.
+  /// @param failures must outlive this server.
+  void ContainFailures(HandlerFailures& failures) { failures_ = &failures; }
+
   /// @brief Closes each connection after its next answer. Idle connections stay
   /// open until then, so that no request in transit is lost.
   void CloseAfterAnswers() { close_after_answers_ = true; }
@@ -84,6 +91,16 @@
  private:
   friend class ServerSession;
 
+  /// @return whether the step ended without an exception.
+  template <class Step>
+  bool Run(EntryPoint where, const std::string& subject, Step&& step) {
+    if (failures_ != nullptr) {
+      return failures_->Run(where, subject, std::forward<Step>(step));
+    }
+    step();
+    return true;
+  }
+
   void Accept();
   void OnAcceptFailed();
   void RetryAccept();
@@ -94,12 +111,14 @@
   /// connections that have been idle longest.
   /// @return whether any connection was closed.
   bool EvictConnections();
+  void CheckTimeouts();
   void Sweep();
 
   boost::asio::io_context& loop_;
   HttpExchangeHandler handler_;
   HttpLimits limits_;
   RejectionObserver on_rejected_;
+  HandlerFailures* failures_ = nullptr;
   MemoryBudgetPtr memory_budget_;
   std::string request_id_header_;
   boost::asio::ip::tcp::acceptor acceptor_;
--- a/src/pathcleat/gateway/gateway_servers.cpp
+++ b/src/pathcleat/gateway/gateway_servers.cpp
@@ -52,6 +52,7 @@
                           const std::string& listener,
                           std::size_t max_connections) {
   server.SetMemoryBudget(state_.memory_budget);
+  server.ContainFailures(state_.failures);
   server.SetMaxConnections(max_connections);
   server.SetRequestIdHeader(state_.headers.request_id);
   server.OnRejected([this, listener](const Rejection& rejection) {
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <chrono>
+#include <exception>
 #include <utility>
 
 #include "pathcleat/core/loop_passes.hpp"
@@ -119,6 +120,21 @@
   parser_->skip(is_head_request_);
 }
 
+template <class Step>
+void HttpClient::Run(Step&& step) {
+  const auto self = shared_from_this();
+  try {
+    std::forward<Step>(step)();
+  } catch (const std::exception& error) {
+    if (!callback_) {
+      Close();
+      throw;
+    }
+    Fail(connected_ ? CallOutcome::kConnectionLost : CallOutcome::kNotSent,
+         error.what());
+  }
+}
+
 void HttpClient::OpenSocket() {
   error_code ignored;
   socket_.open(endpoint_.protocol(), ignored);
@@ -147,13 +163,13 @@
       return;
     }
     if (BootClock::now() - started_at < kLateLoop) {
-      self->OnConnected(started_at);
+      self->Run([&] { self->OnConnected(started_at); });
       return;
     }
     // Whoever decides once the connection is open must know what lies ready.
     RunAfterPasses(self->loop_, kCatchUpPasses, [self, started_at] {
       if (!self->closed_ && self->callback_) {
-        self->OnConnected(started_at);
+        self->Run([&] { self->OnConnected(started_at); });
       }
     });
   });
@@ -202,7 +218,7 @@
       [self = shared_from_this()](const error_code& error, std::size_t) {
         // A failed write does not end the request here: the read fails as well,
         // after it has returned an answer that the peer sent early.
-        self->OnWritten(!error);
+        self->Run([&] { self->OnWritten(!error); });
       });
   Read();
 }
@@ -223,7 +239,7 @@
   socket_.async_read_some(
       buffer_.prepare(kReadChunkBytes),
       [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-        self->OnRead(error, bytes);
+        self->Run([&] { self->OnRead(error, bytes); });
       });
 }
 
@@ -428,7 +444,7 @@
   timer_.async_wait([self = shared_from_this(), generation,
                      on_expiry](const error_code& error) {
     if (!error && self->callback_ && generation == self->timer_generation_) {
-      (self.get()->*on_expiry)();
+      self->Run([&] { (self.get()->*on_expiry)(); });
     }
   });
 }
--- a/src/pathcleat/http/http_client_test.cpp
+++ b/src/pathcleat/http/http_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,20 @@
          "\r\n\r\n" + std::string(bytes, 'x');
 }
 
+// Guards against an answer whose reading throws and that ends the process
+// instead of its call. Fails without Run around OnRead (the exception leaves
+// the event loop).
+Test(http_client, exception_while_reading_ends_the_call) {
+  ClientFixture fixture;
+  fixture.client->OnHead(
+      [](const HttpResponse&) { throw std::runtime_error("injected"); });
+  fixture.SendRequest({kLongTimeout, kLongTimeout});
+  fixture.server.Send("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nx");
+  cr_assert(fixture.AwaitEnd());
+  cr_assert_eq(fixture.result->outcome, CallOutcome::kConnectionLost);
+  cr_assert_str_eq(fixture.result->detail.c_str(), "injected");
+}
+
 // Guards against headers of a long answer that are read only with its last
 // byte, seconds later.
 Test(http_client, head_is_reported_before_the_body_has_arrived) {
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -78,7 +78,8 @@
       return;
     }
     can_accept_ = true;
-    OpenSession(std::move(socket));
+    Run(EntryPoint::kListener, "accept",
+        [&] { OpenSession(std::move(socket)); });
     Accept();
   });
 }
@@ -138,18 +139,22 @@
   }
 }
 
+void HttpServer::CheckTimeouts() {
+  const Time now = BootClock::now();
+  const std::vector<std::shared_ptr<ServerSession>> sessions(sessions_.begin(),
+                                                             sessions_.end());
+  for (const auto& session : sessions) {
+    session->CheckTimeouts(now);
+  }
+}
+
 void HttpServer::Sweep() {
   sweep_timer_.expires_after(kSweepInterval);
   sweep_timer_.async_wait([this](const error_code& error) {
     if (error) {
       return;
     }
-    const Time now = BootClock::now();
-    const std::vector<std::shared_ptr<ServerSession>> sessions(
-        sessions_.begin(), sessions_.end());
-    for (const auto& session : sessions) {
-      session->CheckTimeouts(now);
-    }
+    Run(EntryPoint::kListener, "sweep", [this] { CheckTimeouts(); });
     Sweep();
   });
 }
--- a/src/pathcleat/http/http_server_test.cpp
+++ b/src/pathcleat/http/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,14 @@
   boost::asio::io_context loop{1};
   std::string address = UniqueLoopbackAddress();
   bool hold_answers = false;
+  bool throws = false;  ///< the handler
   std::vector<HttpExchangePtr> held_exchanges;
   HttpServer server{loop, [this](const HttpExchangePtr& e) { Handle(e); }};
   std::uint16_t port = 0;
   std::vector<std::unique_ptr<RawClient>> callers;
 
   ServerFixture() {
+    SilenceLog();
     // Keeps the timeouts from closing partial requests during a test.
     HttpLimits limits;
     limits.read_timeout = std::chrono::hours(1);
@@ -39,6 +42,9 @@
   }
 
   void Handle(const HttpExchangePtr& exchange) {
+    if (throws) {
+      throw std::runtime_error("injected");
+    }
     if (hold_answers) {
       held_exchanges.push_back(exchange);
     } else {
@@ -69,6 +75,32 @@
   }
 };
 
+// Guards against one request whose handler throws and that ends the process:
+// the exception left the event loop. Fails without ContainFailures.
+Test(http_server, exception_of_a_handler_ends_its_request_alone) {
+  ServerFixture fixture;
+  EventLog events("host", 10);
+  HandlerFailures failures(events);
+  fixture.server.ContainFailures(failures);
+  fixture.hold_answers = true;
+  RawClient& waiting = fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return !fixture.held_exchanges.empty(); }));
+  fixture.hold_answers = false;
+  fixture.throws = true;
+  RawClient& failed = fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return failed.IsClosed(); }));
+  cr_assert(failed.HasReceived("HTTP/1.1 500"), "%s",
+            failed.received().c_str());
+  fixture.throws = false;
+  RawClient& next = fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return next.HasReceived("200 OK"); }));
+  fixture.held_exchanges.front()->Respond(TextResponse(200, "done\n"));
+  cr_assert(fixture.Await([&] { return waiting.HasReceived("200 OK"); }));
+  cr_assert_eq(
+      failures.counts().at(static_cast<std::size_t>(EntryPoint::kRequest)), 1U);
+  cr_assert_eq(events.Snapshot().back().code, EventCode::kHandlerFailed);
+}
+
 // Guards against partial requests that use up all connections and keep new
 // callers out. Fails without Evict in EvictConnections (the oldest connection
 // stays open) and with EvictConnections returning false (the new caller gets
--- a/src/pathcleat/http/listen_probe.cpp
+++ b/src/pathcleat/http/listen_probe.cpp
@@ -26,7 +26,8 @@
   attempt->timer.expires_after(timeout);
   attempt->timer.async_wait([attempt](const error_code& error) {
     if (!error) {
-      attempt->socket.close();
+      error_code ignored;
+      attempt->socket.close(ignored);
     }
   });
   attempt->socket.async_connect(
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -91,7 +91,17 @@
 }
 
 void ServerSession::Start() {
-  Read();
+  Run(EntryPoint::kConnection, [this] { Read(); });
+}
+
+template <class Step>
+void ServerSession::Run(EntryPoint where, Step&& step) {
+  const auto self = shared_from_this();
+  if (server_ == nullptr) {
+    step();
+  } else if (!server_->Run(where, caller_ip_, std::forward<Step>(step))) {
+    EndAfterFailure();
+  }
 }
 
 bool ServerSession::ReserveMemory() {
@@ -112,8 +122,9 @@
 // read is handled first.
 void ServerSession::CloseGracefully() {
   last_request_ = true;
-  boost::asio::post(socket_.get_executor(),
-                    [self = shared_from_this()] { self->CloseIfIdle(); });
+  boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->Run(EntryPoint::kConnection, [self] { self->CloseIfIdle(); });
+  });
 }
 
 void ServerSession::CloseIfIdle() {
@@ -160,7 +171,7 @@
   socket_.async_read_some(
       buffer_.prepare(chunk),
       [self = shared_from_this()](const error_code& error, std::size_t bytes) {
-        self->OnRead(error, bytes);
+        self->Run(EntryPoint::kConnection, [&] { self->OnRead(error, bytes); });
       });
 }
 
@@ -262,8 +273,10 @@
             !self->exchange_) {
           return;
         }
-        self->CheckCaller();
-        self->PollCaller();
+        self->Run(EntryPoint::kConnection, [self] {
+          self->CheckCaller();
+          self->PollCaller();
+        });
       });
 }
 
@@ -408,11 +421,12 @@
   exchange_ = std::make_shared<HttpExchange>(
       FromBeast(parser_->release(), std::move(body_memory)), caller_ip_,
       BootClock::now());
-  exchange_->OnAnswered([this] { WriteResponse(); });
+  exchange_->OnAnswered(
+      [this] { Run(EntryPoint::kConnection, [this] { WriteResponse(); }); });
   exchange_->OnConnectionDropped([this] { Close(); });
   exchange_->OnConnectionCheck([this] { CheckCaller(); });
   const auto exchange = exchange_;
-  server_->handler_(exchange);
+  Run(EntryPoint::kRequest, [this, &exchange] { server_->handler_(exchange); });
 }
 
 void ServerSession::ReportRejection(RejectionCause cause) {
@@ -467,10 +481,13 @@
   boost::asio::async_write(
       socket_, bytes,
       [self, total](const error_code& error, std::size_t written) {
-        self->OnWriteProgress(written);
+        self->Run(EntryPoint::kConnection,
+                  [&] { self->OnWriteProgress(written); });
         return error ? 0 : total - written;
       },
-      [self](const error_code& error, std::size_t) { self->OnWritten(error); });
+      [self](const error_code& error, std::size_t) {
+        self->Run(EntryPoint::kConnection, [&] { self->OnWritten(error); });
+      });
 }
 
 void ServerSession::OnWriteProgress(std::size_t written) {
@@ -520,6 +537,10 @@
 }
 
 void ServerSession::CheckTimeouts(Time now) {
+  Run(EntryPoint::kConnection, [this, now] { ApplyTimeouts(now); });
+}
+
+void ServerSession::ApplyTimeouts(Time now) {
   if (closing_ && now - phase_started_at_ > kLingerTime) {
     Close();
     return;
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -67,6 +67,11 @@
  private:
   using Parser = boost::beast::http::request_parser<BufferBody>;
 
+  /// @brief Runs a step of this connection. An exception ends the request and
+  /// the connection: see EndAfterFailure.
+  template <class Step>
+  void Run(EntryPoint where, Step&& step);
+  void EndAfterFailure();
   void CloseIfIdle();
   void Read();
   void OnReadError(const boost::system::error_code& error);
@@ -94,6 +99,7 @@
   void OnWriteProgress(std::size_t written);
   void OnAnswerNotRead();
   void OnWritten(const boost::system::error_code& error);
+  void ApplyTimeouts(Time now);
   void StartLingeringClose();
   void Close();
   void StartRequest();
