An exception ends its step of a request, and its caller is answered

What callers saw: a callback or timer of a request in flight that threw ended the process. Contained at the event loop alone, it would leave a caller without an answer until its own time limit, and counts that stay: attempts in flight, the reservation at an upstream, forwards in flight.

RequestHandler runs each step behind a boundary. After an exception the request goes on if an attempt is in flight, whose result or deadline ends it; otherwise it ends, as not run (503) only if nothing can have run, else with 500 and the outcome "unknown". The outcome is taken before the attempt is cancelled, as a cancellation that failed halfway may have noted already that nothing was sent. The constructor counts the request last, and the destructor answers a request whose continuation was lost. UpstreamAttempt releases what it reserved however its start and its result end, and what a host can't learn from an answer no longer keeps the answer from the caller.

Ruled out: to end each request whose step failed at once. The attempt in flight may still bring the answer, and unsafe work would be reported as unknown for want of a log line.

--- a/include/pathcleat/calls/abort_cause.hpp
+++ b/include/pathcleat/calls/abort_cause.hpp
@@ -14,6 +14,7 @@
   kSilentConnection,  ///< neither bytes nor TCP acknowledgements arrived
   kBadAnswer,         ///< the answer is invalid or is for another request
   kHostStops,         ///< the grace time of a planned stop is nearly over
+  kHandlerFailed,     ///< the handling of the request threw an exception
 };
 
 /// @brief The name of the cause in the metrics.
--- a/include/pathcleat/gateway/forward_attempt.hpp
+++ b/include/pathcleat/gateway/forward_attempt.hpp
@@ -50,6 +50,7 @@
   Time sent_at() const { return sent_at_; }
 
  private:
+  void OnResult(const CallResult& result, const Callback& callback);
   HttpClientPtr Take();
 
   GatewayState& state_;
--- a/include/pathcleat/gateway/request_handler.hpp
+++ b/include/pathcleat/gateway/request_handler.hpp
@@ -60,9 +60,41 @@
   void OnHostIsolated() override;
 
  private:
+  static constexpr const char* kFailedReason = "internal_error";
   static constexpr int kMaxUnsentAttempts = 3;
   static constexpr Duration kMinTimeLeft{10'000};
 
+  /// @brief Runs a step. After an exception the request goes on if an attempt
+  /// is in flight, whose result or deadline ends it; otherwise it ends.
+  template <class Step>
+  void RunStep(Step&& step) {
+    const auto self = shared_from_this();
+    if (!Contain(std::forward<Step>(step)) && !IsAnyInFlight()) {
+      EndAfterFailure();
+    }
+  }
+
+  /// @brief Runs a step that is to end the request. It ends after an exception
+  /// too.
+  template <class Step>
+  void RunLastStep(Step&& step) {
+    const auto self = shared_from_this();
+    if (!Contain(std::forward<Step>(step))) {
+      EndAfterFailure();
+    }
+  }
+
+  template <class Step>
+  bool Contain(Step&& step) {
+    return state_.failures.Run(EntryPoint::kRequestStep, request_id_,
+                               std::forward<Step>(step));
+  }
+
+  void EndAfterFailure();
+  void Begin();
+  void EndAtDeadline();
+  void EndAtShutdown();
+  void MoveToReachableHost();
   bool AcquireQuota();
   void ReleaseQuota();
   bool MayClaim() const;
--- a/include/pathcleat/gateway/upstream_attempt.hpp
+++ b/include/pathcleat/gateway/upstream_attempt.hpp
@@ -106,7 +106,16 @@
  private:
   bool WasStaleConnection(const CallResult& result) const;
   void CountAbort(const CallResult& result);
+  void Send(const HttpRequest& request,
+            const RequestMetadata& metadata,
+            const AttemptTimeouts& timeouts,
+            bool was_silent,
+            std::function<void()> opened,
+            Callback callback);
   void OnResult(const CallResult& result, const Callback& callback);
+  void LearnFrom(const HttpClient& client, const CallResult& result);
+  void LearnFromConnection(const HttpClient& client, const CallResult& result);
+  void KeepConnection(const HttpClientPtr& client, const CallResult& result);
   void RecordUnknownHeaders(const HttpHeaders& headers);
   void ReportReach(const HttpClient& client, const CallResult& result) const;
   void ReportSilentConnection(const HttpClient& client);
--- a/src/pathcleat/calls/abort_cause.cpp
+++ b/src/pathcleat/calls/abort_cause.cpp
@@ -17,6 +17,8 @@
       return "bad-answer";
     case AbortCause::kHostStops:
       return "host-stops";
+    case AbortCause::kHandlerFailed:
+      return "handler-failed";
   }
   return "";
 }
--- a/src/pathcleat/gateway/forward_attempt.cpp
+++ b/src/pathcleat/gateway/forward_attempt.cpp
@@ -32,7 +32,6 @@
                            Callback callback) {
   target_ = target;
   sent_at_ = BootClock::now();
-  ++state_.forwards.in_flight[target_.name];
   HttpRequest forwarded = request;
   forwarded.headers = EndToEndHeaders(forwarded.headers);
   std::erase_if(forwarded.headers, [](const HttpHeader& header) {
@@ -45,18 +44,32 @@
   forwarded.headers.push_back(
       {kForwardHeader, MakeForwardToken(context, request, state_.fleet_key)});
   constexpr bool kMayBeLost = false;
-  client_ = state_.forwards.connections.Acquire(PoolEntryOf(target_),
-                                                kMayBeLost, sent_at_);
-  client_->Send(
-      forwarded, {std::min(kConnectTimeout, timeout), timeout},
-      [this, callback = std::move(callback)](const CallResult& result) {
-        const HttpClientPtr client = Take();
-        if (result.outcome == CallOutcome::kAnswered) {
-          state_.forwards.connections.Release(target_.name, client);
-        }
-        callback(result);
-      },
-      MakeResponseMatcher(state_.headers, request_id));
+  const HttpClientPtr client = state_.forwards.connections.Acquire(
+      PoolEntryOf(target_), kMayBeLost, sent_at_);
+  ++state_.forwards.in_flight[target_.name];
+  client_ = client;
+  try {
+    client_->Send(
+        forwarded, {std::min(kConnectTimeout, timeout), timeout},
+        [this, callback = std::move(callback)](const CallResult& result) {
+          OnResult(result, callback);
+        },
+        MakeResponseMatcher(state_.headers, request_id));
+  } catch (...) {
+    Cancel();
+    throw;
+  }
+}
+
+void ForwardAttempt::OnResult(const CallResult& result,
+                              const Callback& callback) {
+  const HttpClientPtr client = Take();
+  if (result.outcome == CallOutcome::kAnswered) {
+    state_.failures.Run(EntryPoint::kUpstreamAnswer, target_.name, [&] {
+      state_.forwards.connections.Release(target_.name, client);
+    });
+  }
+  callback(result);
 }
 
 HttpClientPtr ForwardAttempt::Take() {
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -45,8 +45,6 @@
       forwarded_(std::move(forwarded)),
       idempotency_guard_(state),
       trace_(state) {
-  ++state_.in_flight_count;
-  state_.in_flight_requests.Add(*this);
   const HttpHeaders& headers = exchange_->request().headers;
   const std::uint64_t incarnation = state_.hosts.self().incarnation;
   request_id_ =
@@ -59,7 +57,6 @@
   Duration time_allowed =
       std::min(route_->timeout, pick_request_.caller_timeout);
   if (forwarded_) {
-    ++state_.forwards.received_in_flight;
     pick_request_.caller_timeout = Duration(forwarded_->caller_timeout_us);
     time_allowed =
         std::min(route_->timeout, Duration(forwarded_->time_left_us));
@@ -67,17 +64,28 @@
         std::max(0, route_->max_attempts - forwarded_->attempts_left);
   }
   deadline_ = exchange_->received_at() + time_allowed;
+  // Counted last: a constructor that throws is followed by no destructor.
+  state_.in_flight_requests.Add(*this);
+  state_.forwards.received_in_flight += forwarded_ ? 1 : 0;
+  ++state_.in_flight_count;
 }
 
 RequestHandler::~RequestHandler() {
+  if (!done_ && exchange_->IsOpen()) {
+    EndAfterFailure();
+  }
   --state_.in_flight_count;
   state_.forwards.received_in_flight -= forwarded_ ? 1 : 0;
 }
 
 void RequestHandler::Start() {
+  RunStep([this] { Begin(); });
+}
+
+void RequestHandler::Begin() {
   const auto on_caller_left = [weak = weak_from_this()] {
     if (const auto self = weak.lock()) {
-      self->OnCallerLeft();
+      self->RunStep([&self] { self->OnCallerLeft(); });
     }
   };
   exchange_->OnAbandoned(on_caller_left);
@@ -120,7 +128,7 @@
       [weak = weak_from_this(), step](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self) {
-          (self.get()->*step)();
+          self->RunStep([&self, step] { (self.get()->*step)(); });
         }
       });
 }
@@ -133,7 +141,7 @@
   idempotency_guard_.Claim(
       pick_request_.service, exchange_->request(), TimeLeft(),
       [self = shared_from_this()](const IdempotencyDecision& decision) {
-        self->OnKeyDecision(decision);
+        self->RunStep([&] { self->OnKeyDecision(decision); });
       });
 }
 
@@ -161,7 +169,9 @@
     return;
   }
   RunAfterPasses(state_.loop, kCatchUpPasses,
-                 [self = shared_from_this(), step] { (self.get()->*step)(); });
+                 [self = shared_from_this(), step] {
+                   self->RunStep([&self, step] { (self.get()->*step)(); });
+                 });
 }
 
 Duration RequestHandler::RetryDelayFor(const Pick& next) {
@@ -251,9 +261,10 @@
       pick, pick_request_.key, exchange_->request(),
       {request_id_, account_.get(), state_.accounts.RequiresKeys(),
        route_->repeatable},
-      {left, deadline_ - BootClock::now()}, [this] { OnOpened(); },
+      {left, deadline_ - BootClock::now()},
+      [this] { RunStep([this] { OnOpened(); }); },
       [self = shared_from_this()](const CallResult& result) {
-        self->OnResult(result);
+        self->RunStep([&] { self->OnResult(result); });
       });
   trace_.NoteSent(pick, pick_request_.versions,
                   attempt_count_ + unsent_count_ + 1,
@@ -512,7 +523,10 @@
 }
 
 void RequestHandler::OnDeadline() {
-  const auto self = shared_from_this();
+  RunLastStep([this] { EndAtDeadline(); });
+}
+
+void RequestHandler::EndAtDeadline() {
   if (done_) {
     return;
   }
--- a/src/pathcleat/gateway/request_handler_forward.cpp
+++ b/src/pathcleat/gateway/request_handler_forward.cpp
@@ -128,7 +128,7 @@
   forward_.Start(target, exchange_->request(), request_id_, context,
                  deadline_ - BootClock::now(),
                  [self = shared_from_this()](const CallResult& result) {
-                   self->OnForwardResult(result);
+                   self->RunStep([&] { self->OnForwardResult(result); });
                  });
 }
 
@@ -185,11 +185,14 @@
                                  BootClock::now() - forward_.sent_at())});
 }
 
+void RequestHandler::OnHostIsolated() {
+  RunStep([this] { MoveToReachableHost(); });
+}
+
 // Moves the request to another host if its upstream is out of reach. Work that
 // may not be repeated is moved only if nothing of it was written: without an
 // acknowledgement it may have arrived all the same.
-void RequestHandler::OnHostIsolated() {
-  const auto self = shared_from_this();
+void RequestHandler::MoveToReachableHost() {
   const bool unsent = attempt_.IsInFlight() && !attempt_.MayHaveSent();
   const bool can_move = unsent || (route_->repeatable &&
                                    attempt_.IsUpstreamSilent(BootClock::now()));
--- a/src/pathcleat/gateway/request_handler_shutdown.cpp
+++ b/src/pathcleat/gateway/request_handler_shutdown.cpp
@@ -62,11 +62,14 @@
   Refuse(kRetryElsewhere, ReasonOf(PickFailure::kHostStops));
 }
 
+void RequestHandler::OnHostShutdown() {
+  RunLastStep([this] { EndAtShutdown(); });
+}
+
 // Called at the final answer time of the shutdown, when no time is left for the
 // upstream's work. The caller is told that the request may have run, which is
 // true whether or not the upstream goes on with the work.
-void RequestHandler::OnHostShutdown() {
-  const auto self = shared_from_this();
+void RequestHandler::EndAtShutdown() {
   if (done_) {
     return;
   }
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -49,7 +49,6 @@
   sent_at_ = now;
   const bool was_silent = std::exchange(connection_silent_, false);
   failure_counts_ = true;
-  upstream.load.OnSent();
   if (Rollout* rollout = state_.rollouts.Find(upstream.info.service)) {
     rollout->OnSent(upstream.info.version, key);
     state_.version_stats.OnSent(upstream.info.service, upstream.info.version,
@@ -59,9 +58,28 @@
   // An upstream counts as having warm caches for an affinity key from the start
   // of the first run of a request with that key.
   upstream.keys.Touch(key);
+  reservation_ = {};
   state_.picker.links().OnSent(upstream.region);
+  upstream.load.OnSent();
   upstream.health.OnSent(pick.expected_latency, now);
-  reservation_ = {};
+  try {
+    Send(request, metadata, timeouts, was_silent, std::move(opened),
+         std::move(callback));
+  } catch (...) {
+    // What is counted and reserved for the attempt must not stay so.
+    Withdraw();
+    throw;
+  }
+}
+
+void UpstreamAttempt::Send(const HttpRequest& request,
+                           const RequestMetadata& metadata,
+                           const AttemptTimeouts& timeouts,
+                           bool was_silent,
+                           std::function<void()> opened,
+                           Callback callback) {
+  const Time now = sent_at_;
+  UpstreamState& upstream = *pick_.upstream;
   state_.upstreams.Reserve(upstream, reservation_, now);
   // A request whose connection fell silent is sent again over a new connection.
   client_ = was_silent ? state_.connection_pool.Create(upstream.info)
@@ -81,7 +99,10 @@
     }
   });
   client_->OnHead([this](const HttpResponse& head) {
-    ApplyStatements(state_, {pick_.upstream, head, sent_at_, false});
+    state_.failures.Run(
+        EntryPoint::kUpstreamAnswer, pick_.upstream->info.id, [&] {
+          ApplyStatements(state_, {pick_.upstream, head, sent_at_, false});
+        });
   });
   client_->Send(
       MakeUpstreamRequest(state_.headers, request, metadata, upstream.info.id,
@@ -93,10 +114,28 @@
       MakeResponseMatcher(state_.headers, metadata.request_id));
 }
 
+// What this host can't learn from a result must not keep it from the caller,
+// nor what is reserved for the attempt from being released.
 void UpstreamAttempt::OnResult(const CallResult& result,
                                const Callback& callback) {
   const HttpClientPtr client = std::exchange(client_, nullptr);
   UpstreamState& upstream = *pick_.upstream;
+  const auto contain = [this, &upstream](const auto& step) {
+    state_.failures.Run(EntryPoint::kUpstreamAnswer, upstream.info.id, step);
+  };
+  contain([&] { LearnFrom(*client, result); });
+  state_.upstreams.Release(upstream, reservation_,
+                           result.outcome != CallOutcome::kNotSent,
+                           BootClock::now());
+  contain([&] { LearnFromConnection(*client, result); });
+  RecordEnd();
+  connection_silent_ = connection_silent_ || result.connection_silent;
+  contain([&] { KeepConnection(client, result); });
+  callback(result);
+}
+
+void UpstreamAttempt::LearnFrom(const HttpClient& client,
+                                const CallResult& result) {
   const bool answered = result.outcome == CallOutcome::kAnswered;
   if (answered) {
     state_.send_stages.Add(SendStage::kChoiceToSend, result.send_delay);
@@ -106,28 +145,31 @@
   if (answered) {
     OnResponse(result.response);
   }
-  ReportReach(*client, result);
-  state_.upstreams.Release(upstream, reservation_,
-                           result.outcome != CallOutcome::kNotSent,
-                           BootClock::now());
+  ReportReach(client, result);
+}
+
+void UpstreamAttempt::LearnFromConnection(const HttpClient& client,
+                                          const CallResult& result) {
   CountAbort(result);
   if (WasStaleConnection(result)) {
     failure_counts_ = false;
-    state_.connection_pool.OnStaleConnection(upstream.info, *idle_time_,
+    state_.connection_pool.OnStaleConnection(pick_.upstream->info, *idle_time_,
                                              BootClock::now());
   }
   if (result.connection_silent && !connection_silent_) {
-    ReportSilentConnection(*client);
+    ReportSilentConnection(client);
   }
-  RecordEnd();
-  connection_silent_ = connection_silent_ || result.connection_silent;
+}
+
+void UpstreamAttempt::KeepConnection(const HttpClientPtr& client,
+                                     const CallResult& result) {
+  UpstreamState& upstream = *pick_.upstream;
   if (const auto opened = client->connect_time()) {
     state_.picker.OnConnected(upstream, *opened);
   }
-  if (answered) {
+  if (result.outcome == CallOutcome::kAnswered) {
     state_.connection_pool.Release(upstream.info.id, client);
   }
-  callback(result);
 }
 
 // A connection attempt that ended early because the request had little time
@@ -219,9 +261,13 @@
 }
 
 void UpstreamAttempt::Withdraw() {
-  state_.upstreams.Release(*pick_.upstream, reservation_, MayHaveSent(),
+  const bool may_have_sent = MayHaveSent();
+  const HttpClientPtr client = std::exchange(client_, nullptr);
+  state_.upstreams.Release(*pick_.upstream, reservation_, may_have_sent,
                            BootClock::now());
-  std::exchange(client_, nullptr)->Cancel();
+  if (client) {
+    client->Cancel();
+  }
   RecordVersionOutcome(AttemptOutcome::kWithdrawn);
   RecordEnd();
 }
--- a/src/pathcleat/testing/test_cluster.hpp
+++ b/src/pathcleat/testing/test_cluster.hpp
@@ -20,6 +20,7 @@
 #include "rollout_status_table.hpp"
 #include "tcp_proxy.hpp"
 #include "test_cluster_plan.hpp"
+#include "throwing_table_store.hpp"
 
 namespace pathcleat {
 
@@ -65,13 +66,14 @@
     }
     host.table =
         std::make_unique<platform::PlatformTable>(loop_, table_options);
+    host.store = std::make_unique<ThrowingTableStore>(*host.table);
     host.digester = std::make_unique<KeyedHasher>();
     host.feed =
         std::make_unique<platform::FleetFeed>(loop_, options, *host.digester);
     host.rollouts =
         std::make_unique<platform::RolloutStatusTable>(loop_, table_options);
     host.gateway = std::make_unique<Gateway>(
-        loop_, host.settings, platform::PlatformHeaderNames(), *host.table,
+        loop_, host.settings, platform::PlatformHeaderNames(), *host.store,
         *host.feed, *host.rollouts, *host.digester);
     host.gateway->state().connection_pool.SetLocalAddress(
         UpstreamClientAddress(index));
@@ -142,6 +144,9 @@
     }
   }
 
+  /// @brief The store as a host sees it, for tests that let its calls fail.
+  ThrowingTableStore& store(std::size_t index) { return *hosts_[index]->store; }
+
   Gateway& host(std::size_t index) { return *hosts_[index]->gateway; }
   UpstreamStandIn& upstream(std::size_t i) { return *upstreams_[i]; }
   const UpstreamInfo& upstream_info(std::size_t i) const { return infos_[i]; }
@@ -309,6 +314,7 @@
     EntrySettings settings;
     StoreCallStats store_calls;
     std::unique_ptr<platform::PlatformTable> table;
+    std::unique_ptr<ThrowingTableStore> store;
     std::unique_ptr<KeyedHasher> digester;
     std::unique_ptr<platform::FleetFeed> feed;
     std::unique_ptr<platform::RolloutStatusTable> rollouts;
