An exception ends its message, periodic step or step of the stop alone

What operators saw: a datagram, a step of the periodic work or of the planned stop that threw ended the process. Contained at the event loop alone, a receive loop or a timer that sets itself again after its work would end for good, and a stop would never exit.

A request that fails before its RequestHandler exists is answered as not run. The answer of locate replaces bytes that are no UTF-8 instead of throwing.

Tests: error_boundary/datagram_that_fails_is_dropped fails without the boundary around OnDatagram ("Caught an unexpected exception during the test execution: injected") and without FinishScanIfThrown (not done after 20 s, 0.5 s with it); periodic_work_goes_on_after_a_step_that_fails and stop_ends_after_a_step_that_fails fail without their boundaries ("injected").

--- a/include/pathcleat/fleet/peer_link.hpp
+++ b/include/pathcleat/fleet/peer_link.hpp
@@ -13,6 +13,7 @@
 #include "pathcleat/accounts/usage_report.hpp"
 #include "pathcleat/core/error.hpp"
 #include "pathcleat/core/event_log.hpp"
+#include "pathcleat/core/handler_failures.hpp"
 #include "pathcleat/crashes/crash_report.hpp"
 #include "pathcleat/fleet/domain_report.hpp"
 #include "pathcleat/fleet/domain_reporter.hpp"
@@ -40,6 +41,7 @@
 /// @ingroup fleet
 class PeerLink {
  public:
+  /// @param failures contains exceptions of a datagram and of periodic sends.
   /// @param traffic counts the bytes sent and received.
   /// @param versions returns the versions that this host has.
   /// @param on_versions called for each heartbeat and each group of a report,
@@ -49,6 +51,7 @@
       boost::asio::io_context& loop,
       HostTable& hosts,
       EventLog& events,
+      HandlerFailures& failures,
       PeerTraffic& traffic,
       const PeerPublishers& publishers,
       std::function<HostVersions()> versions,
@@ -86,6 +89,7 @@
 
  private:
   void Tick();
+  void SendPeriodic(Time now);
   void Receive();
   void OnDatagram(std::size_t size);
   void OnHeartbeat(const Heartbeat& heartbeat);
@@ -119,6 +123,7 @@
   DomainReporter reporter_;
   HeartbeatPlan plan_;
   EventLog& events_;
+  HandlerFailures& failures_;
   PeerTraffic& traffic_;
   PeerPublishers publishers_;
   std::function<HostVersions()> versions_;
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -84,7 +84,9 @@
 
   void HandleStall(Time now);
   bool IsTooFarBehind() const;
-  void RunWhenCaughtUp(std::function<void()> step);
+  using ExchangeStep = void (Gateway::*)(const HttpExchangePtr&);
+  void HandleWhenCaughtUp(const HttpExchangePtr& exchange, ExchangeStep step);
+  void HandleContained(const HttpExchangePtr& exchange, ExchangeStep step);
   void HandleCaller(const HttpExchangePtr& exchange);
   void HandleForwarded(const HttpExchangePtr& exchange);
   std::string ReasonToDecline(const Route* route) const;
@@ -99,6 +101,10 @@
   void HandleMetrics(const HttpExchangePtr& exchange);
   void UpdateLoad(Time now);
   void Tick();
+  void RunTickSteps(Time now);
+  void TickReach(Time now);
+  void RecordSilentHosts(Time now);
+  void RunStopStep(const std::function<void()>& step);
   void FinishStop();
   void WaitUntilIdle();
   void RecordStopped();
--- a/include/pathcleat/records/command_log.hpp
+++ b/include/pathcleat/records/command_log.hpp
@@ -72,6 +72,8 @@
 
   std::optional<ConfigChange> DecodeChange(const TableRow& row);
   void Scan(Done done);
+  template <class Step>
+  void FinishScanIfThrown(const Step& step);
   void ScanNext();
   void OnScan(const TableScanResult& scan);
   void FinishScan(StoreOutcome outcome);
--- a/src/pathcleat/feeds/peer_feed.cpp
+++ b/src/pathcleat/feeds/peer_feed.cpp
@@ -216,6 +216,13 @@
 }
 
 void PeerFeed::Sweep() {
+  // First, so that an exception of the work does not end the sweeps for good.
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      Sweep();
+    }
+  });
   const Time now = BootClock::now();
   std::erase_if(waiting_, [this, now](const WaitingRequest& waiting) {
     if (waiting.exchange->IsOpen() && now >= waiting.deadline) {
@@ -223,12 +230,6 @@
     }
     return !waiting.exchange->IsOpen();
   });
-  sweep_timer_.expires_after(kSweepInterval);
-  sweep_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      Sweep();
-    }
-  });
 }
 
 PeerFetchPtr PeerFeed::Fetch(const FeedPeer& peer,
--- a/src/pathcleat/fleet/peer_link.cpp
+++ b/src/pathcleat/fleet/peer_link.cpp
@@ -24,6 +24,7 @@
     boost::asio::io_context& loop,
     HostTable& hosts,
     EventLog& events,
+    HandlerFailures& failures,
     PeerTraffic& traffic,
     const PeerPublishers& publishers,
     std::function<HostVersions()> versions,
@@ -32,6 +33,7 @@
       reporter_(hosts, BootClock::now()),
       plan_(hosts),
       events_(events),
+      failures_(failures),
       traffic_(traffic),
       publishers_(publishers),
       versions_(std::move(versions)),
@@ -72,15 +74,24 @@
   SendHeartbeats(plan_.AllInDomain(), false);
 }
 
+// A message that can't be made costs the others nothing.
+void PeerLink::SendPeriodic(Time now) {
+  const auto run = [this](const char* part, const auto& step) {
+    failures_.Run(EntryPoint::kPeerTick, part, step);
+  };
+  run("heartbeats", [&] { SendHeartbeats(plan_.Receivers(now), false); });
+  run("reports", [&] {
+    if (reporter_.IsReporter(now)) {
+      SendReports();
+    }
+  });
+  run("usage", [this] { PublishUsage(); });
+  run("crashes", [this] { PublishCrashes(); });
+  run("statements", [this] { PublishStatements(); });
+}
+
 void PeerLink::Tick() {
-  const Time now = BootClock::now();
-  SendHeartbeats(plan_.Receivers(now), false);
-  if (reporter_.IsReporter(now)) {
-    SendReports();
-  }
-  PublishUsage();
-  PublishCrashes();
-  PublishStatements();
+  SendPeriodic(BootClock::now());
   timer_.expires_after(kHeartbeatInterval);
   timer_.async_wait([this](const error_code& error) {
     if (!error) {
@@ -178,7 +189,8 @@
           return;
         }
         if (!error) {
-          OnDatagram(size);
+          failures_.Run(EntryPoint::kDatagram, sender_.address().to_string(),
+                        [this, size] { OnDatagram(size); });
         }
         Receive();
       });
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -1,8 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/gateway/gateway.hpp"
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -22,21 +20,12 @@
 namespace pathcleat {
 namespace {
 
-constexpr std::chrono::milliseconds kTickInterval{250};
 constexpr std::size_t kMaxLocatedHosts = 16;
-// After a suspension of the machine, the timer of a request fires too late. So
-// a request that is past its deadline by more than this time is ended. Within
-// this time, answers that arrived during the suspension are read.
-constexpr Duration kOverdueGrace{300'000};
 // After a new configuration version is acknowledged, the first host has the
 // version within this time: a watch gathers changes for 0.25 s, and a transfer
 // of 359 KB takes 0.3 s at 10 Mbit/s.
 constexpr Duration kFirstHostLag{500'000};
 
-// Time for two attempts at reading the rows of the other hosts. A host that has
-// found no other hosts after this time reads all that it needs from the store.
-constexpr Duration kRowReadTimeout{3'000'000};
-
 constexpr const char* kNoConfig = "no configuration yet";
 
 // A forwarded request is as large as a caller's, and carries a token besides.
@@ -50,17 +39,6 @@
   return limits;
 }
 
-// Processor time of this process so far.
-Duration ProcessorTime() {
-  rusage usage{};
-  getrusage(RUSAGE_SELF, &usage);
-  const auto sum = [](const timeval& user, const timeval& system) {
-    return std::chrono::seconds(user.tv_sec + system.tv_sec) +
-           std::chrono::microseconds(user.tv_usec + system.tv_usec);
-  };
-  return sum(usage.ru_utime, usage.ru_stime);
-}
-
 }  // namespace
 
 Gateway::Gateway(boost::asio::io_context& loop,
@@ -79,6 +57,7 @@
           loop,
           state_.hosts,
           state_.events,
+          state_.failures,
           state_.peer_traffic,
           {state_.quotas.control(), state_.rollouts, state_.crashes,
            state_.upstream_statements},
@@ -104,7 +83,7 @@
           [this] { OnRowsRead(); }),
       caller_server_(loop,
                      [this](const HttpExchangePtr& e) {
-                       RunWhenCaughtUp([this, e] { HandleCaller(e); });
+                       HandleWhenCaughtUp(e, &Gateway::HandleCaller);
                      }),
       readiness_server_(
           loop,
@@ -121,9 +100,12 @@
       tick_timer_(loop),
       stop_timer_(loop) {
   fleet_sync_.SetForwardHandler([this](const HttpExchangePtr& e) {
-    RunWhenCaughtUp([this, e] { HandleForwarded(e); });
+    HandleWhenCaughtUp(e, &Gateway::HandleForwarded);
+  });
+  state_.reach.SetOnChange([this] {
+    state_.failures.Run(EntryPoint::kTick, "reach change",
+                        [this] { OnReachChange(); });
   });
-  state_.reach.SetOnChange([this] { OnReachChange(); });
   state_.crashes.SetOnUpdate([this] { peer_link_.PublishCrashes(); });
   state_.upstream_statements.SetOnUpdate(
       [this] { peer_link_.PublishStatements(); });
@@ -291,9 +273,10 @@
                          kMaxLocatedHosts, BootClock::now());
   const double ttl =
       std::chrono::duration<double>(state_.settings.bounds.locate_ttl).count();
+  const nlohmann::json answer{{"hosts", hosts}, {"ttl_seconds", ttl}};
   exchange->Respond(JsonResponse(
       http_status::kOk,
-      nlohmann::json{{"hosts", hosts}, {"ttl_seconds", ttl}}.dump()));
+      answer.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)));
 }
 
 void Gateway::HandleMetrics(const HttpExchangePtr& exchange) {
@@ -333,12 +316,30 @@
 // After a long turn of the loop, requests and changes of the upstream list lie
 // ready side by side. The changes are read first: a request that went by the
 // old list could reach an upstream that has left.
-void Gateway::RunWhenCaughtUp(std::function<void()> step) {
+void Gateway::HandleWhenCaughtUp(const HttpExchangePtr& exchange,
+                                 ExchangeStep step) {
   if (!state_.IsLoopLate(BootClock::now())) {
-    step();
+    HandleContained(exchange, step);
     return;
   }
-  RunAfterPasses(state_.loop, kCatchUpPasses, std::move(step));
+  RunAfterPasses(state_.loop, kCatchUpPasses,
+                 [this, exchange, step] { HandleContained(exchange, step); });
+}
+
+// A RequestHandler contains its own exceptions, so one that arrives here was
+// thrown before anything was sent.
+void Gateway::HandleContained(const HttpExchangePtr& exchange,
+                              ExchangeStep step) {
+  constexpr const char* kReason = "internal_error";
+  const std::string id =
+      FindHeader(exchange->request().headers, state_.headers.request_id)
+          .value_or(exchange->caller_ip());
+  if (state_.failures.Run(EntryPoint::kRequest, id,
+                          [&] { (this->*step)(exchange); })) {
+    return;
+  }
+  state_.metrics.OnRefused(kReason);
+  exchange->Respond(NotRunResponse(kReason, Duration::zero()));
 }
 
 void Gateway::HandleCaller(const HttpExchangePtr& exchange) {
@@ -426,65 +427,6 @@
   fleet_sync_.OnStallEnded(now - stall_duration);
 }
 
-// Measures how much of the host's capacity is in use, if its settings state the
-// processor cores and hosts differ in capacity. Links are not measured.
-void Gateway::UpdateLoad(Time now) {
-  if (state_.settings.cpu_cores <= 0 || !state_.hosts.HasUnlikeHosts()) {
-    return;
-  }
-  double utilization = cpu_utilization_.Update(ProcessorTime(), now);
-  if (max_caller_connections_ > 0) {
-    utilization = std::max(
-        utilization, static_cast<double>(caller_server_.connection_count()) /
-                         static_cast<double>(max_caller_connections_));
-  }
-  state_.hosts.SetLoad(utilization, load_steps_.Update(utilization, now));
-}
-
-void Gateway::Tick() {
-  const LoopTurnTimer turn(state_.loop_turns, LoopTask::kTick);
-  const Time now = BootClock::now();
-  HandleStall(now);
-  UpdateLoad(now);
-  if (now - stall_ended_at_ >= kOverdueGrace) {
-    state_.in_flight_requests.EndOverdue(now - kOverdueGrace);
-  }
-  if (now - state_.started_at > kRowReadTimeout) {
-    fleet_sync_.Start();
-  }
-  state_.reach.Tick(
-      [this, now] {
-        return state_.in_flight_requests.IsAnyUpstreamSilent(now);
-      },
-      now);
-  AdvanceShifts(now);
-  AdvanceRollouts(now);
-  for (const std::string& host : state_.hosts.TakeTimedOutHosts(now)) {
-    if (state_.hosts.IsLeaving(host)) {
-      state_.quotas.control().OnHostStopped(host);
-    }
-    state_.events.Record(EventCode::kPeerSilent, host,
-                         "no heartbeats; not listed to callers any more");
-  }
-  fleet_sync_.Tick(now);
-  state_.UpdateHostShares(now);
-  if (state_.quotas.control().HasUpdates()) {
-    peer_link_.PublishUsage();
-  }
-  state_.TickCrashes(now);
-  state_.memory_monitor.Tick(*state_.memory_budget, now);
-  state_.connection_pool.CloseIdle(now);
-  state_.forwards.connections.CloseIdle(now);
-  state_.tick_due_at = BootClock::now() + kTickInterval;
-  tick_timer_.expires_after(kTickInterval);
-  tick_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) {
-      state_.loop_turns.AddDelay(BootClock::now() - state_.tick_due_at);
-      Tick();
-    }
-  });
-}
-
 void Gateway::Reload(const EntrySettings& settings) {
   state_.settings.bounds = settings.bounds;
   fleet_sync_.SetContact(settings.bounds.contact);
--- a/src/pathcleat/gateway/gateway_stop.cpp
+++ b/src/pathcleat/gateway/gateway_stop.cpp
@@ -21,11 +21,15 @@
   on_stopped_ = std::move(done);
   const Time now = BootClock::now();
   state_.shutdown.Begin(now, state_.settings.bounds.stop_grace);
-  state_.hosts.SetLeaving();
-  peer_link_.PublishHeartbeat();
-  fleet_sync_.StopPublishing();
   caller_server_.CloseAfterAnswers();
-  state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
+  RunStopStep([this] {
+    state_.hosts.SetLeaving();
+    peer_link_.PublishHeartbeat();
+  });
+  RunStopStep([this] { fleet_sync_.StopPublishing(); });
+  RunStopStep([this] {
+    state_.events.Record(EventCode::kHostLeaving, state_.settings.host, "");
+  });
   stop_timer_.expires_after(state_.shutdown.accepts_until() - now);
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -34,9 +38,14 @@
   });
 }
 
+// A step that throws must not keep the process from exiting in time.
+void Gateway::RunStopStep(const std::function<void()>& step) {
+  state_.failures.Run(EntryPoint::kStop, state_.settings.host, step);
+}
+
 void Gateway::FinishStop() {
-  caller_server_.StopAccepting();
-  caller_server_.CloseGracefully();
+  RunStopStep([this] { caller_server_.StopAccepting(); });
+  RunStopStep([this] { caller_server_.CloseGracefully(); });
   WaitUntilIdle();
 }
 
@@ -54,13 +63,13 @@
 void Gateway::WaitUntilIdle() {
   const Time now = BootClock::now();
   if (now >= state_.shutdown.final_answer_time()) {
-    state_.in_flight_requests.OnHostShutdown();
+    RunStopStep([this] { state_.in_flight_requests.OnHostShutdown(); });
   }
   const bool is_idle = state_.in_flight_count == 0 &&
                        caller_server_.connection_count() == 0 &&
                        state_.idempotency_keys.pending_writes() == 0;
   if (is_idle || now >= state_.shutdown.exit_time()) {
-    RecordStopped();
+    RunStopStep([this] { RecordStopped(); });
     on_stopped_();
     return;
   }
--- a/src/pathcleat/lab/error_boundary_test.cpp
+++ b/src/pathcleat/lab/error_boundary_test.cpp
@@ -84,6 +84,61 @@
                 std::string::npos);
 }
 
+// A request in flight that is overdue and throws when it is to end.
+class ThrowingRequest : public InFlightRequest {
+ public:
+  void OnHostShutdown() override { Throw(); }
+  Time deadline() const override { return {}; }
+  void OnDeadline() override { Throw(); }
+  bool IsUpstreamSilent(Time) const override { return false; }
+  void OnHostIsolated() override { Throw(); }
+};
+
+// Guards against periodic work that ends for good, and against a process that
+// ends, with the first step that throws. Fails without the boundaries of
+// RunTickSteps.
+Test(error_boundary, periodic_work_goes_on_after_a_step_that_fails) {
+  TestCluster cluster(OneHostPlan());
+  cluster.StartAll();
+  ThrowingRequest request;
+  cluster.host(0).state().in_flight_requests.Add(request);
+  cr_assert(cluster.Await(
+      [&] { return FailuresAt(cluster, 0, EntryPoint::kTick) >= 3; }));
+  cr_assert_eq(cluster.Get(0, "next").response.status, http_status::kOk);
+}
+
+// Guards against a datagram whose handling throws and that ends the process, or
+// after which no other one is received. Fails without the boundary around
+// OnDatagram (the exception leaves the event loop) and without
+// FinishScanIfThrown (the host reads no commands any more).
+Test(error_boundary, datagram_that_fails_is_dropped) {
+  TestCluster cluster;
+  cluster.StartAll();
+  cluster.store(1).ThrowIf([] { return true; });
+  cluster.RunCommand(0, "drain upstream upstream-0-0");
+  cr_assert(cluster.Await(
+      [&] { return FailuresAt(cluster, 1, EntryPoint::kDatagram) > 0; }));
+  cluster.store(1).ThrowIf(nullptr);
+  const std::uint64_t newest = cluster.host(0).Versions().commands;
+  cr_assert(cluster.Await(
+      [&] { return cluster.host(1).Versions().commands >= newest; }));
+}
+
+// Guards against a planned stop that never ends because a step of it throws:
+// here the one that ends the requests left at the end of the grace. Fails
+// without RunStopStep there.
+Test(error_boundary, stop_ends_after_a_step_that_fails) {
+  TestCluster cluster(OneHostPlan());
+  cluster.StartAll();
+  ThrowingRequest request;
+  cluster.host(0).state().in_flight_requests.Add(request);
+  ++cluster.host(0).state().in_flight_count;
+  bool stopped = false;
+  cluster.host(0).Stop([&stopped] { stopped = true; });
+  cr_assert(cluster.Await([&stopped] { return stopped; }));
+  cr_assert_geq(FailuresAt(cluster, 0, EntryPoint::kStop), 1U);
+}
+
 // Lets a tenth of the store's calls, of its callbacks and of the updates of
 // upstreams' statements throw at all hosts.
 class RandomFailures {
--- a/src/pathcleat/records/command_log.cpp
+++ b/src/pathcleat/records/command_log.cpp
@@ -91,9 +91,25 @@
   }
 }
 
+// A scan that stays in the list of those in flight would keep all later ones
+// from starting.
+template <class Step>
+void CommandLog::FinishScanIfThrown(const Step& step) {
+  try {
+    step();
+  } catch (...) {
+    FinishScan(StoreOutcome::kNotDone);
+    throw;
+  }
+}
+
 void CommandLog::ScanNext() {
-  store_.Scan(RowName(log_.version() + 1), kPrefixEnd, kRowsPerScan,
-              [this](const TableScanResult& scan) { OnScan(scan); });
+  FinishScanIfThrown([this] {
+    store_.Scan(RowName(log_.version() + 1), kPrefixEnd, kRowsPerScan,
+                [this](const TableScanResult& scan) {
+                  FinishScanIfThrown([this, &scan] { OnScan(scan); });
+                });
+  });
 }
 
 void CommandLog::OnScan(const TableScanResult& scan) {
