--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -96,7 +96,9 @@
 
   void HandleStall(Time now);
   bool IsTooFarBehind() const;
-  void RunWhenCaughtUp(std::function<void()> step);
+  using ExchangeStep = void (Gateway::*)(const HttpExchangePtr&);
+  void HandleWhenCaughtUp(const HttpExchangePtr& exchange, ExchangeStep step);
+  void HandleContained(const HttpExchangePtr& exchange, ExchangeStep step);
   void HandleCaller(const HttpExchangePtr& exchange);
   void HandleForwarded(const HttpExchangePtr& exchange);
   std::string ReasonToDecline(const Route* route) const;
@@ -115,6 +117,11 @@
   void AwaitPorts(const Error& taken);
   void StartServing();
   void Tick();
+  void RunTickSteps(Time now);
+  void TickReach(Time now);
+  void RecordSilentHosts(Time now);
+  void RunStopStep(const std::function<void()>& step);
+  void StopAccepting();
   void WaitUntilIdle();
   void RecordStopped();
   void OnTableRow(const TableRow& row);
