Numbers in messages between hosts are bounded before they reach a table

What operators saw: nothing yet. A message or row of another host with a link capacity of 1e308 makes the shares of all hosts useless, rates of usage and limits beyond any fleet do so with all sums, and a tally of 2^32 - 1 events is a loop over 2^32 numbers that never ends (LogConditionalRatio), so that the host answers nobody any more.

Cause: the decoders checked the shape of messages, not the numbers.

Fix: heartbeats, reports and rows with a link capacity out of range are rejected as malformed (PC1701 or PC1005, as before). Rates are clamped to 0 to 1e9. Tallies with more events than responses or more than 1e9 of them count as not decodable, and sums of counts stop at the largest number. The encoded forms are unchanged, as are decisions on messages in range.

Ages of 32 bits in milliseconds were ruled out as a cause: 49 days don't overflow.

--- a/include/pathcleat/fleet/capacity_codec.hpp
+++ b/include/pathcleat/fleet/capacity_codec.hpp
@@ -19,6 +19,10 @@
 /// @ingroup fleet
 bool TakeCapacity(std::string_view& bytes, HostCapacity& capacity);
 
+/// @brief Whether the numbers of a record that another host sent are in range.
+/// @ingroup fleet
+bool IsInRange(const HostInfo& host);
+
 /// @brief Encodes a host's row in the store. The capacity follows the record if
 /// the host states one.
 /// @ingroup fleet
--- a/include/pathcleat/rollouts/response_counts.hpp
+++ b/include/pathcleat/rollouts/response_counts.hpp
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <cstdint>
 
+#include "pathcleat/core/saturated.hpp"
+
 namespace pathcleat {
 
 /// @brief Responses of one kind, and how many of them had the property that is
@@ -18,8 +20,8 @@
     events += is_event ? 1 : 0;
   }
   void Add(const ResponseCounts& other) {
-    total += other.total;
-    events += other.events;
+    total = AddSaturated(total, other.total);
+    events = AddSaturated(events, other.events);
   }
   /// @brief Sets each count to the maximum of the two values, as counts never
   /// decrease.
--- a/src/pathcleat/accounts/peer_usage_test.cpp
+++ b/src/pathcleat/accounts/peer_usage_test.cpp
@@ -3,6 +3,10 @@
 
 #include <criterion/criterion.h>
 
+#include "mutated_bytes.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
+#include "property.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -60,5 +64,22 @@
   cr_assert_not(DecodeUsage(bytes).has_value());
 }
 
+// Guards against rates of another host with which the sums over all hosts are
+// useless.
+Test(peer_usage, mutated_reports_have_rates_in_range_or_are_rejected) {
+  const std::string encoded = EncodeUsage(MakeReport(3, 1));
+  cr_assert(Holds(
+      "0 <= rate <= kMaxOutsideQuantity",
+      [&encoded] {
+        const auto report = DecodeUsage(MutatedBytes(encoded));
+        for (const UsageEntry& entry : report.value_or(UsageReport()).entries) {
+          RC_ASSERT(IsInOutsideRange(double{entry.demand}));
+          RC_ASSERT(IsInOutsideRange(double{entry.share_weight}));
+          RC_ASSERT(IsInOutsideRange(double{entry.admitted}));
+        }
+      },
+      3'000));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/accounts/usage_report.cpp
+++ b/src/pathcleat/accounts/usage_report.cpp
@@ -6,8 +6,24 @@
 #include <cereal/types/vector.hpp>
 
 #include "pathcleat/core/binary_codec.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
 
 namespace pathcleat {
+namespace {
+
+float Clamp(float rate) {
+  return static_cast<float>(ClampOutside(double{rate}));
+}
+
+void ClampEntries(UsageReport& report) {
+  for (UsageEntry& entry : report.entries) {
+    entry.demand = Clamp(entry.demand);
+    entry.share_weight = Clamp(entry.share_weight);
+    entry.admitted = Clamp(entry.admitted);
+  }
+}
+
+}  // namespace
 
 std::vector<UsageReport> SplitUsage(const UsageReport& report) {
   constexpr std::size_t kMaxParts = 255;
@@ -47,6 +63,9 @@
   constexpr std::size_t kTailSize = 3;
   std::size_t used = 0;
   auto report = DecodeBinary<UsageReport>(bytes, &used);
+  if (report) {
+    ClampEntries(*report);
+  }
   if (!report || bytes.size() < used + kTailSize) {
     return report;
   }
--- a/src/pathcleat/crashes/crash_tracker_test.cpp
+++ b/src/pathcleat/crashes/crash_tracker_test.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "mutated_bytes.hpp"
 #include "pathcleat/core/hash.hpp"
 #include "property.hpp"
 
@@ -274,5 +275,20 @@
   cr_assert(holds);
 }
 
+// Guards against bytes of another host that end this one.
+Test(crash_report, mutated_reports_are_decoded_or_rejected) {
+  CrashReport report;
+  report.entries = {{7, {{1, 2}, {3, 4}}, 5, 1}, {8, {}, kNeverAnswered, 0}};
+  const std::string encoded = EncodeCrashes(report);
+  cr_assert(Holds(
+      "a report has no more entries than bytes",
+      [&encoded] {
+        const std::string bytes = MutatedBytes(encoded);
+        const auto decoded = DecodeCrashes(bytes).value_or(CrashReport());
+        RC_ASSERT(decoded.entries.size() <= bytes.size());
+      },
+      2'000));
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/fleet/capacity_codec.cpp
+++ b/src/pathcleat/fleet/capacity_codec.cpp
@@ -9,6 +9,7 @@
 
 #include "pathcleat/core/binary_codec.hpp"
 #include "pathcleat/core/fixed_number.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
 
 namespace pathcleat {
 namespace {
@@ -35,6 +36,10 @@
   return true;
 }
 
+bool IsInRange(const HostInfo& host) {
+  return IsInOutsideRange(host.link_mbps);
+}
+
 std::string EncodeHostRow(const HostInfo& host) {
   std::string bytes = EncodeBinary(host);
   if (host.capacity.IsStated()) {
@@ -46,6 +51,9 @@
 std::optional<HostInfo> DecodeHostRow(std::string_view bytes) {
   std::size_t used = 0;
   auto host = DecodeBinary<HostInfo>(bytes, &used);
+  if (host && !IsInRange(*host)) {
+    return std::nullopt;
+  }
   if (host) {
     std::string_view rest = bytes.substr(std::min(used, bytes.size()));
     TakeCapacity(rest, host->capacity);
--- a/src/pathcleat/fleet/domain_report.cpp
+++ b/src/pathcleat/fleet/domain_report.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/fleet/domain_report.hpp"
 
+#include <algorithm>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
@@ -107,8 +108,9 @@
 std::optional<DomainReport> DecodeDomainReport(std::string_view bytes) {
   std::size_t used = 0;
   auto report = DecodeBinary<DomainReport>(bytes, &used);
-  if (!report) {
-    return report;
+  if (!report || !std::all_of(report->host_infos.begin(),
+                              report->host_infos.end(), IsInRange)) {
+    return std::nullopt;
   }
   std::string_view rest = bytes.substr(std::min(used, bytes.size()));
   if (TakeMark(kCapacitiesMark, rest)) {
--- a/src/pathcleat/fleet/domain_reporter.cpp
+++ b/src/pathcleat/fleet/domain_reporter.cpp
@@ -174,7 +174,7 @@
     }
     const std::uint32_t age = Milliseconds(now - host->last_seen);
     HostVersions aged = host->versions;
-    aged.config_age_ms += age;
+    aged.config_age_ms = AddSaturated(aged.config_age_ms, age);
     aged.store_answer_ages.Advance(now - host->last_seen);
     packer.Add({IncarnationId(host->info), static_cast<std::uint16_t>(age),
                 host->info.leaving, host->info.isolated, host->info.load_step},
--- a/src/pathcleat/fleet/heartbeat.cpp
+++ b/src/pathcleat/fleet/heartbeat.cpp
@@ -64,6 +64,9 @@
 std::optional<Heartbeat> DecodeHeartbeat(std::string_view bytes) {
   std::size_t used = 0;
   auto heartbeat = DecodeBinary<Heartbeat>(bytes, &used);
+  if (heartbeat && !IsInRange(heartbeat->host)) {
+    return std::nullopt;
+  }
   if (heartbeat) {
     std::string_view rest = bytes.substr(std::min(used, bytes.size()));
     heartbeat->host.isolated = TakeMark(kIsolatedMark, rest);
--- a/src/pathcleat/fleet/heartbeat_test.cpp
+++ b/src/pathcleat/fleet/heartbeat_test.cpp
@@ -3,10 +3,12 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cereal/types/map.hpp>
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 
+#include "mutated_bytes.hpp"
 #include "pathcleat/core/binary_codec.hpp"
 #include "pathcleat/fleet/capacity_codec.hpp"
 #include "pathcleat/fleet/domain_report.hpp"
@@ -266,5 +268,89 @@
   cr_assert_eq(ages.Of(SourceTopic::kOrders)->count(), 65'534'000);
 }
 
+Heartbeat FullHeartbeat() {
+  Heartbeat heartbeat = MakeHeartbeat(true);
+  heartbeat.host.link_mbps = 1'000;
+  heartbeat.host.capacity = {4, 1'024};
+  heartbeat.rollout_tallies["s"].failures[3].new_version = {7, 2};
+  heartbeat.versions.store_answer_ages.Set(SourceTopic::kOrders, Duration(5));
+  return heartbeat;
+}
+
+bool IsConsistent(const RolloutTallies& tallies) {
+  return std::all_of(tallies.begin(), tallies.end(), [](const auto& entry) {
+    const auto& failures = entry.second.failures;
+    return std::all_of(
+        failures.begin(), failures.end(), [](const StratumCounts& counts) {
+          return counts.new_version.events <= counts.new_version.total &&
+                 counts.other_versions.events <= counts.other_versions.total;
+        });
+  });
+}
+
+// Guards against bytes of another host that end this one, or that bring numbers
+// into its tables with which later sums are useless.
+Test(heartbeat, mutated_bytes_give_values_in_range_or_are_rejected) {
+  const std::string encoded = EncodeHeartbeat(FullHeartbeat());
+  cr_assert(DecodeHeartbeat(encoded).has_value());
+  cr_assert(Holds(
+      "a decoded heartbeat is in range",
+      [&encoded] {
+        const auto decoded = DecodeHeartbeat(MutatedBytes(encoded));
+        if (decoded) {
+          RC_ASSERT(IsInRange(decoded->host));
+          RC_ASSERT(IsConsistent(decoded->rollout_tallies));
+        }
+      },
+      3'000));
+}
+
+// As heartbeat, for the reports between failure domains.
+Test(domain_report, mutated_bytes_give_values_in_range_or_are_rejected) {
+  DomainReport report;
+  report.domain = "d";
+  report.groups.resize(2);
+  report.groups.front().members.resize(3);
+  report.host_infos = {FullHeartbeat().host};
+  report.rollout_tallies = FullHeartbeat().rollout_tallies;
+  const std::string encoded = EncodeDomainReport(report);
+  cr_assert(DecodeDomainReport(encoded).has_value());
+  cr_assert(Holds(
+      "a decoded report is in range",
+      [&encoded] {
+        const auto decoded = DecodeDomainReport(MutatedBytes(encoded));
+        if (decoded) {
+          RC_ASSERT(std::all_of(decoded->host_infos.begin(),
+                                decoded->host_infos.end(), IsInRange));
+          RC_ASSERT(IsConsistent(decoded->rollout_tallies));
+        }
+      },
+      3'000));
+}
+
+// Guards against a host's row or message whose link capacity makes the shares
+// of all hosts useless.
+Test(host_row, link_capacity_out_of_range_is_rejected) {
+  for (const double link : {-1.0, 1e10, 1e308}) {
+    Heartbeat heartbeat = FullHeartbeat();
+    heartbeat.host.link_mbps = link;
+    cr_assert_not(DecodeHostRow(EncodeHostRow(heartbeat.host)).has_value());
+    cr_assert_not(DecodeHeartbeat(EncodeHeartbeat(heartbeat)).has_value());
+  }
+}
+
+// Guards against counts of another host that end in a loop over 2^32 numbers.
+Test(heartbeat, counts_out_of_range_are_zero) {
+  for (const ResponseCounts counts :
+       {ResponseCounts{1, 2}, ResponseCounts{0xffffffff, 0xffffffff}}) {
+    Heartbeat heartbeat = FullHeartbeat();
+    heartbeat.rollout_tallies["s"].failures[3].new_version = counts;
+    const auto decoded = DecodeHeartbeat(EncodeHeartbeat(heartbeat));
+    cr_assert(decoded.has_value());
+    const RolloutTally& tally = decoded->rollout_tallies.at("s");
+    cr_assert_eq(tally.failures[3].new_version.total, 0U);
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/rollouts/rollout_tally.cpp
+++ b/src/pathcleat/rollouts/rollout_tally.cpp
@@ -11,6 +11,9 @@
 constexpr std::uint32_t kContinues = 1U << kPayloadBits;
 constexpr std::uint32_t kPayloadMask = kContinues - 1;
 constexpr unsigned kValueBits = 32;
+// Maximum number of responses in one count of another host. The sums of a
+// stratum must stay below the largest number of 32 bits.
+constexpr std::uint32_t kMaxResponses = 1'000'000'000;
 
 void PutVarint(std::string& bytes, std::uint32_t value) {
   for (; value >= kContinues; value >>= kPayloadBits) {
@@ -63,6 +66,8 @@
 void Get(VarintReader& reader, ResponseCounts& counts) {
   counts.total = reader.Next();
   counts.events = reader.Next();
+  reader.valid = reader.valid && counts.total <= kMaxResponses &&
+                 counts.events <= counts.total;
 }
 void Get(VarintReader& reader, StratumCounts& counts) {
   Get(reader, counts.new_version);
--- a/src/pathcleat/rollouts/tally_table.cpp
+++ b/src/pathcleat/rollouts/tally_table.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "pathcleat/core/saturated.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -31,8 +33,10 @@
 void TallyTable::Add(RolloutTally& sum, const Received& received, Time now) {
   sum.AddCounts(received.tally);
   if (now - received.received_at <= kInFlightTtl) {
-    sum.other_versions_in_flight += received.tally.other_versions_in_flight;
-    sum.promoted_host_count += received.tally.promoted_host_count;
+    sum.other_versions_in_flight = AddSaturated(
+        sum.other_versions_in_flight, received.tally.other_versions_in_flight);
+    sum.promoted_host_count = AddSaturated(sum.promoted_host_count,
+                                           received.tally.promoted_host_count);
   }
 }
 
--- a/src/pathcleat/routing/statement_exchange_test.cpp
+++ b/src/pathcleat/routing/statement_exchange_test.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/routing/statement_exchange.hpp"
 
+#include "mutated_bytes.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -246,5 +248,25 @@
   }));
 }
 
+// Guards against a rate of another host that is no number, or beyond what the
+// arithmetic of a limit can hold.
+Test(statement_exchange, mutated_reports_are_in_range_or_rejected) {
+  StatementReport report;
+  report.entries = {{"u", 5, 100}, {"v", kNoRateLimit, 100}};
+  report.leaving = {{"u", 1, true, 100}};
+  const std::string encoded = EncodeStatements(report);
+  cr_assert(Holds(
+      "rates are in range or kNoRateLimit",
+      [&encoded] {
+        const auto decoded = DecodeStatements(MutatedBytes(encoded));
+        for (const LimitEntry& entry :
+             decoded.value_or(StatementReport()).entries) {
+          RC_ASSERT(entry.per_second >= kNoRateLimit);
+          RC_ASSERT(double{entry.per_second} <= kMaxOutsideQuantity);
+        }
+      },
+      3'000));
+}
+
 }  // namespace
 }  // namespace pathcleat
