An odd time in a message or log line does no harm

What operators saw: 'pathcleat timeline' ends with an exception where a line of a host's events has a time that is no text of numbers. A message with a time at the end of the range sets the clock of every host that receives it, for good, and a full counter wraps, so that times go back.

Cause: std::stoull throws; HybridClock took over any time and added 1.

Fix: both readers of logs use ParseHybridTime, which reads what is a number and takes 0 for the rest.

Time lines were read for this; 'timeline' was not run on an odd line.

--- a/include/pathcleat/core/hybrid_clock.hpp
+++ b/include/pathcleat/core/hybrid_clock.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <mutex>
 #include <string>
+#include <string_view>
 
 namespace pathcleat {
 
@@ -27,6 +28,10 @@
 /// @ingroup core
 std::string ToString(const HybridTime& time);
 
+/// @brief Reads the form of ToString; a part that is no number is 0.
+/// @ingroup core
+HybridTime ParseHybridTime(std::string_view text);
+
 /// @brief Hybrid logical clock (Kulkarni et al., 2014). Thread-safe.
 /// The receipt of a message is always ordered after its sending.
 /// @ingroup core
@@ -37,7 +42,8 @@
   HybridTime Tick(std::uint64_t wall_micros);
 
   /// @brief Returns the timestamp for the receipt of a message.
-  /// @param remote timestamp of the message, set by its sender.
+  /// @param remote timestamp of the message, set by its sender; ignored if it
+  /// is more than a day ahead of the wall clock.
   HybridTime Observe(const HybridTime& remote, std::uint64_t wall_micros);
 
  private:
--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -24,6 +24,7 @@
 #include "header_names.hpp"
 #include "log_files.hpp"
 #include "operator_client.hpp"
+#include "pathcleat/core/hybrid_clock.hpp"
 #include "pathcleat/core/log_writer.hpp"
 #include "pathcleat/gateway/gateway.hpp"
 #include "pathcleat/query/request_diagnosis.hpp"
@@ -226,15 +227,17 @@
   return kDone;
 }
 
-// Parses the time of an event into a sort key. The time has the form
-// "micros.counter": microseconds, a point and a counter.
-std::pair<std::uint64_t, std::uint64_t> TimeKey(const std::string& line) {
+// The time of an event; 0 if the line has none.
+HybridTime TimeOf(const std::string& line) {
   const auto event = nlohmann::json::parse(line, nullptr, false);
   if (!event.is_object()) {
-    return {0, 0};
+    return {};
   }
-  const std::string time = event.value("time", "0.0");
-  return {std::stoull(time), std::stoull(time.substr(time.find('.') + 1))};
+  const auto time = event.find("time");
+  if (time == event.end() || !time->is_string()) {
+    return {};
+  }
+  return ParseHybridTime(time->get<std::string>());
 }
 
 Result<int> RunTimeline(const Arguments& arguments) {
@@ -259,7 +262,7 @@
   }
   std::stable_sort(lines.begin(), lines.end(),
                    [](const std::string& a, const std::string& b) {
-                     return TimeKey(a) < TimeKey(b);
+                     return TimeOf(a) < TimeOf(b);
                    });
   for (const std::string& line : lines) {
     std::cout << line << "\n";
--- a/src/pathcleat/core/event_test.cpp
+++ b/src/pathcleat/core/event_test.cpp
@@ -4,6 +4,8 @@
 #include <fstream>
 #include <sstream>
 
+#include <limits>
+
 #include "property.hpp"
 
 namespace pathcleat {
@@ -69,5 +71,38 @@
   }));
 }
 
+// Guards against one host with a wrong clock, or one odd message, that sets the
+// times of all hosts to the end of the range, where they can't grow.
+Test(hybrid_clock, time_far_ahead_is_not_taken_over) {
+  constexpr std::uint64_t kNow = 1'800'000'000'000'000;
+  constexpr std::uint64_t kDay = 86'400'000'000;
+  constexpr auto kMax = std::numeric_limits<std::uint64_t>::max();
+  HybridClock clock;
+  cr_assert_eq(clock.Observe({kMax, 0}, kNow).micros, kNow);
+  cr_assert_eq(clock.Observe({kNow + kDay + 1, 0}, kNow).micros, kNow);
+  cr_assert_eq(clock.Observe({kNow + kDay, 0}, kNow).micros, kNow + kDay);
+}
+
+// Guards against a time that goes back because its counter has wrapped.
+Test(hybrid_clock, full_counter_is_carried) {
+  constexpr auto kMax = std::numeric_limits<std::uint32_t>::max();
+  HybridClock clock;
+  const HybridTime first = clock.Observe({1'000, kMax - 1}, 900);
+  const HybridTime second = clock.Tick(900);
+  const HybridTime third = clock.Observe({1'000, kMax}, 900);
+  cr_assert(first > (HybridTime{1'000, kMax - 1}));
+  cr_assert(second > first);
+  cr_assert(third > second);
+}
+
+// Guards against a line of a log that ends the program that reads it.
+Test(hybrid_clock, any_text_is_read_as_a_time) {
+  cr_assert(ParseHybridTime("12.3") == (HybridTime{12, 3}));
+  for (const std::string text :
+       {"", ".", "x", "x.y", "-1.-2", "99999999999999999999.99999999999"}) {
+    cr_assert(ParseHybridTime(text) == HybridTime{}, "%s", text.c_str());
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/query/log_line.cpp
+++ b/src/pathcleat/query/log_line.cpp
@@ -19,18 +19,6 @@
   return number;
 }
 
-// Parses a hybrid time of the form "micros.counter": microseconds, a point and
-// a counter.
-HybridTime ParseTime(std::string_view text) {
-  HybridTime time;
-  time.micros = ParseNumber<std::uint64_t>(text);
-  const auto point = text.find('.');
-  if (point != std::string_view::npos) {
-    time.counter = ParseNumber<std::uint32_t>(text.substr(point + 1));
-  }
-  return time;
-}
-
 std::optional<LogLine> ParseLine(const std::string& text) {
   const auto begin = text.find('{');
   if (begin == std::string::npos) {
@@ -47,7 +35,7 @@
     line.fields[key] =
         value.is_string() ? value.get<std::string>() : value.dump();
   }
-  line.time = ParseTime(line.Field("time"));
+  line.time = ParseHybridTime(line.Field("time"));
   line.name = line.Field("name");
   line.host = line.Field("host");
   return line;
