Numbers of upstreams, forwarded requests and key rows are bounded

What callers saw: nothing yet. The load '2147483647,2147483647,...' of an upstream overflows in a sum of two of its numbers, a limit of 1e308 is infinite once hosts send it to each other as a float, and the times and attempts of a forwarded request, or a status of 1e300 in the row of an idempotency key, are undefined in the arithmetic that follows.

The bounds of time-outs and Retry-After are the same constant now; their values are unchanged.

Evidence: on the unfixed code forward_token/numbers_out_of_range_are_clamped, upstream_protocol/large_limits_are_clamped, load_reports_are_in_range_or_invalid and idempotency_key_row/numbers_out_of_range_are_rejected failed; calls_test passes now (46 of 46). The bound of Keep-Alive has no test.

--- a/src/pathcleat/calls/forward_token.cpp
+++ b/src/pathcleat/calls/forward_token.cpp
@@ -7,10 +7,15 @@
 #include "pathcleat/core/base64.hpp"
 #include "pathcleat/core/binary_codec.hpp"
 #include "pathcleat/core/mac.hpp"
+#include "pathcleat/core/outside_bounds.hpp"
 
 namespace pathcleat {
 namespace {
 
+std::int64_t ClampMicros(std::int64_t micros) {
+  return ClampOutside(Duration(micros)).count();
+}
+
 std::string MacOfRequest(const std::string& context,
                          const HttpRequest& request,
                          const std::string& key) {
@@ -42,7 +47,13 @@
                        MacOfRequest(encoded, request, key))) {
     return std::nullopt;
   }
-  return DecodeBinary<ForwardContext>(encoded);
+  auto context = DecodeBinary<ForwardContext>(encoded);
+  if (context) {
+    context->caller_timeout_us = ClampMicros(context->caller_timeout_us);
+    context->time_left_us = ClampMicros(context->time_left_us);
+    context->attempts_left = ClampOutside(context->attempts_left);
+  }
+  return context;
 }
 
 }  // namespace pathcleat
--- a/src/pathcleat/calls/forward_token_test.cpp
+++ b/src/pathcleat/calls/forward_token_test.cpp
@@ -3,6 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <limits>
+
+#include "pathcleat/core/outside_bounds.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -45,5 +48,22 @@
   }));
 }
 
+// Guards against numbers of another host with which the arithmetic of a request
+// overflows.
+Test(forward_token, numbers_out_of_range_are_clamped) {
+  constexpr auto kMin = std::numeric_limits<std::int64_t>::min();
+  constexpr auto kMax = std::numeric_limits<std::int64_t>::max();
+  ForwardContext sent = kContext;
+  sent.caller_timeout_us = kMax;
+  sent.time_left_us = kMin;
+  sent.attempts_left = std::numeric_limits<std::int32_t>::min();
+  const std::string token = MakeForwardToken(sent, kRequest, "key");
+  const auto read = ReadForwardToken(token, kRequest, "key");
+  cr_assert(read.has_value());
+  cr_assert_eq(read->caller_timeout_us, kMaxOutsideDuration.count());
+  cr_assert_eq(read->time_left_us, 0);
+  cr_assert_eq(read->attempts_left, 0);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/calls/idempotency_key_row.cpp
+++ b/src/pathcleat/calls/idempotency_key_row.cpp
@@ -32,6 +32,16 @@
   return json::parse(valid_part) == text;
 }
 
+// The status is 0 while the request runs.
+constexpr std::uint64_t kMaxStatus = 999;
+
+// A negative number or a fraction, which another writer may have left in the
+// row, is none.
+std::optional<std::uint64_t> UnsignedOf(const json& value) {
+  return value.is_number_unsigned() ? std::optional(value.get<std::uint64_t>())
+                                    : std::nullopt;
+}
+
 KeyState StateOf(const std::string& name) {
   if (name == NameOf(KeyState::kRunning)) {
     return KeyState::kRunning;
@@ -75,9 +85,15 @@
     IdempotencyKeyRow row;
     row.state = StateOf(value.at("state").get<std::string>());
     row.token = value.at("token").get<std::string>();
-    row.fingerprint = value.at("fingerprint").get<std::uint64_t>();
-    row.deadline_wall_micros = value.at("ends").get<std::uint64_t>();
-    row.answer.status = value.at("status").get<int>();
+    const auto fingerprint = UnsignedOf(value.at("fingerprint"));
+    const auto ends = UnsignedOf(value.at("ends"));
+    const auto status = UnsignedOf(value.at("status"));
+    if (!fingerprint || !ends || !status || *status > kMaxStatus) {
+      return std::nullopt;
+    }
+    row.fingerprint = *fingerprint;
+    row.deadline_wall_micros = *ends;
+    row.answer.status = static_cast<int>(*status);
     for (const json& header : value.at("headers")) {
       row.answer.headers.push_back(
           {header.at(0).get<std::string>(), header.at(1).get<std::string>()});
--- a/src/pathcleat/calls/idempotency_key_store.cpp
+++ b/src/pathcleat/calls/idempotency_key_store.cpp
@@ -1,5 +1,6 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/calls/idempotency_key_store.hpp"
+#include "pathcleat/core/saturated.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -104,7 +105,8 @@
               observed.token = row->token;
               observed.fingerprint = row->fingerprint;
               observed.is_overdue =
-                  WallMicros() > row->deadline_wall_micros + kClockSkewMicros;
+                  WallMicros() >
+                  AddSaturated(row->deadline_wall_micros, kClockSkewMicros);
               pending_claim->stored_response = row->answer;
             }
             Step(pending_claim, pending_claim->claim.OnRead(observed));
--- a/src/pathcleat/calls/upstream_protocol.cpp
+++ b/src/pathcleat/calls/upstream_protocol.cpp
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "pathcleat/core/outside_bounds.hpp"
 #include "pathcleat/http/http_status.hpp"
 
 namespace pathcleat {
@@ -35,10 +36,6 @@
   return response;
 }
 
-// Upper bound of the time-out that a caller states: no caller waits longer, and
-// with larger values, sums of times could overflow.
-constexpr std::chrono::milliseconds kMaxCallerTimeout = std::chrono::hours(24);
-
 bool IsFraction(std::string_view text) {
   return !text.empty() && text.front() == '.' &&
          std::all_of(text.begin() + 1, text.end(),
@@ -60,7 +57,10 @@
   if (text.front() == '-') {
     return Duration::zero();
   }
-  const std::int64_t max_milliseconds = kMaxCallerTimeout.count();
+  // No caller waits longer.
+  const std::int64_t max_milliseconds =
+      std::chrono::duration_cast<std::chrono::milliseconds>(kMaxOutsideDuration)
+          .count();
   return std::chrono::milliseconds(
       too_large ? max_milliseconds : std::min(value, max_milliseconds));
 }
@@ -75,18 +75,15 @@
   return readable ? std::optional(value) : std::nullopt;
 }
 
-// Upper bound of a stated delay; with larger values, sums of times could
-// overflow.
-constexpr Duration kMaxRetryAfter = std::chrono::hours(24);
-
 std::optional<Duration> ParseDelay(std::string_view text) {
   const auto seconds = ParseQuantity(text);
   if (!seconds) {
     return std::nullopt;
   }
   const std::chrono::duration<double> delay(*seconds);
-  return delay < kMaxRetryAfter ? std::chrono::duration_cast<Duration>(delay)
-                                : kMaxRetryAfter;
+  return delay < kMaxOutsideDuration
+             ? std::chrono::duration_cast<Duration>(delay)
+             : kMaxOutsideDuration;
 }
 
 }  // namespace
@@ -146,9 +143,10 @@
   const char* end = text->data() + text->size();
   for (int& number : numbers) {
     const auto parsed = std::from_chars(at, end, number);
-    if (parsed.ec != std::errc()) {
+    if (parsed.ec != std::errc() || number < 0) {
       return std::nullopt;
     }
+    number = ClampOutside(number);
     at = parsed.ptr == end ? end : parsed.ptr + 1;
   }
   return LoadReport{numbers[0], numbers[1], numbers[2]};
@@ -164,7 +162,7 @@
     field.present = true;
     const auto limit = ParseQuantity(header.value);
     if (limit && (!field.per_second || *limit < *field.per_second)) {
-      field.per_second = limit;
+      field.per_second = ClampOutside(*limit);
     }
   }
   return field;
--- a/src/pathcleat/calls/upstream_protocol_test.cpp
+++ b/src/pathcleat/calls/upstream_protocol_test.cpp
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "pathcleat/core/outside_bounds.hpp"
 #include "property.hpp"
 
 namespace pathcleat {
@@ -14,7 +15,7 @@
   return CallerTimeout(names, request);
 }
 
-// Guards against overflow from huge deadlines. Fails without kMaxCallerTimeout.
+// Guards against overflow from huge deadlines. Fails without the upper bound.
 Test(upstream_protocol, caller_timeouts_are_parsed_and_clamped) {
   constexpr Duration kDay = std::chrono::hours(24);
   cr_assert(ParseTimeout("2500") == Duration(2'500'000));
@@ -103,5 +104,29 @@
   }
 }
 
+std::optional<LoadReport> ParseLoad(const std::string& text) {
+  HttpResponse response;
+  response.headers.push_back({HeaderNames().load, text});
+  return ParseLoadReport(HeaderNames(), response);
+}
+
+// Guards against an upstream's numbers whose sum overflows.
+Test(upstream_protocol, load_reports_are_in_range_or_invalid) {
+  constexpr const char* kMax = "2147483647,2147483647,2147483647";
+  cr_assert_eq(ParseLoad("3,1,8").value().waiting, 1);
+  cr_assert_eq(ParseLoad(kMax).value().running, kMaxOutsideCount);
+  cr_assert_eq(ParseLoad(kMax).value().slots, kMaxOutsideCount);
+  for (const std::string bad : {"", "3", "3,1", "-1,2,3", "1,-2147483648,3",
+                                "nan,1,1", "2147483648,1,1"}) {
+    cr_assert_not(ParseLoad(bad).has_value(), "%s", bad.c_str());
+  }
+}
+
+// Guards against a limit that is no number once hosts have sent it to each
+// other as a float.
+Test(upstream_protocol, large_limits_are_clamped) {
+  cr_assert_eq(ParseLimits({"1e308"}).per_second.value(), kMaxOutsideQuantity);
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/http/http_codec.cpp
+++ b/src/pathcleat/http/http_codec.cpp
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "pathcleat/core/outside_bounds.hpp"
+
 namespace pathcleat {
 namespace {
 
@@ -123,7 +125,7 @@
   int seconds = 0;
   const char* begin = field->data() + at + kName.size();
   std::from_chars(begin, field->data() + field->size(), seconds);
-  return std::chrono::seconds(seconds);
+  return ClampOutside(std::chrono::seconds(seconds));
 }
 
 }  // namespace pathcleat
