--- a/tools/soak_faults_test.py
+++ b/tools/soak_faults_test.py
@@ -62,6 +62,20 @@
         self.assertEqual(soak_odd.add_rows(FEED, empty, "servers", [row]), empty)
         self.assertEqual(soak_odd.add_rows(LIST, ROWS, "servers", []), ROWS)
 
+    # Guards against a proxy whose answers hosts cannot read at all, or that goes on
+    # to answer oddly once the store is sound.
+    def test_proxy_answers_whole_and_soundly_again(self):
+        proxy = soak_odd.StoreProxy("127.0.0.2", "127.0.0.1")
+        proxy.rows[("servers", "value-list")] = soak_odd.ODD_ROWS["value-list"]
+        head, body = proxy.change(LIST, HEAD, ROWS)
+        self.assertIn(b"Content-Length: %d\r\n" % len(body), head)
+        self.assertEqual(len(json.loads(body)["Rows"]), 2)
+        proxy.rows.clear()
+        self.assertEqual(proxy.change(LIST, HEAD, ROWS)[1], ROWS)
+        refused = HEAD.replace(b"200 OK", b"429 x")
+        proxy.shape = "list"
+        self.assertEqual(proxy.change(LIST, refused, b"no"), (refused, b"no"))
+
     def test_removal_names_the_row(self):
         row = soak_odd.removed(soak_odd.ODD_ROWS["name-surrogate"])
         self.assertIn(b'"TlsKey":"\\ud800"', row)
