A row and an answer of the store cost themselves alone

Seen: a row whose key cannot be decoded, of no readable key, with a value of 400 digits, with a text as version or that is no object: no later configuration and no later upstream came into force at either of two hosts within 15 s. A row that nests 1,000,000 levels ended both hosts by SIGSEGV. An answer whose "ver" is a text ended the process: "unexpected (): [json.exception.type_error.302] type must be number, but is string", exit 1.

Cause: a page is parsed as a whole, and one bad row discards it; ToWriteResult read the version unchecked; an answer was copied with its JSON, which recurses.

An answer of another shape counts as unanswered, is counted (pathcleat_store_unreadable_answers_total) and logged (PC1504) at most once in 10 s for each call. A row with an unreadable version is reported as existing to those who write rows conditionally, and FleetSecrets no longer calls a store that hides its row without a pause.

--- a/include/pathcleat/core/event.hpp
+++ b/include/pathcleat/core/event.hpp
@@ -67,6 +67,7 @@
   kPlatformDown = 1501,
   kPlatformUp = 1502,
   kWatchUnanswered = 1503,
+  kStoreAnswerUnreadable = 1504,
   kConfigApplied = 1601,
   kConfigConflict = 1602,
   kCommandAccepted = 1603,
--- a/include/pathcleat/gateway/gateway.hpp
+++ b/include/pathcleat/gateway/gateway.hpp
@@ -31,7 +31,7 @@
 struct ProcessStats {
   /// Log lines dropped since the start of the process, by class.
   std::function<LogCounts()> dropped_log_lines;
-  const StoreCallStats* store_calls = nullptr;
+  StoreCallStats* store_calls = nullptr;  ///< unreadable answers are logged
 };
 
 /// @brief One entry host: accepts callers' requests, chooses an upstream for
@@ -53,9 +53,7 @@
           KeyedHasher& account_key_hasher);
 
   /// @brief Sets the statistics of the process that the metrics page shows.
-  void SetProcessStats(ProcessStats process_stats) {
-    process_stats_ = std::move(process_stats);
-  }
+  void SetProcessStats(ProcessStats process_stats);
 
   /// @brief Binds all sockets and starts the periodic work.
   Result<void> Start();
--- a/include/pathcleat/records/fleet_secrets.hpp
+++ b/include/pathcleat/records/fleet_secrets.hpp
@@ -47,6 +47,7 @@
   TableStore& store_;
   std::function<void()> on_loaded_;
   boost::asio::steady_timer timer_;
+  bool tried_to_create_ = false;  ///< the row was written, or a write failed
   std::string peer_key_;
   std::string operator_token_;
 };
--- a/include/pathcleat/store/fleet_change.hpp
+++ b/include/pathcleat/store/fleet_change.hpp
@@ -34,7 +34,7 @@
 /// upstream is not used.
 /// @ingroup store
 struct UnreadableRow {
-  std::string key;
+  std::string key;  ///< empty: cannot be decoded; no other row is changed
   std::string reason;
 };
 
--- a/include/pathcleat/store/fleet_source.hpp
+++ b/include/pathcleat/store/fleet_source.hpp
@@ -38,6 +38,9 @@
   /// For a read: start of the next page; empty: no more pages.
   std::string next_page;
   bool is_full = false;  ///< for a watch: `changes` is the complete state
+  /// Whether the answer did not have the shape of the protocol, wholly or in
+  /// the version of a row: the topic is to be read as a whole again.
+  bool is_unreadable = false;
   bool relayed = false;  ///< whether another host answered instead of the store
   /// Whether entries missing from the answer may have expired instead of having
   /// been removed.
--- a/include/pathcleat/store/table_store.hpp
+++ b/include/pathcleat/store/table_store.hpp
@@ -10,12 +10,17 @@
 
 namespace pathcleat {
 
+/// @brief Version of a row that exists and whose version cannot be read. No row
+/// has it, so that a write on this condition conflicts.
+/// @ingroup store
+constexpr std::uint64_t kUnknownRowVersion = UINT64_MAX;
+
 /// @brief A row of the table service.
 /// @ingroup store
 struct TableRow {
   std::string key;
   std::uint64_t version = 0;  ///< 0: there is no row
-  std::string value;
+  std::string value;          ///< empty also if it cannot be read
 };
 
 /// @brief Answer to a scan; rows are sorted by key.
--- a/src/pathcleat/core/event.cpp
+++ b/src/pathcleat/core/event.cpp
@@ -82,6 +82,8 @@
     EventInfo{kPlatformDown, "platform-down", kAlarm, kState, "topic"},
     EventInfo{kPlatformUp, "platform-up", kInfo, kState, "topic"},
     EventInfo{kWatchUnanswered, "watch-unanswered", kWarning, kState, "topic"},
+    EventInfo{kStoreAnswerUnreadable, "store-answer-unreadable", kWarning,
+              kState, "call"},
     EventInfo{kConfigApplied, "config-applied", kInfo, kState, "topic"},
     EventInfo{kConfigConflict, "config-conflict", kInfo, kState, "command"},
     EventInfo{kCommandAccepted, "command-accepted", kInfo, kState, "command"},
--- a/src/pathcleat/gateway/gateway.cpp
+++ b/src/pathcleat/gateway/gateway.cpp
@@ -485,6 +485,17 @@
   });
 }
 
+void Gateway::SetProcessStats(ProcessStats process_stats) {
+  process_stats_ = std::move(process_stats);
+  if (process_stats_.store_calls == nullptr) {
+    return;
+  }
+  process_stats_.store_calls->on_unreadable =
+      [this](const std::string& call, const std::string& reason) {
+        state_.events.Record(EventCode::kStoreAnswerUnreadable, call, reason);
+      };
+}
+
 void Gateway::Reload(const EntrySettings& settings) {
   state_.settings.bounds = settings.bounds;
   fleet_sync_.SetContact(settings.bounds.contact);
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -239,6 +239,13 @@
                 {{"call", call.first}, {"outcome", ToString(call.second)}},
                 count);
   }
+  page.Family("pathcleat_store_unreadable_answers_total", "counter",
+              "Answers of the store in a shape that its protocol does not "
+              "have, by call.");
+  for (const auto& [call, count] : stats.unreadable_answers) {
+    page.Sample("pathcleat_store_unreadable_answers_total", {{"call", call}},
+                count);
+  }
   page.Family("pathcleat_store_call_duration_seconds", "histogram",
               "Calls to the store that do not wait for changes.");
   page.Buckets("pathcleat_store_call_duration_seconds", {{"call", "all"}},
--- a/src/pathcleat/records/fleet_secrets.cpp
+++ b/src/pathcleat/records/fleet_secrets.cpp
@@ -32,6 +32,10 @@
       Create();
       return;
     }
+    if (read.row.value.empty()) {
+      Retry();
+      return;
+    }
     SetSecrets(read.row.value);
   });
 }
@@ -47,7 +51,9 @@
   if (row.key != kRowKey) {
     return false;
   }
-  SetSecrets(row.value);
+  if (!row.value.empty()) {
+    SetSecrets(row.value);
+  }
   return true;
 }
 
@@ -58,11 +64,13 @@
 }
 
 // If several hosts find no row, only one write succeeds. Whatever the outcome,
-// the row is then read again.
+// the row is then read again: at once only the first time, as a store that
+// hides the row would be called without a pause.
 void FleetSecrets::Create() {
   store_.Write(kRowKey, 0, RandomToken() + RandomToken(),
                [this](const TableWriteResult& write) {
-                 if (write.outcome == StoreOutcome::kNotDone) {
+                 const bool was_tried = std::exchange(tried_to_create_, true);
+                 if (was_tried || write.outcome == StoreOutcome::kNotDone) {
                    Retry();
                  } else {
                    Read();
