Signals that come before a host has its handlers do not end it

Operators saw (own runs): SIGHUP within some 10 ms of the start of a process ended it, and SIGTERM ended it by the signal in place of exit code 0. A supervisor that reloads a host which it has just started again would lose it.

Cause: the program reads its settings and makes the host before it sets up the handlers of SIGTERM, SIGINT and SIGHUP; until then the system's default action holds, the end of the process. The signals are now blocked before anything else is done, and let through when the handlers are in place, so that an early SIGHUP reads the settings anew and an early SIGTERM is a planned stop. Ignoring them was ruled out: a stop would be lost.

Also a finding of the linter in gateway_start.cpp.

--- a/src/pathcleat/app/pathcleat.cpp
+++ b/src/pathcleat/app/pathcleat.cpp
@@ -125,7 +125,20 @@
   mallopt(M_TRIM_THRESHOLD, kMaxFreeHeapBytes);
 }
 
+// Blocks the signals of a host, or lets them through: those that came meanwhile
+// are delivered then. Threads that are started meanwhile never get them.
+void BlockSignals(bool blocked) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) {
+    sigaddset(&signals, signal);
+  }
+  sigprocmask(blocked ? SIG_BLOCK : SIG_UNBLOCK, &signals, nullptr);
+}
+
 int RunEntry(const std::string& path) {
+  // Without a handler they would end the process.
+  BlockSignals(true);
   SetAllocationThresholds();
   const LoadedEntrySettings loaded = LoadEntrySettings(path);
   if (ReportFaults(loaded)) {
@@ -170,6 +183,7 @@
     });
   };
   await_reload();
+  BlockSignals(false);
   return TryOr(
       [&]() -> Result<int> {
         std::optional<Error> start_failure;
--- a/src/pathcleat/gateway/gateway_start.cpp
+++ b/src/pathcleat/gateway/gateway_start.cpp
@@ -41,7 +41,7 @@
 
 // Returns the error if waiting cannot help.
 std::optional<Error> Gateway::OpenPorts() {
-  const auto error = TryOr(
+  std::optional<Error> error = TryOr(
       [this]() -> Result<std::optional<Error>> {
         BOOST_LEAF_CHECK(ports_.Open());
         return std::optional<Error>();
--- a/src/pathcleat/processes/host_start_test.cpp
+++ b/src/pathcleat/processes/host_start_test.cpp
@@ -34,6 +34,8 @@
 constexpr const char* kStarted = "PC1001";
 constexpr int kTcpPortCount = 6;
 constexpr std::chrono::milliseconds kPollInterval{10};
+// Ends the tests that write to a pipe which a host may never read.
+constexpr double kTestTimeoutSeconds = 60;
 
 bool WaitFor(const std::function<bool()>& condition) {
   constexpr std::chrono::seconds kMaxWait{60};
@@ -299,6 +301,40 @@
                host.LogTail().c_str());
 }
 
+// Guards against a host that is ended by SIGHUP before it has started.
+Test(host_start, reload_before_the_start, .timeout = kTestTimeoutSeconds) {
+  Site site;
+  HostProcessPlan plan = site.MakePlan();
+  plan.settings_from_pipe = true;
+  HostProcess host(plan);
+  host.WriteSettings(SIGHUP);
+  // A host that listens has closed the pipe.
+  boost::asio::io_context loop;
+  cr_assert(WaitFor([&] {
+    boost::system::error_code error;
+    tcp::socket(loop).connect(site.TcpPort(0), error);
+    return !error || !host.IsAlive();
+  }));
+  cr_assert(host.IsAlive(), "the host ended: %s", host.LogTail().c_str());
+  host.WriteSettings();
+  cr_assert(
+      WaitFor([&] { return host.CountLogLines("settings-reloaded") == 1; }));
+  cr_assert(WaitFor([&] { return site.IsReady(host); }));
+}
+
+// Guards against a host that is ended by SIGTERM before it has started, in
+// place of a planned stop with exit code 0.
+Test(host_start, stop_before_the_start, .timeout = kTestTimeoutSeconds) {
+  const Site site;
+  HostProcessPlan plan = site.MakePlan();
+  plan.settings_from_pipe = true;
+  plan.stop_grace_ms = 2'000;
+  HostProcess host(plan);
+  host.WriteSettings(SIGTERM);
+  cr_assert(WaitFor([&] { return !host.IsAlive(); }));
+  cr_expect_eq(host.ExitCode(), 0);
+}
+
 // Guards against a host that waits for a port that it has itself.
 Test(host_start, address_of_two_listeners_ends_the_process) {
   const Site site;
--- a/src/pathcleat/testing/host_process.hpp
+++ b/src/pathcleat/testing/host_process.hpp
@@ -7,6 +7,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -31,6 +32,9 @@
   std::string store_address;  ///< "IP:PORT"
   std::uint32_t max_descriptors = 4'100;
   std::uint32_t stop_grace_ms = 6'000;
+  /// Its settings are a pipe: the process waits for WriteSettings whenever it
+  /// reads them.
+  bool settings_from_pipe = false;
   /// Position of the locate listener's port among them.
   int locate_index = 2;
 };
@@ -51,7 +55,11 @@
     char folder[] = "/tmp/pathcleat-host-XXXXXX";
     cr_assert(::mkdtemp(folder) != nullptr);
     folder_ = folder;
-    WriteSettings();
+    if (plan_.settings_from_pipe) {
+      cr_assert_eq(::mkfifo((folder_ / "settings.json").c_str(), 0600), 0);
+    } else {
+      WriteSettings();
+    }
     Start();
   }
   ~HostProcess() {
@@ -79,6 +87,31 @@
     return pid_ > 0;
   }
 
+  /// @brief Writes the settings. If they are a pipe, waits until the process
+  /// has opened it to read.
+  /// @param signal sent to the process before it gets the settings; 0: none.
+  void WriteSettings(int signal = 0) const {
+    const nlohmann::json settings = {
+        {"host", "host-a"},
+        {"failure_domain", "domain-a"},
+        {"region", "region-a"},
+        {"failure_domains", {{{"name", "domain-a"}, {"region", "region-a"}}}},
+        {"listen",
+         {{"callers", Endpoint(0)},
+          {"readiness", Endpoint(1)},
+          {"locate", Endpoint(plan_.locate_index)},
+          {"operators", Endpoint(3)},
+          {"metrics", Endpoint(4)}}},
+        {"peers", {{"address", plan_.address}, {"port", Port(5)}}},
+        {"store", {{"address", plan_.store_address}}},
+        {"bounds", {{"stop_grace_ms", plan_.stop_grace_ms}}},
+        {"max_descriptors", plan_.max_descriptors}};
+    ::signal(SIGPIPE, SIG_IGN);
+    std::ofstream file(folder_ / "settings.json");
+    Signal(signal);
+    file << settings.dump(1);
+  }
+
   void Signal(int signal) const {
     if (pid_ > 0) {
       ::kill(pid_, signal);
@@ -132,25 +165,6 @@
     return plan_.address + ":" + std::to_string(Port(index));
   }
 
-  void WriteSettings() const {
-    const nlohmann::json settings = {
-        {"host", "host-a"},
-        {"failure_domain", "domain-a"},
-        {"region", "region-a"},
-        {"failure_domains", {{{"name", "domain-a"}, {"region", "region-a"}}}},
-        {"listen",
-         {{"callers", Endpoint(0)},
-          {"readiness", Endpoint(1)},
-          {"locate", Endpoint(plan_.locate_index)},
-          {"operators", Endpoint(3)},
-          {"metrics", Endpoint(4)}}},
-        {"peers", {{"address", plan_.address}, {"port", Port(5)}}},
-        {"store", {{"address", plan_.store_address}}},
-        {"bounds", {{"stop_grace_ms", plan_.stop_grace_ms}}},
-        {"max_descriptors", plan_.max_descriptors}};
-    std::ofstream(folder_ / "settings.json") << settings.dump(1);
-  }
-
   void Start() {
     const std::string settings = (folder_ / "settings.json").string();
     const std::string log = (folder_ / "log").string();
