An unreadable row is logged once and never changes another row

Seen: PC1005 came with each read of a topic that held an unreadable row, and a row without a readable key stood for the upstream with the empty id.

A row without a readable key is logged and removes nothing.

--- a/include/pathcleat/gateway/fleet_sync.hpp
+++ b/include/pathcleat/gateway/fleet_sync.hpp
@@ -10,6 +10,7 @@
 #include "pathcleat/feeds/peer_feed.hpp"
 #include "pathcleat/feeds/relayed_source.hpp"
 #include "pathcleat/feeds/source_watcher.hpp"
+#include "pathcleat/feeds/unreadable_row_log.hpp"
 #include "pathcleat/feeds/watch_schedule.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 
@@ -123,6 +124,10 @@
   void OnRollouts(const SourceUpdate& update);
   void OnUpstreams(const SourceUpdate& update);
   void ApplyUpstreams(const SourceUpdate& update);
+  void OnUnreadableUpstream(const UnreadableRow& row,
+                            std::uint64_t version,
+                            Time now);
+  void RecordUnreadable(SourceTopic topic, const UnreadableRow& row);
   void OnUpstreamListed(const UpstreamInfo& upstream, Time now);
   bool MayBeRelisted(const SourceUpdate& update, Time now) const;
   std::size_t CountRemoved(const SourceUpdate& update) const;
@@ -148,6 +153,7 @@
   ConfigHistory config_history_;
   ConfigLag config_lag_;
   ChangeJournal upstream_journal_;
+  UnreadableRowLog unreadable_rows_;
   Transfer last_list_transfer_;  ///< of the last upstream list update
   /// Whether a fetch from another host is in flight, by topic.
   std::map<SourceTopic, bool> is_fetching_;
--- a/src/pathcleat/gateway/fleet_sync.cpp
+++ b/src/pathcleat/gateway/fleet_sync.cpp
@@ -347,9 +347,7 @@
       upstream_journal_.Append(update.newest_change_version, gone->id);
       OnUpstreamRemoved(gone->id, may_be_relisted, now);
     } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
-      upstream_journal_.Append(update.newest_change_version, bad->key);
-      state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
-      OnUpstreamRemoved(bad->key, false, now);
+      OnUnreadableUpstream(*bad, update.newest_change_version, now);
     }
   }
   if (update.is_full) {
@@ -368,11 +366,13 @@
 
 void FleetSync::OnUpstreamListed(const UpstreamInfo& upstream, Time now) {
   if (!state_.settings.region_of_domain.contains(upstream.domain)) {
-    state_.events.Record(EventCode::kSettingsFault, upstream.id,
-                         "no such failure domain: " + upstream.domain);
+    RecordUnreadable(
+        SourceTopic::kUpstreams,
+        {upstream.id, "no such failure domain: " + upstream.domain});
     OnUpstreamRemoved(upstream.id, false, now);
     return;
   }
+  unreadable_rows_.Forget(SourceTopic::kUpstreams, upstream.id);
   const bool restarted = state_.upstreams.Put(upstream, now);
   const auto gone = gone_at_.find(upstream.id);
   if (gone != gone_at_.end()) {
--- a/src/pathcleat/gateway/fleet_sync_orders.cpp
+++ b/src/pathcleat/gateway/fleet_sync_orders.cpp
@@ -14,6 +14,7 @@
                             const Transfer& transfer) {
   const std::uint64_t replaces = state_.routes.version();
   if (state_.routes.ReplaceIfNewer(config)) {
+    unreadable_rows_.ForgetAll(SourceTopic::kOrders);
     config_history_.Append(state_.routes.config());
     state_.accounts.SetAccounts(state_.routes.accounts());
     state_.quotas.control().SetAccounts(state_.accounts.All());
@@ -38,7 +39,7 @@
     if (const auto* config = std::get_if<RoutingConfig>(&change)) {
       ApplyConfig(*config, update.transfer);
     } else if (const auto* bad = std::get_if<UnreadableRow>(&change)) {
-      state_.events.Record(EventCode::kSettingsFault, bad->key, bad->reason);
+      RecordUnreadable(SourceTopic::kOrders, *bad);
     }
   }
   OnDrains(update);
