Deeply nested settings are a fault at once

What operators saw: a settings file with lists nested 5,000 deep is reported with a message of 10 kB; at greater depths the check takes memory by the square of the depth (the path of every level is recorded) and stack by the depth, as the value is printed.

Fix: a file with more than 32 levels is a fault, before anything of a deeper level is recorded; settings have five. Numbers of the settings were checked too: each has bounds within its type, and 1e999 is rejected by the parser.

Evidence: on the unfixed code settings/deep_nesting_is_a_fault failed at the number of faults; all 21 tests of settings_test pass now.

--- a/src/pathcleat/settings/json_file.cpp
+++ b/src/pathcleat/settings/json_file.cpp
@@ -12,6 +12,11 @@
 
 using nlohmann::json;
 
+// Levels of lists and objects in a file. Settings have five; the record of
+// lines takes memory by the square of the depth, and printing a value takes
+// stack.
+constexpr std::size_t kMaxDepth = 32;
+
 // Input iterator that counts the line ends before its position.
 class LineCountingIterator {
  public:
@@ -110,6 +115,12 @@
   }
 
   bool Open(bool is_array) {
+    if (frames_.size() == kMaxDepth) {
+      faults_->push_back({file_->path, *line_, "",
+                          "lists and objects are nested deeper than " +
+                              std::to_string(kMaxDepth) + " levels"});
+      return false;
+    }
     Frame frame;
     frame.pointer = NextPointer();
     frame.is_array = is_array;
--- a/src/pathcleat/settings/settings_test.cpp
+++ b/src/pathcleat/settings/settings_test.cpp
@@ -153,6 +153,20 @@
   cr_assert_gt(faults[0].line, 1);
 }
 
+// Guards against a file of a few kilobytes whose check takes gigabytes of
+// memory or all of the stack.
+Test(settings, deep_nesting_is_a_fault) {
+  constexpr std::size_t kDepth = 5'000;
+  const ExampleCopy copy("race_results");
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  copy.Write("deep.jsonc", "{\"host\": " + deep + "}");
+  const auto loaded =
+      LoadEntrySettings((copy.directory() / "deep.jsonc").string());
+  cr_assert_eq(loaded.faults.size(), 1U);
+  cr_assert_neq(loaded.faults.front().text.find("nested deeper than 32"),
+                std::string::npos);
+}
+
 Test(settings, missing_file_and_unknown_names_are_faults) {
   cr_assert_eq(LoadEntrySettings("/nowhere/at/all.jsonc").faults.size(), 1U);
   cr_assert(HasFault(
