--- a/tools/soak_test.py
+++ b/tools/soak_test.py
@@ -4,6 +4,7 @@
 import pathlib
 import subprocess
 import sys
+import tempfile
 import unittest
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
@@ -97,5 +98,50 @@
         self.assertIn("is not built", done.stderr)
 
 
+class EndsTest(unittest.TestCase):
+    """Processes that end by themselves are noticed."""
+
+    def setUp(self):
+        self.keep = tempfile.TemporaryDirectory()
+        keep = pathlib.Path(self.keep.name)
+        self.fleet = soak.Fleet(pathlib.Path("/nowhere"), keep, None)
+        self.host = self.fleet.hosts[0]
+        self.fleet.hosts = [self.host]
+        (keep / f"{self.host}.log").write_text("listen (x): in use\n")
+
+    def tearDown(self):
+        self.fleet.end_all()
+        self.keep.cleanup()
+
+    def run_host(self, code):
+        process = subprocess.Popen([sys.executable, "-c", f"raise SystemExit({code})"])
+        process.wait()
+        self.fleet.processes[self.host] = process
+        self.fleet.start_host = lambda index: self.started.append(index)
+        self.started = []
+        return process
+
+    # Guards against hosts that end at a start and are started until one succeeds.
+    def test_host_that_ends_by_itself_is_told_and_started_again(self):
+        for code in (1, 0):
+            self.run_host(code)
+            self.fleet.check_ends()
+            self.assertEqual(self.started, [0])
+        self.fleet.report_ends()
+        self.assertEqual(len(self.fleet.broken), 1)
+        self.assertIn("2 times, codes [0, 1]: listen (x): in use", self.fleet.broken[0])
+
+    def test_end_that_a_fault_caused_is_expected(self):
+        self.fleet.expect_end(self.run_host(1))
+        self.fleet.check_ends()
+        self.fleet.report_ends()
+        self.assertEqual((self.started, self.fleet.broken), ([], []))
+
+    # Guards against a planned stop that ends with an error.
+    def test_stopped_host_must_end_with_code_0(self):
+        self.fleet.check_stopped(self.host, self.run_host(1), 0)
+        self.assertEqual(self.fleet.broken, [f"{self.host} ended with code 1"])
+
+
 if __name__ == "__main__":
     unittest.main()
