The watcher recovers from answers that were no truth

Seen: a host whose store answered without rows ("Rows": [] or null) for the first 5 s served nothing 25 s later, in 2 of 2 shapes of this kind (none of 6 other shapes did so; a text as version ended the process).

Cause: the first read was taken as the whole topic, and the watch asked for changes after its version. A version above the store's own made the watcher ignore all sound answers (answer.version >= version_), and heartbeats spread it.

The new tests of source_watcher_test linked with the earlier source_watcher.cpp: empty_read_replaces_a_list_only_after_a_while and empty_topic_is_read_again_until_it_has_a_row fail, the others wait for a read that never begins (ended after 20 s).

After an unreadable answer the whole topic is read. A read without a configuration or any upstream is repeated every 0.5 s, and replaces a list of upstreams only after 3 s; partly unreadable reads remove nothing. A store's answer older than the version that the call named disproves it; from then on that version is accepted from the store alone, so that other hosts do not bring it back. Ruled out: watching after version 0 in place of reading again, as other hosts answer that at once with the whole topic. A healthy store gets no further call (start_calls_test).

--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -30,7 +30,9 @@
 /// @brief Follows one topic of a source: reads all of it, then watches it for
 /// changes. After a failure the watch continues from the last version; if the
 /// source no longer has the changes since that version, the watcher reads all
-/// of the topic again.
+/// of the topic again. So it does after an answer that could not be read, and
+/// while the store gives no configuration or no upstream at all. A version that
+/// the store shows never to have existed is given up.
 /// @ingroup feeds
 class SourceWatcher {
  public:
@@ -95,6 +97,14 @@
  private:
   void Read(const std::string& from);
   void OnRead(const SourceAnswer& answer);
+  void OnTopicRead(const SourceAnswer& read);
+  bool CheckRead(const SourceAnswer& read, bool is_empty, Time now);
+  void ScheduleReread(Time now);
+  void RejectVersion(std::uint64_t version);
+  bool IsRejected(std::uint64_t version) const;
+  bool HasRejectedVersion(const SourceAnswer& answer);
+  bool DisprovesVersion(const SourceAnswer& answer);
+  Duration WatchTime(Time now) const;
   void Watch();
   void RestartWatch();
   void OnWatchAnswer(const SourceAnswer& answer);
@@ -115,6 +125,18 @@
   SourceAnswer collected_pages_;  ///< read so far by the read in progress
   std::uint64_t first_page_version_ = 0;
   std::uint64_t version_ = 0;
+  std::uint64_t version_before_read_ = 0;  ///< when the read in progress began
+  std::uint64_t watched_after_ = 0;        ///< version of the watch in flight
+  Duration watch_time_{0};                 ///< of the watch in flight
+  /// Versions from this one on are accepted from the store only; empty: all are
+  /// accepted. Set when the store has shown a version not to exist.
+  std::optional<std::uint64_t> rejected_from_;
+  /// When to read the whole topic again; empty: the last read was complete.
+  std::optional<Time> reread_at_;
+  /// Since when reads from the store have been empty or partly unreadable.
+  std::optional<Time> incomplete_since_;
+  /// Whether a configuration or an upstream, by topic, has arrived so far.
+  bool has_essential_ = false;
   std::uint64_t newest_change_version_ = 0;
   int failures_ = 0;
   std::uint64_t generation_ = 0;  ///< callbacks of older calls are ignored
@@ -131,6 +153,7 @@
   /// Whether the store or another host answered the last call.
   bool last_call_answered_ = false;
   bool loaded_ = false;
+  bool history_gone_ = false;  ///< the last watch found its history gone
 };
 
 }  // namespace pathcleat
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -12,6 +12,19 @@
 constexpr Duration kNoWait{0};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr int kMaxDoublings = 3;
+// A read without a configuration or without any upstream is repeated this
+// often: until it brings one, the host serves nothing.
+constexpr Duration kMinRereadInterval{500'000};
+// A read with unreadable rows is repeated after this share of the time for
+// which reads have had some, so that a row that stays costs few calls.
+constexpr int kRereadAgeDivisor = 4;
+constexpr Duration kMaxRereadInterval{30'000'000};
+// An empty list of upstreams replaces a list with upstreams only after reads
+// have been empty for this long.
+constexpr Duration kEmptyListTimeout{3'000'000};
+// A relay that still has an older version than this host after a watch of this
+// length is dead, or this host has a version that never was the store's.
+constexpr Duration kRelayBehindTimeout{5'000'000};
 
 }  // namespace
 
@@ -36,6 +49,20 @@
 constexpr SourceWatcher::Timing kUpstreamsTiming{
     Duration(400'000), Duration(600'000), Duration(850'000)};
 
+// Whether a change is of the kind without which a host serves nothing.
+bool IsEssential(SourceTopic topic, const FleetChange& change) {
+  return topic == SourceTopic::kOrders
+             ? std::holds_alternative<RoutingConfig>(change)
+             : std::holds_alternative<UpstreamInfo>(change);
+}
+
+bool HasEssential(SourceTopic topic, const std::vector<FleetChange>& changes) {
+  return std::any_of(changes.begin(), changes.end(),
+                     [topic](const FleetChange& change) {
+                       return IsEssential(topic, change);
+                     });
+}
+
 // All pages of one read count as one transfer.
 void AddTransfer(Transfer& sum, const Transfer& page) {
   sum.from = page.from;
@@ -60,7 +87,9 @@
 
 void SourceWatcher::Start() {
   reading_ = true;
+  reread_at_.reset();
   collected_pages_ = {};
+  version_before_read_ = version_;
   Read("");
 }
 
@@ -88,6 +117,9 @@
   collected_pages_.newest_change_version = std::max(
       collected_pages_.newest_change_version, answer.newest_change_version);
   collected_pages_.removals_uncertain = answer.removals_uncertain;
+  collected_pages_.is_unreadable =
+      collected_pages_.is_unreadable || answer.is_unreadable;
+  collected_pages_.relayed = answer.relayed;
   AddTransfer(collected_pages_.transfer, answer.transfer);
   if (!answer.next_page.empty()) {
     Read(answer.next_page);
@@ -95,10 +127,76 @@
   }
   SourceAnswer read = std::exchange(collected_pages_, {});
   read.version = first_page_version_;
-  if (read.version >= version_) {
+  OnTopicRead(read);
+  Watch();
+}
+
+void SourceWatcher::OnTopicRead(const SourceAnswer& read) {
+  if (!read.relayed && read.version < version_before_read_) {
+    RejectVersion(version_before_read_);
+  }
+  if (read.version < version_ || HasRejectedVersion(read)) {
+    return;
+  }
+  if (read.relayed) {
+    Handle(read, true);
+    return;
+  }
+  const bool is_empty = !HasEssential(topic_, read.changes);
+  if (CheckRead(read, is_empty, BootClock::now()) || !loaded_) {
     Handle(read, true);
+  } else if (!is_empty || !has_essential_) {
+    Handle(read, is_empty);
   }
-  Watch();
+}
+
+// Whether a read of the whole topic from the store may replace what this host
+// has. If not, the topic is to be read again. A read without a configuration
+// never replaces one: the store keeps the newest. A list of upstreams may
+// become empty.
+bool SourceWatcher::CheckRead(const SourceAnswer& read,
+                              bool is_empty,
+                              Time now) {
+  if (!is_empty && !read.is_unreadable) {
+    incomplete_since_.reset();
+    return true;
+  }
+  ScheduleReread(now);
+  if (!is_empty) {
+    return false;
+  }
+  reread_at_ = now + kMinRereadInterval;
+  return topic_ == SourceTopic::kUpstreams && !read.is_unreadable &&
+         now - *incomplete_since_ >= kEmptyListTimeout;
+}
+
+void SourceWatcher::ScheduleReread(Time now) {
+  const Time since = incomplete_since_.value_or(now);
+  incomplete_since_ = since;
+  reread_at_ = now + std::clamp(Duration((now - since) / kRereadAgeDivisor),
+                                kMinRereadInterval, kMaxRereadInterval);
+}
+
+// The store's versions only rise: an answer with an older version than one that
+// this host had before the call shows that no such version exists.
+void SourceWatcher::RejectVersion(std::uint64_t version) {
+  rejected_from_ = std::min(rejected_from_.value_or(version), version);
+  version_ = 0;
+  newest_change_version_ = 0;
+  behind_since_.reset();
+}
+
+bool SourceWatcher::IsRejected(std::uint64_t version) const {
+  return rejected_from_ && version >= *rejected_from_;
+}
+
+// Versions that the store itself names are accepted again once its counter has
+// reached them.
+bool SourceWatcher::HasRejectedVersion(const SourceAnswer& answer) {
+  if (!answer.relayed && IsRejected(answer.version)) {
+    rejected_from_.reset();
+  }
+  return IsRejected(answer.version);
 }
 
 // A store that has stopped answering may still accept a call. So after a
@@ -106,10 +204,23 @@
 void SourceWatcher::Watch() {
   reading_ = false;
   watch_started_at_ = BootClock::now();
-  source_.Watch(topic_, version_, last_call_failed_ ? kNoWait : kMaxWatchTime,
+  watched_after_ = version_;
+  watch_time_ = WatchTime(watch_started_at_);
+  source_.Watch(topic_, version_, watch_time_,
                 ForCurrentGeneration(&SourceWatcher::OnWatchAnswer));
 }
 
+Duration SourceWatcher::WatchTime(Time now) const {
+  if (last_call_failed_) {
+    return kNoWait;
+  }
+  return reread_at_
+             ? std::clamp(
+                   std::chrono::duration_cast<Duration>(*reread_at_ - now),
+                   kNoWait, kMaxWatchTime)
+             : kMaxWatchTime;
+}
+
 void SourceWatcher::RestartWatch() {
   source_.StopWatch(topic_);
   ++generation_;
@@ -129,27 +240,58 @@
 void SourceWatcher::OnWatchAnswer(const SourceAnswer& answer) {
   if (answer.outcome == StoreOutcome::kHistoryGone) {
     RecordOutcome(answer);
-    Start();
+    // The store reports lost history again where a read brought nothing.
+    if (std::exchange(history_gone_, true) && reread_at_) {
+      RunAfter(kMinRereadInterval, [this] { Start(); });
+    } else {
+      Start();
+    }
     return;
   }
   RecordOutcome(answer);
   if (answer.outcome != StoreOutcome::kDone) {
-    RetryAfterBackoff([this] { Watch(); });
+    RetryAfterBackoff([this, is_unreadable = answer.is_unreadable] {
+      is_unreadable ? Start() : Watch();
+    });
+    return;
+  }
+  history_gone_ = false;
+  if (DisprovesVersion(answer)) {
+    RunAfter(kInitialRetryDelay, [this] { Start(); });
     return;
   }
   // Data fetched from a peer since the watch began may be newer than its
   // answer.
   const bool has_changes = !answer.changes.empty() || answer.is_full;
-  if (answer.version >= version_) {
+  if (answer.version >= version_ && !HasRejectedVersion(answer)) {
     Handle(answer, answer.is_full);
   }
-  if (has_changes && !answer.relayed) {
-    RunAfter(timing_.pause_after_change, [this] { Watch(); });
+  const Time now = BootClock::now();
+  if (answer.is_unreadable && !reread_at_) {
+    ScheduleReread(now);
+  }
+  const bool rereads = !answer.relayed && reread_at_ && now >= *reread_at_;
+  if (!answer.relayed && (has_changes || answer.is_unreadable || rereads)) {
+    RunAfter(timing_.pause_after_change,
+             [this, rereads] { rereads ? Start() : Watch(); });
     return;
   }
   Watch();
 }
 
+// Whether the answer to a watch shows that this host's version never was the
+// store's.
+bool SourceWatcher::DisprovesVersion(const SourceAnswer& answer) {
+  if (answer.version >= watched_after_) {
+    return false;
+  }
+  if (answer.relayed) {
+    return BootClock::now() - watch_started_at_ >= kRelayBehindTimeout;
+  }
+  RejectVersion(watched_after_);
+  return true;
+}
+
 void SourceWatcher::Handle(const SourceAnswer& answer, bool is_full) {
   version_ = std::max(version_, answer.version);
   newest_change_version_ =
@@ -160,6 +302,9 @@
   if (is_full) {
     loaded_ = true;
   }
+  if (HasEssential(topic_, answer.changes)) {
+    has_essential_ = true;
+  }
   if (is_full || !answer.changes.empty()) {
     handler_({is_full, answer.version, answer.newest_change_version,
               answer.relayed, answer.removals_uncertain, answer.transfer,
@@ -178,7 +323,7 @@
 }
 
 void SourceWatcher::OnPeerVersion(std::uint64_t version, Time now) {
-  if (version <= version_ || !loaded_) {
+  if (version <= version_ || !loaded_ || IsRejected(version)) {
     return;
   }
   if (!behind_since_) {
@@ -207,11 +352,13 @@
   const bool is_lagging =
       behind_since_ && now - std::max(*behind_since_, last_received) >
                            timing_.fetch_from_peers_after;
-  return peer_version > version_ && (is_lagging || !last_call_answered_);
+  return peer_version > version_ && !IsRejected(peer_version) &&
+         (is_lagging || !last_call_answered_);
 }
 
 bool SourceWatcher::ApplyIfNewer(const SourceAnswer& answer) {
-  if (answer.version <= version_ || (!answer.is_full && !loaded_)) {
+  if (answer.version <= version_ || IsRejected(answer.version) ||
+      (!answer.is_full && !loaded_)) {
     return false;
   }
   const bool was_loaded = loaded_;
--- a/src/pathcleat/feeds/source_watcher_test.cpp
+++ b/src/pathcleat/feeds/source_watcher_test.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/feeds/source_watcher.hpp"
 
+#include <thread>
 #include <vector>
 
 #include "event_loop.hpp"
@@ -236,5 +237,98 @@
   cr_assert_eq(fixture.updates[0].changes.size(), 2U);
 }
 
+UpstreamInfo Listed(const std::string& id) {
+  UpstreamInfo upstream;
+  upstream.id = id;
+  return upstream;
+}
+
+SourceAnswer Unreadable() {
+  SourceAnswer answer;
+  answer.outcome = StoreOutcome::kUnknown;
+  answer.is_unreadable = true;
+  return answer;
+}
+
+// Changes hidden by an unreadable answer never came: the watch went on after
+// the version known before. Fails without Start after an unreadable answer.
+Test(source_watcher, topic_is_read_again_after_an_unreadable_answer) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(7, {Listed("a")}));
+  fixture.source.watches.back()(Unreadable());
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 2U; }));
+}
+
+// A store without rows was taken for the truth, and the host served nothing for
+// good. Fails without ScheduleReread.
+Test(source_watcher, empty_topic_is_read_again_until_it_has_a_row) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(7));
+  cr_assert_leq(fixture.source.watched_for.count(), 1'000'000);
+  std::this_thread::sleep_for(fixture.source.watched_for);
+  fixture.source.watches.back()(WatcherFixture::Done(7));
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 2U; }));
+  fixture.source.reads.back()(WatcherFixture::Done(7, {Listed("a")}));
+  cr_assert_gt(fixture.source.watched_for.count(), 10'000'000);
+}
+
+// Guards against a list that one read without rows empties, and against a list
+// that can never become empty.
+Test(source_watcher, empty_read_replaces_a_list_only_after_a_while) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(7, {Listed("a")}));
+  SourceAnswer history_gone;
+  history_gone.outcome = StoreOutcome::kHistoryGone;
+  const Time begin = BootClock::now();
+  while (fixture.updates.size() == 1) {
+    const std::size_t reads = fixture.source.reads.size();
+    fixture.source.watches.back()(history_gone);
+    cr_assert(WaitUntil(fixture.loop,
+                        [&] { return fixture.source.reads.size() > reads; }));
+    fixture.source.reads.back()(WatcherFixture::Done(8));
+  }
+  cr_assert(fixture.updates.back().is_full);
+  cr_assert_geq((BootClock::now() - begin).count(), 3'000'000);
+  cr_assert_leq(fixture.source.reads.size(), 9U);
+}
+
+// A read with rows of unreadable versions removed the upstreams of these rows.
+Test(source_watcher, partly_unreadable_read_removes_nothing) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(
+      WatcherFixture::Done(7, {Listed("a"), Listed("b")}));
+  fixture.source.watches.back()(Unreadable());
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 2U; }));
+  SourceAnswer read = WatcherFixture::Done(8, {Listed("a")});
+  read.is_unreadable = true;
+  fixture.source.reads.back()(read);
+  cr_assert_eq(fixture.updates.size(), 2U);
+  cr_assert_not(fixture.updates.back().is_full);
+}
+
+// A version that the store never had made the host ignore all sound answers.
+// Fails without DisprovesVersion.
+Test(source_watcher, version_above_that_of_the_store_is_given_up) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(1'000, {Listed("a")}));
+  fixture.source.watches.back()(WatcherFixture::Done(9));
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 2U; }));
+  // Other hosts that still have the version do not bring it back.
+  cr_assert_not(
+      fixture.watcher.ApplyIfNewer(WatcherFixture::Done(1'000, {Listed("b")})));
+  fixture.source.reads.back()(WatcherFixture::Done(9, {Listed("c")}));
+  cr_assert_eq(fixture.watcher.version(), 9U);
+  cr_assert_eq(fixture.watcher.newest_change_version(), 9U);
+  cr_assert_not(
+      fixture.watcher.IsBehind(1'000, BootClock::now() + Duration(9'000'000)));
+  // The store itself names it at last.
+  fixture.source.watches.back()(WatcherFixture::Done(1'001, {Listed("d")}));
+  cr_assert_eq(fixture.watcher.version(), 1'001U);
+}
+
 }  // namespace
 }  // namespace pathcleat
