The watcher of a topic neither spins at a relay nor drops rows after odd answers

Causes, all in SourceWatcher: - A follower that had itself read an empty topic kept the time of its next read, which a relayed answer never clears: it asked its relay without a pause. A relay brings the first row itself, so the time is dropped. - A follower that had rejected a version ignored all that its relay brought once the store's counter reached it, again without a pause. It now reads the store, which alone confirms versions. - A read without a configuration counted as empty also if its row was there and could not be decoded; drains and orders of that read were not applied. - One read without rows emptied the list if earlier reads had unreadable rows for 3 s. Empty reads have a time of their own. - Reads of an empty topic were repeated every 0.5 s for good; now at growing intervals, 5 s at most. - An exception of the handler left the version raised and nothing that went on. - A page that does not lead on, or has no readable key at its end, is unreadable in place of being read for ever or taken for the end.

--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -108,6 +108,7 @@
   void Watch();
   void RestartWatch();
   void OnWatchAnswer(const SourceAnswer& answer);
+  void WatchAfterRelayed(const SourceAnswer& answer, Time now);
   void RetryAfterBackoff(std::function<void()> next);
   void RunAfter(Duration pause, std::function<void()> next);
   FleetSource::Callback ForCurrentGeneration(
@@ -123,6 +124,7 @@
   ReachabilityHandler on_reachability_;
   boost::asio::steady_timer timer_;
   SourceAnswer collected_pages_;  ///< read so far by the read in progress
+  std::string page_from_;         ///< start of the page that is being read
   std::uint64_t first_page_version_ = 0;
   std::uint64_t version_ = 0;
   std::uint64_t version_before_read_ = 0;  ///< when the read in progress began
@@ -135,6 +137,12 @@
   std::optional<Time> reread_at_;
   /// Since when reads from the store have been empty or partly unreadable.
   std::optional<Time> incomplete_since_;
+  /// Since when reads from the store have had no essential row; empty: the last
+  /// one had one.
+  std::optional<Time> empty_since_;
+  /// Whether rows were unreadable since the last complete read, so that another
+  /// host's changes alone would not complete the topic.
+  bool misses_rows_ = false;
   /// Whether a configuration or an upstream, by topic, has arrived so far.
   bool has_essential_ = false;
   std::uint64_t newest_change_version_ = 0;
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -12,13 +12,15 @@
 constexpr Duration kNoWait{0};
 constexpr std::chrono::milliseconds kInitialRetryDelay{100};
 constexpr int kMaxDoublings = 3;
-// A read without a configuration or without any upstream is repeated this
-// often: until it brings one, the host serves nothing.
+// A read without a configuration or without any upstream is repeated: until it
+// brings one, the host serves nothing.
 constexpr Duration kMinRereadInterval{500'000};
-// A read with unreadable rows is repeated after this share of the time for
-// which reads have had some, so that a row that stays costs few calls.
+// An incomplete read is repeated after this share of the time for which reads
+// have been incomplete, so that a row that stays, or a topic that is empty,
+// costs few calls.
 constexpr int kRereadAgeDivisor = 4;
 constexpr Duration kMaxRereadInterval{30'000'000};
+constexpr Duration kMaxEmptyRereadInterval{5'000'000};
 // An empty list of upstreams replaces a list with upstreams only after reads
 // have been empty for this long.
 constexpr Duration kEmptyListTimeout{3'000'000};
@@ -49,11 +51,16 @@
 constexpr SourceWatcher::Timing kUpstreamsTiming{
     Duration(400'000), Duration(600'000), Duration(850'000)};
 
-// Whether a change is of the kind without which a host serves nothing.
+// Whether a change shows that the topic is not empty. The row of the
+// configuration counts even if it cannot be decoded: reading it again would not
+// help, and the other orders must be applied.
 bool IsEssential(SourceTopic topic, const FleetChange& change) {
-  return topic == SourceTopic::kOrders
-             ? std::holds_alternative<RoutingConfig>(change)
-             : std::holds_alternative<UpstreamInfo>(change);
+  if (topic == SourceTopic::kUpstreams) {
+    return std::holds_alternative<UpstreamInfo>(change);
+  }
+  const auto* unreadable = std::get_if<UnreadableRow>(&change);
+  return unreadable != nullptr ? !unreadable->key.empty()
+                               : std::holds_alternative<RoutingConfig>(change);
 }
 
 bool HasEssential(SourceTopic topic, const std::vector<FleetChange>& changes) {
@@ -94,6 +101,7 @@
 }
 
 void SourceWatcher::Read(const std::string& from) {
+  page_from_ = from;
   source_.Read(topic_, from, ForCurrentGeneration(&SourceWatcher::OnRead));
 }
 
@@ -121,10 +129,13 @@
       collected_pages_.is_unreadable || answer.is_unreadable;
   collected_pages_.relayed = answer.relayed;
   AddTransfer(collected_pages_.transfer, answer.transfer);
-  if (!answer.next_page.empty()) {
+  // A page that does not lead on would be read for ever.
+  if (answer.next_page > page_from_) {
     Read(answer.next_page);
     return;
   }
+  collected_pages_.is_unreadable =
+      collected_pages_.is_unreadable || !answer.next_page.empty();
   SourceAnswer read = std::exchange(collected_pages_, {});
   read.version = first_page_version_;
   OnTopicRead(read);
@@ -139,6 +150,7 @@
     return;
   }
   if (read.relayed) {
+    misses_rows_ = false;
     Handle(read, true);
     return;
   }
@@ -157,17 +169,22 @@
 bool SourceWatcher::CheckRead(const SourceAnswer& read,
                               bool is_empty,
                               Time now) {
-  if (!is_empty && !read.is_unreadable) {
+  if (!is_empty) {
+    empty_since_.reset();
+  }
+  misses_rows_ = read.is_unreadable;
+  if (!is_empty && !misses_rows_) {
     incomplete_since_.reset();
     return true;
   }
   ScheduleReread(now);
-  if (!is_empty) {
+  if (!is_empty || misses_rows_) {
     return false;
   }
-  reread_at_ = now + kMinRereadInterval;
-  return topic_ == SourceTopic::kUpstreams && !read.is_unreadable &&
-         now - *incomplete_since_ >= kEmptyListTimeout;
+  reread_at_ = std::min(*reread_at_, now + kMaxEmptyRereadInterval);
+  empty_since_ = empty_since_.value_or(now);
+  return topic_ == SourceTopic::kUpstreams &&
+         now - *empty_since_ >= kEmptyListTimeout;
 }
 
 void SourceWatcher::ScheduleReread(Time now) {
@@ -267,11 +284,16 @@
     Handle(answer, answer.is_full);
   }
   const Time now = BootClock::now();
+  if (answer.relayed) {
+    WatchAfterRelayed(answer, now);
+    return;
+  }
   if (answer.is_unreadable && !reread_at_) {
+    misses_rows_ = true;
     ScheduleReread(now);
   }
-  const bool rereads = !answer.relayed && reread_at_ && now >= *reread_at_;
-  if (!answer.relayed && (has_changes || answer.is_unreadable || rereads)) {
+  const bool rereads = reread_at_ && now >= *reread_at_;
+  if (has_changes || answer.is_unreadable || rereads) {
     RunAfter(timing_.pause_after_change,
              [this, rereads] { rereads ? Start() : Watch(); });
     return;
@@ -279,6 +301,21 @@
   Watch();
 }
 
+// A relay brings an empty topic's first row itself. What it cannot bring are
+// rows that this host could not read, and versions that only the store can
+// confirm; the topic is then read again.
+void SourceWatcher::WatchAfterRelayed(const SourceAnswer& answer, Time now) {
+  if (!misses_rows_) {
+    reread_at_.reset();
+  }
+  const bool is_due = reread_at_ && now >= *reread_at_;
+  if (is_due || IsRejected(answer.version)) {
+    RunAfter(kMinRereadInterval, [this] { Start(); });
+    return;
+  }
+  Watch();
+}
+
 // Whether the answer to a watch shows that this host's version never was the
 // store's.
 bool SourceWatcher::DisprovesVersion(const SourceAnswer& answer) {
@@ -293,6 +330,8 @@
 }
 
 void SourceWatcher::Handle(const SourceAnswer& answer, bool is_full) {
+  const std::uint64_t version_before = version_;
+  const std::uint64_t newest_before = newest_change_version_;
   version_ = std::max(version_, answer.version);
   newest_change_version_ =
       std::max(newest_change_version_, answer.newest_change_version);
@@ -305,10 +344,20 @@
   if (HasEssential(topic_, answer.changes)) {
     has_essential_ = true;
   }
-  if (is_full || !answer.changes.empty()) {
+  if (!is_full && answer.changes.empty()) {
+    return;
+  }
+  try {
     handler_({is_full, answer.version, answer.newest_change_version,
               answer.relayed, answer.removals_uncertain, answer.transfer,
               answer.changes});
+  } catch (...) {
+    // The update may be applied in part, so the whole topic is read again.
+    version_ = version_before;
+    newest_change_version_ = newest_before;
+    ++generation_;
+    RunAfter(kMinRereadInterval, [this] { Start(); });
+    throw;
   }
 }
 
--- a/src/pathcleat/feeds/source_watcher_test.cpp
+++ b/src/pathcleat/feeds/source_watcher_test.cpp
@@ -1,6 +1,8 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/feeds/source_watcher.hpp"
 
+#include <chrono>
+#include <stdexcept>
 #include <thread>
 #include <vector>
 
@@ -330,5 +332,91 @@
   cr_assert_eq(fixture.watcher.version(), 1'001U);
 }
 
+SourceAnswer Relayed(std::uint64_t version,
+                     std::vector<FleetChange> changes = {}) {
+  SourceAnswer answer = WatcherFixture::Done(version, std::move(changes));
+  answer.relayed = true;
+  return answer;
+}
+
+// Guards against a follower that asks its relay without a pause after it has
+// itself read an empty topic. Fails (a watch without a wait) if
+// WatchAfterRelayed keeps the time of the next read.
+Test(source_watcher, follower_of_an_empty_topic_waits_for_changes) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(7));
+  std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  for (int i = 0; i < 3; ++i) {
+    fixture.source.watches.back()(Relayed(7));
+    cr_assert_gt(fixture.source.watched_for, Duration(10'000'000));
+  }
+  cr_assert_eq(fixture.source.reads.size(), 1U);
+}
+
+// Guards against a follower that ignores its relay for good, and asks it
+// without a pause, once the store has disproved a version that its counter
+// reaches later. Fails (no read) without IsRejected in WatchAfterRelayed.
+Test(source_watcher, follower_reads_the_store_to_confirm_a_rejected_version) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(1'000, {Listed("a")}));
+  fixture.source.watches.back()(WatcherFixture::Done(9));
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 2U; }));
+  fixture.source.reads.back()(WatcherFixture::Done(10, {Listed("a")}));
+  const std::size_t watches = fixture.source.watches.size();
+  fixture.source.watches.back()(Relayed(1'001, {Listed("b")}));
+  cr_assert_eq(fixture.source.watches.size(), watches);
+  cr_assert(WaitUntil(fixture.loop,
+                      [&] { return fixture.source.reads.size() == 3U; }));
+  fixture.source.reads.back()(
+      WatcherFixture::Done(1'001, {Listed("a"), Listed("b")}));
+  cr_assert_eq(fixture.watcher.version(), 1'001U);
+}
+
+// Guards against one answer without rows that empties the list, as earlier
+// reads had unreadable rows for a while. Fails with the time of those reads.
+Test(source_watcher, one_empty_read_after_unreadable_ones_removes_nothing) {
+  WatcherFixture fixture;
+  fixture.source.reads.back()(WatcherFixture::Done(7, {Listed("a")}));
+  const auto read_again = [&](SourceAnswer answer) {
+    const std::size_t reads = fixture.source.reads.size();
+    fixture.source.watches.back()(Unreadable());
+    cr_assert(WaitUntil(fixture.loop,
+                        [&] { return fixture.source.reads.size() > reads; }));
+    fixture.source.reads.back()(answer);
+  };
+  SourceAnswer partly = WatcherFixture::Done(8, {Listed("a")});
+  partly.is_unreadable = true;
+  read_again(partly);
+  std::this_thread::sleep_for(std::chrono::milliseconds(3'100));
+  read_again(WatcherFixture::Done(9));
+  cr_assert_not(fixture.updates.back().is_full);
+}
+
+// Guards against a watcher that stops following after its handler threw, or
+// that takes the update for applied.
+Test(source_watcher, topic_is_read_again_after_a_failed_update) {
+  boost::asio::io_context loop{1};
+  FakeSource source;
+  int updates = 0;
+  SourceWatcher watcher(
+      loop, source, SourceTopic::kUpstreams,
+      [&updates](const SourceUpdate&) {
+        if (++updates == 2) {
+          throw std::runtime_error("injected");
+        }
+      },
+      [](bool) {});
+  watcher.Start();
+  source.reads.back()(WatcherFixture::Done(7, {Listed("a")}));
+  try {
+    source.watches.back()(WatcherFixture::Done(9, {Listed("b")}));
+    cr_assert_fail("the handler's exception was swallowed");
+  } catch (const std::runtime_error&) {
+    cr_assert_eq(watcher.version(), 7U);
+  }
+  cr_assert(WaitUntil(loop, [&] { return source.reads.size() == 2U; }));
+}
+
 }  // namespace
 }  // namespace pathcleat
