A request that was handled is never told not run after an exception

WriteResponse gives the exchange up before it reserves memory for the answer; an exception in between made EndAfterFailure answer 503 "not run" to a request that had run, which may then run twice. It now answers so only while the request is incomplete, and closes otherwise. No test brings that exception about (it needs an allocation that fails there).

--- a/src/pathcleat/http/server_session_failure.cpp
+++ b/src/pathcleat/http/server_session_failure.cpp
@@ -5,8 +5,9 @@
 
 namespace pathcleat {
 
-// A request that the handler got may have run; one that it did not get has not.
-// An answer that is being written is completed.
+// A request that the handler got may have run, also if its answer could not be
+// written; one that is incomplete has not. An answer that is being written is
+// completed.
 void ServerSession::EndAfterFailure() {
   const auto self = shared_from_this();
   last_request_ = true;
@@ -22,7 +23,7 @@
     if (exchange && exchange->IsOpen()) {
       exchange->Respond(
           TextResponse(http_status::kInternalError, "internal error\n"));
-    } else if (!exchange) {
+    } else if (!exchange && !parser_->is_done()) {
       Evict(RejectionCause::kNoMemory);
     } else {
       Close();
