--- a/include/pathcleat/calls/forward_token.hpp
+++ b/include/pathcleat/calls/forward_token.hpp
@@ -19,6 +19,10 @@
 inline constexpr const char* kForwardDeclinedHeader =
     "Pathcleat-Forward-Declined";
 
+/// @brief Value of that header if the host declines because it stops.
+/// @ingroup calls
+inline constexpr const char* kDeclinedByStoppingHost = "stopping";
+
 /// @brief What the first host tells the second about a forwarded request: what
 /// it has decided already and what only the caller's connection shows.
 /// @ingroup calls
--- a/include/pathcleat/http/http_server.hpp
+++ b/include/pathcleat/http/http_server.hpp
@@ -101,6 +101,9 @@
 
   std::size_t connection_count() const { return sessions_.size(); }
 
+  /// @brief Whether any answer is not written in full yet.
+  bool IsWriting() const;
+
  private:
   friend class ServerSession;
 
--- a/src/pathcleat/gateway/gateway_forward.cpp
+++ b/src/pathcleat/gateway/gateway_forward.cpp
@@ -16,9 +16,13 @@
 // Bounds what many isolated hosts together may take of this host.
 constexpr int kMaxForwardedInFlight = 128;
 
+constexpr const char* kStopping = "stopping";
+
 void Decline(const HttpExchangePtr& exchange, const std::string& reason) {
   HttpResponse response = NotRunResponse(reason, Duration::zero());
-  response.headers.push_back({kForwardDeclinedHeader, "1"});
+  response.headers.push_back(
+      {kForwardDeclinedHeader,
+       reason == kStopping ? kDeclinedByStoppingHost : "1"});
   exchange->Respond(std::move(response));
 }
 
@@ -33,7 +37,7 @@
     return kConfigBehind;
   }
   if (state_.leaving) {
-    return "stopping";
+    return kStopping;
   }
   if (state_.forwards.received_in_flight >= kMaxForwardedInFlight) {
     return "too many forwarded requests";
--- a/src/pathcleat/gateway/gateway_stop.cpp
+++ b/src/pathcleat/gateway/gateway_stop.cpp
@@ -79,6 +79,7 @@
   }
   const bool is_idle = state_.in_flight_count == 0 &&
                        caller_server_.connection_count() == 0 &&
+                       !fleet_sync_.peer_server().IsWriting() &&
                        state_.idempotency_keys.pending_writes() == 0;
   if (is_idle || now >= state_.shutdown.exit_time()) {
     RunStopStep([this] { RecordStopped(); });
--- a/src/pathcleat/gateway/request_handler_connected.cpp
+++ b/src/pathcleat/gateway/request_handler_connected.cpp
@@ -25,6 +25,9 @@
 
 // Returns why the request may not be sent any more; empty if it may.
 std::string RequestHandler::BlockBeforeSending(Time now) {
+  if (!MayStart()) {
+    return "this host stops before the request's deadline";
+  }
   if (!is_crash_trial_ && DecideOnCrashes(now).blocked) {
     return "upstreams ended under the request";
   }
--- a/src/pathcleat/gateway/request_handler_forward.cpp
+++ b/src/pathcleat/gateway/request_handler_forward.cpp
@@ -134,12 +134,16 @@
 
 void RequestHandler::OnForwardResult(const CallResult& result) {
   const bool answered = result.outcome == CallOutcome::kAnswered;
-  const bool declined =
-      answered && FindHeader(result.response.headers, kForwardDeclinedHeader);
+  const auto decline =
+      answered ? FindHeader(result.response.headers, kForwardDeclinedHeader)
+               : std::nullopt;
+  const bool declined = decline.has_value();
   if (result.outcome == CallOutcome::kNotSent || declined) {
     run_tracker_.OnNotRun();
     NoteForwardFailed(declined ? result.response.body.str() : result.detail);
-    if (declined && !state_.reach.IsIsolated()) {
+    // That the other host stops says nothing about the service.
+    if (declined && decline != kDeclinedByStoppingHost &&
+        !state_.reach.IsIsolated()) {
       state_.forwards.useless_until[pick_request_.service] =
           BootClock::now() + kUselessTtl;
     }
--- a/src/pathcleat/http/http_server.cpp
+++ b/src/pathcleat/http/http_server.cpp
@@ -123,7 +123,9 @@
       return;
     }
     if (IsShortage(error)) {
-      OnAcceptFailed();
+      if (!Run(EntryPoint::kListener, "accept", [this] { OnAcceptFailed(); })) {
+        RetryAccept();
+      }
       return;
     }
     if (error) {
@@ -235,6 +237,11 @@
   }
 }
 
+bool HttpServer::IsWriting() const {
+  return std::any_of(sessions_.begin(), sessions_.end(),
+                     [](const auto& session) { return session->IsWriting(); });
+}
+
 void HttpServer::CloseGracefully() {
   close_after_answers_ = true;
   const std::vector<std::shared_ptr<ServerSession>> sessions(sessions_.begin(),
--- a/src/pathcleat/http/server_session.hpp
+++ b/src/pathcleat/http/server_session.hpp
@@ -55,6 +55,9 @@
   /// has sent bytes that are not read yet.
   std::optional<EvictionRank> RankForEviction();
 
+  /// @brief Whether an answer is not written in full yet.
+  bool IsWriting() const { return writing_; }
+
   /// @brief Closes the connection at once, to free it or its memory for another
   /// caller. A request that is partial or unread gets the answer that it was
   /// not run.
