--- a/src/pathcleat/processes/host_start_test.cpp
+++ b/src/pathcleat/processes/host_start_test.cpp
@@ -240,6 +240,10 @@
   plan.stop_grace_ms = kGraceMs;
   HostProcess predecessor(plan);
   cr_assert(WaitFor([&] { return site.IsReady(predecessor); }));
+  // A stopping host without connections ends at once.
+  boost::asio::io_context loop;
+  tcp::socket caller(loop);
+  caller.connect(site.TcpPort(0));
   predecessor.Signal(SIGTERM);
   cr_assert(WaitFor([&] { return !site.IsReady(predecessor); }));
   HostProcess host(plan);
