--- a/include/pathcleat/feeds/source_watcher.hpp
+++ b/include/pathcleat/feeds/source_watcher.hpp
@@ -129,7 +129,6 @@
   std::uint64_t version_ = 0;
   std::uint64_t version_before_read_ = 0;  ///< when the read in progress began
   std::uint64_t watched_after_ = 0;        ///< version of the watch in flight
-  Duration watch_time_{0};                 ///< of the watch in flight
   /// Versions from this one on are accepted from the store only; empty: all are
   /// accepted. Set when the store has shown a version not to exist.
   std::optional<std::uint64_t> rejected_from_;
--- a/src/pathcleat/feeds/source_watcher.cpp
+++ b/src/pathcleat/feeds/source_watcher.cpp
@@ -222,8 +222,7 @@
   reading_ = false;
   watch_started_at_ = BootClock::now();
   watched_after_ = version_;
-  watch_time_ = WatchTime(watch_started_at_);
-  source_.Watch(topic_, version_, watch_time_,
+  source_.Watch(topic_, version_, WatchTime(watch_started_at_),
                 ForCurrentGeneration(&SourceWatcher::OnWatchAnswer));
 }
 
