An answer without a length is whole only if its peer took the whole request

What callers saw: an instance answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the error of a reset goes to the first call that asks. The event loop asks the write first; HttpClient::OnWritten passed over it, and the read that followed reported a plain end, which OnReadError took for the end of the answer.

Now the end of the connection ends such an answer only once the peer's machine has acknowledged the whole request; a failed write, or an error that neither call has reported, makes the call lost: its outcome is unknown, it is never retried where it may have run. A server that closes its side early and reads the upload to its end is heard, once it has taken the upload. The progress timeout does not apply meanwhile, as the answer has ended; the total one does.

The client serves upstreams, the store, other hosts, the operators' client and the lab alike; for each a lost call is one of unknown outcome.

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -206,6 +206,10 @@
   void HandleResponse();
   void ReadNextResponse();
   void OnReadError(const boost::system::error_code& error);
+  void FinishAnswerAtEnd();
+  void OnEndCheck();
+  bool HasSocketError() const;
+  bool HasUntakenBytes() const;
   Time CurrentDeadline() const;
   void ArmDeadline();
   void OnDeadline();
@@ -251,6 +255,8 @@
   int interim_responses_ = 0;     ///< 1xx, since the request was sent
   bool connected_ = false;
   bool request_written_ = false;
+  bool write_failed_ = false;
+  bool answer_ended_ = false;      ///< by the peer's end of the connection
   bool response_started_ = false;  ///< bytes of the answer have arrived
   bool silent_ = false;
   bool reading_ = false;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -1,7 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/http/http_client.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -29,6 +31,7 @@
 constexpr int kMaxMismatchedResponses = 2;
 constexpr int kMaxInterimResponses = 16;
 constexpr int kFirstFinalStatus = 200;
+constexpr Duration kEndCheckInterval{2'000};
 constexpr const char* kSilentDetail = "the connection is silent";
 
 // Keep-alive probes detect a lost peer while nothing is written, e.g. while
@@ -76,7 +79,9 @@
   interim_responses_ = 0;
   received_bytes_ = 0;
   request_written_ = false;
+  write_failed_ = false;
   response_started_ = false;
+  answer_ended_ = false;
   timeouts_ = timeouts;
   send_called_at_ = BootClock::now();
   total_deadline_ = send_called_at_ + timeouts.total;
@@ -225,7 +230,10 @@
 
 void HttpClient::OnWritten(bool complete) {
   request_written_ = complete;
-  if (complete && callback_ && !response_started_) {
+  write_failed_ = !complete;
+  if (answer_ended_ && callback_) {
+    FinishAnswerAtEnd();
+  } else if (complete && callback_ && !response_started_) {
     last_progress_at_ = BootClock::now();
     ArmDeadline();
   }
@@ -377,12 +385,10 @@
   const bool clean_end = error == boost::asio::error::eof;
   if (clean_end && parser_->is_header_done() && !parser_->is_done() &&
       parser_->need_eof()) {
-    error_code ended;
-    parser_->put_eof(ended);
-    if (!ended) {
-      HandleResponse();
-      return;
-    }
+    answer_ended_ = true;
+    ArmDeadline();
+    FinishAnswerAtEnd();
+    return;
   }
   if (silent_) {
     Fail(CallOutcome::kConnectionLost, kSilentDetail);
@@ -393,13 +399,64 @@
                            : "the connection ended with no answer");
 }
 
+// The end of the connection is the end of an answer without a length only if
+// the peer has taken the whole request. A peer that breaks off during an upload
+// resets the connection, and the read may report a plain end even so: the error
+// of a reset goes to whichever of the write and the read asks first.
+void HttpClient::FinishAnswerAtEnd() {
+  if (write_failed_ || HasSocketError()) {
+    Fail(CallOutcome::kConnectionLost,
+         "the connection was reset before the request was taken");
+    return;
+  }
+  if (!request_written_) {
+    return;
+  }
+  if (HasUntakenBytes()) {
+    ArmTimer(kEndCheckInterval, &HttpClient::OnEndCheck);
+    return;
+  }
+  error_code error;
+  parser_->put_eof(error);
+  if (error) {
+    Fail(CallOutcome::kConnectionLost, error.message());
+    return;
+  }
+  HandleResponse();
+}
+
+void HttpClient::OnEndCheck() {
+  if (BootClock::now() < total_deadline_) {
+    FinishAnswerAtEnd();
+  } else {
+    OnDeadline();
+  }
+}
+
+// Reports an error that neither a write nor a read has reported yet.
+bool HttpClient::HasSocketError() const {
+  int error = 0;
+  socklen_t size = sizeof error;
+  return ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error,
+                      &size) == 0 &&
+         error != 0;
+}
+
+// Whether the peer's machine has not acknowledged all written bytes yet, sent
+// or not.
+bool HttpClient::HasUntakenBytes() const {
+  int bytes = 0;
+  return ::ioctl(socket_.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 // While the request is being sent, only the total time and TCP's own timeout
-// apply; the latter detects that the peer receives nothing.
+// apply; the latter detects that the peer receives nothing. The same holds once
+// the answer has ended.
 Time HttpClient::CurrentDeadline() const {
   const Duration silence_timeout =
       response_started_ ? timeouts_.progress : timeouts_.first_byte;
-  const bool bounded =
-      silence_timeout != kNoTimeout && (response_started_ || request_written_);
+  const bool bounded = silence_timeout != kNoTimeout && !answer_ended_ &&
+                       (response_started_ || request_written_);
   return bounded
              ? std::min(total_deadline_, last_progress_at_ + silence_timeout)
              : total_deadline_;
--- a/src/pathcleat/testing/scripted_server.hpp
+++ b/src/pathcleat/testing/scripted_server.hpp
@@ -1,13 +1,16 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <string>
 
@@ -36,6 +39,32 @@
     boost::asio::write(socket_, boost::asio::buffer(bytes));
   }
 
+  /// @brief Sets how many bytes of a connection are read; the rest stays
+  /// unread. Must be set before the connection is accepted.
+  void ReadAtMost(std::size_t bytes) { max_read_bytes_ = bytes; }
+
+  /// @brief Sets the receive buffer of connections that are accepted later, in
+  /// bytes.
+  void SetReceiveBuffer(int bytes) {
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(bytes));
+  }
+
+  std::size_t received_bytes() const { return received_.size(); }
+
+  /// @brief Shuts down the sending side; the server continues to read.
+  void HalfClose() {
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send);
+  }
+
+  /// @brief Closes the connection; the system resets it if bytes are unread.
+  void Close() { socket_.close(); }
+
+  /// @brief Closes the connection with a TCP reset.
+  void Reset() {
+    socket_.set_option(boost::asio::socket_base::linger(true, 0));
+    Close();
+  }
+
   /// @brief Sends the bytes one at a time, with a pause after each byte.
   void SendByteByByte(std::string bytes, std::chrono::milliseconds pause) {
     if (bytes.empty()) {
@@ -65,8 +94,13 @@
   }
 
   void Read() {
+    const std::size_t left =
+        max_read_bytes_ - std::min(max_read_bytes_, received_.size());
+    if (left == 0) {
+      return;
+    }
     socket_.async_read_some(
-        boost::asio::buffer(buffer_),
+        boost::asio::buffer(buffer_.data(), std::min(buffer_.size(), left)),
         [this](const boost::system::error_code& error, std::size_t bytes) {
           if (!error) {
             received_.append(buffer_.data(), bytes);
@@ -80,6 +114,7 @@
   boost::asio::steady_timer send_timer_;
   std::array<char, 4096> buffer_{};
   std::string received_;
+  std::size_t max_read_bytes_ = std::numeric_limits<std::size_t>::max();
   int accepted_count_ = 0;
 };
 
