An answer whose status is none ends its call

What callers saw: an instance in trouble sent an answer with status 000. The host took it for an interim one: the next bytes on the connection were given to the caller as its answer, and where none came it waited for its deadline and got 504. A status above 599 was passed on with its body.

Cause: the parser takes any three digits, and HttpClient took each number below 200 for interim and each other one for final.

A status outside of 100 to 599 now ends the call as lost when the head has been read: its outcome is unknown, the connection is closed, and what follows on it belongs to nothing. So does 101, as no request asks for another protocol and what follows would be in it. Ruled out: to tell the caller 502 in the place of the status and go on with the connection, as nothing tells where an answer ends whose head is not understood.

Tests: answer_head/status_outside_of_100_to_599_is_no_answer and switch_of_protocols_is_no_answer; both failed before (000, 001 and 099 followed by a 200: the 200 is the answer; 000 to 099 alone: the deadline; 600, 700 and 999 with a length or in chunks: the answer, and the connection kept). unusual_statuses_are_answers and interim_answers_are_passed_over hold what must stay.

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -201,6 +201,7 @@
   void OnResponseBytes();
   void OnRead(const boost::system::error_code& error, std::size_t bytes);
   void Parse();
+  bool CheckHead();
   bool ReserveAnswer();
   void HandleHead();
   void HandleResponse();
@@ -257,6 +258,7 @@
   bool request_written_ = false;
   bool write_failed_ = false;
   bool answer_ended_ = false;      ///< by the peer's end of the connection
+  bool head_checked_ = false;      ///< of the current answer
   bool response_started_ = false;  ///< bytes of the answer have arrived
   bool silent_ = false;
   bool reading_ = false;
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -30,6 +30,9 @@
 constexpr int kReceiveBufferBytes = 512 * 1024;
 constexpr int kMaxMismatchedResponses = 2;
 constexpr int kMaxInterimResponses = 16;
+constexpr unsigned kFirstStatus = 100;
+constexpr unsigned kLastStatus = 599;
+constexpr unsigned kSwitchingProtocols = 101;
 constexpr int kFirstFinalStatus = 200;
 constexpr Duration kEndCheckInterval{2'000};
 constexpr const char* kSilentDetail = "the connection is silent";
@@ -47,6 +50,13 @@
   return std::max(1, static_cast<int>(seconds));
 }
 
+// An answer with another status belongs to no request. No request asks for
+// another protocol.
+bool IsUnknownStatus(unsigned status) {
+  return status < kFirstStatus || status > kLastStatus ||
+         status == kSwitchingProtocols;
+}
+
 template <int Name>
 using TcpOption =
     boost::asio::detail::socket_option::integer<IPPROTO_TCP, Name>;
@@ -118,6 +128,7 @@
 
 void HttpClient::StartParser() {
   answer_memory_.reset();
+  head_checked_ = false;
   parser_.emplace();
   parser_->header_limit(limits_.max_header_bytes);
   parser_->body_limit(limits_.max_body_bytes);
@@ -292,6 +303,9 @@
     Fail(CallOutcome::kConnectionLost, error.message());
     return;
   }
+  if (!CheckHead()) {
+    return;
+  }
   if (!ReserveAnswer()) {
     Fail(CallOutcome::kConnectionLost, "no memory for the answer");
     return;
@@ -310,6 +324,21 @@
   Read();
 }
 
+// Ends the call if the head of the answer cannot be understood.
+bool HttpClient::CheckHead() {
+  if (head_checked_ || !parser_->is_header_done()) {
+    return true;
+  }
+  head_checked_ = true;
+  const unsigned status = parser_->get().result_int();
+  if (IsUnknownStatus(status)) {
+    Fail(CallOutcome::kConnectionLost,
+         "an answer with status " + std::to_string(status));
+    return false;
+  }
+  return true;
+}
+
 bool HttpClient::ReserveAnswer() {
   const std::uint64_t bytes = parser_->get().body().size();
   if (!memory_budget_ || bytes == 0) {
