An answer in an unknown transfer coding ends its call

What callers saw: an instance sent a 200 with a transfer coding that the host does not understand.

Cause: the parser only looks whether the last coding is "chunked"; any other makes it read up to the end of the connection. The server side has rejected such requests before; the client side did not look.

HasUnknownFraming moves from the server's session to a header of its own and serves both. The call is lost as soon as the head has been read; the connection is closed. Ruled out: to pass the coding on, as it is a matter of one connection alone.

Tests: answer_head/unknown_transfer_coding_is_no_answer failed before in each of nine forms; chunked_answer_is_understood_in_any_case holds what must stay.

--- a/src/pathcleat/http/answer_head_test.cpp
+++ b/src/pathcleat/http/answer_head_test.cpp
@@ -86,5 +86,33 @@
   cr_assert_str_eq(reply.result.response.body.str().c_str(), "next");
 }
 
+// Guards against a body that is passed on in a coding that the host does not
+// understand, up to the end of the connection or without its coding.
+Test(answer_head, unknown_transfer_coding_is_no_answer) {
+  for (const std::string coding :
+       {"gzip", "identity", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", "chunked;a=b", "xchunked", "\"chunked\"", ""}) {
+    const std::string line =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n";
+    ExpectBroken(line + "\r\nbody");
+    ExpectBroken(line + "\r\n4\r\nbody\r\n0\r\n\r\n");
+    ExpectBroken(line + "Content-Length: 4\r\n\r\nbody");
+    ExpectBroken(line +
+                 "Transfer-Encoding: chunked\r\n\r\n"
+                 "4\r\nbody\r\n0\r\n\r\n");
+  }
+}
+
+Test(answer_head, chunked_answer_is_understood_in_any_case) {
+  for (const std::string coding : {"chunked", "Chunked", "CHUNKED"}) {
+    const Reply reply =
+        Receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
+                "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    cr_assert(reply.result.outcome == CallOutcome::kAnswered);
+    cr_assert_str_eq(reply.result.response.body.str().c_str(), "body");
+    cr_assert(reply.is_reusable);
+  }
+}
+
 }  // namespace
 }  // namespace pathcleat
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -18,6 +18,7 @@
 
 #include "pathcleat/core/loop_passes.hpp"
 #include "pathcleat/http/http_codec.hpp"
+#include "pathcleat/http/message_framing.hpp"
 
 namespace pathcleat {
 namespace {
@@ -336,6 +337,10 @@
          "an answer with status " + std::to_string(status));
     return false;
   }
+  if (HasUnknownFraming(parser_->get())) {
+    Fail(CallOutcome::kConnectionLost, "an answer with an unknown framing");
+    return false;
+  }
   return true;
 }
 
--- a/src/pathcleat/http/server_session.cpp
+++ b/src/pathcleat/http/server_session.cpp
@@ -14,6 +14,7 @@
 
 #include "pathcleat/http/http_codec.hpp"
 #include "pathcleat/http/http_status.hpp"
+#include "pathcleat/http/message_framing.hpp"
 
 namespace pathcleat {
 namespace {
@@ -55,23 +56,6 @@
   return bytes;
 }
 
-// With any transfer coding other than a single "chunked" the end of the body is
-// unknown.
-template <class Fields>
-bool HasUnknownFraming(const Fields& fields) {
-  const auto codings = fields.equal_range(http::field::transfer_encoding);
-  int count = 0;
-  for (auto field = codings.first; field != codings.second; ++field) {
-    ++count;
-    if (!boost::beast::iequals(field->value(), "chunked")) {
-      return true;
-    }
-  }
-  const bool has_length = fields.count(http::field::content_length) > 0;
-  return count > 1 || (count == 1 && has_length) ||
-         fields.count(http::field::content_length) > 1;
-}
-
 }  // namespace
 
 ServerSession::ServerSession(HttpServer& server,
