A connection that an answer has ended is not offered to the next request

Found by the tests of answers without a length: after such an answer the connection counted as reusable until the event loop had read its end once more. A request sent on it meanwhile would be lost, and one that may not be repeated would be answered 502.

Cause: whether a connection goes on was asked of the message, which only looks at its Connection field; the parser also knows that the answer had no length.

Test: answer_end/answer_without_length_ends_with_its_connection; failed before at its last line.

--- a/src/pathcleat/http/answer_end_test.cpp
+++ b/src/pathcleat/http/answer_end_test.cpp
@@ -166,7 +166,8 @@
                 (kShortTimeout * 5).count());
 }
 
-// Guards against the loss of an ordinary answer without a length.
+// Guards against the loss of an ordinary answer without a length, and against a
+// connection that has ended and is offered to the next request.
 Test(answer_end, answer_without_length_ends_with_its_connection) {
   UploadFixture fixture;
   fixture.Upload(10);
@@ -177,6 +178,7 @@
   const CallResult result = fixture.AwaitEnd();
   cr_assert(result.outcome == CallOutcome::kAnswered);
   cr_assert_str_eq(result.response.body.str().c_str(), "whole");
+  cr_assert_not(fixture.client->IsReusable());
 }
 
 // Guards against part of an answer to a request that was written whole, whose
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -373,7 +373,7 @@
 }
 
 void HttpClient::HandleResponse() {
-  const bool keep_alive = parser_->get().keep_alive();
+  const bool keep_alive = parser_->keep_alive();
   CallResult result;
   result.outcome = CallOutcome::kAnswered;
   result.response = FromBeast(parser_->release(), std::move(answer_memory_));
