Lab: a stand-in for an instance in trouble, and tests of what it sends

`pathcleat-lab broken` runs it as a process.

Already held on, so that the tests stay and nothing else changes: - lines in a head that are no field (blanks, tabs, control bytes, no name, no colon; control bytes in values), with a length and without: 502; - answers that stop in their head, body or chunks, closed or reset: 502; - bytes without end in any part of an answer: 502, and under 80 MiB written by the instance, as an answer may have 64 MiB; - an early answer of a sound instance that reads the upload to its end: heard; - the other direction, http_server/request_that_breaks_off_in_its_body_is_not_ handled: a caller's reset, half-close or close in a body is no end of it.

--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -11,11 +11,15 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <random>
+#include <vector>
 
 #include "header_names.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/lab/backoff_model.hpp"
+#include "pathcleat/lab/broken_answers.hpp"
+#include "pathcleat/lab/broken_upstream.hpp"
 #include "pathcleat/lab/caller_retry_model.hpp"
 #include "pathcleat/lab/cost_curve.hpp"
 #include "pathcleat/lab/deployment_config.hpp"
@@ -39,6 +43,7 @@
 
 Usage:
   pathcleat-lab upstreams DEPLOYMENT --control=PORT [--service-ms=N]
+  pathcleat-lab broken ADDRESS [--seed=N]
   pathcleat-lab platform DEPLOYMENT
   pathcleat-lab load DEPLOYMENT --control=PORT [--service=NAME] [--rate=N]
                 [--seconds=N] [--seed=N]
@@ -56,6 +61,8 @@
 
 Commands:
   upstreams  Run a stand-in for each upstream of the deployment.
+  broken     Run a stand-in for an upstream in trouble at ADDRESS (IP:PORT):
+             each of its answers is broken in a way drawn by the seed.
   platform   Run a stand-in for the platform's store, with the deployment's
              configuration and upstreams in it. SIGUSR1: it falls silent, or
              answers again; SIGUSR2: it gets the next configuration.
@@ -80,7 +87,7 @@
   --service=NAME   Send to this service only.
   --rate=N         Requests a second [default: 100].
   --seconds=N      Length of the load [default: 10].
-  --seed=N         Seed of the arrivals [default: 1].
+  --seed=N         Seed of the arrivals or answers [default: 1].
   --seeds=N        Seeds of the model, from 1 up [default: 5].
   -h --help        Show this text.
 
@@ -119,6 +126,38 @@
   return kDone;
 }
 
+Result<int> RunBroken(const Arguments& arguments) {
+  const std::string address = arguments.at("ADDRESS").asString();
+  const auto endpoint = ParseTcpEndpoint(address);
+  if (!endpoint) {
+    return Fail({ErrorCode::kInvalid, "listen", address, "not IP:PORT"});
+  }
+  boost::asio::io_context loop;
+  // More than the machine of the stand-in takes while nothing is read.
+  constexpr std::size_t kUploadBytes = 256UL * 1024;
+  const auto groups = BrokenAnswerGroups();
+  constexpr double kCutDuringUploadShare = 0.5;
+  const auto cut_during_upload = AnswersCutDuringUpload();
+  std::mt19937_64 random(
+      static_cast<std::uint64_t>(arguments.at("--seed").asLong()));
+  const auto draw = [&random](const auto& list) {
+    std::uniform_int_distribution<std::size_t> index(0, list.size() - 1);
+    return list[index(random)];
+  };
+  std::bernoulli_distribution draw_cut(kCutDuringUploadShare);
+  BrokenUpstream upstream(loop, platform::PlatformHeaderNames(), address,
+                          [&](std::size_t body_bytes) {
+                            return body_bytes >= kUploadBytes &&
+                                           draw_cut(random)
+                                       ? draw(cut_during_upload)
+                                       : draw(draw(groups));
+                          });
+  BOOST_LEAF_CHECK(
+      upstream.Listen(endpoint->address().to_string(), endpoint->port()));
+  loop.run();
+  return kDone;
+}
+
 // Lets tests disturb the stand-in from outside: SIGUSR1 makes it take calls
 // without answering them, and answer again; SIGUSR2 writes the next version of
 // the configuration.
@@ -364,6 +403,9 @@
   if (arguments.at("returns").asBool()) {
     return RunReturns(arguments);
   }
+  if (arguments.at("broken").asBool()) {
+    return RunBroken(arguments);
+  }
   BOOST_LEAF_AUTO(deployment,
                   ReadDeploymentFile(arguments.at("DEPLOYMENT").asString()));
   if (arguments.at("upstreams").asBool()) {
--- a/src/pathcleat/http/http_server_test.cpp
+++ b/src/pathcleat/http/http_server_test.cpp
@@ -76,6 +76,36 @@
   }
 };
 
+// Guards against a request whose caller breaks off in its body and that is
+// handled with the part that has arrived, as if the end of the connection were
+// its end.
+Test(http_server, request_that_breaks_off_in_its_body_is_not_handled) {
+  ServerFixture fixture;
+  fixture.hold_answers = true;
+  const std::string head = "POST / HTTP/1.1\r\nHost: test\r\n";
+  for (const std::string body :
+       {"Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n",
+        "Content-Length: 5\r\n\r\nbody"}) {
+    fixture.AddCaller(head + body);
+    fixture.AddCaller(head + body);
+    fixture.AddCaller(head + body);
+  }
+  cr_assert(fixture.Await([&] {
+    return fixture.server.connection_count() == fixture.callers.size();
+  }));
+  for (std::size_t i = 0; i < fixture.callers.size(); i += 3) {
+    fixture.callers[i]->Reset();
+    fixture.callers[i + 1]->HalfClose();
+    fixture.callers[i + 2]->Close();
+  }
+  fixture.AddCaller(kCompleteRequest);
+  cr_assert(fixture.Await([&] { return fixture.held_exchanges.size() == 1; }));
+  cr_assert(
+      fixture.Await([&] { return fixture.server.connection_count() == 1; }));
+  cr_assert_eq(fixture.held_exchanges.size(), 1U);
+}
+
 // Guards against one request whose handler throws and that ends the process:
 // the exception left the event loop. Fails without ContainFailures.
 Test(http_server, exception_of_a_handler_ends_its_request_alone) {
