Answers that could not be used are counted and logged by their reason

An answer that was dropped as broken showed as attempt-failed with a text, and only where this host had closed the connection first also as "bad-answer" of pathcleat_broken_off_total. An operator could not tell an instance that sends no HTTP from one that resets, nor count either.

CallResult::fault now names the reason; pathcleat_broken_answers_total{reason} counts and PC1112 tells it: malformed, unknown_status, unknown_framing, too_large, cut_off, other_request, unsigned. An answer without its signature is told by PC1112 too; until now only its request's end was. The head is judged before an error in the body, so that the reason is that of the head. Not taken: a code of its own in the log, as PC1112 stands for each such attempt already.

Test: broken_answer/reason_is_counted_and_logged; it failed before this change, as neither the metric nor the field existed.

--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -69,6 +69,11 @@
                   const std::string& detail,
                   Duration elapsed);
 
+  /// @brief Notes that an attempt ended without an answer that can be used.
+  void NoteNoAnswer(const std::string& upstream,
+                    const CallResult& result,
+                    Duration elapsed);
+
   /// @brief Notes that an upstream has not run the request.
   void NoteNotRun(const std::string& upstream, const HttpResponse& response);
 
--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -14,6 +14,7 @@
 
 #include "pathcleat/core/memory_budget.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/http/answer_fault.hpp"
 #include "pathcleat/http/buffer_body.hpp"
 #include "pathcleat/http/http_limits.hpp"
 #include "pathcleat/http/http_message.hpp"
@@ -33,8 +34,10 @@
 /// @ingroup http
 struct CallResult {
   CallOutcome outcome = CallOutcome::kNotSent;
-  HttpResponse response;             ///< set for kAnswered
-  std::string detail;                ///< cause of any outcome but kAnswered
+  HttpResponse response;  ///< set for kAnswered
+  std::string detail;     ///< cause of any outcome but kAnswered
+  /// Set for kConnectionLost if an answer had begun and is at fault.
+  std::optional<AnswerFault> fault;
   std::uint64_t received_bytes = 0;  ///< bytes of answers, with headers
   Duration transfer_time{0};  ///< from the first received byte to the end
   /// From Send to the first byte written; zero on a connection that was open.
@@ -216,6 +219,9 @@
   void OnDeadline();
   void ArmTimer(Duration timeout, void (HttpClient::*on_expiry)());
   void Fail(CallOutcome outcome, std::string detail);
+  void RejectAnswer(AnswerFault fault, std::string detail);
+  void RejectUnparsable(const boost::system::error_code& error);
+  void EndAsFailed(CallResult result);
   void Finish(CallResult result);
   void Close();
   void StartParser();
--- a/include/pathcleat/telemetry/metrics.hpp
+++ b/include/pathcleat/telemetry/metrics.hpp
@@ -21,6 +21,7 @@
 #include "pathcleat/core/histogram.hpp"
 #include "pathcleat/core/run_outcome.hpp"
 #include "pathcleat/core/time.hpp"
+#include "pathcleat/http/answer_fault.hpp"
 
 namespace pathcleat {
 
@@ -62,6 +63,9 @@
   /// have been working on the request.
   void OnAborted(AbortCause cause) { ++aborted_[cause]; }
 
+  /// @brief Counts an answer of an upstream that cannot be used.
+  void OnBrokenAnswer(AnswerFault fault) { ++broken_answers_[fault]; }
+
   /// @brief Counts a request that was sent.
   /// @param wait expected time until the upstream has a free slot.
   void OnSent(Duration wait) { expected_waits_.Add(wait); }
@@ -104,6 +108,9 @@
   const std::map<AbortCause, std::uint64_t>& aborted() const {
     return aborted_;
   }
+  const std::map<AnswerFault, std::uint64_t>& broken_answers() const {
+    return broken_answers_;
+  }
   const Histogram& expected_waits() const { return expected_waits_; }
 
  private:
@@ -112,6 +119,7 @@
   std::uint64_t upstream_crashes_ = 0;
   std::map<AbandonedWork, std::uint64_t> callers_left_;
   std::map<AbortCause, std::uint64_t> aborted_;
+  std::map<AnswerFault, std::uint64_t> broken_answers_;
   std::uint64_t given_up_at_shutdown_ = 0;
   Histogram expected_waits_;
   std::map<std::string, RouteMetrics> by_route_;
--- a/src/pathcleat/gateway/metrics_page.cpp
+++ b/src/pathcleat/gateway/metrics_page.cpp
@@ -52,6 +52,12 @@
     page.Sample("pathcleat_broken_off_total", {{"cause", ToString(cause)}},
                 count);
   }
+  page.Family("pathcleat_broken_answers_total", "counter",
+              "Answers of upstreams that could not be used, by reason.");
+  for (const auto& [fault, count] : state.metrics.broken_answers()) {
+    page.Sample("pathcleat_broken_answers_total", {{"reason", ToString(fault)}},
+                count);
+  }
   page.Family("pathcleat_requests_under_way", "gauge", "Callers waiting now.");
   page.Sample("pathcleat_requests_under_way", {}, state.in_flight_count);
 }
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -279,7 +279,7 @@
   const Time sent = attempt_.sent_at();
   UpstreamState& upstream = *pick.upstream;
   if (result.outcome != CallOutcome::kAnswered) {
-    trace_.NoteFailed(upstream.info.id, result.detail, BootClock::now() - sent);
+    trace_.NoteNoAnswer(upstream.info.id, result, BootClock::now() - sent);
   }
   switch (result.outcome) {
     case CallOutcome::kAnswered:
@@ -324,8 +324,13 @@
   if (!IsCompleteAnswer(state_.headers, result.response)) {
     state_.OnAttemptFailed(upstream);
     RecordVersionResult(pick, FailedResponse());
-    OnFailure(
-        {CallOutcome::kConnectionLost, {}, "the answer lacks its signature"});
+    const CallResult unsigned_answer{CallOutcome::kConnectionLost,
+                                     {},
+                                     "the answer lacks its signature",
+                                     AnswerFault::kUnsigned};
+    state_.metrics.OnBrokenAnswer(AnswerFault::kUnsigned);
+    trace_.NoteNoAnswer(upstream.info.id, unsigned_answer, now - sent);
+    OnFailure(unsigned_answer);
     return;
   }
   if (upstream.health.IsSuspect()) {
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -124,6 +124,18 @@
         MillisecondsField(field::kElapsedMs, elapsed)});
 }
 
+void RequestTrace::NoteNoAnswer(const std::string& upstream,
+                                const CallResult& result,
+                                Duration elapsed) {
+  EventFields fields = {{field::kUpstream, upstream},
+                        {field::kDetail, result.detail},
+                        MillisecondsField(field::kElapsedMs, elapsed)};
+  if (result.fault) {
+    fields.push_back({field::kReason, std::string(ToString(*result.fault))});
+  }
+  Note(EventCode::kAttemptFailed, std::move(fields));
+}
+
 void RequestTrace::NoteNotRun(const std::string& upstream,
                               const HttpResponse& response) {
   EventFields fields = {{field::kUpstream, upstream},
--- a/src/pathcleat/gateway/upstream_attempt.cpp
+++ b/src/pathcleat/gateway/upstream_attempt.cpp
@@ -235,6 +235,9 @@
 }
 
 void UpstreamAttempt::CountAbort(const CallResult& result) {
+  if (result.fault) {
+    state_.metrics.OnBrokenAnswer(*result.fault);
+  }
   if (result.connection_silent) {
     state_.metrics.OnAborted(AbortCause::kSilentConnection);
   } else if (result.outcome == CallOutcome::kTimedOut) {
--- a/src/pathcleat/http/answer_head_test.cpp
+++ b/src/pathcleat/http/answer_head_test.cpp
@@ -39,10 +39,13 @@
   return {*result, client->IsReusable()};
 }
 
-void ExpectBroken(const std::string& bytes) {
+void ExpectBroken(const std::string& bytes,
+                  std::optional<AnswerFault> fault = std::nullopt) {
   const Reply reply = Receive(bytes);
+  cr_expect(reply.result.fault.has_value(), "%s", bytes.c_str());
   cr_expect(reply.result.outcome == CallOutcome::kConnectionLost, "%s",
             bytes.c_str());
+  cr_expect(!fault || reply.result.fault == fault, "%s", bytes.c_str());
   cr_expect_not(reply.is_reusable, "%s", bytes.c_str());
 }
 
@@ -52,10 +55,12 @@
 Test(answer_head, status_outside_of_100_to_599_is_no_answer) {
   for (const std::string status : {"000", "001", "099", "600", "700", "999"}) {
     const std::string line = "HTTP/1.1 " + status + " Text\r\n";
-    ExpectBroken(line + "\r\n");
-    ExpectBroken(line + "Content-Length: 4\r\n\r\nbody");
-    ExpectBroken(line + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
-    ExpectBroken(line + "\r\n" + kNextAnswer);
+    for (const std::string rest :
+         {std::string("\r\n"), std::string("Content-Length: 4\r\n\r\nbody"),
+          std::string("Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+          std::string("\r\n") + kNextAnswer}) {
+      ExpectBroken(line + rest, AnswerFault::kUnknownStatus);
+    }
   }
 }
 
@@ -63,7 +68,8 @@
 Test(answer_head, switch_of_protocols_is_no_answer) {
   ExpectBroken(std::string("HTTP/1.1 101 Switching Protocols\r\n"
                            "Upgrade: other\r\nConnection: Upgrade\r\n\r\n") +
-               kNextAnswer);
+                   kNextAnswer,
+               AnswerFault::kUnknownStatus);
 }
 
 Test(answer_head, unusual_statuses_are_answers) {
@@ -94,8 +100,9 @@
         "chunked, chunked", "chunked;a=b", "xchunked", "\"chunked\"", ""}) {
     const std::string line =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n";
-    ExpectBroken(line + "\r\nbody");
-    ExpectBroken(line + "\r\n4\r\nbody\r\n0\r\n\r\n");
+    ExpectBroken(line + "\r\nbody", AnswerFault::kUnknownFraming);
+    ExpectBroken(line + "\r\n4\r\nbody\r\n0\r\n\r\n",
+                 AnswerFault::kUnknownFraming);
     ExpectBroken(line + "Content-Length: 4\r\n\r\nbody");
     ExpectBroken(line +
                  "Transfer-Encoding: chunked\r\n\r\n"
--- a/src/pathcleat/http/http_client.cpp
+++ b/src/pathcleat/http/http_client.cpp
@@ -37,6 +37,7 @@
 constexpr int kFirstFinalStatus = 200;
 constexpr Duration kEndCheckInterval{2'000};
 constexpr const char* kSilentDetail = "the connection is silent";
+constexpr const char* kNoMemoryDetail = "no memory for the answer";
 
 // Keep-alive probes detect a lost peer while nothing is written, e.g. while
 // a watch of the store waits for a change. One second is the shortest interval
@@ -300,15 +301,15 @@
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
   }
-  if (error && error != http::error::need_more) {
-    Fail(CallOutcome::kConnectionLost, error.message());
+  if (!CheckHead()) {
     return;
   }
-  if (!CheckHead()) {
+  if (error && error != http::error::need_more) {
+    RejectUnparsable(error);
     return;
   }
   if (!ReserveAnswer()) {
-    Fail(CallOutcome::kConnectionLost, "no memory for the answer");
+    Fail(CallOutcome::kConnectionLost, kNoMemoryDetail);
     return;
   }
   if (parser_->is_done()) {
@@ -318,7 +319,8 @@
   if (buffer_.size() >= limits_.max_header_bytes) {
     // The parser keeps the line before a chunk, and all trailers, until they
     // are complete; only the header has a limit of its own.
-    Fail(CallOutcome::kConnectionLost, "a chunk line or trailers without end");
+    RejectAnswer(AnswerFault::kTooLarge,
+                 "a chunk line or trailers without end");
     return;
   }
   HandleHead();
@@ -333,12 +335,13 @@
   head_checked_ = true;
   const unsigned status = parser_->get().result_int();
   if (IsUnknownStatus(status)) {
-    Fail(CallOutcome::kConnectionLost,
-         "an answer with status " + std::to_string(status));
+    RejectAnswer(AnswerFault::kUnknownStatus,
+                 "an answer with status " + std::to_string(status));
     return false;
   }
   if (HasUnknownFraming(parser_->get())) {
-    Fail(CallOutcome::kConnectionLost, "an answer with an unknown framing");
+    RejectAnswer(AnswerFault::kUnknownFraming,
+                 "an answer with an unknown framing");
     return false;
   }
   return true;
@@ -379,7 +382,7 @@
   result.response = FromBeast(parser_->release(), std::move(answer_memory_));
   if (result.response.status < kFirstFinalStatus) {
     if (++interim_responses_ > kMaxInterimResponses) {
-      Fail(CallOutcome::kConnectionLost, "too many interim answers");
+      RejectAnswer(AnswerFault::kTooLarge, "too many interim answers");
       return;
     }
     ReadNextResponse();
@@ -388,7 +391,8 @@
   if (matcher_ && !matcher_(result.response)) {
     must_close_ = true;
     if (++mismatched_responses_ > kMaxMismatchedResponses || !keep_alive) {
-      Fail(CallOutcome::kConnectionLost, "the answer is another request's");
+      RejectAnswer(AnswerFault::kOtherRequest,
+                   "the answer is another request's");
       return;
     }
     ReadNextResponse();
@@ -428,9 +432,11 @@
     Fail(CallOutcome::kConnectionLost, kSilentDetail);
     return;
   }
-  Fail(CallOutcome::kConnectionLost,
-       parser_->got_some() ? "the answer ended early"
-                           : "the connection ended with no answer");
+  if (parser_->got_some()) {
+    RejectAnswer(AnswerFault::kCutOff, "the answer ended early");
+    return;
+  }
+  Fail(CallOutcome::kConnectionLost, "the connection ended with no answer");
 }
 
 // The end of the connection is the end of an answer without a length only if
@@ -439,8 +445,8 @@
 // of a reset goes to whichever of the write and the read asks first.
 void HttpClient::FinishAnswerAtEnd() {
   if (write_failed_ || HasSocketError()) {
-    Fail(CallOutcome::kConnectionLost,
-         "the connection was reset before the request was taken");
+    RejectAnswer(AnswerFault::kCutOff,
+                 "the connection was reset before the request was taken");
     return;
   }
   if (!request_written_) {
@@ -453,7 +459,7 @@
   error_code error;
   parser_->put_eof(error);
   if (error) {
-    Fail(CallOutcome::kConnectionLost, error.message());
+    RejectUnparsable(error);
     return;
   }
   HandleResponse();
@@ -541,10 +547,33 @@
 }
 
 void HttpClient::Fail(CallOutcome outcome, std::string detail) {
-  must_close_ = true;
   CallResult result;
   result.outcome = outcome;
   result.detail = std::move(detail);
+  EndAsFailed(std::move(result));
+}
+
+void HttpClient::RejectAnswer(AnswerFault fault, std::string detail) {
+  CallResult result;
+  result.outcome = CallOutcome::kConnectionLost;
+  result.detail = std::move(detail);
+  result.fault = fault;
+  EndAsFailed(std::move(result));
+}
+
+void HttpClient::RejectUnparsable(const error_code& error) {
+  if (error == http::error::buffer_overflow) {
+    Fail(CallOutcome::kConnectionLost, kNoMemoryDetail);
+    return;
+  }
+  const bool is_too_large =
+      error == http::error::header_limit || error == http::error::body_limit;
+  RejectAnswer(is_too_large ? AnswerFault::kTooLarge : AnswerFault::kMalformed,
+               error.message());
+}
+
+void HttpClient::EndAsFailed(CallResult result) {
+  must_close_ = true;
   result.connection_silent = silent_;
   result.closed_locally = !peer_closed_;
   Finish(std::move(result));
--- a/src/pathcleat/lab/broken_answer_test.cpp
+++ b/src/pathcleat/lab/broken_answer_test.cpp
@@ -6,6 +6,9 @@
 
 #include <memory>
 #include <optional>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "pathcleat/lab/broken_upstream.hpp"
 
@@ -156,6 +159,45 @@
   }
 }
 
+std::string ReasonOfLastFailure(TestCluster& cluster) {
+  std::string reason;
+  for (const Event& event : cluster.host(0).state().events.Snapshot()) {
+    if (event.code != EventCode::kAttemptFailed) {
+      continue;
+    }
+    for (const EventField& field : event.fields) {
+      if (std::string(field.name) == field::kReason) {
+        reason = std::get<std::string>(field.value);
+      }
+    }
+  }
+  return reason;
+}
+
+// Guards against answers that are dropped and of which no operator hears why.
+Test(broken_answer, reason_is_counted_and_logged) {
+  const std::string signed_head =
+      std::string("HTTP/1.1 200 OK\r\n") + kAnswerFields;
+  const std::vector<std::pair<std::string, std::string>> reasons = {
+      {"malformed", "HTTP/9\r\n\r\n"},
+      {"unknown_status", "HTTP/1.1 000 None\r\n\r\n"},
+      {"unknown_framing", signed_head + "Transfer-Encoding: gzip\r\n\r\n"},
+      {"too_large", signed_head + "A: " + std::string(100'000, 'a')},
+      {"cut_off", signed_head + "Content-Length: 9\r\n\r\npart"},
+      {"unsigned", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"}};
+  BrokenUpstreamFixture fixture;
+  for (const auto& [reason, bytes] : reasons) {
+    fixture.ExpectUnknown({reason, bytes, AnswerEnd::kClose, 1, ""}, "b");
+    cr_expect_str_eq(ReasonOfLastFailure(fixture.cluster).c_str(),
+                     reason.c_str());
+    const std::string page =
+        fixture.cluster.FetchMetrics(0).response.body.str();
+    cr_expect_neq(page.find("pathcleat_broken_answers_total{reason=\"" +
+                            reason + "\"} 1\n"),
+                  std::string::npos, "%s", reason.c_str());
+  }
+}
+
 // A write to a store that answers so.
 StoreOutcome WriteOutcome(const BrokenAnswer& answer) {
   boost::asio::io_context loop;
