Soak: instances each of whose answers is broken

The soak's instances answered soundly, so that no run could show a broken answer at a caller. A success must be the whole answer of a sound instance. The first line of a run tells how many answers the hosts dropped, by reason.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -177,9 +177,12 @@
 
     def state_of(self, host):
         """Configuration in force and number of upstreams, or None."""
-        page = soak_pages.fetch(f"http://{self.listen_address(host, 'metrics')}/metrics")
+        page = self.metrics_page(host)
         return soak_pages.parse_state(page) if page else None
 
+    def metrics_page(self, host):
+        return soak_pages.fetch(f"http://{self.listen_address(host, 'metrics')}/metrics")
+
     def control(self, target):
         """Asks the control port of the upstreams."""
         url = f"http://127.0.0.1:{self.control_port}{target}"
@@ -433,6 +436,7 @@
         fleet.report_ends()
         if fleet.faults:
             fleet.faults.check_stops()
+            fleet.faults.check_uploads()
             print(f"seed {options.seed}: "
                   + ", ".join(f"{name} {count}"
                               for name, count in fleet.faults.counts.items()))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -13,6 +13,8 @@
 
 import soak_callers
 import soak_odd
+import soak_pages
+import soak_uploads
 from soak_deployment import SPARE_NAME, SPARE_UPSTREAMS
 from soak_background import Background
 from soak_store_rows import Store
@@ -37,6 +39,9 @@
 # until it is in force (`config_apply_ms`).
 CONTACT_SECONDS = 3.0
 APPLY_SECONDS = 3.0
+# Callers that upload while instances answer in broken ways.
+UPLOADING_CALLERS = 6
+BROKEN_PORT = 8001
 MAX_CHANGE_ATTEMPTS = 4
 MAX_WRITE_SECONDS = 5.0
 
@@ -77,6 +82,9 @@
         self.spares = 0
         self.stops = []
         self.groups_of_callers = 0
+        self.uploads = None  # from the first broken instance on
+        self.uploads_ended = None
+        self.broken_instances = 0
         self.odd_until = 0.0
         self.counts = {"stops judged": 0, "stay sent": 0, "stay answered": 0, "stay refused": 0,
                        "stay lost": 0, "changes in force": 0, "served again": 0}
@@ -308,6 +316,47 @@
         return (self.begin_change(f"row {name} in {place[0]}")
                 + [(fault.value + APPLY_SECONDS, remove)])
 
+    # Broken answers of instances.
+
+    def answer_broken(self, fault):
+        """An instance each of whose answers is broken joins a service for a time,
+        while callers upload to all hosts."""
+        self.start_uploads()
+        self.broken_instances += 1
+        number = self.broken_instances
+        address = f"127.{self.fleet.network}.200.{number}:{BROKEN_PORT}"
+        self.fleet.start(f"broken-{number}", self.fleet.lab, "broken", address,
+                         f"--seed={self.seed * 1_000 + fault.variant}")
+        sound = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
+        row = self.store.read("servers", sound) or {}
+        row["Address"] = address
+        row["Service"] = "resultat"
+        self.store.write("servers", f"broken-{number}", row)
+        return [(fault.value, lambda: self.store.remove("servers", f"broken-{number}"))]
+
+    def start_uploads(self):
+        if self.uploads is None:
+            addresses = [f"{address}:8080" for address in self.fleet.addresses]
+            self.uploads = soak_uploads.Uploads(addresses, self.fleet.host_header,
+                                                self.seed, UPLOADING_CALLERS)
+            self.uploads_ended = self.background.start(self.uploads.run())
+
+    def check_uploads(self):
+        """Ends the uploads and judges what they were answered."""
+        if self.uploads is None:
+            return
+        self.uploads.stop()
+        self.uploads_ended.result(2 * soak_uploads.MAX_WAIT_SECONDS)
+        self.fleet.broken += self.uploads.broken
+        self.counts["uploads"] = self.uploads.counts.sent
+        for outcome, count in sorted(self.uploads.counts.outcomes.items()):
+            self.counts[f"uploads {outcome}"] = count
+        for host in self.fleet.hosts:
+            page = self.fleet.metrics_page(host)
+            for reason, count in soak_pages.broken_answers(page or "").items():
+                name = f"answers {reason}"
+                self.counts[name] = self.counts.get(name, 0) + count
+
     def disturb_store(self, seconds):
         self.odd_until = max(self.odd_until, time.monotonic() + seconds)
 
--- a/tools/soak_pages.py
+++ b/tools/soak_pages.py
@@ -42,6 +42,13 @@
     return HostState(int(version.group(1)), frozenset(upstreams)) if version else None
 
 
+def broken_answers(page):
+    """How many answers of upstreams a host could not use, by reason."""
+    found = re.findall(r'^pathcleat_broken_answers_total\{reason="([^"]+)"\} (\d+)$', page,
+                       re.MULTILINE)
+    return {reason: int(count) for reason, count in found}
+
+
 def last_line(path):
     """The last line of a log that tells of an error outside of events, or else the
     last one."""
--- a/tools/soak_schedule.py
+++ b/tools/soak_schedule.py
@@ -12,7 +12,10 @@
 CHOSEN_PLANNED_KINDS = ("tail", "stop_under_load", "successor", "port_taken")
 # What an operator's store does wrong.
 STORE_KINDS = ("store_odd", "store_odd_start", "row_odd")
-ALL_KINDS = tuple(dict.fromkeys(UNPLANNED_KINDS + CHOSEN_PLANNED_KINDS + STORE_KINDS))
+# What an instance of a service does wrong.
+INSTANCE_KINDS = ("answer_broken",)
+ALL_KINDS = tuple(dict.fromkeys(UNPLANNED_KINDS + CHOSEN_PLANNED_KINDS + STORE_KINDS
+                                + INSTANCE_KINDS))
 # Kinds whose target is an upstream.
 UPSTREAM_KINDS = ("leave", "backoff", "tail")
 VARIANTS = 1_000
--- a/tools/soak_store_rows.py
+++ b/tools/soak_store_rows.py
@@ -32,3 +32,8 @@
         row = {"table": table, "part": "", "TlsKey": key, "Value": text}
         body = {"ExpectedRev": [], "put": [row], "Remove": []}
         self.call("/-/rows-tx", json.dumps(body).encode())
+
+    def remove(self, table, key):
+        row = {"table": table, "part": "", "TlsKey": key}
+        body = {"ExpectedRev": [], "put": [], "Remove": [row]}
+        self.call("/-/rows-tx", json.dumps(body).encode())
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -12,3 +12,4 @@
 "$root/tools/soak_store.py" --build "$build" --seed 3 --seconds 20 --rate 100
 "$root/tools/soak.py" --build "$build" --seed 4 --seconds 14 --rate 100 --kinds \
   stop_under_load,stop_under_load,tail,successor,port_taken,store_odd,row_odd
+"$root/tools/soak.py" --build "$build" --seed 6 --seconds 10 --rate 100 --kinds answer_broken
