--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -323,16 +323,29 @@
         while callers upload to all hosts."""
         self.start_uploads()
         self.broken_instances += 1
-        number = self.broken_instances
-        address = f"127.{self.fleet.network}.200.{number}:{BROKEN_PORT}"
-        self.fleet.start(f"broken-{number}", self.fleet.lab, "broken", address,
+        name = f"broken-{self.broken_instances}"
+        address = f"127.{self.fleet.network}.200.{self.broken_instances}:{BROKEN_PORT}"
+        self.fleet.start(name, self.fleet.lab, "broken", address,
                          f"--seed={self.seed * 1_000 + fault.variant}")
         sound = self.fleet.upstreams[fault.target % len(self.fleet.upstreams)]
-        row = self.store.read("servers", sound) or {}
-        row["Address"] = address
-        row["Service"] = "resultat"
-        self.store.write("servers", f"broken-{number}", row)
-        return [(fault.value, lambda: self.store.remove("servers", f"broken-{number}"))]
+
+        def join():
+            row = self.store.read("servers", sound) or {}
+            row.update(Address=address, Service="resultat")
+            self.store.write("servers", name, row)
+            return [(fault.value, lambda: self.once_store_answers(leave))]
+
+        def leave():
+            self.store.remove("servers", name)
+
+        return self.once_store_answers(join)
+
+    def once_store_answers(self, step):
+        """A stopped store would keep this program from letting it go on."""
+        wait = self.fleet.store_silent_until - time.monotonic()
+        if wait <= 0:
+            return step() or []
+        return [(wait + POLL_SECONDS, lambda: self.once_store_answers(step))]
 
     def start_uploads(self):
         if self.uploads is None:
