What HttpClient takes for an answer has a file of its own

The reading of an answer and the judgement of its head and end move to http_client_answer.cpp unchanged, but for OnReadError, whose part about the answer is OnConnectionEnd now.

--- a/include/pathcleat/http/http_client.hpp
+++ b/include/pathcleat/http/http_client.hpp
@@ -210,6 +210,7 @@
   void HandleResponse();
   void ReadNextResponse();
   void OnReadError(const boost::system::error_code& error);
+  void OnConnectionEnd(bool is_plain);
   void FinishAnswerAtEnd();
   void OnEndCheck();
   bool HasSocketError() const;
