--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -341,11 +341,12 @@
         return self.once_store_answers(join)
 
     def once_store_answers(self, step):
-        """A stopped store would keep this program from letting it go on."""
-        wait = self.fleet.store_silent_until - time.monotonic()
+        """A stopped store would keep this program from letting it go on, which is a
+        step of its own at the end of the silence."""
+        wait = self.fleet.store_silent_until + POLL_SECONDS - time.monotonic()
         if wait <= 0:
             return step() or []
-        return [(wait + POLL_SECONDS, lambda: self.once_store_answers(step))]
+        return [(wait, lambda: self.once_store_answers(step))]
 
     def start_uploads(self):
         if self.uploads is None:
