--- a/include/pathcleat/gateway/request_trace.hpp
+++ b/include/pathcleat/gateway/request_trace.hpp
@@ -1,12 +1,14 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "pathcleat/accounts/caller_identity.hpp"
 #include "pathcleat/gateway/gateway_state.hpp"
 #include "pathcleat/gateway/upstream_attempt.hpp"
+#include "pathcleat/http/answer_fault.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/http/http_exchange.hpp"
 
@@ -65,14 +67,11 @@
   void NoteOpened(const std::string& upstream, Duration elapsed);
 
   /// @brief Notes that an attempt failed.
+  /// @param fault of the answer, if one had begun and cannot be used.
   void NoteFailed(const std::string& upstream,
                   const std::string& detail,
-                  Duration elapsed);
-
-  /// @brief Notes that an attempt ended without an answer that can be used.
-  void NoteNoAnswer(const std::string& upstream,
-                    const CallResult& result,
-                    Duration elapsed);
+                  Duration elapsed,
+                  std::optional<AnswerFault> fault = std::nullopt);
 
   /// @brief Notes that an upstream has not run the request.
   void NoteNotRun(const std::string& upstream, const HttpResponse& response);
--- a/src/pathcleat/gateway/request_handler.cpp
+++ b/src/pathcleat/gateway/request_handler.cpp
@@ -279,7 +279,8 @@
   const Time sent = attempt_.sent_at();
   UpstreamState& upstream = *pick.upstream;
   if (result.outcome != CallOutcome::kAnswered) {
-    trace_.NoteNoAnswer(upstream.info.id, result, BootClock::now() - sent);
+    trace_.NoteFailed(upstream.info.id, result.detail, BootClock::now() - sent,
+                      result.fault);
   }
   switch (result.outcome) {
     case CallOutcome::kAnswered:
@@ -324,13 +325,11 @@
   if (!IsCompleteAnswer(state_.headers, result.response)) {
     state_.OnAttemptFailed(upstream);
     RecordVersionResult(pick, FailedResponse());
-    const CallResult unsigned_answer{CallOutcome::kConnectionLost,
-                                     {},
-                                     "the answer lacks its signature",
-                                     AnswerFault::kUnsigned};
+    const std::string detail = "the answer lacks its signature";
     state_.metrics.OnBrokenAnswer(AnswerFault::kUnsigned);
-    trace_.NoteNoAnswer(upstream.info.id, unsigned_answer, now - sent);
-    OnFailure(unsigned_answer);
+    trace_.NoteFailed(upstream.info.id, detail, now - sent,
+                      AnswerFault::kUnsigned);
+    OnFailure({CallOutcome::kConnectionLost, {}, detail, {}});
     return;
   }
   if (upstream.health.IsSuspect()) {
--- a/src/pathcleat/gateway/request_trace.cpp
+++ b/src/pathcleat/gateway/request_trace.cpp
@@ -117,21 +117,13 @@
 
 void RequestTrace::NoteFailed(const std::string& upstream,
                               const std::string& detail,
-                              Duration elapsed) {
-  Note(EventCode::kAttemptFailed,
-       {{field::kUpstream, upstream},
-        {field::kDetail, detail},
-        MillisecondsField(field::kElapsedMs, elapsed)});
-}
-
-void RequestTrace::NoteNoAnswer(const std::string& upstream,
-                                const CallResult& result,
-                                Duration elapsed) {
+                              Duration elapsed,
+                              std::optional<AnswerFault> fault) {
   EventFields fields = {{field::kUpstream, upstream},
-                        {field::kDetail, result.detail},
+                        {field::kDetail, detail},
                         MillisecondsField(field::kElapsedMs, elapsed)};
-  if (result.fault) {
-    fields.push_back({field::kReason, std::string(ToString(*result.fault))});
+  if (fault) {
+    fields.push_back({field::kReason, std::string(ToString(*fault))});
   }
   Note(EventCode::kAttemptFailed, std::move(fields));
 }
