--- a/include/pathcleat/lab/broken_answers.hpp
+++ b/include/pathcleat/lab/broken_answers.hpp
@@ -25,8 +25,8 @@
   /// taken for the request's own.
   std::string bytes;
   AnswerEnd end = AnswerEnd::kClose;
-  double read_share = 1;  ///< of the request's body, before the answer
-  std::string repeated;   ///< sent without end; for kRepeat
+  double read_share = 1;   ///< of the request's body, before the answer
+  std::string repeated{};  ///< sent without end; for kRepeat
 };
 
 inline constexpr const char* kAnswerFields = "{fields}";
