Tests of broken answers compare strings that outlive the check

AddressSanitizer: cr_assert_str_eq keeps a pointer into a temporary text, in four tests of answer_end and answer_head.

--- a/include/pathcleat/lab/broken_answers.hpp
+++ b/include/pathcleat/lab/broken_answers.hpp
@@ -31,8 +31,8 @@
 
 inline constexpr const char* kAnswerFields = "{fields}";
 
-/// @brief Bytes that stand in each body of a broken answer. No caller may
-/// receive them in a success.
+/// @brief Body of the broken answers that have one of a stated size. No caller
+/// may receive it.
 inline constexpr const char* kBrokenBody = "broken-answer";
 
 /// @brief Answers that break off while the request is still being written. To a
--- a/include/pathcleat/lab/broken_upstream.hpp
+++ b/include/pathcleat/lab/broken_upstream.hpp
@@ -16,7 +16,7 @@
 
 /// @brief Stand-in for an upstream instance in trouble: answers each request as
 /// it is told, by bytes that it does not check, and health checks soundly. Each
-/// connection carries one request. Must outlive its connections' event loop.
+/// connection carries one request. Must live as long as its event loop runs.
 /// @ingroup lab
 class BrokenUpstream {
  public:
--- a/src/pathcleat/http/answer_end_test.cpp
+++ b/src/pathcleat/http/answer_end_test.cpp
@@ -143,7 +143,7 @@
       const CallResult result = fixture.AwaitEnd();
       cr_assert(result.outcome == CallOutcome::kAnswered);
       cr_assert_eq(result.response.status, status);
-      cr_assert_str_eq(result.response.body.str().c_str(), "whole");
+      cr_assert_eq(result.response.body, std::string("whole"));
     }
   }
 }
@@ -177,7 +177,7 @@
   fixture.server.Close();
   const CallResult result = fixture.AwaitEnd();
   cr_assert(result.outcome == CallOutcome::kAnswered);
-  cr_assert_str_eq(result.response.body.str().c_str(), "whole");
+  cr_assert_eq(result.response.body, std::string("whole"));
   cr_assert_not(fixture.client->IsReusable());
 }
 
--- a/src/pathcleat/http/answer_head_test.cpp
+++ b/src/pathcleat/http/answer_head_test.cpp
@@ -89,7 +89,7 @@
                           "HTTP/1.1 199 Text\r\n\r\n") +
               kNextAnswer);
   cr_assert(reply.result.outcome == CallOutcome::kAnswered);
-  cr_assert_str_eq(reply.result.response.body.str().c_str(), "next");
+  cr_assert_eq(reply.result.response.body, std::string("next"));
 }
 
 // Guards against a body that is passed on in a coding that the host does not
@@ -116,7 +116,7 @@
         Receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding +
                 "\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
     cr_assert(reply.result.outcome == CallOutcome::kAnswered);
-    cr_assert_str_eq(reply.result.response.body.str().c_str(), "body");
+    cr_assert_eq(reply.result.response.body, std::string("body"));
     cr_assert(reply.is_reusable);
   }
 }
--- a/src/pathcleat/lab/broken_answer_test.cpp
+++ b/src/pathcleat/lab/broken_answer_test.cpp
@@ -78,8 +78,7 @@
     const char* name = answer.name.c_str();
     cr_expect_eq(result.response.status, http_status::kBadGateway, "%s: %d",
                  name, result.response.status);
-    cr_expect_str_eq(TestCluster::OutcomeHeader(result).c_str(), "unknown",
-                     "%s", name);
+    cr_expect_eq(TestCluster::OutcomeHeader(result), "unknown", "%s", name);
     cr_expect_eq(result.response.body.str().find(kBrokenBody),
                  std::string::npos, "%s", name);
     cr_expect_eq(upstream.arrivals(), 1, "%s", name);
@@ -156,7 +155,7 @@
                  AnswerEnd::kHalfCloseAndRead, 0});
     const CallResult result = fixture.Post(std::string(kUploadBytes, 'u'));
     cr_assert_eq(result.response.status, status);
-    cr_assert_str_eq(result.response.body.str().c_str(), "whole");
+    cr_assert_eq(result.response.body, std::string("whole"));
   }
 }
 
@@ -189,8 +188,7 @@
   BrokenUpstreamFixture fixture;
   for (const auto& [reason, bytes] : reasons) {
     fixture.ExpectUnknown({reason, bytes, AnswerEnd::kClose}, "b");
-    cr_expect_str_eq(ReasonOfLastFailure(fixture.cluster).c_str(),
-                     reason.c_str());
+    cr_expect_eq(ReasonOfLastFailure(fixture.cluster), reason);
     const std::string page =
         fixture.cluster.FetchMetrics(0).response.body.str();
     cr_expect_neq(page.find("pathcleat_broken_answers_total{reason=\"" +
