--- a/include/pathcleat/lab/broken_answers.hpp
+++ b/include/pathcleat/lab/broken_answers.hpp
@@ -1,6 +1,9 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -58,4 +61,9 @@
 /// group for each.
 std::vector<std::vector<BrokenAnswer>> BrokenAnswerGroups();
 
+/// @brief Draws an answer that is broken for a request with a body of so many
+/// bytes.
+/// @param seed of the draws.
+std::function<BrokenAnswer(std::size_t)> DrawBrokenAnswers(std::uint64_t seed);
+
 }  // namespace pathcleat
--- a/src/pathcleat/app/pathcleat_lab.cpp
+++ b/src/pathcleat/app/pathcleat_lab.cpp
@@ -11,14 +11,11 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
-#include <random>
-#include <vector>
 
 #include "header_names.hpp"
 #include "pathcleat/http/endpoint.hpp"
 #include "pathcleat/http/http_client.hpp"
 #include "pathcleat/lab/backoff_model.hpp"
-#include "pathcleat/lab/broken_answers.hpp"
 #include "pathcleat/lab/broken_upstream.hpp"
 #include "pathcleat/lab/caller_retry_model.hpp"
 #include "pathcleat/lab/cost_curve.hpp"
@@ -133,25 +130,9 @@
     return Fail({ErrorCode::kInvalid, "listen", address, "not IP:PORT"});
   }
   boost::asio::io_context loop;
-  // More than the machine of the stand-in takes while nothing is read.
-  constexpr std::size_t kUploadBytes = 256UL * 1024;
-  const auto groups = BrokenAnswerGroups();
-  constexpr double kCutDuringUploadShare = 0.5;
-  const auto cut_during_upload = AnswersCutDuringUpload();
-  std::mt19937_64 random(
-      static_cast<std::uint64_t>(arguments.at("--seed").asLong()));
-  const auto draw = [&random](const auto& list) {
-    std::uniform_int_distribution<std::size_t> index(0, list.size() - 1);
-    return list[index(random)];
-  };
-  std::bernoulli_distribution draw_cut(kCutDuringUploadShare);
   BrokenUpstream upstream(loop, platform::PlatformHeaderNames(), address,
-                          [&](std::size_t body_bytes) {
-                            return body_bytes >= kUploadBytes &&
-                                           draw_cut(random)
-                                       ? draw(cut_during_upload)
-                                       : draw(draw(groups));
-                          });
+                          DrawBrokenAnswers(static_cast<std::uint64_t>(
+                              arguments.at("--seed").asLong())));
   BOOST_LEAF_CHECK(
       upstream.Listen(endpoint->address().to_string(), endpoint->port()));
   loop.run();
--- a/src/pathcleat/lab/broken_answers.cpp
+++ b/src/pathcleat/lab/broken_answers.cpp
@@ -1,6 +1,7 @@
 // Copyright 2026 The pathcleat authors. SPDX-License-Identifier: MIT
 #include "pathcleat/lab/broken_answers.hpp"
 
+#include <random>
 #include <tuple>
 #include <utility>
 
@@ -10,6 +11,9 @@
 using namespace std::string_literals;
 
 constexpr double kEighth = 0.125;
+// A larger body is not taken by the machine of an instance that reads nothing.
+constexpr std::size_t kUploadBytes = 256UL * 1024;
+constexpr double kCutDuringUploadShare = 0.5;
 
 std::string Head() {
   return "HTTP/1.1 200 OK\r\n"s + kAnswerFields;
@@ -248,4 +252,18 @@
           AnswersOfUnknownFraming(), EndlessAnswers()};
 }
 
+std::function<BrokenAnswer(std::size_t)> DrawBrokenAnswers(std::uint64_t seed) {
+  const auto pick = [](const auto& list, std::mt19937_64& random) {
+    std::uniform_int_distribution<std::size_t> index(0, list.size() - 1);
+    return list[index(random)];
+  };
+  return [random = std::mt19937_64(seed), pick, groups = BrokenAnswerGroups(),
+          cut = AnswersCutDuringUpload()](std::size_t body_bytes) mutable {
+    std::bernoulli_distribution is_cut(kCutDuringUploadShare);
+    return body_bytes >= kUploadBytes && is_cut(random)
+               ? pick(cut, random)
+               : pick(pick(groups, random), random);
+  };
+}
+
 }  // namespace pathcleat
