--- a/src/pathcleat/lab/broken_answer_test.cpp
+++ b/src/pathcleat/lab/broken_answer_test.cpp
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "listen_on_any_port.hpp"
 #include "pathcleat/lab/broken_upstream.hpp"
 
 namespace pathcleat {
@@ -28,15 +29,6 @@
   return plan;
 }
 
-std::uint16_t ListenOnAnyPort(BrokenUpstream& upstream,
-                              const std::string& address) {
-  const auto port = TryOr(
-      [&]() -> Result<std::uint16_t> { return upstream.Listen(address, 0); },
-      [](const Error&) -> std::uint16_t { return 0; });
-  cr_assert_gt(port, 0);
-  return port;
-}
-
 // A host with one upstream, which is replaced with each answer: what the host
 // has learned of one does not keep the next request from the next.
 class BrokenUpstreamFixture {
--- a/src/pathcleat/lab/broken_upstream.cpp
+++ b/src/pathcleat/lab/broken_upstream.cpp
@@ -78,14 +78,15 @@
   }
 
  private:
+  bool IsHeadRead() const { return head_.ends_with(kHeadEnd); }
+
   // No more than the answer waits for, so that the rest stays unread.
   std::size_t BytesToRead() const {
     constexpr std::size_t kOneByte = 1;
     if (answered_) {
       return buffer_.size();
     }
-    return head_.ends_with(kHeadEnd) ? std::min(buffer_.size(), body_left_)
-                                     : kOneByte;
+    return IsHeadRead() ? std::min(buffer_.size(), body_left_) : kOneByte;
   }
 
   void OnRead(std::size_t bytes) {
@@ -93,17 +94,17 @@
       Read();
       return;
     }
-    if (head_.ends_with(kHeadEnd)) {
+    if (IsHeadRead()) {
       body_left_ -= bytes;
     } else {
       head_.append(buffer_.data(), bytes);
-      if (head_.ends_with(kHeadEnd)) {
+      if (IsHeadRead()) {
         answer_ = upstream_.AnswerTo(head_);
         body_left_ = static_cast<std::size_t>(
             static_cast<double>(LengthOf(head_)) * answer_.read_share);
       }
     }
-    if (head_.ends_with(kHeadEnd) && body_left_ == 0) {
+    if (IsHeadRead() && body_left_ == 0) {
       Answer();
     } else {
       Read();
--- a/src/pathcleat/testing/listen_on_any_port.hpp
+++ b/src/pathcleat/testing/listen_on_any_port.hpp
@@ -10,10 +10,11 @@
 
 namespace pathcleat {
 
-/// @brief Makes a server listen on a free port; fails the test if it cannot.
+/// @brief Makes a server or stand-in listen on a free port; fails the test if
+/// it cannot.
 /// @return the port.
-inline std::uint16_t ListenOnAnyPort(HttpServer& server,
-                                     const std::string& address) {
+template <class Server>
+std::uint16_t ListenOnAnyPort(Server& server, const std::string& address) {
   std::uint16_t port = 0;
   TryOr(
       [&]() -> Result<void> {
--- a/tools/soak_store_rows.py
+++ b/tools/soak_store_rows.py
@@ -29,11 +29,12 @@
 
     def write(self, table, key, value):
         text = base64.b64encode(json.dumps(value).encode()).decode()
-        row = {"table": table, "part": "", "TlsKey": key, "Value": text}
-        body = {"ExpectedRev": [], "put": [row], "Remove": []}
-        self.call("/-/rows-tx", json.dumps(body).encode())
+        self.change([{"table": table, "part": "", "TlsKey": key, "Value": text}], [])
 
     def remove(self, table, key):
-        row = {"table": table, "part": "", "TlsKey": key}
-        body = {"ExpectedRev": [], "put": [], "Remove": [row]}
+        self.change([], [{"table": table, "part": "", "TlsKey": key}])
+
+    def change(self, put, removed):
+        """Writes and removes rows in one call, whatever their versions."""
+        body = {"ExpectedRev": [], "put": put, "Remove": removed}
         self.call("/-/rows-tx", json.dumps(body).encode())
